--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+.PHONY: all build test lint spec generate demo figures schedules fuzz
+
+all: build lint test
+
+build:
+	go build -o valescale .
+
+test:
+	go test ./...
+
+lint:
+	test -z "$$(gofmt -l $$(git ls-files '*.go'))"
+	go vet ./...
+	go tool staticcheck ./...
+
+spec:
+	bash spec/check
+
+# Needs protoc; the generated code is committed, so a build does not.
+generate:
+	mkdir -p .bin
+	GOBIN=$(CURDIR)/.bin go install google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+	PATH=$(CURDIR)/.bin:$$PATH protoc -I proto --go_out=. --go_opt=module=valescale --connect-go_out=. --connect-go_opt=module=valescale,package_suffix= proto/peer.proto
+
+demo:
+	go run ./cmd/demo
--- /dev/null
+++ b/internal/edge/front/job.go
@@ -0,0 +1,255 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/edge/relay"
+	"valescale/internal/edge/route"
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/policy"
+	"valescale/internal/rule/retry"
+	"valescale/internal/share/claim"
+)
+
+// keyHeader carries a caller's name for a request that may not be repeated.
+const keyHeader = "Idempotency-Key"
+
+// job is one caller's request on its way.
+type job struct {
+	id        ident.Attempt
+	workspace policy.Workspace
+	service   policy.Service
+	decision  policy.Decision
+	call      relay.Call
+	key       ident.ChatKey
+	work      ident.Work
+	ticket    *claim.Ticket
+	arrived   time.Time
+	found     time.Time
+	first     time.Time
+	outcome   retry.Outcome
+	tries     int
+	warm      bool
+	avoid     []ident.TargetHash
+	done      bool
+}
+
+// sent is an attempt whose answer has begun.
+type sent struct {
+	seat  *route.Seat
+	reply *relay.Reply
+}
+
+// close gives back the target and drops what is unread.
+func (s *sent) close() {
+	s.reply.Close()
+	s.seat.Release()
+}
+
+// accept identifies the caller, runs the policy and makes the job.
+func (f *Front) accept(r *http.Request, fill func(policy.Workspace, *policy.Request) *Problem) (*job, *Problem) {
+	force := f.Configs.InForce()
+	w, problem := identify(force, r)
+	if problem != nil {
+		return nil, problem
+	}
+	request := f.view(w, r)
+	if fill != nil {
+		if problem := fill(w, request); problem != nil {
+			return nil, problem
+		}
+	}
+	decision := force.Set.Decide(w, request)
+	f.Observer.Decided(w, request, decision)
+	service, ok := force.Set.Services[decision.Service]
+	if !ok {
+		return nil, bad(CodeNoService, http.StatusNotFound, "the policy names no service for this request")
+	}
+	return &job{
+		id:        claim.NewAttempt(),
+		workspace: w,
+		service:   service,
+		decision:  decision,
+		work:      ident.OneRequest,
+		arrived:   f.Clock(),
+		call: relay.Call{
+			Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Header: r.Header, Timeout: service.Timeout,
+		},
+	}, nil
+}
+
+// claim takes the claim of a request that may not be repeated. A stored answer
+// means that it has run before.
+func (f *Front) claim(ctx context.Context, j *job, key string) (*claim.Answer, *Problem) {
+	if j.decision.Repeat != retry.Never {
+		return nil, nil
+	}
+	if key == "" || len(key) > maxKey {
+		return nil, bad(CodeKeyNeeded, http.StatusBadRequest,
+			"this request may not be repeated and needs the header "+keyHeader+" of at most "+strconv.Itoa(maxKey)+" bytes")
+	}
+	ctx, cancel := context.WithTimeout(ctx, max(j.decision.Wait, f.limits.ClaimTime))
+	defer cancel()
+	name := claim.Key{Workspace: j.workspace.Name, Name: key}
+	hash := claim.HashBody(j.call.Method, j.call.Path+"?"+j.call.Query, j.call.Body)
+	ticket, answer, err := f.Claims.Begin(ctx, name, hash)
+	if err != nil {
+		return nil, fromClaim(err)
+	}
+	j.ticket = ticket
+	j.call.Once = true
+	if ticket != nil && j.service.Fenced {
+		j.call.Fence = ticket.Fence()
+	}
+	return answer, nil
+}
+
+// attempt sends the request until an answer begins, as often as the policy, the
+// retry budget and the truth allow.
+func (f *Front) attempt(ctx context.Context, j *job) (*sent, *Problem) {
+	for {
+		seat, err := f.Finder.Acquire(ctx, j.ask())
+		if err != nil {
+			return nil, f.joined(j, fromRoute(err))
+		}
+		if j.found.IsZero() {
+			j.found = f.Clock()
+			j.warm = seat.Warm
+		}
+		j.tries++
+		s, step, err := f.sendOnce(ctx, j, seat)
+		if s != nil {
+			return s, nil
+		}
+		if problem := f.after(ctx, j, seat, step, err); problem != nil {
+			return nil, problem
+		}
+	}
+}
+
+// ask is what the job needs of the finder now.
+func (j *job) ask() route.Ask {
+	return route.Ask{
+		Service:   j.service.Name,
+		Workspace: j.workspace.Name,
+		Weight:    j.workspace.Weight,
+		Priority:  j.decision.Priority,
+		Key:       j.key,
+		Work:      j.work,
+		Deadline:  j.arrived.Add(j.decision.Wait),
+		Avoid:     j.avoid,
+	}
+}
+
+// sendOnce makes one attempt; without an answer it says at which step it ended.
+func (f *Front) sendOnce(ctx context.Context, j *job, seat *route.Seat) (*sent, retry.Step, error) {
+	call := j.call
+	call.Addr = seat.Target.Addr
+	call.Attempt = claim.NewAttempt()
+	call.Key = j.key
+	reply, err := f.Sender.Send(ctx, call)
+	if err != nil {
+		seat.Release()
+		f.judge(ctx, seat, false)
+		return nil, relay.StepOf(err), err
+	}
+	if reply.Leaving {
+		f.Directory.MarkLeaving(seat.Target.ID, seat.Target.Incarnation)
+	}
+	if j.service.MeansNotRun(reply.Status) {
+		reply.Close()
+		seat.Release()
+		return nil, retry.Refused, errRefused
+	}
+	f.judge(ctx, seat, reply.Status < http.StatusInternalServerError)
+	if j.decision.Repeat == retry.Safe && gatewayStatus(reply.Status) && j.tries < f.limits.Tries {
+		reply.Close()
+		seat.Release()
+		return nil, retry.Answering, errGateway
+	}
+	return &sent{seat: seat, reply: reply}, 0, nil
+}
+
+var (
+	errRefused = fault.Newf("front.send", relay.Broken, "the target refused")
+	errGateway = fault.Newf("front.send", relay.Broken, "the target says that it cannot serve now")
+)
+
+// gatewayStatus tells the answers that say "try elsewhere".
+func gatewayStatus(status int) bool {
+	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
+}
+
+// judge tells the target's breaker how it did; a caller that went away says nothing of it.
+func (f *Front) judge(ctx context.Context, seat *route.Seat, ok bool) {
+	if !ok && ctx.Err() != nil {
+		f.Finder.Cancelled(seat.Hash)
+		return
+	}
+	f.Finder.Report(seat.Hash, ok)
+}
+
+// after decides whether a failed attempt is followed by another; a problem ends the request.
+func (f *Front) after(ctx context.Context, j *job, seat *route.Seat, step retry.Step, err error) *Problem {
+	j.outcome = retry.Worse(j.outcome, retry.OutcomeOf(step))
+	j.avoid = append(j.avoid, seat.Hash)
+	_ = level.Info(f.Logger).Log("msg", "attempt failed", "request", j.id, "target", seat.Target.ID, "step", int(step), "err", err)
+	switch {
+	case ctx.Err() != nil:
+		return &Problem{Status: statusCallerGone, Code: CodeCallerGone, Message: "the caller has gone", Outcome: j.outcome}
+	case retry.MaySend(j.decision.Repeat, step, !j.first.IsZero()) && j.tries < f.limits.Tries && f.mayRetry():
+		return nil
+	case step == retry.Refused && j.outcome == retry.NotRun:
+		return &Problem{
+			Status: http.StatusServiceUnavailable, Code: CodeTargetRefused, Outcome: retry.NotRun,
+			RetryAfter: time.Second, Message: "the target refused the request",
+		}
+	default:
+		return fromAttempts(err, j.outcome)
+	}
+}
+
+// joined corrects a later problem by what earlier attempts may have done.
+func (f *Front) joined(j *job, p *Problem) *Problem {
+	if j.outcome != "" {
+		p.Outcome = retry.Worse(j.outcome, p.Outcome)
+	}
+	return p
+}
+
+// fail ends a job with a problem: the claim is given back only if nothing ran.
+func (f *Front) fail(w http.ResponseWriter, j *job, p *Problem) {
+	if j.ticket != nil && p.Outcome == retry.NotRun {
+		f.Claims.Release(j.ticket)
+	}
+	p.write(w)
+	f.finish(j, p.Outcome, p.Code)
+}
+
+// finish tells the observer and the log of a job's end, once.
+func (f *Front) finish(j *job, outcome retry.Outcome, code Code) {
+	if j.done {
+		return
+	}
+	j.done = true
+	now := f.Clock()
+	end := Finished{
+		Workspace: j.workspace.Name, Service: j.service.Name, Outcome: outcome, Code: code, Warm: j.warm, Tries: j.tries,
+		Whole: now.Sub(j.arrived),
+	}
+	if !j.found.IsZero() {
+		end.Waited = j.found.Sub(j.arrived)
+	}
+	if !j.first.IsZero() {
+		end.FirstByte = j.first.Sub(j.arrived)
+	}
+	f.Observer.Finished(end)
+	_ = level.Info(f.Logger).Log("msg", "request", "request", j.id, "workspace", j.workspace.Name, "service", j.service.Name,
+		"chat", strconv.FormatUint(uint64(j.key), 16), "outcome", outcome, "code", code, "tries", j.tries, "ms", end.Whole.Milliseconds())
+}
--- /dev/null
+++ b/internal/edge/front/problem.go
@@ -0,0 +1,157 @@
+package front
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"valescale/internal/edge/relay"
+	"valescale/internal/edge/route"
+	"valescale/internal/plat/fault"
+	"valescale/internal/rule/retry"
+	"valescale/internal/share/claim"
+)
+
+// Code names what went wrong, for callers' programs.
+type Code string
+
+// The codes that callers can get.
+const (
+	CodeNone          Code = ""
+	CodeUnauthorized  Code = "unauthorized"
+	CodeBadRequest    Code = "bad_request"
+	CodeTooLarge      Code = "too_large"
+	CodeNoService     Code = "no_service"
+	CodeNoTarget      Code = "no_target"
+	CodeRateLimited   Code = "rate_limited"
+	CodeOverloaded    Code = "overloaded"
+	CodeWaitedTooLong Code = "waited_too_long"
+	CodeTargetFailed  Code = "target_failed"
+	CodeTargetRefused Code = "target_refused"
+	CodeKeyNeeded     Code = "idempotency_key_needed"
+	CodeKeyMismatch   Code = "idempotency_key_mismatch"
+	CodeAlreadySent   Code = "already_sent"
+	CodeStoreDown     Code = "store_unavailable"
+	CodeStreamGone    Code = "stream_gone"
+	CodeBadResume     Code = "bad_resume_token"
+	CodeCallerGone    Code = "caller_gone"
+)
+
+// OutcomeHeader tells a caller what became of its request.
+const OutcomeHeader = "Valescale-Outcome"
+
+// Problem is an error as a caller sees it.
+type Problem struct {
+	Status     int
+	Code       Code
+	Message    string
+	Outcome    retry.Outcome
+	RetryAfter time.Duration
+}
+
+// Error returns code and message.
+func (p *Problem) Error() string { return string(p.Code) + ": " + p.Message }
+
+type problemBody struct {
+	Error problemFields `json:"error"`
+}
+
+type problemFields struct {
+	Code         Code          `json:"code"`
+	Message      string        `json:"message"`
+	Outcome      retry.Outcome `json:"outcome"`
+	RetryAfterMS int64         `json:"retry_after_ms,omitempty"`
+}
+
+func (p *Problem) body() []byte {
+	data, err := json.Marshal(problemBody{problemFields{
+		Code: p.Code, Message: p.Message, Outcome: p.Outcome, RetryAfterMS: p.RetryAfter.Milliseconds(),
+	}})
+	if err != nil {
+		// The fields are strings and a number.
+		panic(err)
+	}
+	return data
+}
+
+// write answers a caller with the problem.
+func (p *Problem) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(OutcomeHeader, string(p.Outcome))
+	if p.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(p.Status)
+	_, _ = w.Write(p.body())
+}
+
+func bad(code Code, status int, message string) *Problem {
+	return &Problem{Status: status, Code: code, Message: message, Outcome: retry.NotRun}
+}
+
+// fromRoute turns a failure to find a target into a problem.
+func fromRoute(err error) *Problem {
+	p := &Problem{Status: http.StatusServiceUnavailable, Outcome: retry.NotRun, Message: err.Error()}
+	var later route.Later
+	if errors.As(err, &later) {
+		p.RetryAfter = later.RetryAfter
+	}
+	switch fault.KindOf[route.Kind](err) {
+	case route.NoTarget:
+		p.Code, p.Message = CodeNoTarget, "the service has no target that can take the request"
+		p.RetryAfter = max(p.RetryAfter, time.Second)
+	case route.Shed:
+		p.Status, p.Code, p.Message = http.StatusTooManyRequests, CodeOverloaded, "too many requests wait already"
+	case route.Limited:
+		p.Status, p.Code, p.Message = http.StatusTooManyRequests, CodeRateLimited, "the workspace is over its rate"
+	case route.Gone:
+		p.Status, p.Code, p.Message = statusCallerGone, CodeCallerGone, "the caller has gone"
+	default:
+		p.Code, p.Message = CodeWaitedTooLong, "no target became free while the request could wait"
+	}
+	return p
+}
+
+// statusCallerGone is for logs: nobody is there to read it.
+const statusCallerGone = 499
+
+// fromClaim turns a claim that could not be made into a problem.
+func fromClaim(err error) *Problem {
+	switch fault.KindOf[claim.Kind](err) {
+	case claim.Running:
+		return &Problem{
+			Status: http.StatusConflict, Code: CodeAlreadySent, Outcome: retry.Unknown, RetryAfter: time.Second,
+			Message: "a request with this key was sent before; it runs, has run, or was lost",
+		}
+	case claim.Mismatch:
+		return bad(CodeKeyMismatch, http.StatusUnprocessableEntity, "the key was used before with another request")
+	case claim.Damaged:
+		return &Problem{
+			Status: http.StatusInternalServerError, Code: CodeAlreadySent, Outcome: retry.Unknown,
+			Message: "the record of this key cannot be read",
+		}
+	default:
+		return &Problem{
+			Status: http.StatusServiceUnavailable, Code: CodeStoreDown, Outcome: retry.NotRun, RetryAfter: 2 * time.Second,
+			Message: "the store that keeps the request from running twice does not answer",
+		}
+	}
+}
+
+// fromAttempts turns the end of a request's last attempt into a problem.
+func fromAttempts(err error, outcome retry.Outcome) *Problem {
+	p := &Problem{Status: http.StatusBadGateway, Code: CodeTargetFailed, Outcome: outcome, Message: "the target's answer was lost"}
+	switch {
+	case fault.KindOf[relay.Kind](err) == relay.TooLarge:
+		p.Message = "the target's answer is larger than allowed"
+	case outcome == retry.NotRun:
+		p.Status, p.RetryAfter = http.StatusServiceUnavailable, time.Second
+		p.Message = "no target could be reached"
+	}
+	return p
+}
--- /dev/null
+++ b/internal/edge/relay/relay.go
@@ -0,0 +1,248 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"valescale/internal/plat/engine"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/retry"
+)
+
+// Limits bound an attempt.
+type Limits struct {
+	// Answer is the largest whole answer, in bytes.
+	Answer int64
+	// Event is the largest event of a stream, in bytes.
+	Event int
+	// Dial bounds the making of a connection.
+	Dial time.Duration
+	// Idle is how long a connection without requests is kept.
+	Idle time.Duration
+	// PerTarget is how many idle connections one target gets at most.
+	PerTarget int
+}
+
+// DefaultLimits suit chat completions and small services.
+var DefaultLimits = Limits{
+	Answer: 8 << 20, Event: 1 << 20, Dial: 2 * time.Second, Idle: 30 * time.Second, PerTarget: 64,
+}
+
+// Call is one attempt.
+type Call struct {
+	Addr    string
+	Method  string
+	Path    string
+	Query   string
+	Header  http.Header
+	Body    []byte
+	Attempt ident.Attempt
+	Key     ident.ChatKey
+	// Once attempts must not be sent twice, whatever happens to the connection.
+	Once bool
+	// Fence is the fencing token for targets that check one; zero is none.
+	Fence ident.Epoch
+	// Timeout bounds the attempt as a whole.
+	Timeout time.Duration
+}
+
+// Reply is the head of an answer; its body must be read whole or closed.
+type Reply struct {
+	Status   int
+	Header   http.Header
+	Leaving  bool
+	StreamID string
+	body     io.ReadCloser
+	limits   Limits
+	cancel   context.CancelFunc
+}
+
+// Relay sends attempts.
+type Relay struct {
+	limits Limits
+	shared http.RoundTripper
+	single http.RoundTripper
+}
+
+// New returns a relay and the function that closes its idle connections.
+func New(limits Limits) (*Relay, func()) {
+	shared := transport(limits)
+	single := transport(limits)
+	// The transport sends a request again by itself when a kept-alive connection
+	// turns out dead. A fresh connection for each attempt never does.
+	single.DisableKeepAlives = true
+	r := &Relay{limits: limits, shared: shared, single: single}
+	return r, func() {
+		shared.CloseIdleConnections()
+		single.CloseIdleConnections()
+	}
+}
+
+func transport(limits Limits) *http.Transport {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		Protocols:           protocols,
+		DialContext:         (&net.Dialer{Timeout: limits.Dial}).DialContext,
+		MaxIdleConnsPerHost: limits.PerTarget,
+		IdleConnTimeout:     limits.Idle,
+		DisableCompression:  true,
+	}
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// callerHeaders are for the router and must not reach a target.
+var callerHeaders = []string{"Authorization", "Cookie", "Last-Event-Id", engine.AttemptHeader, engine.CacheHeader, engine.FenceHeader}
+
+// CleanRequest removes what must not reach a target.
+func CleanRequest(h http.Header) http.Header {
+	out := h.Clone()
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	for _, name := range callerHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// CleanReply removes what must not reach a caller.
+func CleanReply(h http.Header) http.Header {
+	out := h.Clone()
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	for _, name := range []string{engine.AttemptHeader, engine.LeavingHeader, engine.StreamHeader} {
+		out.Del(name)
+	}
+	return out
+}
+
+// once hides a body's type, so that the transport cannot rewind and send it again.
+type once struct{ io.Reader }
+
+// Close does nothing.
+func (once) Close() error { return nil }
+
+// Send makes an attempt and returns once the answer's head is there.
+func (r *Relay) Send(ctx context.Context, call Call) (*Reply, error) {
+	const op = "relay.Send"
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := r.request(httptrace.WithClientTrace(ctx, trace), call)
+	if err != nil {
+		cancel()
+		return nil, failed(op, Connect, retry.Placing, err)
+	}
+	carrier := r.shared
+	if call.Once {
+		carrier = r.single
+	}
+	resp, err := carrier.RoundTrip(req)
+	if err != nil {
+		cancel()
+		if !connected.Load() {
+			return nil, failed(op, Connect, retry.Dialing, err)
+		}
+		return nil, failed(op, Broken, retry.Sending, err)
+	}
+	if echo := resp.Header.Get(engine.AttemptHeader); echo != "" && echo != string(call.Attempt) {
+		cancel()
+		_ = resp.Body.Close()
+		return nil, failed(op, Crossed, retry.Answering, errors.Errorf("attempt %s got the answer to %s", call.Attempt, echo))
+	}
+	return &Reply{
+		Status:   resp.StatusCode,
+		Header:   resp.Header,
+		Leaving:  resp.Header.Get(engine.LeavingHeader) == "true",
+		StreamID: resp.Header.Get(engine.StreamHeader),
+		body:     framed(resp),
+		limits:   r.limits,
+		cancel:   cancel,
+	}, nil
+}
+
+func (r *Relay) request(ctx context.Context, call Call) (*http.Request, error) {
+	target := url.URL{Scheme: "http", Host: call.Addr, Path: call.Path, RawQuery: call.Query}
+	var body io.Reader
+	if len(call.Body) > 0 || call.Method == http.MethodPost || call.Method == http.MethodPut || call.Method == http.MethodPatch {
+		body = once{bytes.NewReader(call.Body)}
+	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, target.String(), body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(call.Body))
+	req.GetBody = nil
+	req.Header = CleanRequest(call.Header)
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header.Set("User-Agent", "valescale")
+	}
+	req.Header.Set(engine.AttemptHeader, string(call.Attempt))
+	req.Header.Set(engine.CacheHeader, strconv.FormatUint(uint64(call.Key), 16))
+	if call.Fence > 0 {
+		req.Header.Set(engine.FenceHeader, strconv.FormatUint(uint64(call.Fence), 10))
+	}
+	return req, nil
+}
+
+// unframed is a body whose end cannot be told from a cut connection.
+type unframed struct{ io.ReadCloser }
+
+var errUnframed = errors.New("the answer has neither a length nor chunks")
+
+// Read turns the end of the connection into an error.
+func (u unframed) Read(p []byte) (int, error) {
+	n, err := u.ReadCloser.Read(p)
+	if err == io.EOF {
+		err = errUnframed
+	}
+	return n, err
+}
+
+// framed guards against bodies that merely end with the connection.
+func framed(resp *http.Response) io.ReadCloser {
+	if resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return unframed{resp.Body}
+	}
+	return resp.Body
+}
+
+// Close drops an answer; what is unread closes the connection.
+func (r *Reply) Close() {
+	r.cancel()
+	_ = r.body.Close()
+}
+
+// Whole reads the answer to its end.
+func (r *Reply) Whole() ([]byte, error) {
+	const op = "relay.Whole"
+	defer r.Close()
+	data, err := io.ReadAll(io.LimitReader(r.body, r.limits.Answer+1))
+	if errors.Is(err, errUnframed) {
+		return nil, failed(op, Framing, retry.Answering, err)
+	}
+	if err != nil {
+		return nil, failed(op, Broken, retry.Answering, err)
+	}
+	if int64(len(data)) > r.limits.Answer {
+		return nil, failed(op, TooLarge, retry.Answering, errors.Errorf("over %d bytes", r.limits.Answer))
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/edge/relay/stream.go
@@ -0,0 +1,111 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"valescale/internal/rule/retry"
+)
+
+// Event is one server-sent event.
+type Event struct {
+	ID   string
+	Name string
+	Data string
+}
+
+// EndMark is the data of the event that ends a chat completion's stream.
+const EndMark = "[DONE]"
+
+// Stream reads the events of an answer.
+type Stream struct {
+	reply   *Reply
+	scanner *bufio.Scanner
+	ended   bool
+}
+
+// Events starts reading an answer as a stream.
+func (r *Reply) Events() *Stream {
+	return &Stream{reply: r, scanner: newScanner(r.body, r.limits.Event)}
+}
+
+const scannerStart = 4 << 10
+
+func newScanner(body io.Reader, limit int) *bufio.Scanner {
+	s := bufio.NewScanner(body)
+	s.Buffer(make([]byte, 0, min(scannerStart, limit)), limit)
+	return s
+}
+
+var errNoEndMark = errors.New("the stream ended without its end mark")
+
+// Next returns the next event. After the end mark it returns io.EOF; a stream that
+// just stops is an error.
+func (s *Stream) Next() (Event, error) {
+	const op = "relay.Next"
+	if s.ended {
+		return Event{}, io.EOF
+	}
+	e, err := readEvent(s.scanner)
+	switch {
+	case err == io.EOF || errors.Is(err, errUnframed):
+		return Event{}, failed(op, Broken, retry.Answering, errNoEndMark)
+	case errors.Is(err, bufio.ErrTooLong):
+		return Event{}, failed(op, TooLarge, retry.Answering, err)
+	case err != nil:
+		return Event{}, failed(op, Broken, retry.Answering, err)
+	}
+	if e.Data == EndMark {
+		s.ended = true
+		return Event{}, io.EOF
+	}
+	return e, nil
+}
+
+// Close drops the rest of the stream.
+func (s *Stream) Close() { s.reply.Close() }
+
+// readEvent reads one event by the rules of the EventSource standard; an event
+// that the end of the data cuts off is dropped.
+func readEvent(scanner *bufio.Scanner) (Event, error) {
+	var e Event
+	var data []string
+	size := 0
+	for scanner.Scan() {
+		line := bytes.TrimSuffix(scanner.Bytes(), []byte{'\r'})
+		if len(line) == 0 {
+			if data == nil {
+				e = Event{}
+				size = 0
+				continue
+			}
+			e.Data = strings.Join(data, "\n")
+			return e, nil
+		}
+		size += len(line)
+		if size > maxEvent {
+			return Event{}, bufio.ErrTooLong
+		}
+		name, value, _ := bytes.Cut(line, []byte{':'})
+		text := string(bytes.TrimPrefix(value, []byte{' '}))
+		switch string(name) {
+		case "data":
+			data = append(data, text)
+		case "id":
+			e.ID = text
+		case "event":
+			e.Name = text
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return Event{}, err
+	}
+	return Event{}, io.EOF
+}
+
+// maxEvent bounds an event of many lines, in bytes.
+const maxEvent = 4 << 20
--- /dev/null
+++ b/internal/edge/route/limit.go
@@ -0,0 +1,67 @@
+package route
+
+import (
+	"context"
+	"time"
+
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
+	"valescale/internal/rule/quota"
+)
+
+// Admit keeps a workspace within its rate. It uses tokens that the workspace's
+// home granted to this router, and asks for more when they are used up.
+func (r *Router) Admit(ctx context.Context, w policy.Workspace) error {
+	const op = "route.Admit"
+	if w.Rate <= 0 {
+		return nil
+	}
+	r.mu.Lock()
+	now := r.clock()
+	a := r.allowed[w.Name]
+	if a == nil {
+		a = &quota.Allowance{}
+		r.allowed[w.Name] = a
+	}
+	if a.Take(now) {
+		r.mu.Unlock()
+		return nil
+	}
+	if later, denied := a.Denied(now); denied {
+		r.mu.Unlock()
+		return fault.New(op, Limited, Later{RetryAfter: later})
+	}
+	want := a.Ask(now)
+	to := place.OwnerOf("workspace/"+string(w.Name), r.routers)
+	routers := len(r.routers)
+	r.mu.Unlock()
+	granted, retryAfter, err := r.homes.Grant(ctx, to, w.Name, want)
+	return r.granting(a, w, granted, retryAfter, err, routers)
+}
+
+func (r *Router) granting(a *quota.Allowance, w policy.Workspace, granted int, retryAfter time.Duration, err error, routers int) error {
+	const op = "route.Admit"
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock()
+	if err != nil {
+		a.NoHome(now, w.Rate, routers)
+		if a.Take(now) {
+			return nil
+		}
+		return fault.New(op, Limited, Later{RetryAfter: time.Second})
+	}
+	a.Granted(now, granted, retryAfter)
+	if granted == 0 {
+		return fault.New(op, Limited, Later{RetryAfter: retryAfter})
+	}
+	a.Take(now)
+	return nil
+}
+
+// WorkspaceHome returns the router that keeps a workspace's rate.
+func WorkspaceHome(w ident.Workspace, routers []ident.Router) ident.Router {
+	return place.OwnerOf("workspace/"+string(w), routers)
+}
--- /dev/null
+++ b/internal/edge/route/router.go
@@ -0,0 +1,401 @@
+package route
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
+	"valescale/internal/rule/quota"
+	"valescale/internal/rule/retry"
+	"valescale/internal/share/home"
+)
+
+// Homes asks the homes of shards and workspaces, here or at other routers.
+type Homes interface {
+	Place(ctx context.Context, home ident.Router, ask home.Ask, released []uint64) (home.Answer, error)
+	Release(ctx context.Context, home ident.Router, id place.ShardID, released []uint64) error
+	Sync(ctx context.Context, home ident.Router, id place.ShardID, held []place.Permit, upto uint64) error
+	Grant(ctx context.Context, home ident.Router, workspace ident.Workspace, want int) (int, time.Duration, error)
+}
+
+// Target is what an attempt needs to know of the engine or replica it goes to.
+type Target struct {
+	ID          ident.Target
+	Addr        string
+	Zone        ident.Zone
+	Incarnation ident.Incarnation
+}
+
+// Pool describes one pool as the view and the configuration give it.
+type Pool struct {
+	Name    ident.Pool
+	Region  ident.Region
+	Service policy.Service
+	Engines []place.Engine
+	Targets map[ident.TargetHash]Target
+}
+
+// Self is what a router says of itself when it asks.
+type Self struct {
+	ID     ident.Router
+	Zone   ident.Zone
+	Region ident.Region
+	// FirstPermit is above all permit ids of earlier processes of this router.
+	FirstPermit uint64
+}
+
+// Ask is one request that needs a target.
+type Ask struct {
+	Service   ident.Service
+	Workspace ident.Workspace
+	Weight    int
+	Priority  int
+	Key       ident.ChatKey
+	Work      ident.Work
+	// Deadline is until when the request may wait.
+	Deadline time.Time
+	// Avoid are targets that have just failed this request.
+	Avoid []ident.TargetHash
+}
+
+// Router finds targets.
+type Router struct {
+	self     Self
+	homes    Homes
+	clock    ident.Clock
+	mu       sync.Mutex
+	pools    map[ident.Service][]*pool
+	routers  []ident.Router
+	permit   uint64
+	held     map[place.ShardID]map[uint64]place.Permit
+	granted  map[place.ShardID]ident.Router
+	pending  map[place.ShardID][]uint64
+	drift    map[place.ShardID]int
+	flushing bool
+	breakers map[ident.TargetHash]*retry.Breaker
+	allowed  map[ident.Workspace]*quota.Allowance
+	stats    Stats
+}
+
+type pool struct {
+	Pool
+	picture *place.Pool
+	// saturated is until when asking around is thought useless.
+	saturated time.Time
+}
+
+// Stats counts how targets were found.
+type Stats struct {
+	Placed   uint64
+	Warm     uint64
+	Asked    uint64
+	Fallback uint64
+	Must     uint64
+}
+
+// New returns a router without pools.
+func New(self Self, homes Homes, clock ident.Clock) *Router {
+	return &Router{
+		self:     self,
+		homes:    homes,
+		clock:    clock,
+		pools:    map[ident.Service][]*pool{},
+		permit:   self.FirstPermit,
+		held:     map[place.ShardID]map[uint64]place.Permit{},
+		granted:  map[place.ShardID]ident.Router{},
+		pending:  map[place.ShardID][]uint64{},
+		drift:    map[place.ShardID]int{},
+		breakers: map[ident.TargetHash]*retry.Breaker{},
+		allowed:  map[ident.Workspace]*quota.Allowance{},
+	}
+}
+
+// Stats returns the counts so far.
+func (r *Router) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stats
+}
+
+// Set replaces pools and live routers, and tells new homes what this router holds.
+// A service's own region comes first among its pools.
+func (r *Router) Set(ctx context.Context, pools []Pool, routers []ident.Router) {
+	r.mu.Lock()
+	old := r.pools
+	r.pools = map[ident.Service][]*pool{}
+	for _, p := range pools {
+		next := r.renew(old[p.Service.Name], p)
+		list := r.pools[p.Service.Name]
+		if p.Region == r.self.Region {
+			list = append([]*pool{next}, list...)
+		} else {
+			list = append(list, next)
+		}
+		r.pools[p.Service.Name] = list
+	}
+	r.routers = routers
+	moved := r.movedShards()
+	r.mu.Unlock()
+	for _, id := range moved {
+		r.sync(ctx, id)
+	}
+}
+
+// renew keeps what a pool's picture has counted when only its engines change.
+func (r *Router) renew(old []*pool, p Pool) *pool {
+	for _, o := range old {
+		if o.Name == p.Name && o.picture.Shards() == p.Service.Shards && o.Service.Bound == p.Service.Bound {
+			o.picture.SetEngines(p.Engines)
+			return &pool{Pool: p, picture: o.picture, saturated: o.saturated}
+		}
+	}
+	bound := place.DefaultBound
+	bound.Factor = p.Service.Bound
+	picture := place.NewPool(p.Name, p.Service.Shards, bound)
+	picture.SetEngines(p.Engines)
+	return &pool{Pool: p, picture: picture}
+}
+
+// movedShards lists the shards with permits here whose home is not the one that gave them.
+func (r *Router) movedShards() []place.ShardID {
+	var out []place.ShardID
+	for id, permits := range r.held {
+		if len(permits) == 0 {
+			continue
+		}
+		if now := place.HomeOf(id, r.routers); now != r.granted[id] {
+			r.granted[id] = now
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Merge takes in what homes published of their shards.
+func (r *Router) Merge(digests []place.Digest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock()
+	for _, d := range digests {
+		for _, pools := range r.pools {
+			for _, p := range pools {
+				if p.Name == d.ID.Pool {
+					p.picture.Merge(now, d)
+				}
+			}
+		}
+	}
+}
+
+// Acquire finds a target and counts the request there until the seat is released.
+func (r *Router) Acquire(ctx context.Context, ask Ask) (*Seat, error) {
+	const op = "route.Acquire"
+	arrived := r.clock()
+	p := r.poolFor(ask.Service)
+	if p == nil {
+		return nil, fault.Newf(op, NoTarget, "service %s", ask.Service)
+	}
+	ask.Avoid = r.withBlocked(p, ask.Avoid)
+	if p.Service.Balance == policy.Local {
+		return r.alone(p, ask)
+	}
+	for {
+		seat, again, err := r.askAround(ctx, p, ask, arrived)
+		if !again {
+			return seat, err
+		}
+	}
+}
+
+// poolFor returns the first pool of a service that has a usable engine, the near one first.
+func (r *Router) poolFor(service ident.Service) *pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pools[service] {
+		if p.picture.Usable() > 0 {
+			return p
+		}
+	}
+	return nil
+}
+
+// maxTries is how many shards are asked before one is asked to take the request
+// on its least loaded engine.
+const maxTries = 4
+
+// saturatedFor is how long a pool without free engines is not asked around.
+const saturatedFor = 200 * time.Millisecond
+
+// askAround asks the shards for a permit; again is set when a home moved meanwhile.
+func (r *Router) askAround(ctx context.Context, p *pool, ask Ask, arrived time.Time) (seat *Seat, again bool, err error) {
+	var order [place.MaxShards]ident.Shard
+	r.mu.Lock()
+	n := p.picture.Order(ask.Key, order[:])
+	now := r.clock()
+	if now.Before(p.saturated) {
+		n = min(n, 1)
+	} else {
+		n = min(n, maxTries)
+	}
+	saturated := now.Before(p.saturated)
+	r.mu.Unlock()
+	for _, shard := range order[:n] {
+		if saturated {
+			break
+		}
+		a, seat, err := r.ask(ctx, p, shard, ask, arrived, false)
+		switch {
+		case err != nil:
+			return r.withoutHome(ctx, p, ask, err)
+		case seat != nil:
+			return seat, false, nil
+		case a.Result == home.Moved:
+			return nil, true, nil
+		}
+	}
+	return r.insist(ctx, p, order[0], ask, arrived)
+}
+
+// insist asks one shard for its least loaded engine and waits there if all are busy.
+func (r *Router) insist(ctx context.Context, p *pool, first ident.Shard, ask Ask, arrived time.Time) (*Seat, bool, error) {
+	const op = "route.Acquire"
+	r.mu.Lock()
+	shard := first
+	if lightest, ok := p.picture.Lightest(r.clock(), len(r.routers)); ok && r.clock().After(p.saturated) {
+		shard = lightest
+	}
+	r.stats.Must++
+	r.mu.Unlock()
+	a, seat, err := r.ask(ctx, p, shard, ask, arrived, true)
+	if err != nil {
+		return r.withoutHome(ctx, p, ask, err)
+	}
+	if seat != nil {
+		return seat, false, nil
+	}
+	r.mu.Lock()
+	p.saturated = r.clock().Add(saturatedFor)
+	r.mu.Unlock()
+	later := Later{RetryAfter: a.RetryAfter}
+	switch a.Result {
+	case home.Moved:
+		return nil, true, nil
+	case home.Empty:
+		return nil, false, fault.New(op, NoTarget, later)
+	case home.Shed:
+		return nil, false, fault.New(op, Shed, later)
+	default:
+		if ctx.Err() != nil {
+			return nil, false, fault.New(op, Gone, ctx.Err())
+		}
+		return nil, false, fault.New(op, TimedOut, later)
+	}
+}
+
+// withoutHome decides alone after a home did not answer.
+func (r *Router) withoutHome(ctx context.Context, p *pool, ask Ask, cause error) (*Seat, bool, error) {
+	if ctx.Err() != nil {
+		return nil, false, fault.New("route.Acquire", Gone, cause)
+	}
+	seat, err := r.alone(p, ask)
+	return seat, false, err
+}
+
+// ask asks one home for a permit.
+func (r *Router) ask(ctx context.Context, p *pool, shard ident.Shard, ask Ask, arrived time.Time, must bool) (home.Answer, *Seat, error) {
+	id := place.ShardID{Pool: p.Name, Shard: shard}
+	r.mu.Lock()
+	r.permit++
+	permit := r.permit
+	to := place.HomeOf(id, r.routers)
+	released := r.pending[id]
+	delete(r.pending, id)
+	r.stats.Asked++
+	r.mu.Unlock()
+	now := r.clock()
+	request := home.Ask{
+		Request: place.Request{
+			Edge: r.self.ID, Permit: permit, Key: ask.Key, Work: ask.Work, Zone: r.self.Zone, Must: must, Avoid: ask.Avoid,
+		},
+		Shard:     id,
+		Workspace: ask.Workspace,
+		Weight:    ask.Weight,
+		Priority:  ask.Priority,
+		Waited:    now.Sub(arrived),
+	}
+	if must {
+		request.Wait = max(ask.Deadline.Sub(now), 0)
+	}
+	a, err := r.homes.Place(ctx, to, request, released)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		// The permit may have been given; say that it is not used.
+		r.giveBack(id, append(released, permit)...)
+		return a, nil, err
+	}
+	if a.Result != home.Placed {
+		return a, nil, nil
+	}
+	target, ok := p.Targets[a.Engine]
+	if !ok {
+		// The home knows an engine that this router does not know yet.
+		r.giveBack(id, permit)
+		return home.Answer{Result: home.Full}, nil, nil
+	}
+	r.granted[id] = to
+	seat := r.sit(p, id, place.Permit{Edge: r.self.ID, ID: permit, Engine: a.Engine, Work: ask.Work}, target)
+	seat.Warm = a.Warm
+	if a.Warm {
+		r.stats.Warm++
+	}
+	r.watchDrift(id, a.Held)
+	return a, seat, nil
+}
+
+// alone decides from this router's own counts and what homes published last.
+func (r *Router) alone(p *pool, ask Ask) (*Seat, error) {
+	const op = "route.Acquire"
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	request := place.Request{Key: ask.Key, Work: ask.Work, Zone: r.self.Zone, Avoid: ask.Avoid}
+	d := p.picture.Local(r.clock(), request, len(r.routers))
+	target, known := p.Targets[d.Engine]
+	switch {
+	case d.Result == place.Empty:
+		return nil, fault.New(op, NoTarget, nil)
+	case d.Result != place.Placed || !known:
+		return nil, fault.New(op, TimedOut, Later{RetryAfter: time.Second})
+	}
+	r.permit++
+	permit := place.Permit{Edge: r.self.ID, ID: r.permit, Engine: d.Engine, Work: ask.Work}
+	if p.Service.Balance == policy.Local {
+		return r.sit(p, place.ShardID{}, permit, target), nil
+	}
+	r.stats.Fallback++
+	id := place.ShardID{Pool: p.Name, Shard: place.ShardOf(d.Engine, p.picture.Shards())}
+	return r.sit(p, id, permit, target), nil
+}
+
+// withBlocked adds the targets whose breakers are open to those to avoid.
+func (r *Router) withBlocked(p *pool, avoid []ident.TargetHash) []ident.TargetHash {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock()
+	blocked := 0
+	for hash := range p.Targets {
+		if b, ok := r.breakers[hash]; ok && b.Blocked(now) {
+			avoid = append(avoid, hash)
+			blocked++
+		}
+	}
+	if blocked >= p.picture.Usable() {
+		// With every breaker open, trying is better than refusing everything.
+		return avoid[:len(avoid)-blocked]
+	}
+	return avoid
+}
--- /dev/null
+++ b/internal/edge/route/seat.go
@@ -0,0 +1,146 @@
+package route
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/retry"
+)
+
+// Seat is one request's place at a target.
+type Seat struct {
+	Target Target
+	Hash   ident.TargetHash
+	// Warm means that the chat ran there before.
+	Warm    bool
+	release func()
+	once    sync.Once
+}
+
+// Release gives the place back; calling it again does nothing.
+func (s *Seat) Release() {
+	s.once.Do(func() {
+		if s.release != nil {
+			s.release()
+		}
+	})
+}
+
+// sit records a permit as held; the caller holds the lock. An empty shard means
+// that no home counts it.
+func (r *Router) sit(p *pool, id place.ShardID, permit place.Permit, target Target) *Seat {
+	p.picture.Begin(permit.Engine, permit.Work)
+	r.stats.Placed++
+	counted := id != (place.ShardID{})
+	if counted {
+		if r.held[id] == nil {
+			r.held[id] = map[uint64]place.Permit{}
+		}
+		r.held[id][permit.ID] = permit
+	}
+	if b, ok := r.breakers[permit.Engine]; ok {
+		b.Allow(r.clock())
+	}
+	return &Seat{Target: target, Hash: permit.Engine, release: func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		p.picture.End(permit.Engine, permit.Work)
+		if counted {
+			delete(r.held[id], permit.ID)
+			r.giveBack(id, permit.ID)
+		}
+	}}
+}
+
+// flushAfter is how long permits given back wait for another message to travel with.
+const flushAfter = 50 * time.Millisecond
+
+// giveBack notes permits to be returned; the caller holds the lock.
+func (r *Router) giveBack(id place.ShardID, permits ...uint64) {
+	r.pending[id] = append(r.pending[id], permits...)
+	if r.flushing {
+		return
+	}
+	r.flushing = true
+	time.AfterFunc(flushAfter, r.flush)
+}
+
+// flush returns all permits that are still waiting for it.
+func (r *Router) flush() {
+	r.mu.Lock()
+	r.flushing = false
+	pending := r.pending
+	r.pending = map[place.ShardID][]uint64{}
+	homes := make(map[place.ShardID]ident.Router, len(pending))
+	for id := range pending {
+		homes[id] = place.HomeOf(id, r.routers)
+	}
+	r.mu.Unlock()
+	for id, permits := range pending {
+		// A lost return shows as drift at the next request and is mended by a sync.
+		_ = r.homes.Release(context.Background(), homes[id], id, permits)
+	}
+}
+
+// driftLimit is how many answers in a row may miscount this router's permits
+// before it sends the home its list; calls that cross explain a few.
+const driftLimit = 3
+
+// watchDrift compares the home's count of this router's permits with the true
+// one; the caller holds the lock.
+func (r *Router) watchDrift(id place.ShardID, believed int) {
+	if believed == len(r.held[id])+len(r.pending[id]) {
+		r.drift[id] = 0
+		return
+	}
+	r.drift[id]++
+	if r.drift[id] < driftLimit {
+		return
+	}
+	r.drift[id] = 0
+	go r.sync(context.Background(), id)
+}
+
+// sync tells a shard's home all permits held here.
+func (r *Router) sync(ctx context.Context, id place.ShardID) {
+	r.mu.Lock()
+	to := place.HomeOf(id, r.routers)
+	held := make([]place.Permit, 0, len(r.held[id]))
+	for _, p := range r.held[id] {
+		held = append(held, p)
+	}
+	upto := r.permit
+	r.mu.Unlock()
+	if to == "" {
+		return
+	}
+	_ = r.homes.Sync(ctx, to, id, held, upto)
+}
+
+// Report notes how a target did, for its breaker.
+func (r *Router) Report(target ident.TargetHash, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock()
+	b := r.breakers[target]
+	if b == nil {
+		if ok {
+			return
+		}
+		b = retry.NewBreaker(now)
+		r.breakers[target] = b
+	}
+	b.Report(now, ok)
+}
+
+// Cancelled notes that an attempt ended without telling anything of its target.
+func (r *Router) Cancelled(target ident.TargetHash) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if b := r.breakers[target]; b != nil {
+		b.Cancelled()
+	}
+}
--- /dev/null
+++ b/internal/fake/store/http.go
@@ -0,0 +1,102 @@
+package store
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"valescale/internal/plat/table"
+)
+
+// maxBody bounds a request to the stand-in, in bytes.
+const maxBody = 64 << 20
+
+// Handler serves the platform's protocols over HTTP.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/commit", s.serveCommit)
+	mux.HandleFunc("GET /v1/row", s.serveRow)
+	mux.HandleFunc("GET /v1/scan", s.serveScan)
+	mux.HandleFunc("GET /v1/boxes", s.serveBoxes)
+	mux.HandleFunc("PUT /v1/object/{name}", s.servePutObject)
+	mux.HandleFunc("GET /v1/object/{name}", s.serveGetObject)
+	return mux
+}
+
+func (s *Store) serveCommit(w http.ResponseWriter, r *http.Request) {
+	var txn table.Txn
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&txn); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	reply(w, struct{}{}, s.Commit(r.Context(), txn))
+}
+
+func (s *Store) serveRow(w http.ResponseWriter, r *http.Request) {
+	row, err := s.Get(r.Context(), table.Name(r.FormValue("table")), table.Key(r.FormValue("key")))
+	reply(w, row, err)
+}
+
+func (s *Store) serveScan(w http.ResponseWriter, r *http.Request) {
+	limit, _ := strconv.Atoi(r.FormValue("limit"))
+	rows, err := s.Scan(r.Context(), table.Range{
+		Table: table.Name(r.FormValue("table")),
+		From:  table.Key(r.FormValue("from")),
+		Limit: limit,
+	})
+	reply(w, rows, err)
+}
+
+func (s *Store) serveBoxes(w http.ResponseWriter, r *http.Request) {
+	list, err := s.List(r.Context())
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	reply(w, list, nil)
+}
+
+func (s *Store) servePutObject(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.objects[r.PathValue("name")] = data
+}
+
+func (s *Store) serveGetObject(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.objects[r.PathValue("name")]
+	switch {
+	case s.down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case !ok:
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		_, _ = w.Write(data)
+	}
+}
+
+func reply(w http.ResponseWriter, value any, err error) {
+	switch table.KindOf(err) {
+	case table.Conflict:
+		w.WriteHeader(http.StatusConflict)
+	case table.Missing:
+		w.WriteHeader(http.StatusNotFound)
+	case table.Unavailable:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case table.Unknown:
+		w.WriteHeader(http.StatusInternalServerError)
+	default:
+		_ = json.NewEncoder(w).Encode(value)
+	}
+}
--- /dev/null
+++ b/internal/fake/target/engine.go
@@ -0,0 +1,392 @@
+package target
+
+import (
+	"container/list"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"valescale/internal/plat/engine"
+	"valescale/internal/plat/ident"
+)
+
+// EngineOptions say how an engine behaves.
+type EngineOptions struct {
+	Name        ident.Target
+	Incarnation ident.Incarnation
+	// PerWord is the time that one word takes; Cold is added when the prefix is not cached.
+	PerWord time.Duration
+	Cold    time.Duration
+	// Cache is how many chats' prefixes fit.
+	Cache int
+	Slots int
+	// Fenced engines refuse orders with an older epoch.
+	Fenced bool
+	Model  string
+}
+
+// Engine is the stand-in of a model engine.
+type Engine struct {
+	options EngineOptions
+	mu      sync.Mutex
+	leaving bool
+	running int
+	peak    int
+	served  int
+	warm    int
+	seq     uint64
+	evicted []eviction
+	lru     *list.List
+	cached  map[ident.ChatKey]*list.Element
+	streams map[string]stream
+	epoch   ident.Epoch
+	model   string
+	orders  int
+	// cutAfter closes the connection after so many events; zero never.
+	cutAfter int
+	cuts     int
+	watch    func(running int)
+	// asked counts how often each question ran.
+	asked map[string]int
+}
+
+type eviction struct {
+	seq uint64
+	key ident.ChatKey
+}
+
+type stream struct {
+	words []string
+	first int
+}
+
+// NewEngine returns an engine without cached prefixes.
+func NewEngine(options EngineOptions) *Engine {
+	return &Engine{
+		options: options, lru: list.New(), cached: map[ident.ChatKey]*list.Element{}, streams: map[string]stream{},
+		model: options.Model, asked: map[string]int{},
+	}
+}
+
+// Watch sets what is called, under the engine's lock, with each change of its running requests.
+func (e *Engine) Watch(watch func(running int)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.watch = watch
+}
+
+// Leave makes the engine say that it is leaving.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// CutStreams makes the next n streams break off after some events.
+func (e *Engine) CutStreams(n, afterEvents int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cuts, e.cutAfter = n, afterEvents
+}
+
+// Counts is what an engine has done.
+type Counts struct {
+	Served int
+	Warm   int
+	Peak   int
+	Orders int
+	Model  string
+	Epoch  ident.Epoch
+}
+
+// Counts returns what the engine has done so far.
+func (e *Engine) Counts() Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Counts{Served: e.served, Warm: e.warm, Peak: e.peak, Orders: e.orders, Model: e.model, Epoch: e.epoch}
+}
+
+// Handler serves the engine's interfaces.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("GET /v1/streams/{id}", e.serveStream)
+	mux.HandleFunc("GET /v1/report", e.serveReport)
+	mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	mux.HandleFunc("POST /v1/import", e.serveImport)
+	return mux
+}
+
+type chatRequest struct {
+	Stream    bool `json:"stream"`
+	MaxTokens int  `json:"max_tokens"`
+	Continue  bool `json:"continue_final_message"`
+	Messages  []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+// words returns the question, the answer's words and how many of them the caller has already.
+func (c chatRequest) words() (string, []string, int) {
+	messages := c.Messages
+	part := ""
+	if c.Continue && len(messages) > 0 {
+		part = messages[len(messages)-1].Content
+		messages = messages[:len(messages)-1]
+	}
+	question := ""
+	for _, m := range messages {
+		if m.Role == "user" {
+			question = m.Content
+		}
+	}
+	count := c.MaxTokens
+	if count <= 0 {
+		count = Words
+	}
+	return question, answerWords(question, count), strings.Count(part, " ")
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	var request chatRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil || len(request.Messages) == 0 {
+		http.Error(w, `{"error":"bad request"}`, http.StatusBadRequest)
+		return
+	}
+	key, _ := strconv.ParseUint(r.Header.Get(engine.CacheHeader), 16, 64)
+	if !e.begin() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.end()
+	warm := e.touch(ident.ChatKey(key))
+	e.headers(w, r)
+	if !warm && !pause(r.Context(), e.options.Cold) {
+		return
+	}
+	question, words, first := request.words()
+	e.note(question)
+	if request.Stream {
+		id := r.Header.Get(engine.AttemptHeader)
+		e.mu.Lock()
+		e.streams[id] = stream{words: words, first: first}
+		e.mu.Unlock()
+		w.Header().Set(engine.StreamHeader, id)
+		e.send(w, r, words, first)
+		return
+	}
+	if !pause(r.Context(), time.Duration(len(words)-first)*e.options.PerWord) {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(completion{Choices: []choice{{Message: &message{"assistant", strings.Join(words[first:], "")}}}})
+}
+
+type completion struct {
+	Choices []choice `json:"choices"`
+}
+
+type choice struct {
+	Message *message `json:"message,omitempty"`
+	Delta   *message `json:"delta,omitempty"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// send streams the words from a place on.
+func (e *Engine) send(w http.ResponseWriter, r *http.Request, words []string, from int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	cut := e.nextCut()
+	for i := from; i < len(words); i++ {
+		if !pause(r.Context(), e.options.PerWord) {
+			return
+		}
+		if cut > 0 && i-from >= cut {
+			panic(http.ErrAbortHandler)
+		}
+		data, _ := json.Marshal(completion{Choices: []choice{{Delta: &message{Content: words[i]}}}})
+		if _, err := w.Write([]byte("data: " + string(data) + "\n\n")); err != nil {
+			return
+		}
+		_ = control.Flush()
+	}
+	_, _ = w.Write([]byte("data: [DONE]\n\n"))
+}
+
+func (e *Engine) note(question string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked[question]++
+}
+
+// Asked reports whether a question ever ran here.
+func (e *Engine) Asked(question string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.asked[question] > 0
+}
+
+func (e *Engine) nextCut() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cuts == 0 {
+		return 0
+	}
+	e.cuts--
+	return e.cutAfter
+}
+
+func (e *Engine) serveStream(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	s, ok := e.streams[r.PathValue("id")]
+	e.mu.Unlock()
+	from, err := strconv.Atoi(r.FormValue("from"))
+	if !ok || err != nil || from < 0 || s.first+from > len(s.words) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	e.headers(w, r)
+	w.Header().Set(engine.StreamHeader, r.PathValue("id"))
+	e.send(w, r, s.words, s.first+from)
+}
+
+func (e *Engine) headers(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(engine.AttemptHeader, r.Header.Get(engine.AttemptHeader))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		w.Header().Set(engine.LeavingHeader, "true")
+	}
+}
+
+func (e *Engine) begin() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.options.Slots > 0 && e.running >= 2*e.options.Slots {
+		return false
+	}
+	e.running++
+	e.served++
+	e.peak = max(e.peak, e.running)
+	if e.watch != nil {
+		e.watch(e.running)
+	}
+	return true
+}
+
+func (e *Engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+	if e.watch != nil {
+		e.watch(e.running)
+	}
+}
+
+// touch notes that a chat's prefix was used and reports whether it was cached.
+func (e *Engine) touch(key ident.ChatKey) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if el, ok := e.cached[key]; ok {
+		e.lru.MoveToFront(el)
+		e.warm++
+		return true
+	}
+	e.cached[key] = e.lru.PushFront(key)
+	if e.options.Cache > 0 && e.lru.Len() > e.options.Cache {
+		last := e.lru.Back()
+		gone := e.lru.Remove(last).(ident.ChatKey)
+		delete(e.cached, gone)
+		e.seq++
+		e.evicted = append(e.evicted, eviction{seq: e.seq, key: gone})
+	}
+	return false
+}
+
+func (e *Engine) serveReport(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.ParseUint(r.FormValue("since"), 10, 64)
+	e.mu.Lock()
+	report := engine.Report{
+		Incarnation: e.options.Incarnation, Leaving: e.leaving, InFlight: e.running, Slots: e.options.Slots,
+		Model: e.model, Seq: e.seq,
+	}
+	for _, v := range e.evicted {
+		if v.seq > since {
+			report.Evicted = append(report.Evicted, v.key)
+		}
+	}
+	e.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(report)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order engine.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.options.Fenced && order.Epoch < e.epoch {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.epoch = max(e.epoch, order.Epoch)
+	e.orders++
+	switch order.Kind {
+	case engine.LoadModel:
+		e.model = order.Model
+	case engine.ExportCache:
+		go importAt(order)
+	}
+}
+
+func (e *Engine) serveImport(_ http.ResponseWriter, r *http.Request) {
+	var order engine.Order
+	if json.NewDecoder(r.Body).Decode(&order) != nil {
+		return
+	}
+	for _, key := range order.Keys {
+		e.touch(key)
+	}
+}
+
+// importAt stands for the copying of cached prefixes to another engine.
+func importAt(order engine.Order) {
+	body, _ := json.Marshal(engine.Order{Kind: importCache, Keys: order.Keys})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+order.To+"/v1/import", strings.NewReader(string(body)))
+	if err != nil {
+		return
+	}
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// importCache is the stand-in's own order between engines.
+const importCache engine.OrderKind = "import_cache"
+
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/fake/target/plain.go
@@ -0,0 +1,83 @@
+package target
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Plain is the stand-in of a plain service: POST /orders runs an order, anything
+// else echoes its path and body.
+type Plain struct {
+	mu   sync.Mutex
+	runs map[string]int
+	took time.Duration
+	lose int
+}
+
+// NewPlain returns a service whose requests take a while.
+func NewPlain(took time.Duration) *Plain { return &Plain{runs: map[string]int{}, took: took} }
+
+// LoseAnswers makes the next n orders run and then break the connection.
+func (p *Plain) LoseAnswers(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose = n
+}
+
+// Runs returns how often each key's order ran.
+func (p *Plain) Runs() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]int, len(p.runs))
+	for k, n := range p.runs {
+		out[k] = n
+	}
+	return out
+}
+
+// Reply is what the service answers.
+type Reply struct {
+	Key  string `json:"key,omitempty"`
+	Path string `json:"path"`
+	Body string `json:"body"`
+}
+
+// Handler serves the service.
+func (p *Plain) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /orders", p.serveOrder)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		pause(r.Context(), p.took)
+		p.reply(w, Reply{Path: r.URL.Path, Body: string(body)})
+	})
+	return mux
+}
+
+func (p *Plain) serveOrder(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	key := r.Header.Get("Idempotency-Key")
+	p.mu.Lock()
+	p.runs[key]++
+	lose := p.lose > 0
+	if lose {
+		p.lose--
+	}
+	p.mu.Unlock()
+	pause(r.Context(), p.took)
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	p.reply(w, Reply{Key: key, Path: r.URL.Path, Body: string(body)})
+}
+
+func (p *Plain) reply(w http.ResponseWriter, reply Reply) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(reply)
+}
--- /dev/null
+++ b/internal/oper/daemon/daemon.go
@@ -0,0 +1,318 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/edge/front"
+	"valescale/internal/edge/relay"
+	"valescale/internal/edge/route"
+	"valescale/internal/oper/admin"
+	"valescale/internal/oper/conf"
+	"valescale/internal/oper/telem"
+	"valescale/internal/plat/boxes"
+	"valescale/internal/plat/engine"
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/plat/object"
+	"valescale/internal/plat/table"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
+	"valescale/internal/share/claim"
+	"valescale/internal/share/config"
+	"valescale/internal/share/home"
+	"valescale/internal/share/lease"
+	"valescale/internal/share/peer"
+)
+
+// Kind tells this package's errors apart.
+type Kind string
+
+const (
+	// Listen means that an address cannot be listened on.
+	Listen Kind = "listen"
+	// Keys means that certificates or keys cannot be used.
+	Keys Kind = "keys"
+)
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// Daemon is one router process.
+type Daemon struct {
+	settings  conf.Settings
+	logger    log.Logger
+	clock     ident.Clock
+	self      peer.Member
+	node      *peer.Node
+	keeper    *config.Keeper
+	recorder  *config.Recorder
+	follower  *config.Follower
+	homes     *home.Homes
+	remote    *home.Remote
+	router    *route.Router
+	front     *front.Front
+	metrics   *telem.Metrics
+	admin     *admin.Service
+	table     *table.Client
+	engines   *engine.Client
+	orders    *lease.Lease
+	meter     *peer.Meter
+	reports   *reports
+	pools     atomic.Pointer[poolSet]
+	dirty     chan struct{}
+	ready     atomic.Bool
+	leaving   atomic.Bool
+	listeners listeners
+	cleanups  []func()
+	stopClaim func(context.Context)
+}
+
+type listeners struct {
+	callers net.Listener
+	peers   net.Listener
+	admin   net.Listener
+}
+
+// New returns a router that listens but serves nobody until Run, and the function
+// that frees what it holds.
+func New(settings conf.Settings, logger log.Logger, clock ident.Clock) (*Daemon, func(), error) {
+	d := &Daemon{
+		settings: settings, logger: logger, clock: clock,
+		meter: &peer.Meter{}, reports: newReports(), dirty: make(chan struct{}, 1),
+	}
+	d.pools.Store(&poolSet{})
+	if err := d.listen(); err != nil {
+		d.close()
+		return nil, nil, err
+	}
+	if err := d.build(); err != nil {
+		d.close()
+		return nil, nil, err
+	}
+	return d, d.close, nil
+}
+
+func (d *Daemon) close() {
+	for i := len(d.cleanups) - 1; i >= 0; i-- {
+		d.cleanups[i]()
+	}
+	d.cleanups = nil
+}
+
+func (d *Daemon) listen() error {
+	for _, at := range []struct {
+		addr string
+		into *net.Listener
+	}{
+		{d.settings.Callers.Addr, &d.listeners.callers},
+		{d.settings.Peers.Addr, &d.listeners.peers},
+		{d.settings.Admin.Addr, &d.listeners.admin},
+	} {
+		l, err := net.Listen("tcp", at.addr)
+		if err != nil {
+			return fault.New("daemon.New", Listen, err)
+		}
+		d.cleanups = append(d.cleanups, func() { _ = l.Close() })
+		*at.into = l
+	}
+	return nil
+}
+
+// CallerAddr is where callers connect.
+func (d *Daemon) CallerAddr() string { return d.listeners.callers.Addr().String() }
+
+// PeerAddr is where other routers connect.
+func (d *Daemon) PeerAddr() string {
+	if d.settings.Peers.Advertise != "" {
+		return d.settings.Peers.Advertise
+	}
+	return d.listeners.peers.Addr().String()
+}
+
+// AdminAddr is where operators connect.
+func (d *Daemon) AdminAddr() string { return d.listeners.admin.Addr().String() }
+
+// Traffic is the control traffic so far.
+func (d *Daemon) Traffic() peer.Traffic { return d.meter.Traffic() }
+
+// Revision is the configuration revision in force.
+func (d *Daemon) Revision() ident.Revision { return d.keeper.InForce().Revision }
+
+// Ready reports whether the router wants requests.
+func (d *Daemon) Ready() bool { return d.ready.Load() }
+
+// Stats returns how targets were found.
+func (d *Daemon) Stats() route.Stats { return d.router.Stats() }
+
+// permitBits leaves room for a million permits for each millisecond of a process's life.
+const permitBits = 20
+
+func firstPermit(incarnation ident.Incarnation) uint64 { return uint64(incarnation) << permitBits }
+
+// build makes the parts and connects them.
+func (d *Daemon) build() error {
+	s := d.settings
+	now := d.clock()
+	incarnation := ident.Incarnation(now.UnixMilli())
+	d.self = peer.Member{
+		ID: s.Router.ID, Addr: d.PeerAddr(), Zone: s.Router.Zone, Region: s.Router.Region, Incarnation: incarnation,
+	}
+	peerTLS, err := peerConfig(s.Peers)
+	if err != nil {
+		return err
+	}
+	clients, closeClients := peer.NewClients(peerTLS, d.meter)
+	d.cleanups = append(d.cleanups, closeClients)
+	platform := d.platformTransport()
+	d.table = table.New(s.Platform.Table, platform, s.Platform.Timeout)
+	list := boxes.New(s.Platform.Boxes, platform, s.Platform.Timeout)
+	objects := object.New(s.Platform.Object, platform, s.Platform.Timeout, s.Limits.Answer*2)
+
+	view := peer.NewView(now, d.self, peer.DefaultLimits)
+	pace := peer.DefaultPace
+	pace.Gossip, pace.List = s.Pace.Gossip, s.Pace.List
+	seed := uint64(s.Router.ID.Hash())<<32 | uint64(incarnation)&0xffffffff
+	d.node = peer.NewNode(view, clients, list, pace, s.Router.Seeds, seed, d.clock)
+
+	d.keeper = config.NewKeeper(d.installed)
+	d.recorder = config.NewRecorder(d.table, d.keeper, d.clock)
+	d.follower = config.NewFollower(d.keeper, d.recorder, fetcher{d.node}, s.Pace.Head, seed)
+
+	limits := home.Limits{Queue: s.Limits.Queue, PerWorkspace: s.Limits.PerWorkspace}
+	d.homes = home.New(s.Router.ID, limits, d.clock, d.workspace)
+	d.remote = home.NewRemote(s.Router.ID, d.homes, d.node, s.Pace.Permit)
+	d.router = route.New(route.Self{
+		ID: s.Router.ID, Zone: s.Router.Zone, Region: s.Router.Region, FirstPermit: firstPermit(incarnation),
+	}, d.remote, d.clock)
+	d.node.SetHooks(peer.Hooks{
+		Changed: d.markDirty,
+		Loads: func(loads []place.Digest) {
+			d.homes.Merge(loads)
+			d.router.Merge(loads)
+		},
+		Head:    d.heard,
+		Digests: d.publish,
+	})
+	return d.buildEdge(objects, platform, incarnation)
+}
+
+// buildEdge makes the parts that serve callers and operators.
+func (d *Daemon) buildEdge(objects *object.Client, platform http.RoundTripper, incarnation ident.Incarnation) error {
+	s := d.settings
+	claims, stopClaims := claim.New(d.table, objects, claim.DefaultOptions, d.clock)
+	d.stopClaim = stopClaims
+	relayLimits := relay.DefaultLimits
+	relayLimits.Answer = s.Limits.Answer
+	sender, closeSender := relay.New(relayLimits)
+	d.cleanups = append(d.cleanups, closeSender, func() { stopNow(stopClaims) })
+	d.engines = engine.New(platform, s.Platform.Timeout)
+	d.orders = lease.New(d.table, ordersLease, s.Router.ID, string(claim.NewAttempt()), s.Pace.Lease, d.clock)
+	shadow := admin.NewShadow()
+	d.metrics = telem.New(shadow, d.gauges())
+	frontLimits := front.DefaultLimits
+	frontLimits.Body, frontLimits.BodyTime, frontLimits.Tries = s.Limits.Body, s.Limits.BodyTime, s.Limits.Tries
+	d.front = front.New(front.Parts{
+		Configs: d.keeper, Finder: d.router, Sender: sender, Claims: claims, Directory: d, Observer: d.metrics,
+		Logger: d.logger, Keys: s.ResumeKeys, Zone: s.Router.Zone, Clock: d.clock,
+	}, frontLimits)
+	d.admin = admin.New(admin.Parts{
+		Self: s.Router.ID, Operators: s.Operators, Keeper: d.keeper, Recorder: d.recorder, Follower: d.follower,
+		Views: d.node, Shadow: shadow, Status: d.status,
+	})
+	return nil
+}
+
+// stopNow stops what writes outcomes without waiting for the store.
+func stopNow(stop func(context.Context)) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	stop(ctx)
+}
+
+const (
+	platformIdle  = time.Minute
+	platformConns = 16
+	ordersLease   = "orders"
+)
+
+// platformTransport dials the platform and the engines' side interfaces; what
+// goes over it is control traffic.
+func (d *Daemon) platformTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: d.settings.Platform.Timeout}
+	t := &http.Transport{
+		MaxIdleConnsPerHost: platformConns,
+		IdleConnTimeout:     platformIdle,
+		DisableCompression:  true,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return d.meter.Conn(c), nil
+		},
+	}
+	d.cleanups = append(d.cleanups, t.CloseIdleConnections)
+	return t
+}
+
+// workspace returns a workspace's limits in force.
+func (d *Daemon) workspace(name ident.Workspace) (policy.Workspace, bool) {
+	w, ok := d.keeper.InForce().Set.Workspaces[name]
+	return w, ok
+}
+
+// installed follows a change of the configuration in force.
+func (d *Daemon) installed(force config.InForce) {
+	d.node.Do(func(v *peer.View) { v.SetRevision(force.Revision) })
+	d.markDirty()
+	_ = level.Info(d.logger).Log("msg", "configuration in force", "revision", force.Revision)
+	go d.node.Tell(context.Background())
+}
+
+// heard follows a router that told of a later revision.
+func (d *Daemon) heard(_ ident.Revision, from ident.Router) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), d.settings.Platform.Timeout*2)
+		defer cancel()
+		if err := d.follower.Heard(ctx, from); err != nil {
+			_ = level.Warn(d.logger).Log("msg", "could not fetch the configuration", "from", from, "err", err)
+		}
+	}()
+}
+
+// markDirty asks for pools and homes to be brought up to date.
+func (d *Daemon) markDirty() {
+	select {
+	case d.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// Target finds a target by its id.
+func (d *Daemon) Target(id ident.Target) (route.Target, bool) {
+	for _, p := range d.pools.Load().pools {
+		if t, ok := p.Targets[id.Hash()]; ok && t.ID == id {
+			return t, true
+		}
+	}
+	return route.Target{}, false
+}
+
+// MarkLeaving notes that an incarnation of a target is leaving, and tells the peers.
+func (d *Daemon) MarkLeaving(id ident.Target, incarnation ident.Incarnation) {
+	fresh := false
+	d.node.Do(func(v *peer.View) {
+		fresh = v.MarkLeaving(d.clock(), peer.Mark{Target: id, Incarnation: incarnation})
+	})
+	if fresh {
+		_ = level.Info(d.logger).Log("msg", "target is leaving", "target", id)
+		go d.node.Tell(context.Background())
+	}
+}
--- /dev/null
+++ b/internal/oper/daemon/pools.go
@@ -0,0 +1,155 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/edge/route"
+	"valescale/internal/plat/engine"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
+	"valescale/internal/share/config"
+	"valescale/internal/share/peer"
+)
+
+// poolSet is what the view and the configuration give together.
+type poolSet struct {
+	pools   []route.Pool
+	routers []ident.Router
+}
+
+// makePools joins the services of the configuration with the targets of the view.
+func makePools(force config.InForce, v *peer.View, seen *reports) []route.Pool {
+	var out []route.Pool
+	for name, service := range force.Set.Services {
+		for _, region := range v.Regions(name) {
+			out = append(out, makePool(service, region, v.Targets(name, region), seen))
+		}
+	}
+	return out
+}
+
+func makePool(service policy.Service, region ident.Region, targets []peer.Target, seen *reports) route.Pool {
+	p := route.Pool{
+		Name: ident.NewPool(service.Name, region), Region: region, Service: service,
+		Targets: map[ident.TargetHash]route.Target{},
+	}
+	for _, t := range targets {
+		hash := t.ID.Hash()
+		report := seen.of(t.ID)
+		slots := service.Slots
+		if slots == 0 {
+			slots = report.Slots
+		}
+		p.Engines = append(p.Engines, place.Engine{
+			ID: t.ID, Hash: hash, Zone: t.Zone, Incarnation: t.Incarnation, Joined: t.Joined,
+			Slots: ident.Work(slots) * ident.OneRequest, Leaving: t.Leaving || report.silent(),
+		})
+		p.Targets[hash] = route.Target{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Incarnation: t.Incarnation}
+	}
+	return p
+}
+
+// refresh brings pools, homes and permits up to date with the view and the configuration.
+func (d *Daemon) refresh(ctx context.Context) {
+	force := d.keeper.InForce()
+	next := &poolSet{}
+	gone := map[ident.Router]uint64{}
+	d.node.Read(func(v *peer.View) {
+		next.pools = makePools(force, v, d.reports)
+		next.routers = v.Routers(d.self.Region)
+		for _, m := range v.Members() {
+			if m.State == peer.Dead {
+				gone[m.ID] = ^uint64(0)
+				continue
+			}
+			gone[m.ID] = firstPermit(m.Incarnation)
+		}
+	})
+	d.pools.Store(next)
+	for _, p := range next.pools {
+		if p.Region == d.self.Region {
+			bound := place.DefaultBound
+			bound.Factor = p.Service.Bound
+			d.homes.SetPool(p.Name, p.Service.Shards, bound, p.Engines)
+		}
+	}
+	d.router.Set(ctx, next.pools, next.routers)
+	for id, below := range gone {
+		if id != d.self.ID {
+			d.homes.Forget(id, below)
+		}
+	}
+	d.handOff(ctx, next.routers)
+}
+
+// handOff passes on the shards that another router is home of now.
+func (d *Daemon) handOff(ctx context.Context, routers []ident.Router) {
+	parcels := d.homes.Misplaced(func(id place.ShardID) ident.Router { return place.HomeOf(id, routers) })
+	for _, p := range parcels {
+		if err := d.remote.Handoff(ctx, p); err != nil {
+			_ = level.Warn(d.logger).Log("msg", "handoff failed", "pool", p.ID.Pool, "shard", p.ID.Shard, "to", p.To, "err", err)
+			continue
+		}
+		d.homes.Moved(p.ID)
+	}
+}
+
+// publish returns this router's digests for its peers and takes them in itself.
+func (d *Daemon) publish() []place.Digest {
+	digests := d.homes.Digests()
+	if len(digests) > 0 {
+		d.homes.Merge(digests)
+		d.router.Merge(digests)
+	}
+	return digests
+}
+
+// silentAfter is how many reports in a row an engine may miss before it gets no new work.
+const silentAfter = 3
+
+// report is what is known of one engine.
+type report struct {
+	engine.Report
+	missed int
+	at     time.Time
+}
+
+func (r report) silent() bool { return r.missed >= silentAfter }
+
+// reports keeps the latest report of each engine that this router is home of.
+type reports struct {
+	mu   sync.Mutex
+	byID map[ident.Target]report
+}
+
+func newReports() *reports { return &reports{byID: map[ident.Target]report{}} }
+
+func (r *reports) of(id ident.Target) report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byID[id]
+}
+
+// missed notes that an engine did not report; turned is set when that silences it.
+func (r *reports) missed(id ident.Target) (turned bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.byID[id]
+	known.missed++
+	r.byID[id] = known
+	return known.missed == silentAfter
+}
+
+// got notes a report; turned is set when the engine had been silent or its slots changed.
+func (r *reports) got(now time.Time, id ident.Target, fresh engine.Report) (turned bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.byID[id]
+	r.byID[id] = report{Report: fresh, at: now}
+	return known.silent() || known.Slots != fresh.Slots
+}
--- /dev/null
+++ b/internal/oper/daemon/probe.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/edge/route"
+	"valescale/internal/plat/engine"
+	"valescale/internal/plat/fault"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
+)
+
+// probeAtOnce bounds the reports read at the same time.
+const probeAtOnce = 8
+
+// probe reads the reports of the engines whose shards this router is home of.
+func (d *Daemon) probe(ctx context.Context) {
+	var wg sync.WaitGroup
+	gate := make(chan struct{}, probeAtOnce)
+	set := d.pools.Load()
+	for _, p := range set.pools {
+		if p.Region != d.self.Region || p.Service.Kind != policy.EngineTargets {
+			continue
+		}
+		for _, e := range p.Engines {
+			id := place.ShardID{Pool: p.Name, Shard: place.ShardOf(e.Hash, p.Service.Shards)}
+			if place.HomeOf(id, set.routers) != d.self.ID {
+				continue
+			}
+			gate <- struct{}{}
+			wg.Go(func() {
+				defer func() { <-gate }()
+				d.readReport(ctx, id, p.Targets[e.Hash], p.Service)
+			})
+		}
+	}
+	wg.Wait()
+}
+
+func (d *Daemon) readReport(ctx context.Context, id place.ShardID, t route.Target, service policy.Service) {
+	known := d.reports.of(t.ID)
+	since := known.Seq
+	if known.Incarnation != t.Incarnation {
+		since = 0
+	}
+	fresh, err := d.engines.Report(ctx, t.Addr, since)
+	if err != nil {
+		if ctx.Err() == nil && d.reports.missed(t.ID) {
+			_ = level.Warn(d.logger).Log("msg", "engine does not report", "target", t.ID, "err", err)
+			d.markDirty()
+		}
+		return
+	}
+	if d.reports.got(d.clock(), t.ID, fresh) {
+		d.markDirty()
+	}
+	d.homes.Evicted(id, t.ID.Hash(), fresh.Evicted)
+	if fresh.Leaving {
+		d.MarkLeaving(t.ID, fresh.Incarnation)
+	}
+	d.order(ctx, t, service, fresh)
+}
+
+// order tells an engine which model it is to have loaded, under the lease's epoch.
+// The order states the wanted end, so that a late or repeated one does no harm
+// unless the wish has changed; an engine that checks refuses an older epoch.
+func (d *Daemon) order(ctx context.Context, t route.Target, service policy.Service, fresh engine.Report) {
+	epoch, held := d.orders.Epoch()
+	if !held || service.Model == "" || fresh.Model == service.Model || fresh.Leaving {
+		return
+	}
+	err := d.engines.Send(ctx, t.Addr, engine.Order{Kind: engine.LoadModel, Epoch: epoch, Model: service.Model})
+	if fault.KindOf[engine.Kind](err) == engine.Stale {
+		_ = level.Warn(d.logger).Log("msg", "engine knows a later epoch", "target", t.ID, "epoch", epoch)
+		return
+	}
+	_ = level.Info(d.logger).Log("msg", "ordered model", "target", t.ID, "model", service.Model, "epoch", epoch, "err", err)
+}
--- /dev/null
+++ b/internal/oper/daemon/serve.go
@@ -0,0 +1,336 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/oper/admin"
+	"valescale/internal/oper/telem"
+	"valescale/internal/plat/ident"
+	"valescale/internal/share/config"
+	"valescale/internal/share/home"
+	"valescale/internal/share/peer"
+	"valescale/internal/share/peerpb"
+)
+
+const (
+	headerTime = 10 * time.Second
+	idleTime   = 2 * time.Minute
+	// leaveRounds is how many times a leaving router tells its peers.
+	leaveRounds = 3
+	refreshTime = time.Second
+	copyPause   = 200 * time.Millisecond
+)
+
+// Run serves until the context ends and then drains: the router says that it is
+// leaving, takes new requests for a while longer, and waits for those in flight.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	callers, err := d.callerServer()
+	if err != nil {
+		return err
+	}
+	peers, err := d.peerServer()
+	if err != nil {
+		return err
+	}
+	operators := d.adminServer()
+	serve(&wg, peers, d.meter.Listener(d.listeners.peers))
+	serve(&wg, operators, d.listeners.admin)
+	wg.Go(func() { d.node.Run(background) })
+	wg.Go(func() { d.follower.Run(background) })
+	wg.Go(func() { d.keepFresh(background) })
+	wg.Go(func() { every(background, d.settings.Pace.Report, d.probe) })
+	wg.Go(func() {
+		every(background, d.settings.Pace.Lease/4, func(ctx context.Context) { _ = d.orders.Step(ctx) })
+	})
+	wg.Go(func() { d.becomeReady(background) })
+	serve(&wg, callers, d.listeners.callers)
+	<-ctx.Done()
+	d.drain(callers)
+	stop()
+	_ = peers.Close()
+	_ = operators.Close()
+	return nil
+}
+
+// serve runs a server until it is closed.
+func serve(wg *sync.WaitGroup, s *http.Server, l net.Listener) {
+	wg.Go(func() {
+		if s.TLSConfig != nil {
+			_ = s.ServeTLS(l, "", "")
+			return
+		}
+		_ = s.Serve(l)
+	})
+}
+
+// every calls work at intervals until the context ends.
+func every(ctx context.Context, interval time.Duration, work func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			work(ctx)
+		}
+	}
+}
+
+// keepFresh follows changes of view and configuration, and now and then works
+// through even without one, so that a failed handoff is tried again.
+func (d *Daemon) keepFresh(ctx context.Context) {
+	ticker := time.NewTicker(refreshTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.dirty:
+		case <-ticker.C:
+		}
+		d.refresh(ctx)
+	}
+}
+
+// becomeReady waits until the configuration is known: from the store, or, while
+// that is down, from a ready router that has heard of this one first.
+func (d *Daemon) becomeReady(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.node.Tell(ctx)
+		if !d.follower.Seen() {
+			d.copyConfig(ctx)
+		}
+		if d.follower.Seen() {
+			d.refresh(ctx)
+			d.ready.Store(!d.leaving.Load())
+			_ = level.Info(d.logger).Log("msg", "ready", "revision", d.Revision())
+			return
+		}
+		timer := time.NewTimer(copyPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// copyConfig takes the configuration from the first ready router that answers.
+func (d *Daemon) copyConfig(ctx context.Context) {
+	var peers []peer.Member
+	d.node.Read(func(v *peer.View) { peers = v.Peers() })
+	for _, p := range peers {
+		if err := d.follower.Copy(ctx, p.ID); err == nil {
+			return
+		}
+	}
+}
+
+func (d *Daemon) drain(callers *http.Server) {
+	d.leaving.Store(true)
+	d.ready.Store(false)
+	_ = level.Info(d.logger).Log("msg", "draining")
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.DrainDelay+d.settings.Limits.DrainTime)
+	defer cancel()
+	d.node.Do(func(v *peer.View) { v.Leave(d.clock()) })
+	for range leaveRounds {
+		d.node.Tell(ctx)
+	}
+	d.refresh(ctx)
+	timer := time.NewTimer(d.settings.Limits.DrainDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if err := callers.Shutdown(ctx); err != nil {
+		_ = level.Error(d.logger).Log("msg", "stopped with requests in flight", "err", err)
+	}
+	d.refresh(ctx)
+	d.stopClaim(ctx)
+	_ = d.orders.Release(ctx)
+	d.node.Tell(ctx)
+}
+
+func (d *Daemon) callerServer() (*http.Server, error) {
+	tls, err := serverConfig(d.settings.Callers, false)
+	if err != nil {
+		return nil, err
+	}
+	return &http.Server{
+		Handler:           d.front.Handler(),
+		TLSConfig:         tls,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		MaxHeaderBytes:    d.settings.Limits.Header,
+		ErrorLog:          quiet(d.logger),
+	}, nil
+}
+
+func (d *Daemon) peerServer() (*http.Server, error) {
+	tls, err := serverConfig(d.settings.Peers, true)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(peerpb.NewPeerServiceHandler(&peerService{Server: home.NewServer(d.homes), daemon: d},
+		connect.WithReadMaxBytes(maxPeerMessage)))
+	protocols := &http.Protocols{}
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler: slim(checkPeer(tls != nil, mux)), TLSConfig: tls, ReadHeaderTimeout: headerTime,
+		Protocols: protocols, ErrorLog: quiet(d.logger),
+	}, nil
+}
+
+// maxPeerMessage bounds a message of another router, in bytes.
+const maxPeerMessage = 16 << 20
+
+// slim leaves out answer headers that routers have no use for.
+func slim(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["Date"] = nil
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (d *Daemon) adminServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(peerpb.NewAdminServiceHandler(d.admin, connect.WithInterceptors(d.admin.Authenticate())))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.ready.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", d.metrics.Handler())
+	config, err := serverConfig(d.settings.Admin, false)
+	if err != nil {
+		_ = level.Error(d.logger).Log("msg", "admin serves nothing", "err", err)
+		return &http.Server{Handler: http.NotFoundHandler()}
+	}
+	return &http.Server{Handler: mux, TLSConfig: config, ReadHeaderTimeout: headerTime, ErrorLog: quiet(d.logger)}
+}
+
+// peerService answers other routers.
+type peerService struct {
+	*home.Server
+	daemon *Daemon
+}
+
+// Gossip exchanges digests.
+func (p *peerService) Gossip(_ context.Context, req *connect.Request[peerpb.Digest]) (*connect.Response[peerpb.Digest], error) {
+	return connect.NewResponse(peer.Encode(p.daemon.node.Answer(peer.Decode(req.Msg)))), nil
+}
+
+// Fetch returns configuration changes, or the whole when the asker is too far behind.
+func (p *peerService) Fetch(_ context.Context, req *connect.Request[peerpb.FetchRequest]) (*connect.Response[peerpb.FetchReply], error) {
+	d := p.daemon
+	if !d.follower.Seen() {
+		return nil, connect.NewError(connect.CodeUnavailable, nil)
+	}
+	reply := &peerpb.FetchReply{Head: uint64(d.Revision())}
+	changes, ok := d.keeper.Since(ident.Revision(req.Msg.GetAfter()))
+	if !ok {
+		whole := d.keeper.Documents()
+		reply.SnapshotRevision = uint64(whole.Revision)
+		reply.Snapshot = admin.EncodeDocuments(whole.Documents)
+		return connect.NewResponse(reply), nil
+	}
+	for _, c := range changes {
+		reply.Changes = append(reply.Changes, admin.EncodeChange(c))
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// fetcher fetches changes from other routers.
+type fetcher struct{ node *peer.Node }
+
+// Fetch asks a router for the changes after a revision.
+func (f fetcher) Fetch(ctx context.Context, from ident.Router, after ident.Revision) (config.Fetched, error) {
+	client, err := f.node.Client(from)
+	if err != nil {
+		return config.Fetched{}, err
+	}
+	reply, err := client.Fetch(ctx, connect.NewRequest(&peerpb.FetchRequest{After: uint64(after)}))
+	if err != nil {
+		return config.Fetched{}, err
+	}
+	m := reply.Msg
+	out := config.Fetched{Head: ident.Revision(m.GetHead())}
+	if m.GetSnapshotRevision() > 0 {
+		out.Snapshot = &config.Snapshot{
+			Revision: ident.Revision(m.GetSnapshotRevision()), Documents: admin.DecodeDocuments(m.GetSnapshot()),
+		}
+		return out, nil
+	}
+	for _, c := range m.GetChanges() {
+		out.Changes = append(out.Changes, config.Change{
+			Revision: ident.Revision(c.GetRevision()), ID: c.GetChangeId(), Operator: config.Operator(c.GetOperator()),
+			At: time.UnixMilli(c.GetUnixMs()).UTC(), Note: c.GetNote(), Documents: admin.DecodeDocuments(c.GetDocuments()),
+		})
+	}
+	return out, nil
+}
+
+// gauges are what metrics read of this router.
+func (d *Daemon) gauges() telem.Gauges {
+	one := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	return telem.Gauges{
+		Revision: func() float64 { return float64(d.Revision()) },
+		StoreUp:  func() float64 { return one(d.table.Up()) },
+		Ready:    func() float64 { return one(d.Ready()) },
+		Routers: func() float64 {
+			n := 0
+			d.node.Read(func(v *peer.View) { n = len(v.Routers("")) })
+			return float64(n)
+		},
+		Permits:   func() float64 { permits, _ := d.homes.InFlight(); return float64(permits) },
+		Waiting:   func() float64 { _, waiting := d.homes.InFlight(); return float64(waiting) },
+		SentBytes: func() float64 { return float64(d.meter.Traffic().Sent) },
+		ReadBytes: func() float64 { return float64(d.meter.Traffic().Received) },
+		LoadRatio: d.homes.LoadRatio,
+		StoreCalls: func() float64 {
+			c := d.table.Counts()
+			return float64(c.Reads + c.Writes)
+		},
+		Fallbacks: func() float64 { return float64(d.router.Stats().Fallback) },
+		Asked:     func() float64 { return float64(d.router.Stats().Asked) },
+	}
+}
+
+// status is what operators see of this router.
+func (d *Daemon) status() admin.Status {
+	out := admin.Status{Ready: d.Ready(), StoreUp: d.table.Up()}
+	for _, p := range d.pools.Load().pools {
+		for _, e := range p.Engines {
+			state := "live"
+			if e.Leaving {
+				state = "leaving"
+			}
+			out.Engines = append(out.Engines, admin.EngineStatus{
+				ID: e.ID, Pool: p.Name, Zone: e.Zone, State: state, InFlight: d.homes.RequestsAt(p.Name, e.Hash),
+			})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/oper/telem/metrics.go
@@ -0,0 +1,129 @@
+package telem
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"valescale/internal/edge/front"
+	"valescale/internal/rule/policy"
+)
+
+// Comparer is told of each decision, to compare a candidate policy with it.
+type Comparer interface {
+	Compare(w policy.Workspace, request *policy.Request, decision policy.Decision)
+}
+
+// Gauges are read when metrics are collected.
+type Gauges struct {
+	Revision   func() float64
+	StoreUp    func() float64
+	Ready      func() float64
+	Routers    func() float64
+	Permits    func() float64
+	Waiting    func() float64
+	SentBytes  func() float64
+	ReadBytes  func() float64
+	LoadRatio  func() float64
+	StoreCalls func() float64
+	Fallbacks  func() float64
+	Asked      func() float64
+}
+
+// Metrics holds a router's metrics.
+type Metrics struct {
+	registry  *prometheus.Registry
+	requests  *prometheus.CounterVec
+	waited    *prometheus.HistogramVec
+	firstByte *prometheus.HistogramVec
+	warm      *prometheus.CounterVec
+	tries     prometheus.Counter
+	faulty    prometheus.Counter
+	comparer  Comparer
+}
+
+// New returns metrics; the comparer may be nil.
+func New(comparer Comparer, g Gauges) *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "valescale_requests_total", Help: "Requests by service, outcome and error code.",
+		}, []string{"service", "outcome", "code"}),
+		waited: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "valescale_wait_seconds", Help: "Time until a target was found.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 18),
+		}, []string{"service"}),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "valescale_first_byte_seconds", Help: "Time until the caller got the answer's first byte.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
+		}, []string{"service"}),
+		warm: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "valescale_placements_total", Help: "Requests placed, by whether the chat ran there before.",
+		}, []string{"service", "warm"}),
+		tries:    prometheus.NewCounter(prometheus.CounterOpts{Name: "valescale_retries_total", Help: "Attempts after the first."}),
+		faulty:   prometheus.NewCounter(prometheus.CounterOpts{Name: "valescale_policy_faults_total", Help: "Decisions for which a policy's program failed and the strictest value was used."}),
+		comparer: comparer,
+	}
+	m.registry.MustRegister(m.requests, m.waited, m.firstByte, m.warm, m.tries, m.faulty)
+	m.gauge("valescale_revision", "Configuration revision in force.", g.Revision)
+	m.gauge("valescale_store_up", "Whether the latest call to the table service was answered.", g.StoreUp)
+	m.gauge("valescale_ready", "Whether this router wants requests.", g.Ready)
+	m.gauge("valescale_routers", "Live routers known.", g.Routers)
+	m.gauge("valescale_permits", "Permits held by this router's homes.", g.Permits)
+	m.gauge("valescale_waiting", "Requests waiting at this router's homes.", g.Waiting)
+	m.gauge("valescale_load_ratio", "Highest load over mean of the engines that this router is home of.", g.LoadRatio)
+	m.counter("valescale_control_sent_bytes_total", "Bytes sent on control connections.", g.SentBytes)
+	m.counter("valescale_control_received_bytes_total", "Bytes received on control connections.", g.ReadBytes)
+	m.counter("valescale_store_calls_total", "Calls to the table service.", g.StoreCalls)
+	m.counter("valescale_fallback_placements_total", "Placements made without the home.", g.Fallbacks)
+	m.counter("valescale_permit_asks_total", "Requests for permits.", g.Asked)
+	return m
+}
+
+func (m *Metrics) gauge(name, help string, read func() float64) {
+	if read != nil {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+	}
+}
+
+func (m *Metrics) counter(name, help string, read func() float64) {
+	if read != nil {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
+	}
+}
+
+// Finished counts one request's end.
+func (m *Metrics) Finished(f front.Finished) {
+	service := string(f.Service)
+	m.requests.WithLabelValues(service, string(f.Outcome), string(f.Code)).Inc()
+	if f.Tries > 1 {
+		m.tries.Add(float64(f.Tries - 1))
+	}
+	if f.Waited > 0 {
+		m.waited.WithLabelValues(service).Observe(f.Waited.Seconds())
+		warm := "no"
+		if f.Warm {
+			warm = "yes"
+		}
+		m.warm.WithLabelValues(service, warm).Inc()
+	}
+	if f.FirstByte > 0 {
+		m.firstByte.WithLabelValues(service).Observe(f.FirstByte.Seconds())
+	}
+}
+
+// Decided counts one decision and passes it on for comparison.
+func (m *Metrics) Decided(w policy.Workspace, request *policy.Request, decision policy.Decision) {
+	if decision.Faulty {
+		m.faulty.Inc()
+	}
+	if m.comparer != nil {
+		m.comparer.Compare(w, request, decision)
+	}
+}
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/plat/boxes/doc.go
@@ -0,0 +1,2 @@
+// Package boxes reads the platform's lagging list of live and leaving boxes.
+package boxes
--- /dev/null
+++ b/internal/plat/ident/ident.go
@@ -0,0 +1,98 @@
+package ident
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Router is the id of one router process, as its settings give it.
+type Router string
+
+// Target is the id of one engine or plain service replica on the platform's list.
+type Target string
+
+// Workspace is the id of one customer's workspace.
+type Workspace string
+
+// Service is the name of a service that callers can be sent to.
+type Service string
+
+// Pool is the name of the targets that serve one service in one region.
+type Pool string
+
+// Zone is the name of an availability zone.
+type Zone string
+
+// Region is the name of a region.
+type Region string
+
+// Incarnation counts the starts of a process; a higher one has lost the soft state of the lower.
+type Incarnation uint64
+
+// Revision counts the recorded configurations; zero is none.
+type Revision uint64
+
+// Epoch counts the holders of a lease and only grows.
+type Epoch uint64
+
+// ChatKey identifies a chat by hash, 64 bits of xxHash.
+type ChatKey uint64
+
+// TargetHash stands for a target id on the wire between routers, 32 bits of xxHash.
+type TargetHash uint32
+
+// Shard numbers a part of a pool, from zero.
+type Shard uint32
+
+// Work measures a request's load on an engine, in work units of one thousandth of a plain request.
+type Work int64
+
+// OneRequest is the work of a request of which nothing else is known.
+const OneRequest Work = 1000
+
+// Attempt is the random id of one sending of one request to one target.
+type Attempt string
+
+// Hash returns the wire form of a target id.
+func (t Target) Hash() TargetHash {
+	return TargetHash(xxhash.Sum64String(string(t)))
+}
+
+// Hash returns a 32-bit hash of a router's id.
+func (r Router) Hash() uint32 {
+	return uint32(xxhash.Sum64String(string(r)))
+}
+
+// NewPool names the pool of a service in a region.
+func NewPool(service Service, region Region) Pool {
+	return Pool(string(service) + "@" + string(region))
+}
+
+// NewChatKey hashes a workspace and what identifies the chat within it.
+func NewChatKey(workspace Workspace, chat string) ChatKey {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(workspace))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(chat)
+	return ChatKey(d.Sum64())
+}
+
+// Mix combines two hashes into one well spread hash without allocating.
+func Mix(a, b uint64) uint64 {
+	x := a ^ (b * 0x9e3779b97f4a7c15)
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	return x
+}
+
+// Unit maps a hash to the open interval between zero and one.
+func Unit(h uint64) float64 {
+	return (float64(h>>11) + 0.5) / (1 << 53)
+}
+
+// Clock tells the time; tests pass their own.
+type Clock func() time.Time
--- /dev/null
+++ b/internal/plat/object/doc.go
@@ -0,0 +1,2 @@
+// Package object is a thin client of the platform's object store.
+package object
--- /dev/null
+++ b/internal/plat/table/client.go
@@ -0,0 +1,148 @@
+package table
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"valescale/internal/plat/fault"
+)
+
+// maxReply bounds what the client reads of one answer, in bytes.
+const maxReply = 64 << 20
+
+// Counts are the calls that a client has made.
+type Counts struct {
+	Reads  uint64
+	Writes uint64
+	Failed uint64
+}
+
+// Client speaks to the table service over HTTP.
+type Client struct {
+	base    string
+	http    *http.Client
+	timeout time.Duration
+	reads   atomic.Uint64
+	writes  atomic.Uint64
+	failed  atomic.Uint64
+	up      atomic.Bool
+}
+
+// New returns a client of the service at a base URL; each call is bounded by timeout.
+func New(base string, transport http.RoundTripper, timeout time.Duration) *Client {
+	c := &Client{base: base, http: &http.Client{Transport: transport}, timeout: timeout}
+	c.up.Store(true)
+	return c
+}
+
+// Up reports whether the latest call was answered.
+func (c *Client) Up() bool { return c.up.Load() }
+
+// Counts returns how many calls were made so far.
+func (c *Client) Counts() Counts {
+	return Counts{Reads: c.reads.Load(), Writes: c.writes.Load(), Failed: c.failed.Load()}
+}
+
+// Commit applies a transaction.
+func (c *Client) Commit(ctx context.Context, txn Txn) error {
+	const op = "table.Commit"
+	c.writes.Add(1)
+	body, err := json.Marshal(txn)
+	if err != nil {
+		return fault.New(op, Refused, err)
+	}
+	return c.call(ctx, op, http.MethodPost, "/v1/commit", body, nil)
+}
+
+// Get reads one row.
+func (c *Client) Get(ctx context.Context, name Name, key Key) (Row, error) {
+	c.reads.Add(1)
+	var row Row
+	query := url.Values{"table": {string(name)}, "key": {string(key)}}
+	err := c.call(ctx, "table.Get", http.MethodGet, "/v1/row?"+query.Encode(), nil, &row)
+	return row, err
+}
+
+// Scan reads rows in key order.
+func (c *Client) Scan(ctx context.Context, r Range) ([]Row, error) {
+	c.reads.Add(1)
+	var rows []Row
+	query := url.Values{"table": {string(r.Table)}, "from": {string(r.From)}, "limit": {strconv.Itoa(r.Limit)}}
+	err := c.call(ctx, "table.Scan", http.MethodGet, "/v1/scan?"+query.Encode(), nil, &rows)
+	return rows, err
+}
+
+// call sends one request; only a failure to connect is sure to have changed nothing.
+func (c *Client) call(ctx context.Context, op, method, path string, body []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return fault.New(op, Refused, err)
+	}
+	// The transport must not send a commit twice by itself.
+	req.GetBody = nil
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return c.fail(op, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return c.fail(op, err)
+	}
+	kind := kindOfStatus(resp.StatusCode)
+	if kind == Unknown || kind == Unavailable {
+		c.failed.Add(1)
+		c.up.Store(false)
+		return fault.Newf(op, kind, "status %d", resp.StatusCode)
+	}
+	c.up.Store(true)
+	if kind != "" {
+		return fault.Newf(op, kind, "status %d", resp.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fault.New(op, Unknown, err)
+	}
+	return nil
+}
+
+func (c *Client) fail(op string, err error) error {
+	c.failed.Add(1)
+	c.up.Store(false)
+	var opErr *net.OpError
+	if errors.As(err, &opErr) && opErr.Op == "dial" {
+		return fault.New(op, Unavailable, err)
+	}
+	return fault.New(op, Unknown, err)
+}
+
+func kindOfStatus(status int) Kind {
+	switch {
+	case status == http.StatusOK:
+		return ""
+	case status == http.StatusConflict:
+		return Conflict
+	case status == http.StatusNotFound:
+		return Missing
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return Unavailable
+	case status >= 500:
+		return Unknown
+	default:
+		return Refused
+	}
+}
--- /dev/null
+++ b/internal/plat/table/row.go
@@ -0,0 +1,65 @@
+package table
+
+// Name is the name of a table.
+type Name string
+
+// Key is the key of a row within its table; rows are ordered by key.
+type Key string
+
+// Version counts the writes to a row; zero means that the row does not exist.
+type Version int64
+
+// AnyVersion in a check passes whatever the row's version is, even if it does not exist.
+const AnyVersion Version = -1
+
+// Row is one row as read.
+type Row struct {
+	Table   Name    `json:"table"`
+	Key     Key     `json:"key"`
+	Version Version `json:"version"`
+	Value   []byte  `json:"value"`
+}
+
+// Check demands that a row has a version at the commit.
+type Check struct {
+	Table   Name    `json:"table"`
+	Key     Key     `json:"key"`
+	Version Version `json:"version"`
+}
+
+// Put writes or deletes a row.
+type Put struct {
+	Table  Name   `json:"table"`
+	Key    Key    `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+	Delete bool   `json:"delete,omitempty"`
+}
+
+// Txn is applied all or none.
+type Txn struct {
+	Checks []Check `json:"checks,omitempty"`
+	Puts   []Put   `json:"puts"`
+}
+
+// Range asks for the rows of a table from a key on, at most Limit of them.
+type Range struct {
+	Table Name `json:"table"`
+	From  Key  `json:"from"`
+	Limit int  `json:"limit"`
+}
+
+// Insert returns a transaction that writes a row which must not exist yet.
+func Insert(name Name, key Key, value []byte) Txn {
+	return Txn{
+		Checks: []Check{{Table: name, Key: key}},
+		Puts:   []Put{{Table: name, Key: key, Value: value}},
+	}
+}
+
+// Replace returns a transaction that writes a row which must have a version.
+func Replace(row Row, value []byte) Txn {
+	return Txn{
+		Checks: []Check{{Table: row.Table, Key: row.Key, Version: row.Version}},
+		Puts:   []Put{{Table: row.Table, Key: row.Key, Value: value}},
+	}
+}
--- /dev/null
+++ b/internal/rule/place/home.go
@@ -0,0 +1,442 @@
+package place
+
+import (
+	"time"
+
+	"valescale/internal/plat/ident"
+)
+
+// Bound is how far an engine's load may exceed the mean.
+type Bound struct {
+	// Factor is the multiple of the mean, above one.
+	Factor float64
+	// Ramp is how long a joined engine takes to reach its full share.
+	Ramp time.Duration
+	// DigestLife is how long a digest counts after it was received.
+	DigestLife time.Duration
+	// Places is how many chat places a home remembers.
+	Places int
+}
+
+// DefaultBound is the bound of the brief's users.
+var DefaultBound = Bound{Factor: 1.25, Ramp: 10 * time.Second, DigestLife: 4 * time.Second, Places: 100_000}
+
+// Engine is one target as the membership view gives it.
+type Engine struct {
+	ID          ident.Target
+	Hash        ident.TargetHash
+	Zone        ident.Zone
+	Incarnation ident.Incarnation
+	// Slots is the work that the engine can run at once; zero means no limit.
+	Slots ident.Work
+	// Joined is when this incarnation was first seen; zero means long ago.
+	Joined time.Time
+	// Leaving engines keep their permits and get no new ones.
+	Leaving bool
+}
+
+// Result says what became of a request for a permit.
+type Result int
+
+const (
+	// Placed requests hold a permit.
+	Placed Result = iota + 1
+	// Full means that every engine of the shard is at the bound; another shard may have room.
+	Full
+	// Busy means that every engine has as much work as it can run.
+	Busy
+	// Empty means that the shard has no usable engine.
+	Empty
+)
+
+// Request asks a home for a permit.
+type Request struct {
+	Edge   ident.Router
+	Permit uint64
+	Key    ident.ChatKey
+	Work   ident.Work
+	Zone   ident.Zone
+	// Must places on the least loaded engine even above the bound, when all other shards are full.
+	Must bool
+	// Avoid are engines that have just failed this request.
+	Avoid []ident.TargetHash
+}
+
+// Decision is the answer to a Request.
+type Decision struct {
+	Result Result
+	Engine ident.TargetHash
+	// Warm means that the chat ran on this incarnation of the engine before.
+	Warm bool
+}
+
+// Permit is one request's work on an engine.
+type Permit struct {
+	Edge   ident.Router
+	ID     uint64
+	Engine ident.TargetHash
+	Work   ident.Work
+}
+
+type permitKey struct {
+	edge ident.Router
+	id   uint64
+}
+
+type engineLoad struct {
+	Engine
+	// own is the work of permits given here, foreign what another home of this shard published.
+	own     ident.Work
+	foreign ident.Work
+	present bool
+}
+
+func (e *engineLoad) load() ident.Work { return e.own + e.foreign }
+
+func (e *engineLoad) usable() bool { return e.present && !e.Leaving }
+
+// Home holds the counts and chat places of one shard.
+type Home struct {
+	id      ShardID
+	self    ident.Router
+	bound   Bound
+	engines []engineLoad
+	index   map[ident.TargetHash]int
+	permits map[permitKey]Permit
+	// held counts the permits of each edge; synced is how far its latest list reached.
+	held    map[ident.Router]int
+	synced  map[ident.Router]uint64
+	places  memory
+	digests digests
+	// poolEngines is the number of usable engines in the whole pool.
+	poolEngines int
+	seq         uint64
+	// others is the work published by the other shards, refreshed as digests come and go.
+	others ident.Work
+}
+
+// NewHome returns a home without engines or permits; its digests are numbered from
+// seq on, which must exceed what an earlier home of this router used.
+func NewHome(id ShardID, self ident.Router, bound Bound, seq uint64) *Home {
+	return &Home{
+		id:      id,
+		self:    self,
+		bound:   bound,
+		index:   map[ident.TargetHash]int{},
+		permits: map[permitKey]Permit{},
+		held:    map[ident.Router]int{},
+		synced:  map[ident.Router]uint64{},
+		places:  newMemory(bound.Places),
+		digests: digests{},
+		seq:     seq,
+	}
+}
+
+// SetEngines replaces the shard's engines; poolEngines counts the usable ones of the whole pool.
+func (h *Home) SetEngines(engines []Engine, poolEngines int) {
+	defer h.prune()
+	h.poolEngines = poolEngines
+	for i := range h.engines {
+		h.engines[i].present = false
+	}
+	for _, e := range engines {
+		i, known := h.index[e.Hash]
+		if !known {
+			i = len(h.engines)
+			h.index[e.Hash] = i
+			h.engines = append(h.engines, engineLoad{})
+		}
+		if known && h.engines[i].Incarnation > e.Incarnation {
+			h.engines[i].present = true
+			continue
+		}
+		h.engines[i].Engine = e
+		h.engines[i].present = true
+	}
+}
+
+// prune removes engines that are gone and have no work left here.
+func (h *Home) prune() {
+	kept := h.engines[:0]
+	for _, e := range h.engines {
+		if e.present || e.own != 0 {
+			kept = append(kept, e)
+		}
+	}
+	h.engines = kept
+	clear(h.index)
+	for i := range h.engines {
+		h.index[h.engines[i].Hash] = i
+	}
+}
+
+// Place decides one request and counts the permit it gives.
+func (h *Home) Place(now time.Time, req Request) Decision {
+	if p, ok := h.permits[permitKey{req.Edge, req.Permit}]; ok {
+		return Decision{Result: Placed, Engine: p.Engine}
+	}
+	h.expire(now)
+	i, result, warm := h.choose(now, req)
+	if result != Placed {
+		return Decision{Result: result}
+	}
+	e := &h.engines[i]
+	h.hold(Permit{Edge: req.Edge, ID: req.Permit, Engine: e.Hash, Work: req.Work})
+	h.places.put(req.Key, chatPlace{engine: e.Hash, incarnation: e.Incarnation, seen: now.Unix()})
+	return Decision{Result: Placed, Engine: e.Hash, Warm: warm}
+}
+
+// choose picks the chat's last engine while it is under the limit, else the less
+// loaded of the key's first two engines under the limit.
+func (h *Home) choose(now time.Time, req Request) (int, Result, bool) {
+	limit := h.limit(req.Work)
+	if at, ok := h.places.get(req.Key); ok {
+		i, known := h.index[at.engine]
+		if known && h.engines[i].Incarnation == at.incarnation && h.admits(now, i, req, limit) == Placed {
+			return i, Placed, true
+		}
+	}
+	var first, second ranked
+	outcome := Empty
+	for i := range h.engines {
+		if !h.engines[i].usable() || avoided(req.Avoid, h.engines[i].Hash) {
+			continue
+		}
+		switch h.admits(now, i, req, limit) {
+		case Busy:
+			outcome = worse(outcome, Busy)
+			continue
+		case Full:
+			outcome = worse(outcome, Full)
+			continue
+		}
+		r := ranked{index: i, score: ident.Mix(uint64(req.Key), uint64(h.engines[i].Hash)), set: true}
+		if req.Must {
+			r.score = leastFirst(h.engines[i].load())
+		}
+		if !first.set || r.score > first.score {
+			first, second = r, first
+		} else if !second.set || r.score > second.score {
+			second = r
+		}
+	}
+	if !first.set {
+		return 0, outcome, false
+	}
+	if req.Must || !second.set {
+		return first.index, Placed, false
+	}
+	return h.lighter(first.index, second.index, req.Zone), Placed, false
+}
+
+// lighter returns the less loaded of two engines; the near one wins a tie.
+func (h *Home) lighter(a, b int, zone ident.Zone) int {
+	x, y := &h.engines[a], &h.engines[b]
+	if x.load() == y.load() {
+		if y.Zone == zone && x.Zone != zone {
+			return b
+		}
+		return a
+	}
+	if y.load() < x.load() {
+		return b
+	}
+	return a
+}
+
+type ranked struct {
+	index int
+	score uint64
+	set   bool
+}
+
+// leastFirst turns a load into a score that is highest for the smallest load.
+func leastFirst(load ident.Work) uint64 { return ^uint64(0) - uint64(max(load, 0)) }
+
+// worse keeps the finding that leaves the caller more hope elsewhere.
+func worse(old, found Result) Result {
+	if old == Full || found == Full {
+		return Full
+	}
+	return found
+}
+
+func avoided(avoid []ident.TargetHash, engine ident.TargetHash) bool {
+	for _, a := range avoid {
+		if a == engine {
+			return true
+		}
+	}
+	return false
+}
+
+// admits says whether one engine may take the request's work now.
+func (h *Home) admits(now time.Time, i int, req Request, limit float64) Result {
+	e := &h.engines[i]
+	if !e.usable() || avoided(req.Avoid, e.Hash) {
+		return Empty
+	}
+	load := e.load()
+	if e.Slots > 0 && load+req.Work > e.Slots && load > 0 {
+		return Busy
+	}
+	if req.Must {
+		return Placed
+	}
+	if float64(load) >= limit*h.ramp(now, e) {
+		return Full
+	}
+	return Placed
+}
+
+// limit is the load that an engine must be below to take more work: the bound's
+// factor times the pool's mean with the new work counted.
+func (h *Home) limit(work ident.Work) float64 {
+	return h.bound.Factor * float64(h.Total()+work) / float64(max(h.poolEngines, 1))
+}
+
+// Total is the work in flight on the pool's usable engines as far as this home knows.
+func (h *Home) Total() ident.Work {
+	total := h.others
+	for i := range h.engines {
+		if h.engines[i].usable() {
+			total += h.engines[i].load()
+		}
+	}
+	return total
+}
+
+// Saturated reports whether the shard's engines have no slot left for work.
+func (h *Home) Saturated(work ident.Work) bool {
+	any := false
+	for i := range h.engines {
+		e := &h.engines[i]
+		if !e.usable() {
+			continue
+		}
+		any = true
+		if e.Slots == 0 || e.load()+work <= e.Slots {
+			return false
+		}
+	}
+	return any
+}
+
+// minRamp is the share that an engine has as it joins.
+const minRamp = 0.1
+
+func (h *Home) ramp(now time.Time, e *engineLoad) float64 {
+	if e.Joined.IsZero() || h.bound.Ramp <= 0 {
+		return 1
+	}
+	share := float64(now.Sub(e.Joined)) / float64(h.bound.Ramp)
+	return min(max(share, minRamp), 1)
+}
+
+// hold counts a permit; one that is held already is replaced.
+func (h *Home) hold(p Permit) {
+	key := permitKey{p.Edge, p.ID}
+	h.drop(key)
+	h.permits[key] = p
+	i, ok := h.index[p.Engine]
+	if !ok {
+		i = len(h.engines)
+		h.index[p.Engine] = i
+		h.engines = append(h.engines, engineLoad{Engine: Engine{Hash: p.Engine}})
+	}
+	h.engines[i].own += p.Work
+	h.held[p.Edge]++
+}
+
+func (h *Home) drop(key permitKey) {
+	p, ok := h.permits[key]
+	if !ok {
+		return
+	}
+	delete(h.permits, key)
+	h.engines[h.index[p.Engine]].own -= p.Work
+	h.held[p.Edge]--
+	if h.held[p.Edge] == 0 {
+		delete(h.held, p.Edge)
+	}
+}
+
+// Release gives a permit back; releasing twice, or one never given, does nothing.
+func (h *Home) Release(edge ident.Router, id uint64) {
+	h.drop(permitKey{edge, id})
+}
+
+// Sync replaces all permits of one edge with the list it holds. Permits newer than
+// upto were asked for after the list was made and stay.
+func (h *Home) Sync(edge ident.Router, held []Permit, upto uint64) {
+	h.synced[edge] = max(h.synced[edge], upto)
+	for key := range h.permits {
+		if key.edge == edge && key.id <= upto {
+			h.drop(key)
+		}
+	}
+	for _, p := range held {
+		h.hold(p)
+	}
+}
+
+// Take counts permits that another home has handed over. What an edge has said of
+// its permits itself goes first.
+func (h *Home) Take(permits []Permit) {
+	for _, p := range permits {
+		if p.ID > h.synced[p.Edge] {
+			h.hold(p)
+		}
+	}
+}
+
+// Forget drops the permits of an edge with ids below a limit: those of a process that is gone.
+func (h *Home) Forget(edge ident.Router, below uint64) {
+	for key := range h.permits {
+		if key.edge == edge && key.id < below {
+			h.drop(key)
+		}
+	}
+}
+
+// Held is the number of permits that an edge holds here.
+func (h *Home) Held(edge ident.Router) int { return h.held[edge] }
+
+// Permits lists the permits held here.
+func (h *Home) Permits() []Permit {
+	out := make([]Permit, 0, len(h.permits))
+	for _, p := range h.permits {
+		out = append(out, p)
+	}
+	return out
+}
+
+// Len is the number of permits held here.
+func (h *Home) Len() int { return len(h.permits) }
+
+// ID returns the shard that this home counts.
+func (h *Home) ID() ShardID { return h.id }
+
+// LoadOf returns the work in flight on one engine.
+func (h *Home) LoadOf(engine ident.TargetHash) ident.Work {
+	i, ok := h.index[engine]
+	if !ok {
+		return 0
+	}
+	return h.engines[i].load()
+}
+
+// LoadRatio is the shard's highest load over the pool's mean; zero without load.
+func (h *Home) LoadRatio() float64 {
+	total := h.Total()
+	if total <= 0 || h.poolEngines == 0 {
+		return 0
+	}
+	var highest ident.Work
+	for i := range h.engines {
+		if h.engines[i].usable() {
+			highest = max(highest, h.engines[i].load())
+		}
+	}
+	return float64(highest) * float64(h.poolEngines) / float64(total)
+}
--- /dev/null
+++ b/internal/rule/place/memory.go
@@ -0,0 +1,89 @@
+package place
+
+import "valescale/internal/plat/ident"
+
+// chatPlace is where a chat ran last.
+type chatPlace struct {
+	incarnation ident.Incarnation
+	seen        int64
+	engine      ident.TargetHash
+}
+
+// memory keeps the most recently used places in two generations: when the young
+// one is full it becomes the old one, and what the old one held is forgotten.
+type memory struct {
+	young, old map[ident.ChatKey]chatPlace
+	half       int
+}
+
+func newMemory(limit int) memory {
+	return memory{
+		young: map[ident.ChatKey]chatPlace{},
+		old:   map[ident.ChatKey]chatPlace{},
+		half:  max(limit/2, 1),
+	}
+}
+
+func (m *memory) get(key ident.ChatKey) (chatPlace, bool) {
+	if p, ok := m.young[key]; ok {
+		return p, true
+	}
+	p, ok := m.old[key]
+	return p, ok
+}
+
+func (m *memory) put(key ident.ChatKey, p chatPlace) {
+	if len(m.young) >= m.half {
+		if _, ok := m.young[key]; !ok {
+			m.young, m.old = m.old, m.young
+			clear(m.young)
+		}
+	}
+	m.young[key] = p
+}
+
+func (m *memory) remove(key ident.ChatKey) {
+	delete(m.young, key)
+	delete(m.old, key)
+}
+
+func (m *memory) len() int { return len(m.young) + len(m.old) }
+
+// ChatPlace is a remembered place in the form that a handoff carries.
+type ChatPlace struct {
+	Key         ident.ChatKey
+	Engine      ident.TargetHash
+	Incarnation ident.Incarnation
+	SeenUnix    int64
+}
+
+// Places lists up to limit remembered places, the young ones first.
+func (h *Home) Places(limit int) []ChatPlace {
+	out := make([]ChatPlace, 0, min(limit, h.places.len()))
+	for _, generation := range []map[ident.ChatKey]chatPlace{h.places.young, h.places.old} {
+		for key, p := range generation {
+			if len(out) == limit {
+				return out
+			}
+			out = append(out, ChatPlace{Key: key, Engine: p.engine, Incarnation: p.incarnation, SeenUnix: p.seen})
+		}
+	}
+	return out
+}
+
+// Learn takes over places from another home; a later place that is known here stays.
+func (h *Home) Learn(places []ChatPlace) {
+	for _, p := range places {
+		if known, ok := h.places.get(p.Key); ok && known.seen >= p.SeenUnix {
+			continue
+		}
+		h.places.put(p.Key, chatPlace{engine: p.Engine, incarnation: p.Incarnation, seen: p.SeenUnix})
+	}
+}
+
+// Evicted notes that an engine no longer holds a chat's cached prefix.
+func (h *Home) Evicted(engine ident.TargetHash, key ident.ChatKey) {
+	if p, ok := h.places.get(key); ok && p.engine == engine {
+		h.places.remove(key)
+	}
+}
--- /dev/null
+++ b/internal/rule/place/pool.go
@@ -0,0 +1,189 @@
+package place
+
+import (
+	"time"
+
+	"valescale/internal/plat/ident"
+)
+
+// Pool is one edge's picture of a pool: its engines, their shards, and the work
+// that this router itself has in flight on each.
+type Pool struct {
+	name    ident.Pool
+	shards  int
+	engines []Engine
+	index   map[ident.TargetHash]int
+	weights []int
+	own     map[ident.TargetHash]ident.Work
+	// published is the work that homes said was on an engine, with this router's own share then.
+	published map[ident.TargetHash]published
+	bound     Bound
+}
+
+type published struct {
+	work ident.Work
+	own  ident.Work
+	at   time.Time
+	home ident.Router
+	seq  uint64
+}
+
+// NewPool returns a picture without engines; shards is between one and MaxShards.
+func NewPool(name ident.Pool, shards int, bound Bound) *Pool {
+	return &Pool{
+		name:      name,
+		shards:    min(max(shards, 1), MaxShards),
+		index:     map[ident.TargetHash]int{},
+		own:       map[ident.TargetHash]ident.Work{},
+		published: map[ident.TargetHash]published{},
+		bound:     bound,
+	}
+}
+
+// SetEngines replaces the pool's engines.
+func (p *Pool) SetEngines(engines []Engine) {
+	p.engines = engines
+	clear(p.index)
+	p.weights = make([]int, p.shards)
+	for i, e := range engines {
+		p.index[e.Hash] = i
+		if !e.Leaving {
+			p.weights[ShardOf(e.Hash, p.shards)]++
+		}
+	}
+}
+
+// Usable is the number of engines that may get new work.
+func (p *Pool) Usable() int {
+	n := 0
+	for _, w := range p.weights {
+		n += w
+	}
+	return n
+}
+
+// Shards is the number of the pool's shards.
+func (p *Pool) Shards() int { return p.shards }
+
+// ShardEngines returns the engines of one shard.
+func (p *Pool) ShardEngines(shard ident.Shard) []Engine {
+	var out []Engine
+	for _, e := range p.engines {
+		if ShardOf(e.Hash, p.shards) == shard {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Engine returns an engine by its hash.
+func (p *Pool) Engine(hash ident.TargetHash) (Engine, bool) {
+	i, ok := p.index[hash]
+	if !ok {
+		return Engine{}, false
+	}
+	return p.engines[i], true
+}
+
+// Engines returns the pool's engines; the caller must not change them.
+func (p *Pool) Engines() []Engine { return p.engines }
+
+// Order fills out with the shards in the order that a key prefers.
+func (p *Pool) Order(key ident.ChatKey, out []ident.Shard) int {
+	return Order(key, p.weights, out)
+}
+
+// Begin counts work that this router sends to an engine.
+func (p *Pool) Begin(engine ident.TargetHash, work ident.Work) { p.own[engine] += work }
+
+// End takes work of this router off an engine.
+func (p *Pool) End(engine ident.TargetHash, work ident.Work) {
+	p.own[engine] -= work
+	if p.own[engine] <= 0 {
+		delete(p.own, engine)
+	}
+}
+
+// Merge notes what a home published of its shard's engines.
+func (p *Pool) Merge(now time.Time, d Digest) {
+	for _, l := range d.Loads {
+		old, ok := p.published[l.Engine]
+		if ok && old.home == d.Home && old.seq >= d.Seq {
+			continue
+		}
+		p.published[l.Engine] = published{work: l.Work, own: p.own[l.Engine], at: now, home: d.Home, seq: d.Seq}
+	}
+}
+
+// Estimate is the work thought to be on an engine: what its home published last,
+// corrected by what this router began and ended since; without that, this router's
+// own work times the number of routers.
+func (p *Pool) Estimate(now time.Time, engine ident.TargetHash, routers int) ident.Work {
+	pub, ok := p.published[engine]
+	if ok && now.Sub(pub.at) <= p.bound.DigestLife {
+		return max(pub.work+p.own[engine]-pub.own, 0)
+	}
+	return p.own[engine] * ident.Work(max(routers, 1))
+}
+
+// Lightest returns the shard whose engines have the least work on average, as far
+// as this router knows.
+func (p *Pool) Lightest(now time.Time, routers int) (ident.Shard, bool) {
+	var work [MaxShards]ident.Work
+	for _, e := range p.engines {
+		if !e.Leaving {
+			work[ShardOf(e.Hash, p.shards)] += p.Estimate(now, e.Hash, routers)
+		}
+	}
+	best, found := 0, false
+	for s, n := range p.weights {
+		if n > 0 && (!found || int64(work[s])*int64(p.weights[best]) < int64(work[best])*int64(n)) {
+			best, found = s, true
+		}
+	}
+	return ident.Shard(best), found
+}
+
+// Local decides without a home, from estimates alone: the less loaded of the key's
+// first two engines under the bound, or the least loaded of all.
+func (p *Pool) Local(now time.Time, req Request, routers int) Decision {
+	total := ident.Work(0)
+	usable := 0
+	for _, e := range p.engines {
+		if !e.Leaving {
+			total += p.Estimate(now, e.Hash, routers)
+			usable++
+		}
+	}
+	if usable == 0 {
+		return Decision{Result: Empty}
+	}
+	limit := p.bound.Factor * float64(total+req.Work) / float64(usable)
+	var first, least ranked
+	for i, e := range p.engines {
+		if e.Leaving || avoided(req.Avoid, e.Hash) {
+			continue
+		}
+		load := p.Estimate(now, e.Hash, routers)
+		if e.Slots > 0 && load > 0 && load+req.Work > e.Slots {
+			continue
+		}
+		if score := leastFirst(load); !least.set || score > least.score {
+			least = ranked{index: i, score: score, set: true}
+		}
+		if float64(load) >= limit {
+			continue
+		}
+		if score := ident.Mix(uint64(req.Key), uint64(e.Hash)); !first.set || score > first.score {
+			first = ranked{index: i, score: score, set: true}
+		}
+	}
+	switch {
+	case first.set:
+		return Decision{Result: Placed, Engine: p.engines[first.index].Hash}
+	case least.set:
+		return Decision{Result: Placed, Engine: p.engines[least.index].Hash}
+	default:
+		return Decision{Result: Busy}
+	}
+}
--- /dev/null
+++ b/internal/rule/place/shard.go
@@ -0,0 +1,73 @@
+package place
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"valescale/internal/plat/ident"
+)
+
+// ShardOf returns the shard that a target belongs to when its pool has n shards.
+func ShardOf(target ident.TargetHash, n int) ident.Shard {
+	return ident.Shard(ident.Mix(uint64(target), shardSalt) % uint64(n))
+}
+
+// shardSalt keeps the choice of a shard apart from the order of engines within it.
+const shardSalt = 0x5ca1e
+
+// ShardID names a shard of a pool.
+type ShardID struct {
+	Pool  ident.Pool
+	Shard ident.Shard
+}
+
+// HomeOf returns the router that is home of a shard by rendezvous hashing, or the
+// empty id when there are no routers.
+func HomeOf(id ShardID, routers []ident.Router) ident.Router {
+	seed := ident.Mix(xxhash.Sum64String(string(id.Pool)), uint64(id.Shard))
+	return rendezvous(seed, routers)
+}
+
+// OwnerOf returns the router that is home of a named thing, such as a workspace's limit.
+func OwnerOf(name string, routers []ident.Router) ident.Router {
+	return rendezvous(xxhash.Sum64String(name), routers)
+}
+
+func rendezvous(seed uint64, routers []ident.Router) ident.Router {
+	var best ident.Router
+	var bestScore uint64
+	for _, r := range routers {
+		score := ident.Mix(seed, xxhash.Sum64String(string(r)))
+		if best == "" || score > bestScore || (score == bestScore && r < best) {
+			best, bestScore = r, score
+		}
+	}
+	return best
+}
+
+// Order fills out with the shards in the order in which a key prefers them and
+// returns how many there are. Weights are the shards' numbers of usable engines;
+// a shard without any is left out.
+func Order(key ident.ChatKey, weights []int, out []ident.Shard) int {
+	n := 0
+	var scores [MaxShards]float64
+	for s, w := range weights {
+		if w <= 0 || n == len(out) {
+			continue
+		}
+		// Weighted rendezvous: the smallest exponential variate of rate w wins.
+		score := -math.Log(ident.Unit(ident.Mix(uint64(key), uint64(s)+1))) / float64(w)
+		i := n
+		for i > 0 && scores[i-1] > score {
+			scores[i], out[i] = scores[i-1], out[i-1]
+			i--
+		}
+		scores[i], out[i] = score, ident.Shard(s)
+		n++
+	}
+	return n
+}
+
+// MaxShards bounds the number of shards of a pool.
+const MaxShards = 64
--- /dev/null
+++ b/internal/rule/policy/document.go
@@ -0,0 +1,185 @@
+package policy
+
+import (
+	"sort"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	"valescale/internal/plat/fault"
+)
+
+// DocumentKind is what a document describes.
+type DocumentKind string
+
+const (
+	// ServiceKind documents describe what requests are sent to.
+	ServiceKind DocumentKind = "service"
+	// WorkspaceKind documents describe who sends requests.
+	WorkspaceKind DocumentKind = "workspace"
+	// PolicyKind documents say who goes where, what may wait and what must never repeat.
+	PolicyKind DocumentKind = "policy"
+)
+
+// MaxDocument bounds the text of one document, in bytes.
+const MaxDocument = 16 << 10
+
+// MaxName bounds the name of a document, in bytes.
+const MaxName = 64
+
+// ID names a document.
+type ID struct {
+	Kind DocumentKind `json:"kind"`
+	Name string       `json:"name"`
+}
+
+// String returns the form used in messages and row keys.
+func (id ID) String() string { return string(id.Kind) + "/" + id.Name }
+
+// Document is one section of an INI file in canonical form, or its deletion.
+type Document struct {
+	ID      ID     `json:"id"`
+	Text    string `json:"text"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// Less orders documents by kind and name.
+func (d Document) Less(other Document) bool { return d.ID.String() < other.ID.String() }
+
+// loadOptions keep CEL programs as they are written: quotes and comment signs belong to them.
+var loadOptions = ini.LoadOptions{
+	IgnoreInlineComment:        true,
+	PreserveSurroundedQuote:    true,
+	IgnoreContinuation:         true,
+	AllowPythonMultilineValues: true,
+	AllowNonUniqueSections:     true,
+	AllowDuplicateShadowValues: true,
+	AllowShadows:               true,
+}
+
+// Split reads an INI file into its documents, in order of kind and name.
+func Split(source string, data []byte) ([]Document, error) {
+	const op = "policy.Split"
+	file, err := ini.LoadSources(loadOptions, data)
+	if err != nil {
+		return nil, fault.Newf(op, Syntax, "%s: %v", source, err)
+	}
+	var out []Document
+	seen := map[ID]bool{}
+	for _, section := range file.Sections() {
+		if section.Name() == ini.DefaultSection {
+			if len(section.Keys()) > 0 {
+				return nil, fault.Newf(op, Syntax, "%s: key %q stands outside of a section", source, section.Keys()[0].Name())
+			}
+			continue
+		}
+		doc, err := fromSection(section)
+		if err != nil {
+			return nil, fault.Newf(op, Syntax, "%s: %v", source, err)
+		}
+		if seen[doc.ID] {
+			return nil, fault.Newf(op, Syntax, "%s: [%s] stands twice", source, section.Name())
+		}
+		seen[doc.ID] = true
+		out = append(out, doc)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Less(out[j]) })
+	return out, nil
+}
+
+func fromSection(section *ini.Section) (Document, error) {
+	const op = "policy.fromSection"
+	kind, name, ok := strings.Cut(section.Name(), " ")
+	id := ID{Kind: DocumentKind(kind), Name: strings.TrimSpace(name)}
+	if !ok || !knownKind(id.Kind) {
+		return Document{}, fault.Newf(op, Syntax, "[%s] is not [service NAME], [workspace NAME] or [policy NAME]", section.Name())
+	}
+	if err := checkName(id.Name); err != nil {
+		return Document{}, err
+	}
+	var text strings.Builder
+	for _, key := range section.Keys() {
+		values := key.ValueWithShadows()
+		if len(values) > 1 {
+			return Document{}, fault.Newf(op, Syntax, "[%s] sets %q twice", section.Name(), key.Name())
+		}
+		text.WriteString(key.Name() + " = " + oneLine(key.Value()) + "\n")
+	}
+	if text.Len() > MaxDocument {
+		return Document{}, fault.Newf(op, Syntax, "[%s] is larger than %d bytes", section.Name(), MaxDocument)
+	}
+	return Document{ID: id, Text: text.String()}, nil
+}
+
+func knownKind(kind DocumentKind) bool {
+	return kind == ServiceKind || kind == WorkspaceKind || kind == PolicyKind
+}
+
+func checkName(name string) error {
+	if name == "" || len(name) > MaxName {
+		return fault.Newf("policy.checkName", Syntax, "name %q is not 1 to %d characters", name, MaxName)
+	}
+	for _, r := range name {
+		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '_' && r != '-' {
+			return fault.Newf("policy.checkName", Syntax, "name %q has other characters than a-z, 0-9, _ and -", name)
+		}
+	}
+	return nil
+}
+
+// oneLine folds a value over several lines into one, which CEL reads alike.
+func oneLine(value string) string {
+	return strings.Join(strings.Fields(value), " ")
+}
+
+// section reads a document's text back into keys.
+func (d Document) section() (*ini.Section, error) {
+	file, err := ini.LoadSources(loadOptions, []byte(d.Text))
+	if err != nil {
+		return nil, fault.Newf("policy.section", Syntax, "%s: %v", d.ID, err)
+	}
+	return file.Section(ini.DefaultSection), nil
+}
+
+// fields reads a document's keys and remembers the first mistake.
+type fields struct {
+	id      ID
+	section *ini.Section
+	known   map[string]bool
+	err     error
+}
+
+func (d Document) fields() *fields {
+	section, err := d.section()
+	f := &fields{id: d.ID, section: section, known: map[string]bool{}, err: err}
+	if err != nil {
+		f.section = ini.Empty().Section(ini.DefaultSection)
+	}
+	return f
+}
+
+func (f *fields) text(key, fallback string) string {
+	f.known[key] = true
+	if !f.section.HasKey(key) {
+		return fallback
+	}
+	return f.section.Key(key).Value()
+}
+
+func (f *fields) fail(key, format string, args ...any) {
+	if f.err != nil {
+		return
+	}
+	args = append([]any{f.id, key}, args...)
+	f.err = fault.Newf("policy.Compile", Invalid, "%s: %s: "+format, args...)
+}
+
+// done reports the first mistake, or a key that nothing asked for.
+func (f *fields) done() error {
+	for _, key := range f.section.KeyStrings() {
+		if !f.known[key] {
+			f.fail(key, "no such setting")
+		}
+	}
+	return f.err
+}
--- /dev/null
+++ b/internal/rule/policy/program.go
@@ -0,0 +1,200 @@
+package policy
+
+import (
+	"time"
+
+	"cel.dev/cel-go/cel"
+	"cel.dev/cel-go/common/ast"
+	"cel.dev/cel-go/common/cost"
+	"cel.dev/cel-go/common/operators"
+	"cel.dev/cel-go/common/types"
+	"cel.dev/cel-go/common/types/ref"
+	"cel.dev/cel-go/common/types/traits"
+	"cel.dev/cel-go/interpreter"
+
+	"valescale/internal/plat/fault"
+)
+
+// MaxCost bounds the estimated cost of one setting's program, in CEL's cost units.
+const MaxCost = 2000
+
+// Sizes that the cost estimate assumes of a request's parts; the front enforces them.
+const (
+	maxTextSize    = 256
+	maxHeaderCount = 64
+)
+
+// Request is what a policy's programs can see.
+type Request struct {
+	Method    string
+	Path      string
+	Headers   map[string]string
+	Model     string
+	Stream    bool
+	Messages  int64
+	Tokens    int64
+	Key       string
+	Workspace string
+	Zone      string
+	Hour      int64
+}
+
+// variable is one name that programs can use and how to read it.
+type variable struct {
+	name string
+	kind *cel.Type
+	read func(*Request) any
+}
+
+var variables = []variable{
+	{"request.method", cel.StringType, func(r *Request) any { return r.Method }},
+	{"request.path", cel.StringType, func(r *Request) any { return r.Path }},
+	{"request.headers", cel.MapType(cel.StringType, cel.StringType), func(r *Request) any { return r.Headers }},
+	{"request.model", cel.StringType, func(r *Request) any { return r.Model }},
+	{"request.stream", cel.BoolType, func(r *Request) any { return r.Stream }},
+	{"request.messages", cel.IntType, func(r *Request) any { return r.Messages }},
+	{"request.tokens", cel.IntType, func(r *Request) any { return r.Tokens }},
+	{"request.key", cel.StringType, func(r *Request) any { return r.Key }},
+	{"workspace.name", cel.StringType, func(r *Request) any { return r.Workspace }},
+	{"router.zone", cel.StringType, func(r *Request) any { return r.Zone }},
+	{"time.hour", cel.IntType, func(r *Request) any { return r.Hour }},
+}
+
+// ResolveName gives CEL the value of a name.
+func (r *Request) ResolveName(name string) (any, bool) {
+	for i := range variables {
+		if variables[i].name == name {
+			return variables[i].read(r), true
+		}
+	}
+	return nil, false
+}
+
+// Parent returns nil: a request is the outermost scope.
+func (r *Request) Parent() interpreter.Activation { return nil }
+
+// newEnv declares the variables and the function value, which unlike indexing
+// cannot fail: a header that is not there is empty.
+func newEnv() (*cel.Env, error) {
+	options := []cel.EnvOption{
+		cel.ClearMacros(),
+		cel.Function("value", cel.MemberOverload("map_value_string",
+			[]*cel.Type{cel.MapType(cel.StringType, cel.StringType), cel.StringType}, cel.StringType,
+			cel.BinaryBinding(headerValue))),
+	}
+	for _, v := range variables {
+		options = append(options, cel.Variable(v.name, v.kind))
+	}
+	return cel.NewEnv(options...)
+}
+
+func headerValue(headers, name ref.Val) ref.Val {
+	found, ok := headers.(traits.Mapper).Find(name)
+	if !ok {
+		return types.String("")
+	}
+	return found
+}
+
+// sizes tells the cost estimate how large a request's parts can be.
+type sizes struct{}
+
+func (sizes) EstimateSize(node cost.AstNode) *cost.SizeEstimate {
+	path := node.Path()
+	if len(path) == 0 {
+		return nil
+	}
+	if node.Type().Kind() == types.MapKind {
+		return &cost.SizeEstimate{Min: 0, Max: maxHeaderCount}
+	}
+	return &cost.SizeEstimate{Min: 0, Max: maxTextSize}
+}
+
+func (sizes) EstimateCallCost(function, _ string, _ *cost.AstNode, _ []cost.AstNode) *cost.CallEstimate {
+	if function != "value" {
+		return nil
+	}
+	size := cost.SizeEstimate{Min: 0, Max: maxTextSize}
+	return &cost.CallEstimate{CostEstimate: cost.Estimate{Min: 1, Max: 1}, ResultSize: &size}
+}
+
+// program is one setting's compiled CEL expression.
+type program struct {
+	source string
+	run    cel.Program
+	expr   ast.Expr
+}
+
+func compileProgram(env *cel.Env, id ID, key, source string, want *cel.Type) (*program, error) {
+	const op = "policy.Compile"
+	checked, issues := env.Compile(source)
+	if issues.Err() != nil {
+		return nil, fault.Newf(op, Program, "%s: %s: %v", id, key, issues.Err())
+	}
+	if !checked.OutputType().IsExactType(want) {
+		return nil, fault.Newf(op, Program, "%s: %s: gives %s, must give %s", id, key, checked.OutputType(), want)
+	}
+	estimate, err := env.EstimateCost(checked, sizes{})
+	if err != nil {
+		return nil, fault.Newf(op, Program, "%s: %s: %v", id, key, err)
+	}
+	if estimate.Max > MaxCost {
+		return nil, fault.Newf(op, Program, "%s: %s: may cost %d, more than %d", id, key, estimate.Max, MaxCost)
+	}
+	run, err := env.Program(checked, cel.EvalOptions(cel.OptOptimize), cel.CostLimit(MaxCost))
+	if err != nil {
+		return nil, fault.Newf(op, Program, "%s: %s: %v", id, key, err)
+	}
+	return &program{source: source, run: run, expr: checked.NativeRep().Expr()}, nil
+}
+
+// literals lists the string constants that a program can give, as far as they are
+// written out in it; known is false when it can give others.
+func (p *program) literals() (values []string, known bool) {
+	return literalsOf(p.expr)
+}
+
+func literalsOf(e ast.Expr) ([]string, bool) {
+	switch e.Kind() {
+	case ast.LiteralKind:
+		text, ok := e.AsLiteral().(types.String)
+		return []string{string(text)}, ok
+	case ast.CallKind:
+		call := e.AsCall()
+		if call.FunctionName() != operators.Conditional {
+			return nil, false
+		}
+		yes, yesKnown := literalsOf(call.Args()[1])
+		no, noKnown := literalsOf(call.Args()[2])
+		return append(yes, no...), yesKnown && noKnown
+	default:
+		return nil, false
+	}
+}
+
+func (p *program) text(r *Request) (string, bool) {
+	out, _, err := p.run.Eval(r)
+	if err != nil {
+		return "", false
+	}
+	value, ok := out.(types.String)
+	return string(value), ok
+}
+
+func (p *program) integer(r *Request) (int64, bool) {
+	out, _, err := p.run.Eval(r)
+	if err != nil {
+		return 0, false
+	}
+	value, ok := out.(types.Int)
+	return int64(value), ok
+}
+
+func (p *program) duration(r *Request) (time.Duration, bool) {
+	out, _, err := p.run.Eval(r)
+	if err != nil {
+		return 0, false
+	}
+	value, ok := out.(types.Duration)
+	return value.Duration, ok
+}
--- /dev/null
+++ b/internal/rule/policy/set.go
@@ -0,0 +1,126 @@
+package policy
+
+import (
+	"sort"
+
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+)
+
+// Set is a whole configuration, compiled.
+type Set struct {
+	Services   map[ident.Service]Service
+	Workspaces map[ident.Workspace]Workspace
+	Policies   map[string]*Policy
+	tokens     map[TokenHash]ident.Workspace
+	certs      map[string]ident.Workspace
+}
+
+// Compile builds a set from documents and returns every mistake that it finds;
+// with any mistake the set is nil.
+func Compile(documents []Document) (*Set, []Problem) {
+	s := &Set{
+		Services:   map[ident.Service]Service{},
+		Workspaces: map[ident.Workspace]Workspace{},
+		Policies:   map[string]*Policy{},
+		tokens:     map[TokenHash]ident.Workspace{},
+		certs:      map[string]ident.Workspace{},
+	}
+	documents = append([]Document(nil), documents...)
+	sort.Slice(documents, func(i, j int) bool { return documents[i].Less(documents[j]) })
+	problems := s.addServices(documents)
+	problems = append(problems, s.addPolicies(documents)...)
+	problems = append(problems, s.addWorkspaces(documents)...)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return s, nil
+}
+
+func (s *Set) addServices(documents []Document) (problems []Problem) {
+	for _, d := range documents {
+		if d.ID.Kind != ServiceKind || d.Deleted {
+			continue
+		}
+		service, err := compileService(d)
+		if err != nil {
+			problems = append(problems, problemOf(d.ID, err))
+		}
+		s.Services[service.Name] = service
+	}
+	return problems
+}
+
+func (s *Set) addPolicies(documents []Document) (problems []Problem) {
+	env, err := newEnv()
+	if err != nil {
+		return []Problem{problemOf(ID{}, err)}
+	}
+	for _, d := range documents {
+		if d.ID.Kind != PolicyKind || d.Deleted {
+			continue
+		}
+		compiled, err := compilePolicy(env, d, s.Services)
+		if err != nil {
+			problems = append(problems, problemOf(d.ID, err))
+			continue
+		}
+		s.Policies[d.ID.Name] = compiled
+	}
+	return problems
+}
+
+func (s *Set) addWorkspaces(documents []Document) (problems []Problem) {
+	for _, d := range documents {
+		if d.ID.Kind != WorkspaceKind || d.Deleted {
+			continue
+		}
+		w, err := compileWorkspace(d)
+		if err == nil {
+			err = s.addIdentities(d.ID, w)
+		}
+		if err == nil && s.Policies[w.Policy] == nil {
+			err = fault.Newf("policy.Compile", Invalid, "%s: policy: %q does not exist", d.ID, w.Policy)
+		}
+		if err != nil {
+			problems = append(problems, problemOf(d.ID, err))
+			continue
+		}
+		s.Workspaces[w.Name] = w
+	}
+	return problems
+}
+
+// addIdentities refuses a token or certificate that two workspaces claim.
+func (s *Set) addIdentities(id ID, w Workspace) error {
+	for _, token := range w.Tokens {
+		if other, taken := s.tokens[token]; taken {
+			return fault.Newf("policy.Compile", Invalid, "%s: token_sha256: %s is also of workspace %s", id, token, other)
+		}
+		s.tokens[token] = w.Name
+	}
+	for _, cert := range w.Certs {
+		if other, taken := s.certs[cert]; taken {
+			return fault.Newf("policy.Compile", Invalid, "%s: certs: %s is also of workspace %s", id, cert, other)
+		}
+		s.certs[cert] = w.Name
+	}
+	return nil
+}
+
+// ByToken returns the workspace that a bearer token belongs to.
+func (s *Set) ByToken(token string) (Workspace, bool) {
+	name, ok := s.tokens[HashToken(token)]
+	return s.Workspaces[name], ok
+}
+
+// ByCert returns the workspace that a client certificate's common name belongs to.
+func (s *Set) ByCert(name string) (Workspace, bool) {
+	workspace, ok := s.certs[name]
+	return s.Workspaces[workspace], ok
+}
+
+// Decide runs the workspace's policy on a request.
+func (s *Set) Decide(w Workspace, r *Request) Decision {
+	return s.Policies[w.Policy].Decide(r)
+}
--- /dev/null
+++ b/internal/rule/quota/queue.go
@@ -0,0 +1,169 @@
+package quota
+
+import (
+	"container/heap"
+	"time"
+
+	"valescale/internal/plat/ident"
+)
+
+// Waiter is one request that waits for an engine.
+type Waiter struct {
+	Workspace ident.Workspace
+	Priority  int
+	Weight    int
+	Work      ident.Work
+	// Arrived is when the request began to wait, at this home or an earlier one.
+	Arrived  time.Time
+	Deadline time.Time
+	// Value belongs to the caller.
+	Value any
+
+	start float64
+	seq   uint64
+	flow  *flow
+	slot  int
+}
+
+type flow struct {
+	finish  float64
+	waiting int
+}
+
+// Queue holds the waiters of one shard.
+type Queue struct {
+	limit   int
+	perFlow int
+	virtual float64
+	seq     uint64
+	flows   map[ident.Workspace]*flow
+	heap    waiterHeap
+}
+
+// NewQueue returns a queue of at most limit waiters, of which one workspace may
+// have at most perFlow.
+func NewQueue(limit, perFlow int) *Queue {
+	return &Queue{limit: limit, perFlow: perFlow, flows: map[ident.Workspace]*flow{}}
+}
+
+// Len is the number of waiters.
+func (q *Queue) Len() int { return len(q.heap) }
+
+// Push adds a waiter. It returns the waiter that is shed for it when the queue is
+// full: the newcomer itself unless a lower priority waits.
+func (q *Queue) Push(w *Waiter) (shed *Waiter) {
+	f := q.flows[w.Workspace]
+	if f == nil {
+		f = &flow{}
+		q.flows[w.Workspace] = f
+	}
+	if f.waiting >= q.perFlow {
+		return w
+	}
+	if len(q.heap) >= q.limit {
+		shed = q.lowest()
+		if shed == nil || shed.Priority >= w.Priority {
+			return w
+		}
+		q.Remove(shed)
+	}
+	q.seq++
+	w.seq = q.seq
+	w.flow = f
+	w.start = max(q.virtual, f.finish)
+	f.finish = w.start + float64(w.Work)/float64(max(w.Weight, 1))
+	f.waiting++
+	heap.Push(&q.heap, w)
+	return shed
+}
+
+// lowest returns the latest waiter of the lowest priority.
+func (q *Queue) lowest() *Waiter {
+	var worst *Waiter
+	for _, w := range q.heap {
+		if worst == nil || w.Priority < worst.Priority || (w.Priority == worst.Priority && w.start > worst.start) {
+			worst = w
+		}
+	}
+	return worst
+}
+
+// Pop takes the next waiter whose deadline has not passed; those whose has are
+// returned as late.
+func (q *Queue) Pop(now time.Time) (next *Waiter, late []*Waiter) {
+	for len(q.heap) > 0 {
+		w := heap.Pop(&q.heap).(*Waiter)
+		q.left(w)
+		if !w.Deadline.IsZero() && now.After(w.Deadline) {
+			late = append(late, w)
+			continue
+		}
+		q.virtual = max(q.virtual, w.start)
+		return w, late
+	}
+	return nil, late
+}
+
+// Return puts a popped waiter back in its place, when no engine could take it after all.
+func (q *Queue) Return(w *Waiter) {
+	f := q.flows[w.Workspace]
+	if f == nil {
+		f = &flow{finish: w.start + float64(w.Work)/float64(max(w.Weight, 1))}
+		q.flows[w.Workspace] = f
+	}
+	w.flow = f
+	f.waiting++
+	heap.Push(&q.heap, w)
+}
+
+// Remove takes a waiter out, for example when its caller has gone.
+func (q *Queue) Remove(w *Waiter) {
+	if w.slot < 0 || w.slot >= len(q.heap) || q.heap[w.slot] != w {
+		return
+	}
+	heap.Remove(&q.heap, w.slot)
+	q.left(w)
+}
+
+func (q *Queue) left(w *Waiter) {
+	w.flow.waiting--
+	// An idle workspace keeps no credit and no debt beyond what is being served now.
+	if w.flow.waiting == 0 && w.flow.finish <= q.virtual {
+		delete(q.flows, w.Workspace)
+	}
+}
+
+type waiterHeap []*Waiter
+
+func (h waiterHeap) Len() int { return len(h) }
+
+func (h waiterHeap) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
+	}
+	if a.start != b.start {
+		return a.start < b.start
+	}
+	return a.seq < b.seq
+}
+
+func (h waiterHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].slot, h[j].slot = i, j
+}
+
+func (h *waiterHeap) Push(x any) {
+	w := x.(*Waiter)
+	w.slot = len(*h)
+	*h = append(*h, w)
+}
+
+func (h *waiterHeap) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	w.slot = -1
+	*h = old[:len(old)-1]
+	return w
+}
--- /dev/null
+++ b/internal/share/claim/doc.go
@@ -0,0 +1,10 @@
+// Package claim makes requests that may not be repeated run at most once.
+//
+// Before the first byte of such a request goes to a target, a claim on its key is
+// written to the platform's table service under the condition that nobody holds
+// it. Nobody ever takes over a claim whose request may have been sent: a paused
+// holder may wake and send at any time. Only the holder itself gives a claim back,
+// and only when it knows that nothing was sent.
+//
+// The claim row's version grows with each claim and serves as the fencing token.
+package claim
--- /dev/null
+++ b/internal/share/config/doc.go
@@ -0,0 +1,10 @@
+// Package config records configuration changes, spreads them and holds what is
+// in force on this router.
+//
+// A change is one transaction in the platform's table service: the documents, the
+// head revision, the change itself and its audit rows, under the condition that
+// the head and the documents are still those that the operator saw. Routers learn
+// of a new head from each other and by polling, fetch the changes they lack from
+// each other or the store, and install them in order. No router ever installs a
+// lower revision than it has, whatever the store says.
+package config
--- /dev/null
+++ b/internal/share/home/homes.go
@@ -0,0 +1,396 @@
+package home
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
+	"valescale/internal/rule/quota"
+)
+
+// Result is what a home answers to a request for a permit.
+type Result int
+
+const (
+	// Placed, Full, Busy and Empty are the results of placement.
+	Placed Result = iota + 1
+	// Full means that another shard may have room.
+	Full
+	// Empty means that the shard has no usable engine.
+	Empty
+	// Shed means that the request is given up; the caller is told when to come back.
+	Shed
+	// TimedOut means that no engine became free while the request could wait.
+	TimedOut
+	// Moved means that another router is home now.
+	Moved
+)
+
+// Ask is one request for a permit.
+type Ask struct {
+	place.Request
+	Shard     place.ShardID
+	Workspace ident.Workspace
+	Weight    int
+	Priority  int
+	// Wait is how much longer the request can wait, Waited how long it has.
+	Wait   time.Duration
+	Waited time.Duration
+}
+
+// Answer is what a home says.
+type Answer struct {
+	Result     Result
+	Engine     ident.TargetHash
+	Warm       bool
+	RetryAfter time.Duration
+	// Held is the number of permits that the home believes the edge to hold.
+	Held int
+}
+
+// Limits bounds the waiting at one shard.
+type Limits struct {
+	Queue        int
+	PerWorkspace int
+}
+
+// DefaultLimits bound the waiting requests of a shard.
+var DefaultLimits = Limits{Queue: 2000, PerWorkspace: 500}
+
+const (
+	// publishEvery is the least time between two digests of one shard.
+	publishEvery = 400 * time.Millisecond
+	// renewEvery is how often an unchanged digest is published again, well within its life.
+	renewEvery = 1500 * time.Millisecond
+)
+
+// Homes holds what this router is home of.
+type Homes struct {
+	mu      sync.Mutex
+	self    ident.Router
+	limits  Limits
+	clock   ident.Clock
+	shards  map[place.ShardID]*shard
+	pools   map[ident.Pool]*poolInfo
+	loads   map[place.ShardID]map[ident.Router]place.Digest
+	buckets map[ident.Workspace]*quota.Bucket
+	rates   func(ident.Workspace) (policy.Workspace, bool)
+	seq     uint64
+	// farewells say of shards that moved on that nothing is counted here any more.
+	farewells []place.Digest
+}
+
+type poolInfo struct {
+	pool  *place.Pool
+	bound place.Bound
+}
+
+type shard struct {
+	home   *place.Home
+	queue  *quota.Queue
+	rate   releaseRate
+	sent   place.Digest
+	sentAt time.Time
+}
+
+type waiting struct {
+	ask    Ask
+	answer chan Answer
+}
+
+// New returns homes that hold nothing yet; rates gives a workspace's limits in force.
+func New(self ident.Router, limits Limits, clock ident.Clock, rates func(ident.Workspace) (policy.Workspace, bool)) *Homes {
+	return &Homes{
+		self:    self,
+		limits:  limits,
+		clock:   clock,
+		shards:  map[place.ShardID]*shard{},
+		pools:   map[ident.Pool]*poolInfo{},
+		loads:   map[place.ShardID]map[ident.Router]place.Digest{},
+		buckets: map[ident.Workspace]*quota.Bucket{},
+		rates:   rates,
+		seq:     uint64(clock().UnixMilli()),
+	}
+}
+
+// SetPool replaces what is known of a pool's engines.
+func (h *Homes) SetPool(name ident.Pool, shards int, bound place.Bound, engines []place.Engine) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	pool := place.NewPool(name, shards, bound)
+	pool.SetEngines(engines)
+	h.pools[name] = &poolInfo{pool: pool, bound: bound}
+	for id, s := range h.shards {
+		if id.Pool == name {
+			s.home.SetEngines(pool.ShardEngines(id.Shard), pool.Usable())
+			h.dispatch(s)
+		}
+	}
+}
+
+// at returns the home of a shard, made on first use.
+func (h *Homes) at(id place.ShardID) *shard {
+	s, ok := h.shards[id]
+	if ok {
+		return s
+	}
+	info := h.pools[id.Pool]
+	bound := place.DefaultBound
+	if info != nil {
+		bound = info.bound
+	}
+	s = &shard{
+		home:  place.NewHome(id, h.self, bound, h.seq),
+		queue: quota.NewQueue(h.limits.Queue, h.limits.PerWorkspace),
+	}
+	if info != nil {
+		s.home.SetEngines(info.pool.ShardEngines(id.Shard), info.pool.Usable())
+	}
+	now := h.clock()
+	for _, byHome := range h.loads {
+		for _, d := range byHome {
+			s.home.Merge(now, d)
+		}
+	}
+	h.shards[id] = s
+	return s
+}
+
+// Place answers a request for a permit, waiting for a free engine if the ask allows it.
+func (h *Homes) Place(ctx context.Context, ask Ask, released []uint64) Answer {
+	h.mu.Lock()
+	s := h.at(ask.Shard)
+	h.release(s, ask.Edge, released)
+	now := h.clock()
+	if s.queue.Len() == 0 {
+		d := s.home.Place(now, ask.Request)
+		if d.Result != place.Busy {
+			defer h.mu.Unlock()
+			return s.answer(ask.Edge, d)
+		}
+	}
+	if ask.Wait <= 0 {
+		defer h.mu.Unlock()
+		return Answer{Result: Full, RetryAfter: s.rate.after(now, s.queue.Len()), Held: s.home.Held(ask.Edge)}
+	}
+	w := &waiting{ask: ask, answer: make(chan Answer, 1)}
+	entry := &quota.Waiter{
+		Workspace: ask.Workspace,
+		Priority:  ask.Priority,
+		Weight:    ask.Weight,
+		Work:      ask.Work,
+		Arrived:   now.Add(-ask.Waited),
+		Deadline:  now.Add(ask.Wait),
+		Value:     w,
+	}
+	if shed := s.queue.Push(entry); shed != nil {
+		retryAfter := s.rate.after(now, s.queue.Len())
+		shed.Value.(*waiting).answer <- Answer{Result: Shed, RetryAfter: retryAfter}
+	}
+	h.dispatch(s)
+	h.mu.Unlock()
+	return h.await(ctx, s, entry, w)
+}
+
+func (h *Homes) await(ctx context.Context, s *shard, entry *quota.Waiter, w *waiting) Answer {
+	timer := time.NewTimer(w.ask.Wait)
+	defer timer.Stop()
+	gone := false
+	select {
+	case a := <-w.answer:
+		return a
+	case <-timer.C:
+	case <-ctx.Done():
+		gone = true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case a := <-w.answer:
+		// The permit was given at the last moment; nobody is there to use it.
+		if gone && a.Result == Placed {
+			h.release(s, w.ask.Edge, []uint64{w.ask.Permit})
+		}
+		return a
+	default:
+	}
+	s.queue.Remove(entry)
+	return Answer{Result: TimedOut, RetryAfter: s.rate.after(h.clock(), s.queue.Len()+1)}
+}
+
+// answer turns a placement's decision into what the edge is told.
+func (s *shard) answer(edge ident.Router, d place.Decision) Answer {
+	a := Answer{Engine: d.Engine, Warm: d.Warm, Held: s.home.Held(edge)}
+	switch d.Result {
+	case place.Placed:
+		a.Result = Placed
+	case place.Empty:
+		a.Result = Empty
+	default:
+		a.Result = Full
+	}
+	return a
+}
+
+// dispatch gives engines to waiting requests as long as some have room.
+func (h *Homes) dispatch(s *shard) {
+	now := h.clock()
+	for {
+		next, late := s.queue.Pop(now)
+		for _, l := range late {
+			l.Value.(*waiting).answer <- Answer{Result: TimedOut, RetryAfter: s.rate.after(now, s.queue.Len())}
+		}
+		if next == nil {
+			return
+		}
+		w := next.Value.(*waiting)
+		d := s.home.Place(now, w.ask.Request)
+		if d.Result != place.Placed {
+			s.queue.Return(next)
+			return
+		}
+		w.answer <- s.answer(w.ask.Edge, d)
+	}
+}
+
+// Release gives permits back.
+func (h *Homes) Release(id place.ShardID, edge ident.Router, released []uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s, ok := h.shards[id]; ok {
+		h.release(s, edge, released)
+	}
+}
+
+func (h *Homes) release(s *shard, edge ident.Router, released []uint64) {
+	if len(released) == 0 {
+		return
+	}
+	for _, id := range released {
+		s.home.Release(edge, id)
+	}
+	s.rate.note(h.clock(), len(released))
+	h.dispatch(s)
+}
+
+// Sync replaces what is believed of one edge's permits in a shard.
+func (h *Homes) Sync(id place.ShardID, edge ident.Router, held []place.Permit, upto uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, known := h.shards[id]; !known && len(held) == 0 {
+		return
+	}
+	s := h.at(id)
+	s.home.Sync(edge, held, upto)
+	h.dispatch(s)
+}
+
+// Forget drops the permits that a router's earlier process or a dead router held.
+func (h *Homes) Forget(edge ident.Router, below uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.shards {
+		s.home.Forget(edge, below)
+		h.dispatch(s)
+	}
+}
+
+// Merge takes in what other homes published.
+func (h *Homes) Merge(digests []place.Digest) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock()
+	for _, d := range digests {
+		if h.loads[d.ID] == nil {
+			h.loads[d.ID] = map[ident.Router]place.Digest{}
+		}
+		h.loads[d.ID][d.Home] = d
+		for id, s := range h.shards {
+			if id.Pool == d.ID.Pool {
+				s.home.Merge(now, d)
+			}
+		}
+	}
+}
+
+// Digests returns what is to be published: the shards whose counts changed, and
+// now and then those whose did not.
+func (h *Homes) Digests() []place.Digest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock()
+	out := h.farewells
+	h.farewells = nil
+	for _, s := range h.shards {
+		age := now.Sub(s.sentAt)
+		if age < publishEvery {
+			continue
+		}
+		d := s.home.Digest()
+		if age < renewEvery && sameLoads(d, s.sent) {
+			continue
+		}
+		s.sent, s.sentAt = d, now
+		out = append(out, d)
+	}
+	return out
+}
+
+func sameLoads(a, b place.Digest) bool {
+	return a.Work == b.Work && slices.Equal(a.Loads, b.Loads)
+}
+
+// Evicted notes cache events of an engine.
+func (h *Homes) Evicted(id place.ShardID, engine ident.TargetHash, keys []ident.ChatKey) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, ok := h.shards[id]
+	if !ok {
+		return
+	}
+	for _, key := range keys {
+		s.home.Evicted(engine, key)
+	}
+}
+
+// InFlight returns the number of permits, and Waiting that of waiting requests.
+func (h *Homes) InFlight() (permits, waiting int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.shards {
+		permits += s.home.Len()
+		waiting += s.queue.Len()
+	}
+	return permits, waiting
+}
+
+// RequestsAt returns how many requests' worth of work is on an engine, if its
+// shard's home is here.
+func (h *Homes) RequestsAt(pool ident.Pool, engine ident.TargetHash) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	info, ok := h.pools[pool]
+	if !ok {
+		return 0
+	}
+	s, ok := h.shards[place.ShardID{Pool: pool, Shard: place.ShardOf(engine, info.pool.Shards())}]
+	if !ok {
+		return 0
+	}
+	return int(s.home.LoadOf(engine) / ident.OneRequest)
+}
+
+// LoadRatio is the highest load over its pool's mean among the engines counted here.
+func (h *Homes) LoadRatio() float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	worst := 0.0
+	for _, s := range h.shards {
+		worst = max(worst, s.home.LoadRatio())
+	}
+	return worst
+}
--- /dev/null
+++ b/internal/share/home/remote.go
@@ -0,0 +1,136 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/share/peerpb"
+)
+
+// Kind tells this package's errors apart.
+type Kind string
+
+// Unreachable means that the home did not answer; it may have given the permit.
+const Unreachable Kind = "unreachable"
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// Clients gives the client of a router.
+type Clients interface {
+	Client(id ident.Router) (peerpb.PeerServiceClient, error)
+}
+
+// Remote asks homes wherever they are, without a call if it is here.
+type Remote struct {
+	self    ident.Router
+	local   *Homes
+	clients Clients
+	timeout time.Duration
+}
+
+// NewRemote returns a Remote whose calls are bounded by timeout, waiting not counted.
+func NewRemote(self ident.Router, local *Homes, clients Clients, timeout time.Duration) *Remote {
+	return &Remote{self: self, local: local, clients: clients, timeout: timeout}
+}
+
+// Place asks a home for a permit.
+func (r *Remote) Place(ctx context.Context, home ident.Router, ask Ask, released []uint64) (Answer, error) {
+	if home == r.self {
+		return r.local.Place(ctx, ask, released), nil
+	}
+	client, err := r.clients.Client(home)
+	if err != nil {
+		return Answer{}, fault.New("home.Place", Unreachable, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.timeout+ask.Wait)
+	defer cancel()
+	reply, err := client.Place(ctx, connect.NewRequest(encodeAsk(ask, released)))
+	if err != nil {
+		return Answer{}, fault.New("home.Place", Unreachable, err)
+	}
+	return decodeAnswer(reply.Msg), nil
+}
+
+// Release gives permits back to a home.
+func (r *Remote) Release(ctx context.Context, home ident.Router, id place.ShardID, released []uint64) error {
+	if home == r.self {
+		r.local.Release(id, r.self, released)
+		return nil
+	}
+	return r.call(ctx, "home.Release", home, func(ctx context.Context, client peerpb.PeerServiceClient) error {
+		_, err := client.Release(ctx, connect.NewRequest(&peerpb.ReleaseRequest{
+			Edge: string(r.self), Pool: string(id.Pool), Shard: uint32(id.Shard), Released: released,
+		}))
+		return err
+	})
+}
+
+// Sync tells a home all permits that this router holds in a shard.
+func (r *Remote) Sync(ctx context.Context, home ident.Router, id place.ShardID, held []place.Permit, upto uint64) error {
+	if home == r.self {
+		r.local.Sync(id, r.self, held, upto)
+		return nil
+	}
+	return r.call(ctx, "home.Sync", home, func(ctx context.Context, client peerpb.PeerServiceClient) error {
+		_, err := client.Sync(ctx, connect.NewRequest(&peerpb.SyncRequest{
+			Edge: string(r.self), Pool: string(id.Pool), Shard: uint32(id.Shard),
+			Permits: encodePermits(held), Upto: upto,
+		}))
+		return err
+	})
+}
+
+// Handoff passes a parcel to a shard's next home.
+func (r *Remote) Handoff(ctx context.Context, p Parcel) error {
+	return r.call(ctx, "home.Handoff", p.To, func(ctx context.Context, client peerpb.PeerServiceClient) error {
+		request := &peerpb.HandoffRequest{
+			From: string(r.self), Pool: string(p.ID.Pool), Shard: uint32(p.ID.Shard), Permits: encodePermits(p.Permits),
+		}
+		for _, c := range p.Places {
+			request.Places = append(request.Places, &peerpb.ChatPlace{
+				Key: uint64(c.Key), Engine: uint32(c.Engine), Incarnation: uint64(c.Incarnation), SeenUnixS: c.SeenUnix,
+			})
+		}
+		_, err := client.Handoff(ctx, connect.NewRequest(request))
+		return err
+	})
+}
+
+// Grant asks a workspace's home for tokens; known is false when it has no limit.
+func (r *Remote) Grant(ctx context.Context, home ident.Router, workspace ident.Workspace, want int) (granted int, retryAfter time.Duration, err error) {
+	if home == r.self {
+		granted, retryAfter, _ = r.local.Grant(workspace, want)
+		return granted, retryAfter, nil
+	}
+	err = r.call(ctx, "home.Grant", home, func(ctx context.Context, client peerpb.PeerServiceClient) error {
+		reply, err := client.Grant(ctx, connect.NewRequest(&peerpb.GrantRequest{
+			Edge: string(r.self), Workspace: string(workspace), Want: int64(want),
+		}))
+		if err != nil {
+			return err
+		}
+		granted = int(reply.Msg.GetGranted())
+		retryAfter = time.Duration(reply.Msg.GetRetryAfterMs()) * time.Millisecond
+		return nil
+	})
+	return granted, retryAfter, err
+}
+
+func (r *Remote) call(ctx context.Context, op string, home ident.Router, do func(context.Context, peerpb.PeerServiceClient) error) error {
+	client, err := r.clients.Client(home)
+	if err != nil {
+		return fault.New(op, Unreachable, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	if err := do(ctx, client); err != nil {
+		return fault.New(op, Unreachable, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/share/peer/client.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"valescale/internal/share/peerpb"
+)
+
+// Clients holds one connect client an address over shared HTTP/2 connections.
+type Clients struct {
+	http   *http.Client
+	scheme string
+	mu     sync.Mutex
+	known  map[string]peerpb.PeerServiceClient
+}
+
+const (
+	dialTimeout = time.Second
+	idleTimeout = 5 * time.Minute
+	pingAfter   = 15 * time.Second
+	pingTimeout = 2 * time.Second
+)
+
+// NewClients returns clients that dial with TLS, or in clear text when config is
+// nil, and the function that closes their connections.
+func NewClients(config *tls.Config, meter *Meter) (*Clients, func()) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	protocols := &http.Protocols{}
+	scheme := "http"
+	if config != nil {
+		protocols.SetHTTP2(true)
+		scheme = "https"
+	} else {
+		protocols.SetUnencryptedHTTP2(true)
+	}
+	transport := &http.Transport{
+		Protocols:       protocols,
+		TLSClientConfig: config,
+		IdleConnTimeout: idleTimeout,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return meter.Conn(c), nil
+		},
+		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}
+	clients := &Clients{
+		http:   &http.Client{Transport: transport},
+		scheme: scheme,
+		known:  map[string]peerpb.PeerServiceClient{},
+	}
+	return clients, transport.CloseIdleConnections
+}
+
+// At returns the client of the router at an address.
+func (c *Clients) At(addr string) peerpb.PeerServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.known[addr]
+	if !ok {
+		client = peerpb.NewPeerServiceClient(c.http, c.scheme+"://"+addr, connect.WithInterceptors(lean{}))
+		c.known[addr] = client
+	}
+	return client
+}
+
+// lean takes out of each call the headers that routers have no use for.
+type lean struct{}
+
+// WrapUnary drops the user agent.
+func (lean) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+		if req.Spec().IsClient {
+			req.Header().Set("User-Agent", "v")
+			req.Header().Del("Accept-Encoding")
+		}
+		return next(ctx, req)
+	}
+}
+
+// WrapStreamingClient leaves streams as they are; there are none.
+func (lean) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return next
+}
+
+// WrapStreamingHandler leaves streams as they are; there are none.
+func (lean) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return next
+}
--- /dev/null
+++ b/internal/share/peer/digest.go
@@ -0,0 +1,218 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+)
+
+// Ack says which revision is in force at a member.
+type Ack struct {
+	Member   uint32
+	Revision ident.Revision
+}
+
+// Digest is one bounded message of news between two routers.
+type Digest struct {
+	From    ident.Router
+	Head    ident.Revision
+	Members []Member
+	Marks   []Mark
+	Loads   []place.Digest
+	Acks    []Ack
+	// MembersHash is the same at routers that know the same members.
+	MembersHash uint64
+	// Whole asks for the receiver's whole list of members.
+	Whole bool
+}
+
+// wholeAfter is how many mismatching hashes in a row make a router ask for the
+// whole list; news in flight explains one or two.
+const wholeAfter = 4
+
+// Publish replaces what this router, as a home, says of a shard.
+func (v *View) Publish(now time.Time, d place.Digest) {
+	v.loads[loadKey{d.ID, d.Home}] = &loadEntry{Digest: d, at: now}
+}
+
+// Outgoing makes the digest for one peer: the news that was passed on least often
+// first. Loads stay within a region, since pools do.
+func (v *View) Outgoing(to ident.Router, whole bool) Digest {
+	d := Digest{From: v.self, Head: v.head, MembersHash: v.hash, Whole: v.wantWhole}
+	v.wantWhole = false
+	d.Members = v.outMembers(whole)
+	peer, known := v.members[to]
+	if known && peer.State != Live && !whole {
+		// A router that is wrongly thought gone can only refute what it hears.
+		d.Members = append(d.Members, peer.Member)
+	}
+	d.Acks = v.outAcks()
+	d.Marks = v.outMarks()
+	if known && peer.Region == v.members[v.self].Region {
+		d.Loads = v.outLoads()
+	}
+	return d
+}
+
+func (v *View) outMembers(whole bool) []Member {
+	limit := v.spreadLimit()
+	var news []*memberEntry
+	for _, e := range v.members {
+		if whole || e.sent < limit {
+			news = append(news, e)
+		}
+	}
+	slices.SortFunc(news, func(a, b *memberEntry) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.ID, b.ID))
+	})
+	if !whole && len(news) > v.limits.Members {
+		news = news[:v.limits.Members]
+	}
+	out := make([]Member, 0, len(news))
+	for _, e := range news {
+		e.sent++
+		out = append(out, e.Member)
+	}
+	return out
+}
+
+func (v *View) outAcks() []Ack {
+	limit := v.spreadLimit()
+	var news []*memberEntry
+	for _, e := range v.members {
+		if e.revision > 0 && e.ackSent < limit {
+			news = append(news, e)
+		}
+	}
+	slices.SortFunc(news, func(a, b *memberEntry) int {
+		return cmp.Or(cmp.Compare(a.ackSent, b.ackSent), cmp.Compare(b.revision, a.revision), cmp.Compare(a.ID, b.ID))
+	})
+	if len(news) > v.limits.Acks {
+		news = news[:v.limits.Acks]
+	}
+	out := make([]Ack, 0, len(news))
+	for _, e := range news {
+		e.ackSent++
+		out = append(out, Ack{Member: e.Hash(), Revision: e.revision})
+	}
+	return out
+}
+
+func (v *View) outMarks() []Mark {
+	limit := v.spreadLimit()
+	var out []Mark
+	for id, m := range v.marks {
+		if m.sent < limit {
+			out = append(out, Mark{Target: id, Incarnation: m.incarnation})
+		}
+	}
+	slices.SortFunc(out, func(a, b Mark) int {
+		return cmp.Or(cmp.Compare(v.marks[a.Target].sent, v.marks[b.Target].sent), cmp.Compare(a.Target, b.Target))
+	})
+	if len(out) > v.limits.Marks {
+		out = out[:v.limits.Marks]
+	}
+	for _, m := range out {
+		v.marks[m.Target].sent++
+	}
+	return out
+}
+
+func (v *View) outLoads() []place.Digest {
+	limit := v.spreadLimit()
+	var news []*loadEntry
+	for _, l := range v.loads {
+		if l.sent < limit {
+			news = append(news, l)
+		}
+	}
+	slices.SortFunc(news, func(a, b *loadEntry) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.ID.Pool, b.ID.Pool),
+			cmp.Compare(a.ID.Shard, b.ID.Shard), cmp.Compare(a.Home, b.Home))
+	})
+	if len(news) > v.limits.Loads {
+		news = news[:v.limits.Loads]
+	}
+	out := make([]place.Digest, 0, len(news))
+	for _, l := range news {
+		l.sent++
+		out = append(out, l.Digest)
+	}
+	return out
+}
+
+// News is what of a digest was not known before.
+type News struct {
+	Loads []place.Digest
+	// Head is set when the sender knows of a later revision than this router did.
+	Head ident.Revision
+	// SendWhole is set when the sender asks for the whole list of members.
+	SendWhole bool
+}
+
+// Incoming merges a digest from a peer. Hearing from a router shows nothing of
+// its state but what the digest itself says.
+func (v *View) Incoming(now time.Time, d Digest) News {
+	var news News
+	for _, m := range d.Members {
+		v.mergeMember(now, m)
+	}
+	for _, m := range d.Marks {
+		v.MarkLeaving(now, m)
+	}
+	for _, a := range d.Acks {
+		v.mergeAck(a)
+	}
+	for _, l := range d.Loads {
+		if v.mergeLoad(now, l) {
+			news.Loads = append(news.Loads, l)
+		}
+	}
+	if d.Head > v.head {
+		v.head = d.Head
+		news.Head = d.Head
+	}
+	v.compare(d)
+	news.SendWhole = d.Whole
+	return news
+}
+
+func (v *View) mergeAck(a Ack) {
+	id, ok := v.byHash[a.Member]
+	if !ok || id == v.self {
+		return
+	}
+	e := v.members[id]
+	if a.Revision > e.revision {
+		e.revision = a.Revision
+		e.ackSent = 0
+	}
+}
+
+func (v *View) mergeLoad(now time.Time, d place.Digest) bool {
+	if d.Home == v.self {
+		return false
+	}
+	key := loadKey{d.ID, d.Home}
+	if known, ok := v.loads[key]; ok && known.Seq >= d.Seq {
+		return false
+	}
+	v.loads[key] = &loadEntry{Digest: d, at: now}
+	return true
+}
+
+// compare asks for the whole list of members when hashes keep differing.
+func (v *View) compare(d Digest) {
+	if d.MembersHash == v.hash {
+		v.mismatches = 0
+		return
+	}
+	v.mismatches++
+	if v.mismatches >= wholeAfter {
+		v.mismatches = 0
+		v.wantWhole = true
+	}
+}
--- /dev/null
+++ b/internal/share/peer/node.go
@@ -0,0 +1,238 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"valescale/internal/plat/boxes"
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/share/peerpb"
+)
+
+// Dialer gives the client of the router at an address.
+type Dialer interface {
+	At(addr string) peerpb.PeerServiceClient
+}
+
+// Lister reads the platform's list of boxes.
+type Lister interface {
+	List(ctx context.Context) ([]boxes.Box, error)
+}
+
+// Hooks are called, outside of any lock, when something changed.
+type Hooks struct {
+	// Changed is called after routers or targets changed.
+	Changed func()
+	// Loads is called with digests of other homes that are new.
+	Loads func([]place.Digest)
+	// Head is called when a router tells of a later revision than any known.
+	Head func(revision ident.Revision, from ident.Router)
+	// Digests returns what this router's homes publish; it is called before each exchange.
+	Digests func() []place.Digest
+}
+
+// Pace is how often things are done.
+type Pace struct {
+	Gossip time.Duration
+	List   time.Duration
+	// Call bounds one exchange.
+	Call time.Duration
+	// Fanout is how many peers are told at once of a new revision or of leaving.
+	Fanout int
+}
+
+// DefaultPace stays within a few kilobytes a second.
+var DefaultPace = Pace{Gossip: 500 * time.Millisecond, List: 2 * time.Second, Call: time.Second, Fanout: 3}
+
+// lostOneIn is how seldom a router thought dead is tried instead of a live one.
+const lostOneIn = 10
+
+// Node exchanges digests with other routers and reads the list of boxes.
+type Node struct {
+	mu      sync.Mutex
+	view    *View
+	version uint64
+	rng     *rand.Rand
+	dial    Dialer
+	list    Lister
+	pace    Pace
+	hooks   Hooks
+	seeds   []Member
+	clock   ident.Clock
+}
+
+// NewNode returns a node that does nothing until Run; seeds are addresses to try
+// while no other router is known.
+func NewNode(view *View, dial Dialer, list Lister, pace Pace, seeds []string, seed uint64, clock ident.Clock) *Node {
+	n := &Node{
+		view:  view,
+		rng:   rand.New(rand.NewPCG(seed, seed)),
+		dial:  dial,
+		list:  list,
+		pace:  pace,
+		clock: clock,
+	}
+	for _, addr := range seeds {
+		n.seeds = append(n.seeds, Member{ID: ident.Router(addr), Addr: addr})
+	}
+	return n
+}
+
+// SetHooks sets what is called on changes; it must come before Run.
+func (n *Node) SetHooks(hooks Hooks) { n.hooks = hooks }
+
+// Run works until the context ends.
+func (n *Node) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { n.every(ctx, n.pace.List, n.readList) })
+	n.every(ctx, n.pace.Gossip, func(ctx context.Context) {
+		n.round(ctx, &wg)
+	})
+}
+
+// every calls work at once and then at intervals that vary by a fifth, so that
+// routers do not fall into step.
+func (n *Node) every(ctx context.Context, interval time.Duration, work func(context.Context)) {
+	for {
+		work(ctx)
+		n.mu.Lock()
+		wait := interval - interval/10 + time.Duration(n.rng.Int64N(int64(interval/5)+1))
+		n.mu.Unlock()
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+func (n *Node) readList(ctx context.Context) {
+	list, err := n.list.List(ctx)
+	if err != nil {
+		return
+	}
+	n.Do(func(v *View) { v.ObserveList(n.clock(), list) })
+}
+
+// Do runs a change of the view and tells the hooks if it mattered.
+func (n *Node) Do(change func(*View)) {
+	n.mu.Lock()
+	change(n.view)
+	changed := n.view.Version() != n.version
+	n.version = n.view.Version()
+	n.mu.Unlock()
+	if changed && n.hooks.Changed != nil {
+		n.hooks.Changed()
+	}
+}
+
+// Read runs a look at the view.
+func (n *Node) Read(look func(*View)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	look(n.view)
+}
+
+// round exchanges digests with one peer.
+func (n *Node) round(ctx context.Context, wg *sync.WaitGroup) {
+	n.Do(func(v *View) { v.Tick(n.clock()) })
+	for _, peer := range n.pick(1) {
+		wg.Go(func() { _ = n.Exchange(ctx, peer) })
+	}
+}
+
+// Tell exchanges digests with several peers at once, so that news travels ahead of the rounds.
+func (n *Node) Tell(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, peer := range n.pick(n.pace.Fanout) {
+		wg.Go(func() { _ = n.Exchange(ctx, peer) })
+	}
+	wg.Wait()
+}
+
+// pick chooses peers at random: mostly live ones, seldom one thought dead.
+func (n *Node) pick(count int) []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	peers := n.view.Peers()
+	if lost := n.view.Lost(); len(lost) > 0 && n.rng.IntN(lostOneIn) == 0 {
+		return []Member{lost[n.rng.IntN(len(lost))]}
+	}
+	if len(peers) == 0 {
+		peers = append(peers, n.seeds...)
+	}
+	n.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(count, len(peers))]
+}
+
+// Exchange sends news to one peer and takes in its news.
+func (n *Node) Exchange(ctx context.Context, peer Member) error {
+	ctx, cancel := context.WithTimeout(ctx, n.pace.Call)
+	defer cancel()
+	out := n.outgoing(peer.ID, false)
+	reply, err := n.dial.At(peer.Addr).Gossip(ctx, connect.NewRequest(Encode(out)))
+	if err != nil {
+		if ctx.Err() != context.Canceled {
+			n.Do(func(v *View) { v.ContactFailed(n.clock(), peer.ID) })
+		}
+		return fault.New("peer.Exchange", Unreachable, err)
+	}
+	in := Decode(reply.Msg)
+	if n.Incoming(in) {
+		whole := n.outgoing(peer.ID, true)
+		_, err = n.dial.At(peer.Addr).Gossip(ctx, connect.NewRequest(Encode(whole)))
+	}
+	return err
+}
+
+func (n *Node) outgoing(to ident.Router, whole bool) Digest {
+	var own []place.Digest
+	if n.hooks.Digests != nil {
+		own = n.hooks.Digests()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range own {
+		n.view.Publish(n.clock(), d)
+	}
+	return n.view.Outgoing(to, whole)
+}
+
+// Incoming takes in a peer's digest and reports whether the peer asks for the whole list of members.
+func (n *Node) Incoming(d Digest) bool {
+	var news News
+	n.Do(func(v *View) { news = v.Incoming(n.clock(), d) })
+	if len(news.Loads) > 0 && n.hooks.Loads != nil {
+		n.hooks.Loads(news.Loads)
+	}
+	if news.Head > 0 && n.hooks.Head != nil {
+		n.hooks.Head(news.Head, d.From)
+	}
+	return news.SendWhole
+}
+
+// Answer takes in a peer's digest and returns this router's.
+func (n *Node) Answer(d Digest) Digest {
+	whole := n.Incoming(d)
+	return n.outgoing(d.From, whole)
+}
+
+// Client returns the client of a router.
+func (n *Node) Client(id ident.Router) (peerpb.PeerServiceClient, error) {
+	n.mu.Lock()
+	m, ok := n.view.Member(id)
+	n.mu.Unlock()
+	if !ok {
+		return nil, fault.Newf("peer.Client", Unlisted, "%s", id)
+	}
+	return n.dial.At(m.Addr), nil
+}
--- /dev/null
+++ b/internal/share/peer/target.go
@@ -0,0 +1,178 @@
+package peer
+
+import (
+	"sort"
+	"time"
+
+	"valescale/internal/plat/boxes"
+	"valescale/internal/plat/ident"
+)
+
+// Target is one engine or plain service replica.
+type Target struct {
+	ID          ident.Target
+	Addr        string
+	Service     ident.Service
+	Zone        ident.Zone
+	Region      ident.Region
+	Incarnation ident.Incarnation
+	Leaving     bool
+	// Joined is when this incarnation was first seen here; zero for those of the first list.
+	Joined time.Time
+}
+
+// Mark says that one incarnation of a target is leaving.
+type Mark struct {
+	Target      ident.Target
+	Incarnation ident.Incarnation
+}
+
+type targetEntry struct {
+	Target
+	// missing counts the lists in a row that did not have the target.
+	missing int
+	// returns counts how often it came back lately, which lengthens its slow start.
+	returns  int
+	returned time.Time
+	gone     bool
+}
+
+type markEntry struct {
+	incarnation ident.Incarnation
+	at          time.Time
+	sent        int
+}
+
+const (
+	// missingLists is how many lists in a row must lack a target before it is gone;
+	// one list may be late or cut short.
+	missingLists = 2
+	// flapMemory is how long a return counts against a target.
+	flapMemory = time.Minute
+	// maxFlapDelay bounds how much longer a flapping target's slow start gets.
+	maxFlapDelay = time.Minute
+	flapStep     = 10 * time.Second
+)
+
+// ObserveList takes in the platform's list of boxes.
+func (v *View) ObserveList(now time.Time, list []boxes.Box) {
+	seen := make(map[ident.Target]bool, len(list))
+	v.onList = map[ident.Router]bool{}
+	for _, b := range list {
+		switch b.Role {
+		case boxes.RouterRole:
+			v.onList[ident.Router(b.ID)] = b.State == boxes.Live
+			v.observeRouter(now, b)
+		case boxes.TargetRole:
+			seen[ident.Target(b.ID)] = true
+			v.observeTarget(now, b)
+		}
+	}
+	for id, t := range v.targets {
+		if seen[id] {
+			t.missing = 0
+			continue
+		}
+		t.missing++
+		if t.missing >= missingLists && !t.gone {
+			t.gone = true
+			v.version++
+		}
+	}
+	v.listed = true
+}
+
+// observeRouter learns of a router that no peer has told of yet. The list lags, so
+// it never overrules what the router or its peers say.
+func (v *View) observeRouter(now time.Time, b boxes.Box) {
+	id := ident.Router(b.ID)
+	if _, known := v.members[id]; known || b.State != boxes.Live {
+		return
+	}
+	v.setMember(now, Member{
+		ID: id, Addr: b.Addr, Zone: b.Zone, Region: b.Region, Incarnation: 0, State: Live,
+	})
+}
+
+func (v *View) observeTarget(now time.Time, b boxes.Box) {
+	id := ident.Target(b.ID)
+	t, known := v.targets[id]
+	if known && b.Incarnation < t.Incarnation {
+		return
+	}
+	if !known {
+		t = &targetEntry{}
+		v.targets[id] = t
+	}
+	fresh := !known || b.Incarnation > t.Incarnation || t.gone
+	if fresh {
+		joined := now
+		if !v.listed {
+			joined = time.Time{}
+		}
+		if known {
+			joined = joined.Add(t.flap(now))
+		}
+		t.Joined = joined
+		v.version++
+	}
+	t.ID, t.Addr, t.Service, t.Zone, t.Region = id, b.Addr, b.Service, b.Zone, b.Region
+	t.Incarnation = b.Incarnation
+	t.gone = false
+	if b.State == boxes.Leaving {
+		v.MarkLeaving(now, Mark{Target: id, Incarnation: b.Incarnation})
+	}
+}
+
+// flap notes a return and says how much later than now the slow start begins.
+func (t *targetEntry) flap(now time.Time) time.Duration {
+	if now.Sub(t.returned) > flapMemory {
+		t.returns = 0
+	}
+	t.returns++
+	t.returned = now
+	return min(time.Duration(t.returns-1)*flapStep, maxFlapDelay)
+}
+
+// MarkLeaving notes that an incarnation of a target is leaving. This is never
+// taken back; a later incarnation starts anew.
+func (v *View) MarkLeaving(now time.Time, m Mark) bool {
+	known, ok := v.marks[m.Target]
+	if ok && known.incarnation >= m.Incarnation {
+		return false
+	}
+	v.marks[m.Target] = &markEntry{incarnation: m.Incarnation, at: now}
+	v.version++
+	return true
+}
+
+// Targets returns the targets of a service in a region, in order of id.
+func (v *View) Targets(service ident.Service, region ident.Region) []Target {
+	var out []Target
+	for _, t := range v.targets {
+		if t.Service != service || t.Region != region || t.gone {
+			continue
+		}
+		target := t.Target
+		if m, ok := v.marks[target.ID]; ok && m.incarnation >= target.Incarnation {
+			target.Leaving = true
+		}
+		out = append(out, target)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Regions returns the regions that have targets of a service, in order of name.
+func (v *View) Regions(service ident.Service) []ident.Region {
+	seen := map[ident.Region]bool{}
+	var out []ident.Region
+	for _, t := range v.targets {
+		if t.Service == service && !t.gone && !seen[t.Region] {
+			seen[t.Region] = true
+			out = append(out, t.Region)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
--- /dev/null
+++ b/internal/share/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb holds the generated code of proto/peer.proto.
+package peerpb
