measure skew and reuse on the real homes; sums travel with permits

Homes knew the other shards' work only from gossip, and an edge whose shards were all full sent the request to the one it thought lightest, as did all others.

Change: each answer to a request for a permit carries the shard's work, each request the other shards' work as the edge heard it. A search through the shards ends at the lightest of those just asked. cmd/measure drives the real edges, homes and views with a fake clock.

--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,89 @@
+// Command measure drives the real placement, waiting and gossip code with a fake
+// clock and seeded arrivals, and prints what the documentation quotes. The same
+// seed gives the same figures. It is no simulator of a cluster: messages between
+// routers are calls, and only time, arrivals, reports and engines are made up.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// options are the command line's.
+type options struct {
+	JSON bool   `long:"json" description:"print one JSON line a row"`
+	Plot string `long:"plot" description:"write pictures into this directory" value-name:"DIR"`
+	Seed uint64 `long:"seed" default:"1" description:"seed of arrivals and choices"`
+	Full bool   `long:"full" description:"also the cases that take minutes"`
+
+	Args struct {
+		What string `positional-arg-name:"skew|reuse|fair|control|capacity"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// row is one line of a table.
+type row struct {
+	Case          string  `json:"case"`
+	Way           string  `json:"way"`
+	Routers       int     `json:"routers"`
+	Engines       int     `json:"engines"`
+	MaxRatio      float64 `json:"max_ratio"`
+	P99Ratio      float64 `json:"p99_ratio"`
+	MaxExcess     float64 `json:"max_excess_requests"`
+	OverShare     float64 `json:"share_over_bound"`
+	Reuse         float64 `json:"reuse"`
+	ReuseOfOracle float64 `json:"reuse_of_oracle"`
+	AsksPerCall   float64 `json:"asks_per_request"`
+	ControlBytes  float64 `json:"control_bytes_s"`
+	CPUMicros     float64 `json:"cpu_us_per_decision"`
+	BytesPer      float64 `json:"bytes_per_router"`
+	Note          string  `json:"note,omitempty"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	measures := map[string]func(options) []row{"skew": skew, "reuse": reuse}
+	measure, ok := measures[o.Args.What]
+	if !ok {
+		fmt.Fprintf(os.Stderr, "measure: no measure is called %q\n", o.Args.What)
+		os.Exit(2)
+	}
+	rows := measure(o)
+	print(rows, o.JSON)
+	if o.Plot != "" {
+		if err := plotRows(o.Plot, o.Args.What, rows); err != nil {
+			fmt.Fprintln(os.Stderr, "measure:", err)
+			os.Exit(1)
+		}
+	}
+}
+
+func print(rows []row, asJSON bool) {
+	if asJSON {
+		for _, r := range rows {
+			line, err := json.Marshal(r)
+			if err != nil {
+				// A row holds texts and numbers.
+				panic(err)
+			}
+			fmt.Println(string(line))
+		}
+		return
+	}
+	fmt.Println("| case | way | routers | engines | max ratio | p99 ratio | max excess | over bound | reuse | of oracle | asks | control B/s | note |")
+	fmt.Println("| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | --- |")
+	for _, r := range rows {
+		fmt.Printf("| %s | %s | %d | %d | %.2f | %.2f | %.2f | %.4f | %.3f | %.3f | %.2f | %.0f | %s |\n",
+			r.Case, r.Way, r.Routers, r.Engines, r.MaxRatio, r.P99Ratio, r.MaxExcess, r.OverShare,
+			r.Reuse, r.ReuseOfOracle, r.AsksPerCall, r.ControlBytes, r.Note)
+	}
+}
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -46,6 +46,8 @@
 	Region ident.Region
 	// FirstPermit is above all permit ids of earlier processes of this router.
 	FirstPermit uint64
+	// Later runs a function after a while; nil means time.AfterFunc.
+	Later func(time.Duration, func())
 }
 
 // Ask is one request that needs a target.
@@ -99,6 +101,9 @@
 
 // New returns a router without pools.
 func New(self Self, homes Homes, clock ident.Clock) *Router {
+	if self.Later == nil {
+		self.Later = func(d time.Duration, f func()) { time.AfterFunc(d, f) }
+	}
 	return &Router{
 		self:     self,
 		homes:    homes,
@@ -223,31 +228,22 @@
 	return nil
 }
 
-// maxTries is how many shards are asked before one is asked to take the request
-// on its least loaded engine.
-const maxTries = 4
-
 // saturatedFor is how long a pool without free engines is not asked around.
 const saturatedFor = 200 * time.Millisecond
 
 // askAround asks the shards for a permit; again is set when a home moved meanwhile.
 func (r *Router) askAround(ctx context.Context, p *pool, ask Ask, arrived time.Time) (seat *Seat, again bool, err error) {
-	var order [place.MaxShards]ident.Shard
 	r.mu.Lock()
-	n := p.picture.Order(ask.Key, order[:])
-	now := r.clock()
-	if now.Before(p.saturated) {
-		n = min(n, 1)
-	} else {
-		n = min(n, maxTries)
-	}
-	saturated := now.Before(p.saturated)
+	search := p.picture.NewSearch(ask.Key, r.clock().Before(p.saturated))
 	r.mu.Unlock()
-	for _, shard := range order[:n] {
-		if saturated {
-			break
+	for {
+		r.mu.Lock()
+		step, ok := search.Next(r.clock(), p.picture)
+		r.mu.Unlock()
+		if !ok {
+			return nil, false, fault.New("route.Acquire", NoTarget, nil)
 		}
-		a, seat, err := r.ask(ctx, p, shard, ask, arrived, false)
+		a, seat, err := r.ask(ctx, p, step, ask, arrived)
 		switch {
 		case err != nil:
 			return r.withoutHome(ctx, p, ask, err)
@@ -255,44 +251,28 @@
 			return seat, false, nil
 		case a.Result == home.Moved:
 			return nil, true, nil
+		case step.Must:
+			return nil, false, r.giveUp(ctx, p, a)
 		}
 	}
-	return r.insist(ctx, p, order[0], ask, arrived)
 }
 
-// insist asks one shard for its least loaded engine and waits there if all are busy.
-func (r *Router) insist(ctx context.Context, p *pool, first ident.Shard, ask Ask, arrived time.Time) (*Seat, bool, error) {
+// giveUp turns the last home's answer into an error.
+func (r *Router) giveUp(ctx context.Context, p *pool, a home.Answer) error {
 	const op = "route.Acquire"
 	r.mu.Lock()
-	shard := first
-	if lightest, ok := p.picture.Lightest(r.clock(), len(r.routers)); ok && r.clock().After(p.saturated) {
-		shard = lightest
-	}
-	r.stats.Must++
-	r.mu.Unlock()
-	a, seat, err := r.ask(ctx, p, shard, ask, arrived, true)
-	if err != nil {
-		return r.withoutHome(ctx, p, ask, err)
-	}
-	if seat != nil {
-		return seat, false, nil
-	}
-	r.mu.Lock()
 	p.saturated = r.clock().Add(saturatedFor)
 	r.mu.Unlock()
 	later := Later{RetryAfter: a.RetryAfter}
-	switch a.Result {
-	case home.Moved:
-		return nil, true, nil
-	case home.Empty:
-		return nil, false, fault.New(op, NoTarget, later)
-	case home.Shed:
-		return nil, false, fault.New(op, Shed, later)
+	switch {
+	case a.Result == home.Empty:
+		return fault.New(op, NoTarget, later)
+	case a.Result == home.Shed:
+		return fault.New(op, Shed, later)
+	case ctx.Err() != nil:
+		return fault.New(op, Gone, ctx.Err())
 	default:
-		if ctx.Err() != nil {
-			return nil, false, fault.New(op, Gone, ctx.Err())
-		}
-		return nil, false, fault.New(op, TimedOut, later)
+		return fault.New(op, TimedOut, later)
 	}
 }
 
@@ -306,28 +286,33 @@
 }
 
 // ask asks one home for a permit.
-func (r *Router) ask(ctx context.Context, p *pool, shard ident.Shard, ask Ask, arrived time.Time, must bool) (home.Answer, *Seat, error) {
-	id := place.ShardID{Pool: p.Name, Shard: shard}
+func (r *Router) ask(ctx context.Context, p *pool, step place.Step, ask Ask, arrived time.Time) (home.Answer, *Seat, error) {
+	id := place.ShardID{Pool: p.Name, Shard: step.Shard}
+	now := r.clock()
 	r.mu.Lock()
 	r.permit++
 	permit := r.permit
 	to := place.HomeOf(id, r.routers)
 	released := r.pending[id]
 	delete(r.pending, id)
+	sums := p.picture.SumsFor(now, step.Shard, nil)
 	r.stats.Asked++
+	if step.Must {
+		r.stats.Must++
+	}
 	r.mu.Unlock()
-	now := r.clock()
 	request := home.Ask{
 		Request: place.Request{
-			Edge: r.self.ID, Permit: permit, Key: ask.Key, Work: ask.Work, Zone: r.self.Zone, Must: must, Avoid: ask.Avoid,
+			Edge: r.self.ID, Permit: permit, Key: ask.Key, Work: ask.Work, Zone: r.self.Zone, Must: step.Must, Avoid: ask.Avoid,
 		},
 		Shard:     id,
 		Workspace: ask.Workspace,
 		Weight:    ask.Weight,
 		Priority:  ask.Priority,
 		Waited:    now.Sub(arrived),
+		Sums:      sums,
 	}
-	if must {
+	if step.Must {
 		request.Wait = max(ask.Deadline.Sub(now), 0)
 	}
 	a, err := r.homes.Place(ctx, to, request, released)
@@ -338,6 +323,7 @@
 		r.giveBack(id, append(released, permit)...)
 		return a, nil, err
 	}
+	p.picture.NoteSum(r.clock(), place.Sum{Shard: step.Shard, Work: a.Work})
 	if a.Result != home.Placed {
 		return a, nil, nil
 	}
--- a/internal/edge/route/seat.go
+++ b/internal/edge/route/seat.go
@@ -65,7 +65,7 @@
 		return
 	}
 	r.flushing = true
-	time.AfterFunc(flushAfter, r.flush)
+	r.self.Later(flushAfter, r.flush)
 }
 
 // flush returns all permits that are still waiting for it.
@@ -101,7 +101,7 @@
 		return
 	}
 	r.drift[id] = 0
-	go r.sync(context.Background(), id)
+	r.self.Later(0, func() { r.sync(context.Background(), id) })
 }
 
 // sync tells a shard's home all permits held here.
--- a/internal/rule/place/digest.go
+++ b/internal/rule/place/digest.go
@@ -18,32 +18,66 @@
 	Home ident.Router
 	// Seq orders the digests of one home.
 	Seq uint64
-	// Work is the sum over the shard's usable engines.
-	Work  ident.Work
+	// Work is the shard's work as this home knows it, another home's share included.
+	Work ident.Work
+	// Age is how long ago the home said so.
+	Age time.Duration
+	// Loads are what this home admitted itself.
 	Loads []EngineWork
 }
 
-type digestKey struct {
-	id   ShardID
-	home ident.Router
+// Sum is one shard's work, as its home said some time ago. Sums travel with
+// requests for permits and their answers, so that homes learn the pool's mean
+// without messages of their own.
+type Sum struct {
+	Shard ident.Shard
+	Age   time.Duration
+	Work  ident.Work
+}
+
+// sums holds the latest known work of each shard of a pool.
+type sums [MaxShards]struct {
+	at   time.Time
+	work ident.Work
+}
+
+// note keeps a sum if it is later than the one known, and reports whether it was.
+func (s *sums) note(now time.Time, sum Sum) bool {
+	if sum.Shard >= MaxShards {
+		return false
+	}
+	known := &s[sum.Shard]
+	at := now.Add(-max(sum.Age, 0))
+	if !at.After(known.at) {
+		return false
+	}
+	known.at, known.work = at, max(sum.Work, 0)
+	return true
+}
+
+// total adds up what is not older than a limit, without one shard.
+func (s *sums) total(now time.Time, life time.Duration, without ident.Shard) ident.Work {
+	var total ident.Work
+	for i := range s {
+		if ident.Shard(i) != without && now.Sub(s[i].at) <= life {
+			total += s[i].work
+		}
+	}
+	return total
 }
 
-type kept struct {
+// foreign is what another home of the same shard admitted.
+type foreign struct {
 	digest Digest
 	at     time.Time
 }
 
-type digests map[digestKey]kept
-
-// Digest returns what this home admitted itself, without what others published.
+// Digest returns what this home admitted itself and the shard's work as it knows it.
 func (h *Home) Digest() Digest {
 	h.seq++
-	d := Digest{ID: h.id, Home: h.self, Seq: h.seq}
+	d := Digest{ID: h.id, Home: h.self, Seq: h.seq, Work: h.Work()}
 	for i := range h.engines {
 		e := &h.engines[i]
-		if e.usable() {
-			d.Work += e.own
-		}
 		if e.own != 0 {
 			d.Loads = append(d.Loads, EngineWork{Engine: e.Hash, Work: e.own})
 		}
@@ -51,54 +85,60 @@
 	return d
 }
 
-// Merge takes in another home's digest of any shard of the same pool. Older
-// digests than the one known are dropped. It reports whether the digest was new.
-func (h *Home) Merge(now time.Time, d Digest) bool {
-	if d.Home == h.self || d.ID.Pool != h.id.Pool {
-		return false
-	}
-	key := digestKey{d.ID, d.Home}
-	if old, ok := h.digests[key]; ok && old.digest.Seq >= d.Seq {
-		return false
+// Work is the work on the shard's usable engines.
+func (h *Home) Work() ident.Work {
+	var work ident.Work
+	for i := range h.engines {
+		if h.engines[i].usable() {
+			work += h.engines[i].load()
+		}
 	}
-	h.digests[key] = kept{digest: d, at: now}
-	h.recount(now)
-	return true
+	return work
 }
 
-// DropHome forgets what a router published once it is known to be gone and its edges have moved.
-func (h *Home) DropHome(now time.Time, home ident.Router) {
-	for key := range h.digests {
-		if key.home == home {
-			delete(h.digests, key)
+// MergeSums takes in other shards' work as an edge heard of it.
+func (h *Home) MergeSums(now time.Time, list []Sum) {
+	for _, s := range list {
+		if s.Shard != h.id.Shard {
+			h.sums.note(now, s)
 		}
 	}
-	h.recount(now)
 }
 
-// expire drops digests that were not renewed in time.
+// Merge takes in another home's digest of any shard of the same pool: another
+// shard's work for the mean, another home's share of this shard for its engines' loads.
+func (h *Home) Merge(now time.Time, d Digest) {
+	if d.Home == h.self || d.ID.Pool != h.id.Pool {
+		return
+	}
+	if d.ID.Shard != h.id.Shard {
+		h.sums.note(now, Sum{Shard: d.ID.Shard, Age: d.Age, Work: d.Work})
+		return
+	}
+	if old, ok := h.foreign[d.Home]; ok && old.digest.Seq >= d.Seq {
+		return
+	}
+	h.foreign[d.Home] = foreign{digest: d, at: now.Add(-d.Age)}
+	h.recount()
+}
+
+// expire drops other homes' shares that were not renewed in time.
 func (h *Home) expire(now time.Time) {
-	for key, k := range h.digests {
-		if now.Sub(k.at) > h.bound.DigestLife {
-			delete(h.digests, key)
-			h.recount(now)
+	for home, f := range h.foreign {
+		if now.Sub(f.at) > h.bound.DigestLife {
+			delete(h.foreign, home)
+			h.recount()
 		}
 	}
 }
 
-// recount adds up the digests: other shards' sums into the mean, other homes'
-// counts of this shard into its engines' loads.
-func (h *Home) recount(time.Time) {
-	h.others = 0
+// recount adds other homes' shares of this shard to its engines' loads.
+func (h *Home) recount() {
 	for i := range h.engines {
 		h.engines[i].foreign = 0
 	}
-	for key, k := range h.digests {
-		if key.id != h.id {
-			h.others += k.digest.Work
-			continue
-		}
-		for _, l := range k.digest.Loads {
+	for _, f := range h.foreign {
+		for _, l := range f.digest.Loads {
 			if i, ok := h.index[l.Engine]; ok {
 				h.engines[i].foreign += l.Work
 			}
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -104,15 +104,15 @@
 	index   map[ident.TargetHash]int
 	permits map[permitKey]Permit
 	// held counts the permits of each edge; synced is how far its latest list reached.
-	held    map[ident.Router]int
-	synced  map[ident.Router]uint64
-	places  memory
-	digests digests
+	held   map[ident.Router]int
+	synced map[ident.Router]uint64
+	places memory
+	// sums are the other shards' work, foreign other homes' shares of this one.
+	sums    sums
+	foreign map[ident.Router]foreign
 	// poolEngines is the number of usable engines in the whole pool.
 	poolEngines int
 	seq         uint64
-	// others is the work published by the other shards, refreshed as digests come and go.
-	others ident.Work
 }
 
 // NewHome returns a home without engines or permits; its digests are numbered from
@@ -127,7 +127,7 @@
 		held:    map[ident.Router]int{},
 		synced:  map[ident.Router]uint64{},
 		places:  newMemory(bound.Places),
-		digests: digests{},
+		foreign: map[ident.Router]foreign{},
 		seq:     seq,
 	}
 }
@@ -189,7 +189,7 @@
 // choose picks the chat's last engine while it is under the limit, else the less
 // loaded of the key's first two engines under the limit.
 func (h *Home) choose(now time.Time, req Request) (int, Result, bool) {
-	limit := h.limit(req.Work)
+	limit := h.limit(now, req.Work)
 	if at, ok := h.places.get(req.Key); ok {
 		i, known := h.index[at.engine]
 		if known && h.engines[i].Incarnation == at.incarnation && h.admits(now, i, req, limit) == Placed {
@@ -291,19 +291,13 @@
 
 // limit is the load that an engine must be below to take more work: the bound's
 // factor times the pool's mean with the new work counted.
-func (h *Home) limit(work ident.Work) float64 {
-	return h.bound.Factor * float64(h.Total()+work) / float64(max(h.poolEngines, 1))
+func (h *Home) limit(now time.Time, work ident.Work) float64 {
+	return h.bound.Factor * float64(h.Total(now)+work) / float64(max(h.poolEngines, 1))
 }
 
-// Total is the work in flight on the pool's usable engines as far as this home knows.
-func (h *Home) Total() ident.Work {
-	total := h.others
-	for i := range h.engines {
-		if h.engines[i].usable() {
-			total += h.engines[i].load()
-		}
-	}
-	return total
+// Total is the work on the pool's usable engines as far as this home knows.
+func (h *Home) Total(now time.Time) ident.Work {
+	return h.Work() + h.sums.total(now, h.bound.DigestLife, h.id.Shard)
 }
 
 // Saturated reports whether the shard's engines have no slot left for work.
@@ -427,8 +421,8 @@
 }
 
 // LoadRatio is the shard's highest load over the pool's mean; zero without load.
-func (h *Home) LoadRatio() float64 {
-	total := h.Total()
+func (h *Home) LoadRatio(now time.Time) float64 {
+	total := h.Total(now)
 	if total <= 0 || h.poolEngines == 0 {
 		return 0
 	}
--- a/internal/rule/place/pool.go
+++ b/internal/rule/place/pool.go
@@ -17,7 +17,10 @@
 	own     map[ident.TargetHash]ident.Work
 	// published is the work that homes said was on an engine, with this router's own share then.
 	published map[ident.TargetHash]published
-	bound     Bound
+	// sums are the shards' work as their homes said last; asked is when each home was asked last.
+	sums  sums
+	asked [MaxShards]time.Time
+	bound Bound
 }
 
 type published struct {
@@ -104,8 +107,26 @@
 	}
 }
 
+// NoteSum keeps a shard's work as its home just said it.
+func (p *Pool) NoteSum(now time.Time, sum Sum) { p.sums.note(now, sum) }
+
+// SumsFor appends to out the shards' work that a shard's home cannot have heard
+// from this router yet.
+func (p *Pool) SumsFor(now time.Time, to ident.Shard, out []Sum) []Sum {
+	since := p.asked[to]
+	p.asked[to] = now
+	for i := range p.sums[:p.shards] {
+		s := &p.sums[i]
+		if ident.Shard(i) != to && s.at.After(since) && now.Sub(s.at) <= p.bound.DigestLife {
+			out = append(out, Sum{Shard: ident.Shard(i), Age: now.Sub(s.at), Work: s.work})
+		}
+	}
+	return out
+}
+
 // Merge notes what a home published of its shard's engines.
 func (p *Pool) Merge(now time.Time, d Digest) {
+	p.sums.note(now, Sum{Shard: d.ID.Shard, Age: d.Age, Work: d.Work})
 	for _, l := range d.Loads {
 		old, ok := p.published[l.Engine]
 		if ok && old.home == d.Home && old.seq >= d.Seq {
@@ -126,24 +147,6 @@
 	return p.own[engine] * ident.Work(max(routers, 1))
 }
 
-// Lightest returns the shard whose engines have the least work on average, as far
-// as this router knows.
-func (p *Pool) Lightest(now time.Time, routers int) (ident.Shard, bool) {
-	var work [MaxShards]ident.Work
-	for _, e := range p.engines {
-		if !e.Leaving {
-			work[ShardOf(e.Hash, p.shards)] += p.Estimate(now, e.Hash, routers)
-		}
-	}
-	best, found := 0, false
-	for s, n := range p.weights {
-		if n > 0 && (!found || int64(work[s])*int64(p.weights[best]) < int64(work[best])*int64(n)) {
-			best, found = s, true
-		}
-	}
-	return ident.Shard(best), found
-}
-
 // Local decides without a home, from estimates alone: the less loaded of the key's
 // first two engines under the bound, or the least loaded of all.
 func (p *Pool) Local(now time.Time, req Request, routers int) Decision {
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -40,6 +40,8 @@
 	// Wait is how much longer the request can wait, Waited how long it has.
 	Wait   time.Duration
 	Waited time.Duration
+	// Sums are other shards' work as the edge heard it.
+	Sums []place.Sum
 }
 
 // Answer is what a home says.
@@ -50,6 +52,8 @@
 	RetryAfter time.Duration
 	// Held is the number of permits that the home believes the edge to hold.
 	Held int
+	// Work is the shard's work after this answer.
+	Work ident.Work
 }
 
 // Limits bounds the waiting at one shard.
@@ -166,6 +170,7 @@
 	s := h.at(ask.Shard)
 	h.release(s, ask.Edge, released)
 	now := h.clock()
+	s.home.MergeSums(now, ask.Sums)
 	if s.queue.Len() == 0 {
 		d := s.home.Place(now, ask.Request)
 		if d.Result != place.Busy {
@@ -175,7 +180,7 @@
 	}
 	if ask.Wait <= 0 {
 		defer h.mu.Unlock()
-		return Answer{Result: Full, RetryAfter: s.rate.after(now, s.queue.Len()), Held: s.home.Held(ask.Edge)}
+		return Answer{Result: Full, RetryAfter: s.rate.after(now, s.queue.Len()), Held: s.home.Held(ask.Edge), Work: s.home.Work()}
 	}
 	w := &waiting{ask: ask, answer: make(chan Answer, 1)}
 	entry := &quota.Waiter{
@@ -224,7 +229,7 @@
 
 // answer turns a placement's decision into what the edge is told.
 func (s *shard) answer(edge ident.Router, d place.Decision) Answer {
-	a := Answer{Engine: d.Engine, Warm: d.Warm, Held: s.home.Held(edge)}
+	a := Answer{Engine: d.Engine, Warm: d.Warm, Held: s.home.Held(edge), Work: s.home.Work()}
 	switch d.Result {
 	case place.Placed:
 		a.Result = Placed
@@ -390,7 +395,7 @@
 	defer h.mu.Unlock()
 	worst := 0.0
 	for _, s := range h.shards {
-		worst = max(worst, s.home.LoadRatio())
+		worst = max(worst, s.home.LoadRatio(h.clock()))
 	}
 	return worst
 }
--- a/internal/share/home/remote.go
+++ b/internal/share/home/remote.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
@@ -89,19 +90,32 @@
 // Handoff passes a parcel to a shard's next home.
 func (r *Remote) Handoff(ctx context.Context, p Parcel) error {
 	return r.call(ctx, "home.Handoff", p.To, func(ctx context.Context, client peerpb.PeerServiceClient) error {
-		request := &peerpb.HandoffRequest{
-			From: string(r.self), Pool: string(p.ID.Pool), Shard: uint32(p.ID.Shard), Permits: encodePermits(p.Permits),
-		}
-		for _, c := range p.Places {
-			request.Places = append(request.Places, &peerpb.ChatPlace{
-				Key: uint64(c.Key), Engine: uint32(c.Engine), Incarnation: uint64(c.Incarnation), SeenUnixS: c.SeenUnix,
-			})
-		}
-		_, err := client.Handoff(ctx, connect.NewRequest(request))
+		_, err := client.Handoff(ctx, connect.NewRequest(encodeParcel(r.self, p)))
 		return err
 	})
 }
 
+// PlaceSize is the size of a request for a permit and its answer on the wire, in
+// bytes without framing.
+func PlaceSize(ask Ask, released []uint64, answer Answer) int {
+	return proto.Size(encodeAsk(ask, released)) + proto.Size(encodeAnswer(answer))
+}
+
+// HandoffSize is the size of a parcel on the wire, in bytes without framing.
+func HandoffSize(p Parcel) int { return proto.Size(encodeParcel("", p)) }
+
+func encodeParcel(from ident.Router, p Parcel) *peerpb.HandoffRequest {
+	request := &peerpb.HandoffRequest{
+		From: string(from), Pool: string(p.ID.Pool), Shard: uint32(p.ID.Shard), Permits: encodePermits(p.Permits),
+	}
+	for _, c := range p.Places {
+		request.Places = append(request.Places, &peerpb.ChatPlace{
+			Key: uint64(c.Key), Engine: uint32(c.Engine), Incarnation: uint64(c.Incarnation), SeenUnixS: c.SeenUnix,
+		})
+	}
+	return request
+}
+
 // Grant asks a workspace's home for tokens; known is false when it has no limit.
 func (r *Remote) Grant(ctx context.Context, home ident.Router, workspace ident.Workspace, want int) (granted int, retryAfter time.Duration, err error) {
 	if home == r.self {
--- a/internal/share/home/server.go
+++ b/internal/share/home/server.go
@@ -87,9 +87,28 @@
 		Released:  released,
 		Weight:    int32(a.Weight),
 		Avoid:     avoid,
+		Sums:      encodeSums(a.Sums),
 	}
 }
 
+func encodeSums(sums []place.Sum) []*peerpb.Sum {
+	out := make([]*peerpb.Sum, 0, len(sums))
+	for _, s := range sums {
+		out = append(out, &peerpb.Sum{Shard: uint32(s.Shard), AgeMs: uint32(s.Age.Milliseconds()), Work: int64(s.Work)})
+	}
+	return out
+}
+
+func decodeSums(in []*peerpb.Sum) []place.Sum {
+	out := make([]place.Sum, 0, len(in))
+	for _, s := range in {
+		out = append(out, place.Sum{
+			Shard: ident.Shard(s.GetShard()), Age: time.Duration(s.GetAgeMs()) * time.Millisecond, Work: ident.Work(s.GetWork()),
+		})
+	}
+	return out
+}
+
 func decodeAsk(m *peerpb.PlaceRequest) Ask {
 	var avoid []ident.TargetHash
 	for _, e := range m.GetAvoid() {
@@ -111,6 +130,7 @@
 		Priority:  int(m.GetPriority()),
 		Wait:      time.Duration(m.GetWaitMs()) * time.Millisecond,
 		Waited:    time.Duration(m.GetWaitedMs()) * time.Millisecond,
+		Sums:      decodeSums(m.GetSums()),
 	}
 }
 
@@ -121,6 +141,7 @@
 		Warm:         a.Warm,
 		RetryAfterMs: a.RetryAfter.Milliseconds(),
 		Held:         uint32(a.Held),
+		Work:         int64(a.Work),
 	}
 }
 
@@ -131,6 +152,7 @@
 		Warm:       m.GetWarm(),
 		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
 		Held:       int(m.GetHeld()),
+		Work:       ident.Work(m.GetWork()),
 	}
 }
 
--- a/internal/share/peer/codec.go
+++ b/internal/share/peer/codec.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/place"
 	"valescale/internal/share/peerpb"
@@ -84,6 +86,7 @@
 		Home:  string(d.Home),
 		Seq:   d.Seq,
 		Work:  int64(d.Work),
+		AgeMs: uint32(d.Age.Milliseconds()),
 	}
 	for _, l := range d.Loads {
 		out.Engines = append(out.Engines, uint32(l.Engine))
@@ -98,6 +101,7 @@
 		Home: ident.Router(in.GetHome()),
 		Seq:  in.GetSeq(),
 		Work: ident.Work(in.GetWork()),
+		Age:  time.Duration(in.GetAgeMs()) * time.Millisecond,
 	}
 	loads := in.GetLoads()
 	for i, engine := range in.GetEngines() {
--- a/internal/share/peer/digest.go
+++ b/internal/share/peer/digest.go
@@ -40,7 +40,7 @@
 
 // Outgoing makes the digest for one peer: the news that was passed on least often
 // first. Loads stay within a region, since pools do.
-func (v *View) Outgoing(to ident.Router, whole bool) Digest {
+func (v *View) Outgoing(now time.Time, to ident.Router, whole bool) Digest {
 	d := Digest{From: v.self, Head: v.head, MembersHash: v.hash, Whole: v.wantWhole}
 	v.wantWhole = false
 	d.Members = v.outMembers(whole)
@@ -52,7 +52,7 @@
 	d.Acks = v.outAcks()
 	d.Marks = v.outMarks()
 	if known && peer.Region == v.members[v.self].Region {
-		d.Loads = v.outLoads()
+		d.Loads = v.outLoads(now)
 	}
 	return d
 }
@@ -121,7 +121,7 @@
 	return out
 }
 
-func (v *View) outLoads() []place.Digest {
+func (v *View) outLoads(now time.Time) []place.Digest {
 	limit := v.spreadLimit()
 	var news []*loadEntry
 	for _, l := range v.loads {
@@ -139,7 +139,9 @@
 	out := make([]place.Digest, 0, len(news))
 	for _, l := range news {
 		l.sent++
-		out = append(out, l.Digest)
+		aged := l.Digest
+		aged.Age = now.Sub(l.at)
+		out = append(out, aged)
 	}
 	return out
 }
@@ -200,7 +202,7 @@
 	if known, ok := v.loads[key]; ok && known.Seq >= d.Seq {
 		return false
 	}
-	v.loads[key] = &loadEntry{Digest: d, at: now}
+	v.loads[key] = &loadEntry{Digest: d, at: now.Add(-d.Age)}
 	return true
 }
 
--- a/internal/share/peer/node.go
+++ b/internal/share/peer/node.go
@@ -204,7 +204,7 @@
 	for _, d := range own {
 		n.view.Publish(n.clock(), d)
 	}
-	return n.view.Outgoing(to, whole)
+	return n.view.Outgoing(n.clock(), to, whole)
 }
 
 // Incoming takes in a peer's digest and reports whether the peer asks for the whole list of members.
