--- a/internal/rule/place/digest.go
+++ b/internal/rule/place/digest.go
@@ -55,15 +55,27 @@
 	return true
 }
 
+// Work that was there some time ago may have ended since. An old sum counts for
+// less, so that a mean from old news is too low, which costs an ask elsewhere,
+// rather than too high, which would break the bound.
+const (
+	staleAtOnce    = 0.01
+	stalePerSecond = 0.05
+	staleAtMost    = 0.25
+)
+
 // total adds up what is not older than a limit, without one shard.
 func (s *sums) total(now time.Time, life time.Duration, without ident.Shard) ident.Work {
-	var total ident.Work
+	total := 0.0
 	for i := range s {
-		if ident.Shard(i) != without && now.Sub(s[i].at) <= life {
-			total += s[i].work
+		age := now.Sub(s[i].at)
+		if ident.Shard(i) == without || age > life {
+			continue
 		}
+		stale := min(staleAtOnce+stalePerSecond*age.Seconds(), staleAtMost)
+		total += float64(s[i].work) * (1 - stale)
 	}
-	return total
+	return ident.Work(total)
 }
 
 // foreign is what another home of the same shard admitted.
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -182,76 +182,79 @@
 	}
 	e := &h.engines[i]
 	h.hold(Permit{Edge: req.Edge, ID: req.Permit, Engine: e.Hash, Work: req.Work})
-	h.places.put(req.Key, chatPlace{engine: e.Hash, incarnation: e.Incarnation, seen: now.Unix()})
+	at, _ := h.places.get(req.Key)
+	h.places.put(req.Key, at.moved(spot{engine: e.Hash, incarnation: e.Incarnation}, now.Unix()))
 	return Decision{Result: Placed, Engine: e.Hash, Warm: warm}
 }
 
-// choose picks the chat's last engine while it is under the limit, else the less
-// loaded of the key's first two engines under the limit.
+// choose picks the chat's last engine while it is under the limit, else the one
+// before, else the least loaded.
 func (h *Home) choose(now time.Time, req Request) (int, Result, bool) {
 	limit := h.limit(now, req.Work)
 	if at, ok := h.places.get(req.Key); ok {
-		i, known := h.index[at.engine]
-		if known && h.engines[i].Incarnation == at.incarnation && h.admits(now, i, req, limit) == Placed {
-			return i, Placed, true
+		for _, s := range [2]spot{at.last, at.before} {
+			i, known := h.index[s.engine]
+			if known && h.engines[i].Incarnation == s.incarnation && h.admits(now, i, req, limit) == Placed {
+				return i, Placed, true
+			}
 		}
 	}
-	var first, second ranked
+	var best ranked
 	outcome := Empty
 	for i := range h.engines {
 		if !h.engines[i].usable() || avoided(req.Avoid, h.engines[i].Hash) {
 			continue
 		}
-		switch h.admits(now, i, req, limit) {
-		case Busy:
-			outcome = worse(outcome, Busy)
+		verdict := h.admits(now, i, req, limit)
+		if verdict != Placed {
+			outcome = worse(outcome, verdict)
 			continue
-		case Full:
-			outcome = worse(outcome, Full)
-			continue
-		}
-		r := ranked{index: i, score: ident.Mix(uint64(req.Key), uint64(h.engines[i].Hash)), set: true}
-		if req.Must {
-			r.score = leastFirst(h.engines[i].load())
-		}
-		if !first.set || r.score > first.score {
-			first, second = r, first
-		} else if !second.set || r.score > second.score {
-			second = r
 		}
+		best = best.better(h.rank(i, req))
 	}
-	if !first.set {
+	if !best.set {
 		return 0, outcome, false
 	}
-	if req.Must || !second.set {
-		return first.index, Placed, false
-	}
-	return h.lighter(first.index, second.index, req.Zone), Placed, false
+	return best.index, Placed, false
 }
 
-// lighter returns the less loaded of two engines; the near one wins a tie.
-func (h *Home) lighter(a, b int, zone ident.Zone) int {
-	x, y := &h.engines[a], &h.engines[b]
-	if x.load() == y.load() {
-		if y.Zone == zone && x.Zone != zone {
-			return b
-		}
-		return a
-	}
-	if y.load() < x.load() {
-		return b
+// rank says how well an engine suits a chat that is nowhere yet: the least loaded
+// first, among equals the near ones, and among those in an order of the chat's own,
+// so that a home which has lost its memory tends to choose the same again.
+func (h *Home) rank(i int, req Request) ranked {
+	e := &h.engines[i]
+	return ranked{
+		index: i, set: true, load: e.load(), near: e.Zone == req.Zone,
+		score: ident.Mix(uint64(req.Key), uint64(e.Hash)),
 	}
-	return a
 }
 
 type ranked struct {
 	index int
-	score uint64
 	set   bool
+	load  ident.Work
+	near  bool
+	score uint64
 }
 
-// leastFirst turns a load into a score that is highest for the smallest load.
-func leastFirst(load ident.Work) uint64 { return ^uint64(0) - uint64(max(load, 0)) }
+// better returns the one of two that suits better; one that is not set never does.
+func (r ranked) better(other ranked) ranked {
+	switch {
+	case !r.set:
+		return other
+	case r.load != other.load:
+		if other.load < r.load {
+			return other
+		}
+	case r.near != other.near:
+		if other.near {
+			return other
+		}
+	case other.score > r.score:
+		return other
+	}
+	return r
+}
 
 // worse keeps the finding that leaves the caller more hope elsewhere.
 func worse(old, found Result) Result {
--- a/internal/rule/place/memory.go
+++ b/internal/rule/place/memory.go
@@ -2,13 +2,41 @@
 
 import "valescale/internal/plat/ident"
 
-// chatPlace is where a chat ran last.
+// chatPlace is where a chat ran last, and where before that: when the last engine
+// is full or gone, the one before may still have the chat's prefix.
 type chatPlace struct {
+	seen   int64
+	last   spot
+	before spot
+}
+
+// spot is one incarnation of an engine.
+type spot struct {
 	incarnation ident.Incarnation
-	seen        int64
 	engine      ident.TargetHash
 }
 
+// moved returns the place after the chat ran at a spot.
+func (p chatPlace) moved(to spot, seen int64) chatPlace {
+	p.seen = seen
+	if p.last == to {
+		return p
+	}
+	p.last, p.before = to, p.last
+	return p
+}
+
+// without returns the place after an engine dropped the chat's prefix.
+func (p chatPlace) without(engine ident.TargetHash) chatPlace {
+	if p.last.engine == engine {
+		p.last, p.before = p.before, spot{}
+	}
+	if p.before.engine == engine {
+		p.before = spot{}
+	}
+	return p
+}
+
 // memory keeps the most recently used places in two generations: when the young
 // one is full it becomes the old one, and what the old one held is forgotten.
 type memory struct {
@@ -65,7 +93,7 @@
 			if len(out) == limit {
 				return out
 			}
-			out = append(out, ChatPlace{Key: key, Engine: p.engine, Incarnation: p.incarnation, SeenUnix: p.seen})
+			out = append(out, ChatPlace{Key: key, Engine: p.last.engine, Incarnation: p.last.incarnation, SeenUnix: p.seen})
 		}
 	}
 	return out
@@ -74,16 +102,26 @@
 // Learn takes over places from another home; a later place that is known here stays.
 func (h *Home) Learn(places []ChatPlace) {
 	for _, p := range places {
-		if known, ok := h.places.get(p.Key); ok && known.seen >= p.SeenUnix {
+		known, ok := h.places.get(p.Key)
+		if ok && known.seen >= p.SeenUnix {
 			continue
 		}
-		h.places.put(p.Key, chatPlace{engine: p.Engine, incarnation: p.Incarnation, seen: p.SeenUnix})
+		h.places.put(p.Key, known.moved(spot{engine: p.Engine, incarnation: p.Incarnation}, p.SeenUnix))
 	}
 }
 
 // Evicted notes that an engine no longer holds a chat's cached prefix.
 func (h *Home) Evicted(engine ident.TargetHash, key ident.ChatKey) {
-	if p, ok := h.places.get(key); ok && p.engine == engine {
+	p, ok := h.places.get(key)
+	if !ok {
+		return
+	}
+	left := p.without(engine)
+	if left.last == (spot{}) {
 		h.places.remove(key)
+		return
+	}
+	if left != p {
+		h.places.put(key, left)
 	}
 }
--- a/internal/rule/place/pool.go
+++ b/internal/rule/place/pool.go
@@ -147,8 +147,8 @@
 	return p.own[engine] * ident.Work(max(routers, 1))
 }
 
-// Local decides without a home, from estimates alone: the less loaded of the key's
-// first two engines under the bound, or the least loaded of all.
+// Local decides without a home, from estimates alone: the first engine under the
+// bound in the key's own order, or the least loaded of all.
 func (p *Pool) Local(now time.Time, req Request, routers int) Decision {
 	total := ident.Work(0)
 	usable := 0
@@ -171,14 +171,12 @@
 		if e.Slots > 0 && load > 0 && load+req.Work > e.Slots {
 			continue
 		}
-		if score := leastFirst(load); !least.set || score > least.score {
-			least = ranked{index: i, score: score, set: true}
+		r := ranked{
+			index: i, set: true, load: load, near: e.Zone == req.Zone, score: ident.Mix(uint64(req.Key), uint64(e.Hash)),
 		}
-		if float64(load) >= limit {
-			continue
-		}
-		if score := ident.Mix(uint64(req.Key), uint64(e.Hash)); !first.set || score > first.score {
-			first = ranked{index: i, score: score, set: true}
+		least = least.better(r)
+		if float64(load) < limit && (!first.set || r.score > first.score) {
+			first = r
 		}
 	}
 	switch {
