--- a/cmd/demo/load.go
+++ b/cmd/demo/load.go
@@ -16,8 +16,8 @@
 var workspaces = []string{"bogota", "medellin", "cali"}
 
 const (
-	chats     = 400
-	chatWords = 40
+	chats     = 100
+	chatWords = 100
 )
 
 // load sends requests and keeps account of the answers.
@@ -68,33 +68,40 @@
 	l.addrs = kept
 }
 
-// surge says which workspace sends how many times as much.
-type surge struct {
-	workspace int
-	times     int
-}
-
-// run sends chats with so many at once until the time is over.
-func (l *load) run(ctx context.Context, d time.Duration, atOnce int, s surge, seed uint64) {
-	ctx, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
+// start keeps so many chats going at once until the context ends; a workspace of
+// its own, or all alike when it is negative. The returned function waits for the end.
+func (l *load) start(ctx context.Context, atOnce, workspace int, seed uint64) (wait func()) {
 	var wg sync.WaitGroup
 	for w := range atOnce {
 		wg.Go(func() {
 			rng := rand.New(rand.NewPCG(seed, uint64(w)))
+			// Callers do not all come in the same moment.
+			pause(ctx, time.Duration(rng.Int64N(int64(rampUp))))
 			for n := 0; ctx.Err() == nil; n++ {
-				// The request itself outlives the phase, so that its end is never a cut.
-				l.chat(context.WithoutCancel(ctx), rng, s, fmt.Sprintf("%d/%d/%d", seed, w, n))
+				// A request outlives the load, so that its end is never a cut.
+				l.chat(context.WithoutCancel(ctx), rng, workspace, fmt.Sprintf("%d/%d/%d", seed, w, n))
 			}
 		})
 	}
-	wg.Wait()
+	return wg.Wait
+}
+
+// rampUp is the time in which a load's callers come.
+const rampUp = time.Second
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
 }
 
-func (l *load) chat(ctx context.Context, rng *rand.Rand, s surge, id string) {
-	caller := rng.IntN(len(l.callers) - 1 + max(s.times, 1))
-	if caller >= len(l.callers) {
-		caller = s.workspace
+func (l *load) chat(ctx context.Context, rng *rand.Rand, workspace int, id string) {
+	caller := workspace
+	if workspace < 0 {
+		caller = rng.IntN(len(l.callers))
 	}
 	// The square makes some chats return far more often than others.
 	u := rng.Float64()
@@ -191,3 +198,23 @@
 	}
 	return 0
 }
+
+// cutOff is how many answers were neither whole nor said not to be.
+func (l *load) cutOff() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
+func (l *load) answered() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.right
+}
+
+// told is what the callers of one order were told.
+func (l *load) told(key string) []retry.Outcome {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.orders[key]
+}
--- a/cmd/demo/summary.go
+++ b/cmd/demo/summary.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"valescale/internal/fake/fleet"
 )
@@ -64,6 +65,33 @@
 	worst   float64
 	excess  float64
 	late    int
+	means   []meanAt
+}
+
+// meanAt is the mean load at a time.
+type meanAt struct {
+	at   time.Time
+	mean float64
+}
+
+// transit is how long a request may be on its way from the decision to the engine.
+// Its load is held against the highest mean of that time.
+const transit = 100 * time.Millisecond
+
+// recent notes the present mean and returns the highest of the last moments.
+func (g *gauge) recent(mean float64) float64 {
+	now := time.Now()
+	g.means = append(g.means, meanAt{now, mean})
+	old := 0
+	for old < len(g.means) && now.Sub(g.means[old].at) > transit {
+		old++
+	}
+	g.means = g.means[old:]
+	highest := 0.0
+	for _, m := range g.means {
+		highest = max(highest, m.mean)
+	}
+	return highest
 }
 
 // minMean is the mean load below which a ratio says little: one request is a large share of it.
@@ -83,13 +111,6 @@
 	defer g.mu.Unlock()
 	began := running > g.running[e]
 	g.running[e] = running
-	if !began {
-		return
-	}
-	if !g.usable[e] {
-		g.late++
-		return
-	}
 	total, n := 0, 0
 	for engine, usable := range g.usable {
 		if usable {
@@ -97,17 +118,50 @@
 			n++
 		}
 	}
-	mean := float64(total) / float64(n)
+	mean := g.recent(float64(total) / float64(n))
+	if !began {
+		return
+	}
+	if !g.usable[e] {
+		g.late++
+		return
+	}
 	g.excess = max(g.excess, float64(running)-bound*mean)
 	if mean >= minMean {
 		g.worst = max(g.worst, float64(running)/mean)
 	}
 }
 
-// leave notes that an engine must not get new work from now on.
+// leave takes an engine out of the mean: it may not take new work, or soon not.
 func (g *gauge) leave(e *fleet.Engine) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.usable[e] = false
+}
+
+// strict counts work that leaving engines get from now on.
+func (g *gauge) strict() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.late = 0
 }
+
+func (g *gauge) lateWork() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.late
+}
+
+// ratio is the worst load over mean at an admission.
+func (g *gauge) ratio() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.worst
+}
+
+// over is the most work that an engine took on above the bound, in requests.
+func (g *gauge) over() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.excess
+}
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -145,8 +145,9 @@
 	r.routers = routers
 	moved := r.movedShards()
 	r.mu.Unlock()
-	for _, id := range moved {
-		r.sync(ctx, id)
+	for _, m := range moved {
+		r.sync(ctx, m.id)
+		r.withdraw(ctx, m)
 	}
 }
 
@@ -165,35 +166,37 @@
 	return &pool{Pool: p, picture: picture}
 }
 
-// movedShards lists the shards with permits here whose home is not the one that gave them.
-func (r *Router) movedShards() []place.ShardID {
-	var out []place.ShardID
+// move is a shard whose home is another than the one that gave the permits held here.
+type move struct {
+	id  place.ShardID
+	old ident.Router
+}
+
+// movedShards lists the shards with permits here whose home has changed.
+func (r *Router) movedShards() []move {
+	var out []move
 	for id, permits := range r.held {
 		if len(permits) == 0 {
 			continue
 		}
 		if now := place.HomeOf(id, r.routers); now != r.granted[id] {
+			out = append(out, move{id: id, old: r.granted[id]})
 			r.granted[id] = now
-			out = append(out, id)
 		}
 	}
 	return out
 }
 
-// Merge takes in what homes published of their shards.
-func (r *Router) Merge(digests []place.Digest) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.clock()
-	for _, d := range digests {
-		for _, pools := range r.pools {
-			for _, p := range pools {
-				if p.Name == d.ID.Pool {
-					p.picture.Merge(now, d)
-				}
-			}
-		}
+// withdraw tells a shard's earlier home that this router's permits are counted
+// elsewhere now. If that router still believes to be home, they would count twice.
+func (r *Router) withdraw(ctx context.Context, m move) {
+	if m.old == "" {
+		return
 	}
+	r.mu.Lock()
+	upto := r.permit
+	r.mu.Unlock()
+	_ = r.homes.Sync(ctx, m.old, m.id, nil, upto)
 }
 
 // Acquire finds a target and counts the request there until the seat is released.
@@ -349,7 +352,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	request := place.Request{Key: ask.Key, Work: ask.Work, Zone: r.self.Zone, Avoid: ask.Avoid}
-	d := p.picture.Local(r.clock(), request, len(r.routers))
+	d := p.picture.Local(request, len(r.routers))
 	target, known := p.Targets[d.Engine]
 	switch {
 	case d.Result == place.Empty:
--- a/internal/edge/route/seat.go
+++ b/internal/edge/route/seat.go
@@ -56,7 +56,7 @@
 }
 
 // flushAfter is how long permits given back wait for another message to travel with.
-const flushAfter = 50 * time.Millisecond
+const flushAfter = 10 * time.Millisecond
 
 // giveBack notes permits to be returned; the caller holds the lock.
 func (r *Router) giveBack(id place.ShardID, permits ...uint64) {
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -62,6 +62,8 @@
 	box    boxes.Box
 	cancel context.CancelFunc
 	done   chan struct{}
+	// onLeave is called as the router begins to stop.
+	onLeave func()
 }
 
 // Fleet is what runs.
@@ -223,9 +225,16 @@
 	return r, nil
 }
 
+// OnLeave calls something once the router has begun to stop, as a balancer that
+// watches its readiness would.
+func (r *Router) OnLeave(call func()) { r.onLeave = call }
+
 // Stop stops a router as planned and waits for its end.
 func (r *Router) Stop() {
 	r.cancel()
+	if r.onLeave != nil {
+		r.onLeave()
+	}
 	<-r.done
 }
 
--- a/internal/fake/store/http.go
+++ b/internal/fake/store/http.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"valescale/internal/plat/table"
 )
 
@@ -54,7 +57,18 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	reply(w, list, nil)
+	data, err := json.Marshal(list)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(data), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(data)
 }
 
 func (s *Store) servePutObject(w http.ResponseWriter, r *http.Request) {
--- a/internal/oper/conf/options.go
+++ b/internal/oper/conf/options.go
@@ -63,7 +63,7 @@
 	{"limits", "drain_delay", "3s", false, "how long a stopping router that is no longer ready still takes new requests", span(func(s *Settings) *time.Duration { return &s.Limits.DrainDelay }, 0, time.Hour)},
 	{"limits", "drain_time", "10m", false, "how long a stopping router waits for requests in flight", span(func(s *Settings) *time.Duration { return &s.Limits.DrainTime }, 0, 24*time.Hour)},
 
-	{"pace", "gossip", "500ms", false, "time between two exchanges with other routers", span(func(s *Settings) *time.Duration { return &s.Pace.Gossip }, 10*time.Millisecond, time.Minute)},
+	{"pace", "gossip", "1s", false, "time between two exchanges with other routers", span(func(s *Settings) *time.Duration { return &s.Pace.Gossip }, 10*time.Millisecond, time.Minute)},
 	{"pace", "list", "2s", false, "time between two readings of the list of boxes", span(func(s *Settings) *time.Duration { return &s.Pace.List }, 10*time.Millisecond, time.Minute)},
 	{"pace", "head", "5s", false, "time between two polls of the recorded configuration", span(func(s *Settings) *time.Duration { return &s.Pace.Head }, 10*time.Millisecond, time.Minute)},
 	{"pace", "report", "2s", false, "time between two reports of an engine to its home", span(func(s *Settings) *time.Duration { return &s.Pace.Report }, 10*time.Millisecond, time.Minute)},
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -22,7 +22,6 @@
 	"valescale/internal/plat/ident"
 	"valescale/internal/plat/object"
 	"valescale/internal/plat/table"
-	"valescale/internal/rule/place"
 	"valescale/internal/rule/policy"
 	"valescale/internal/share/claim"
 	"valescale/internal/share/config"
@@ -46,24 +45,27 @@
 
 // Daemon is one router process.
 type Daemon struct {
-	settings  conf.Settings
-	logger    log.Logger
-	clock     ident.Clock
-	self      peer.Member
-	node      *peer.Node
-	keeper    *config.Keeper
-	recorder  *config.Recorder
-	follower  *config.Follower
-	homes     *home.Homes
-	remote    *home.Remote
-	router    *route.Router
-	front     *front.Front
-	metrics   *telem.Metrics
-	admin     *admin.Service
-	table     *table.Client
-	engines   *engine.Client
-	orders    *lease.Lease
+	settings conf.Settings
+	logger   log.Logger
+	clock    ident.Clock
+	self     peer.Member
+	node     *peer.Node
+	keeper   *config.Keeper
+	recorder *config.Recorder
+	follower *config.Follower
+	homes    *home.Homes
+	remote   *home.Remote
+	router   *route.Router
+	front    *front.Front
+	metrics  *telem.Metrics
+	admin    *admin.Service
+	table    *table.Client
+	engines  *engine.Client
+	orders   *lease.Lease
+	// meter counts what goes to and from other routers, outside what goes to the
+	// platform and the engines' side interfaces.
 	meter     *peer.Meter
+	outside   *peer.Meter
 	reports   *reports
 	pools     atomic.Pointer[poolSet]
 	dirty     chan struct{}
@@ -85,7 +87,7 @@
 func New(settings conf.Settings, logger log.Logger, clock ident.Clock) (*Daemon, func(), error) {
 	d := &Daemon{
 		settings: settings, logger: logger, clock: clock,
-		meter: &peer.Meter{}, reports: newReports(), dirty: make(chan struct{}, 1),
+		meter: &peer.Meter{}, outside: &peer.Meter{}, reports: newReports(), dirty: make(chan struct{}, 1),
 	}
 	d.pools.Store(&poolSet{})
 	if err := d.listen(); err != nil {
@@ -139,8 +141,11 @@
 // AdminAddr is where operators connect.
 func (d *Daemon) AdminAddr() string { return d.listeners.admin.Addr().String() }
 
-// Traffic is the control traffic so far.
-func (d *Daemon) Traffic() peer.Traffic { return d.meter.Traffic() }
+// Traffic is the control traffic so far: with other routers, and with the platform
+// and the engines' side interfaces.
+func (d *Daemon) Traffic() (peers, outside peer.Traffic) {
+	return d.meter.Traffic(), d.outside.Traffic()
+}
 
 // Revision is the configuration revision in force.
 func (d *Daemon) Revision() ident.Revision { return d.keeper.InForce().Revision }
@@ -187,18 +192,15 @@
 
 	limits := home.Limits{Queue: s.Limits.Queue, PerWorkspace: s.Limits.PerWorkspace}
 	d.homes = home.New(s.Router.ID, limits, d.clock, d.workspace)
-	d.remote = home.NewRemote(s.Router.ID, d.homes, d.node, s.Pace.Permit)
+	var closeLinks func()
+	d.remote, closeLinks = home.NewRemote(s.Router.ID, d.homes, d.node, s.Pace.Permit)
+	d.cleanups = append(d.cleanups, closeLinks)
 	d.router = route.New(route.Self{
 		ID: s.Router.ID, Zone: s.Router.Zone, Region: s.Router.Region, FirstPermit: firstPermit(incarnation),
 	}, d.remote, d.clock)
 	d.node.SetHooks(peer.Hooks{
 		Changed: d.markDirty,
-		Loads: func(loads []place.Digest) {
-			d.homes.Merge(loads)
-			d.router.Merge(loads)
-		},
 		Head:    d.heard,
-		Digests: d.publish,
 	})
 	return d.buildEdge(objects, platform, incarnation)
 }
@@ -255,7 +257,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return d.meter.Conn(c), nil
+			return d.outside.Conn(c), nil
 		},
 	}
 	d.cleanups = append(d.cleanups, t.CloseIdleConnections)
--- a/internal/oper/daemon/keys.go
+++ b/internal/oper/daemon/keys.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	stdlog "log"
@@ -16,6 +17,7 @@
 
 	"valescale/internal/oper/conf"
 	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
 	"valescale/internal/share/peerpb"
 )
 
@@ -136,9 +138,17 @@
 	}, nil
 }
 
-// checkPeer lets a router speak only for itself: the certificate's name must be the
-// id under which it gossips or holds permits. The messages are checked in
-// peerService; here a connection without a name is refused.
+type callerKey struct{}
+
+// callerOf returns the router that a call comes from, as its certificate names it,
+// or the empty id on a connection without keys.
+func callerOf(ctx context.Context) ident.Router {
+	id, _ := ctx.Value(callerKey{}).(ident.Router)
+	return id
+}
+
+// checkPeer notes whose certificate a call comes under; what speaks for another
+// router than that is refused where it is read.
 func checkPeer(withTLS bool, next http.Handler) http.Handler {
 	if !withTLS {
 		return next
@@ -148,7 +158,8 @@
 			w.WriteHeader(http.StatusForbidden)
 			return
 		}
-		next.ServeHTTP(w, r)
+		id := ident.Router(r.TLS.PeerCertificates[0].Subject.CommonName)
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), callerKey{}, id)))
 	})
 }
 
--- a/internal/oper/daemon/pools.go
+++ b/internal/oper/daemon/pools.go
@@ -99,14 +99,30 @@
 	}
 }
 
-// publish returns this router's digests for its peers and takes them in itself.
-func (d *Daemon) publish() []place.Digest {
+// standbys is how many routers next in line know a shard's counts.
+const standbys = 2
+
+// publish tells the routers next in line what this router's homes count. Routers
+// that are thought dead are told too: if they are not, they may well believe to be
+// home themselves.
+func (d *Daemon) publish(context.Context) {
 	digests := d.homes.Digests()
-	if len(digests) > 0 {
-		d.homes.Merge(digests)
-		d.router.Merge(digests)
+	if len(digests) == 0 {
+		return
+	}
+	var routers []ident.Router
+	d.node.Read(func(v *peer.View) {
+		for _, m := range v.Members() {
+			if m.Region == d.self.Region && m.State != peer.Leaving {
+				routers = append(routers, m.ID)
+			}
+		}
+	})
+	for _, digest := range digests {
+		for _, to := range place.Standbys(digest.ID, d.self.ID, routers, standbys) {
+			d.remote.Publish(to, digest)
+		}
 	}
-	return digests
 }
 
 // silentAfter is how many reports in a row an engine may miss before it gets no new work.
--- a/internal/oper/daemon/serve.go
+++ b/internal/oper/daemon/serve.go
@@ -12,6 +12,7 @@
 
 	"valescale/internal/oper/admin"
 	"valescale/internal/oper/telem"
+	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 	"valescale/internal/share/config"
 	"valescale/internal/share/home"
@@ -26,6 +27,8 @@
 	leaveRounds = 3
 	refreshTime = time.Second
 	copyPause   = 200 * time.Millisecond
+	// publishEvery is how often the routers next in line are told of counts that changed.
+	publishEvery = time.Second
 )
 
 // Run serves until the context ends and then drains: the router says that it is
@@ -51,6 +54,7 @@
 	wg.Go(func() { d.follower.Run(background) })
 	wg.Go(func() { d.keepFresh(background) })
 	wg.Go(func() { every(background, d.settings.Pace.Report, d.probe) })
+	wg.Go(func() { every(background, publishEvery, d.publish) })
 	wg.Go(func() {
 		every(background, d.settings.Pace.Lease/4, func(ctx context.Context) { _ = d.orders.Step(ctx) })
 	})
@@ -186,7 +190,7 @@
 		return nil, err
 	}
 	mux := http.NewServeMux()
-	mux.Handle(peerpb.NewPeerServiceHandler(&peerService{Server: home.NewServer(d.homes), daemon: d},
+	mux.Handle(peerpb.NewPeerServiceHandler(&peerService{Server: home.NewServer(d.homes, callerOf), daemon: d},
 		connect.WithReadMaxBytes(maxPeerMessage)))
 	protocols := &http.Protocols{}
 	protocols.SetHTTP2(true)
@@ -233,7 +237,10 @@
 }
 
 // Gossip exchanges digests.
-func (p *peerService) Gossip(_ context.Context, req *connect.Request[peerpb.Digest]) (*connect.Response[peerpb.Digest], error) {
+func (p *peerService) Gossip(ctx context.Context, req *connect.Request[peerpb.Digest]) (*connect.Response[peerpb.Digest], error) {
+	if caller := callerOf(ctx); caller != "" && string(caller) != req.Msg.GetFrom() {
+		return nil, connect.NewError(connect.CodePermissionDenied, fault.Newf("daemon.Gossip", Keys, "%s speaks for %s", caller, req.Msg.GetFrom()))
+	}
 	return connect.NewResponse(peer.Encode(p.daemon.node.Answer(peer.Decode(req.Msg)))), nil
 }
 
@@ -306,8 +313,8 @@
 		},
 		Permits:   func() float64 { permits, _ := d.homes.InFlight(); return float64(permits) },
 		Waiting:   func() float64 { _, waiting := d.homes.InFlight(); return float64(waiting) },
-		SentBytes: func() float64 { return float64(d.meter.Traffic().Sent) },
-		ReadBytes: func() float64 { return float64(d.meter.Traffic().Received) },
+		SentBytes: func() float64 { return float64(d.meter.Traffic().Sent + d.outside.Traffic().Sent) },
+		ReadBytes: func() float64 { return float64(d.meter.Traffic().Received + d.outside.Traffic().Received) },
 		LoadRatio: d.homes.LoadRatio,
 		StoreCalls: func() float64 {
 			c := d.table.Counts()
--- a/internal/plat/boxes/boxes.go
+++ b/internal/plat/boxes/boxes.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"valescale/internal/plat/fault"
@@ -60,6 +61,10 @@
 	base    string
 	http    *http.Client
 	timeout time.Duration
+	mu      sync.Mutex
+	// tag and list are of the latest answer, so that an unchanged list is not sent again.
+	tag  string
+	list []Box
 }
 
 // New returns a client of the list at a base URL.
@@ -67,7 +72,7 @@
 	return &Client{base: base, http: &http.Client{Transport: transport}, timeout: timeout}
 }
 
-// List reads the whole list.
+// List reads the whole list; the caller must not change it.
 func (c *Client) List(ctx context.Context) ([]Box, error) {
 	const op = "boxes.List"
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
@@ -76,11 +81,19 @@
 	if err != nil {
 		return nil, fault.New(op, Failed, err)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.tag != "" {
+		req.Header.Set("If-None-Match", c.tag)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, fault.New(op, Failed, err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified {
+		return c.list, nil
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, fault.Newf(op, Failed, "status %d", resp.StatusCode)
 	}
@@ -88,5 +101,6 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&list); err != nil {
 		return nil, fault.New(op, Failed, err)
 	}
+	c.tag, c.list = resp.Header.Get("ETag"), list
 	return list, nil
 }
--- a/internal/plat/ident/ident.go
+++ b/internal/plat/ident/ident.go
@@ -64,6 +64,14 @@
 	return uint32(xxhash.Sum64String(string(r)))
 }
 
+// PoolHash stands for a pool's name on the wire between routers, 32 bits of xxHash.
+type PoolHash uint32
+
+// Hash returns the wire form of a pool's name.
+func (p Pool) Hash() PoolHash {
+	return PoolHash(xxhash.Sum64String(string(p)))
+}
+
 // NewPool names the pool of a service in a region.
 func NewPool(service Service, region Region) Pool {
 	return Pool(string(service) + "@" + string(region))
--- a/internal/rule/place/digest.go
+++ b/internal/rule/place/digest.go
@@ -20,8 +20,6 @@
 	Seq uint64
 	// Work is the shard's work as this home knows it, another home's share included.
 	Work ident.Work
-	// Age is how long ago the home said so.
-	Age time.Duration
 	// Loads are what this home admitted itself.
 	Loads []EngineWork
 }
@@ -124,13 +122,13 @@
 		return
 	}
 	if d.ID.Shard != h.id.Shard {
-		h.sums.note(now, Sum{Shard: d.ID.Shard, Age: d.Age, Work: d.Work})
+		h.sums.note(now, Sum{Shard: d.ID.Shard, Work: d.Work})
 		return
 	}
 	if old, ok := h.foreign[d.Home]; ok && old.digest.Seq >= d.Seq {
 		return
 	}
-	h.foreign[d.Home] = foreign{digest: d, at: now.Add(-d.Age)}
+	h.foreign[d.Home] = foreign{digest: d, at: now}
 	h.recount()
 }
 
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -295,9 +295,13 @@
 // limit is the load that an engine must be below to take more work: the bound's
 // factor times the pool's mean with the new work counted.
 func (h *Home) limit(now time.Time, work ident.Work) float64 {
-	return h.bound.Factor * float64(h.Total(now)+work) / float64(max(h.poolEngines, 1))
+	return h.bound.Factor * (1 - returning) * float64(h.Total(now)+work) / float64(max(h.poolEngines, 1))
 }
 
+// returning is the share of the permits whose requests are thought to have ended
+// already, while the permits are on their way back.
+const returning = 0.02
+
 // Total is the work on the pool's usable engines as far as this home knows.
 func (h *Home) Total(now time.Time) ident.Work {
 	return h.Work() + h.sums.total(now, h.bound.DigestLife, h.id.Shard)
--- a/internal/rule/place/pool.go
+++ b/internal/rule/place/pool.go
@@ -15,31 +15,20 @@
 	index   map[ident.TargetHash]int
 	weights []int
 	own     map[ident.TargetHash]ident.Work
-	// published is the work that homes said was on an engine, with this router's own share then.
-	published map[ident.TargetHash]published
 	// sums are the shards' work as their homes said last; asked is when each home was asked last.
 	sums  sums
 	asked [MaxShards]time.Time
 	bound Bound
 }
 
-type published struct {
-	work ident.Work
-	own  ident.Work
-	at   time.Time
-	home ident.Router
-	seq  uint64
-}
-
 // NewPool returns a picture without engines; shards is between one and MaxShards.
 func NewPool(name ident.Pool, shards int, bound Bound) *Pool {
 	return &Pool{
-		name:      name,
-		shards:    min(max(shards, 1), MaxShards),
-		index:     map[ident.TargetHash]int{},
-		own:       map[ident.TargetHash]ident.Work{},
-		published: map[ident.TargetHash]published{},
-		bound:     bound,
+		name:   name,
+		shards: min(max(shards, 1), MaxShards),
+		index:  map[ident.TargetHash]int{},
+		own:    map[ident.TargetHash]ident.Work{},
+		bound:  bound,
 	}
 }
 
@@ -124,37 +113,20 @@
 	return out
 }
 
-// Merge notes what a home published of its shard's engines.
-func (p *Pool) Merge(now time.Time, d Digest) {
-	p.sums.note(now, Sum{Shard: d.ID.Shard, Age: d.Age, Work: d.Work})
-	for _, l := range d.Loads {
-		old, ok := p.published[l.Engine]
-		if ok && old.home == d.Home && old.seq >= d.Seq {
-			continue
-		}
-		p.published[l.Engine] = published{work: l.Work, own: p.own[l.Engine], at: now, home: d.Home, seq: d.Seq}
-	}
-}
-
-// Estimate is the work thought to be on an engine: what its home published last,
-// corrected by what this router began and ended since; without that, this router's
-// own work times the number of routers.
-func (p *Pool) Estimate(now time.Time, engine ident.TargetHash, routers int) ident.Work {
-	pub, ok := p.published[engine]
-	if ok && now.Sub(pub.at) <= p.bound.DigestLife {
-		return max(pub.work+p.own[engine]-pub.own, 0)
-	}
+// Estimate is the work thought to be on an engine when its home cannot be asked:
+// this router's own work times the number of routers.
+func (p *Pool) Estimate(engine ident.TargetHash, routers int) ident.Work {
 	return p.own[engine] * ident.Work(max(routers, 1))
 }
 
 // Local decides without a home, from estimates alone: the first engine under the
 // bound in the key's own order, or the least loaded of all.
-func (p *Pool) Local(now time.Time, req Request, routers int) Decision {
+func (p *Pool) Local(req Request, routers int) Decision {
 	total := ident.Work(0)
 	usable := 0
 	for _, e := range p.engines {
 		if !e.Leaving {
-			total += p.Estimate(now, e.Hash, routers)
+			total += p.Estimate(e.Hash, routers)
 			usable++
 		}
 	}
@@ -167,7 +139,7 @@
 		if e.Leaving || avoided(req.Avoid, e.Hash) {
 			continue
 		}
-		load := p.Estimate(now, e.Hash, routers)
+		load := p.Estimate(e.Hash, routers)
 		if e.Slots > 0 && load > 0 && load+req.Work > e.Slots {
 			continue
 		}
--- a/internal/rule/place/shard.go
+++ b/internal/rule/place/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -29,6 +30,24 @@
 	return rendezvous(seed, routers)
 }
 
+// Standbys returns up to n routers other than self that would be home of a shard if
+// self were not there, the next one first.
+func Standbys(id ShardID, self ident.Router, routers []ident.Router, n int) []ident.Router {
+	left := make([]ident.Router, 0, len(routers))
+	for _, r := range routers {
+		if r != self {
+			left = append(left, r)
+		}
+	}
+	var out []ident.Router
+	for len(out) < n && len(left) > 0 {
+		next := HomeOf(id, left)
+		out = append(out, next)
+		left = slices.DeleteFunc(left, func(r ident.Router) bool { return r == next })
+	}
+	return out
+}
+
 // OwnerOf returns the router that is home of a named thing, such as a workspace's limit.
 func OwnerOf(name string, routers []ident.Router) ident.Router {
 	return rendezvous(xxhash.Sum64String(name), routers)
--- a/internal/share/claim/claims.go
+++ b/internal/share/claim/claims.go
@@ -80,11 +80,46 @@
 			known = row.Version
 			continue
 		}
+		if record.State == Sent && record.BodyHash == hash {
+			if row, record, err = c.await(ctx, key); err != nil {
+				return nil, nil, err
+			}
+			if record.State == Released {
+				known = row.Version
+				continue
+			}
+		}
 		answer, err := c.resolve(ctx, *record, hash)
 		return nil, answer, err
 	}
 }
 
+// maxAwaitPause bounds the pause between two looks at a claim that another holds.
+const maxAwaitPause = time.Second
+
+// await waits for the end of a request that runs under another attempt, as long as
+// the caller can wait.
+func (c *Claims) await(ctx context.Context, key Key) (table.Row, *Record, error) {
+	pause := c.options.Pause
+	for {
+		if !sleep(ctx, pause) {
+			return table.Row{}, nil, fault.New("claim.Begin", Running, nil)
+		}
+		pause = min(pause*2, maxAwaitPause)
+		row, err := c.store.Get(ctx, Table, key.row())
+		if err != nil {
+			continue
+		}
+		record, err := decode(row)
+		if err != nil {
+			return row, nil, err
+		}
+		if record.State != Sent {
+			return row, &record, nil
+		}
+	}
+}
+
 // write tries to take the claim while its row has the known version.
 func (c *Claims) write(ctx context.Context, key Key, hash BodyHash, attempt ident.Attempt, known table.Version) (table.Version, error) {
 	record := Record{State: Sent, Attempt: attempt, BodyHash: hash, UnixMS: nowMS(c.clock())}
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -67,9 +67,9 @@
 
 const (
 	// publishEvery is the least time between two digests of one shard.
-	publishEvery = 400 * time.Millisecond
+	publishEvery = 900 * time.Millisecond
 	// renewEvery is how often an unchanged digest is published again, well within its life.
-	renewEvery = 1500 * time.Millisecond
+	renewEvery = 2 * time.Second
 )
 
 // Homes holds what this router is home of.
@@ -80,6 +80,7 @@
 	clock   ident.Clock
 	shards  map[place.ShardID]*shard
 	pools   map[ident.Pool]*poolInfo
+	names   map[ident.PoolHash]ident.Pool
 	loads   map[place.ShardID]map[ident.Router]place.Digest
 	buckets map[ident.Workspace]*quota.Bucket
 	rates   func(ident.Workspace) (policy.Workspace, bool)
@@ -114,6 +115,7 @@
 		clock:   clock,
 		shards:  map[place.ShardID]*shard{},
 		pools:   map[ident.Pool]*poolInfo{},
+		names:   map[ident.PoolHash]ident.Pool{},
 		loads:   map[place.ShardID]map[ident.Router]place.Digest{},
 		buckets: map[ident.Workspace]*quota.Bucket{},
 		rates:   rates,
@@ -127,6 +129,7 @@
 	defer h.mu.Unlock()
 	pool := place.NewPool(name, shards, bound)
 	pool.SetEngines(engines)
+	h.names[name.Hash()] = name
 	h.pools[name] = &poolInfo{pool: pool, bound: bound}
 	for id, s := range h.shards {
 		if id.Pool == name {
@@ -167,6 +170,11 @@
 // Place answers a request for a permit, waiting for a free engine if the ask allows it.
 func (h *Homes) Place(ctx context.Context, ask Ask, released []uint64) Answer {
 	h.mu.Lock()
+	if _, known := h.pools[ask.Shard.Pool]; !known {
+		// A home without the pool's engines has nothing to give.
+		h.mu.Unlock()
+		return Answer{Result: Empty}
+	}
 	s := h.at(ask.Shard)
 	h.release(s, ask.Edge, released)
 	now := h.clock()
--- a/internal/share/home/remote.go
+++ b/internal/share/home/remote.go
@@ -16,8 +16,12 @@
 // Kind tells this package's errors apart.
 type Kind string
 
-// Unreachable means that the home did not answer; it may have given the permit.
-const Unreachable Kind = "unreachable"
+const (
+	// Unreachable means that the home did not answer; it may have given the permit.
+	Unreachable Kind = "unreachable"
+	// Foreign means that a router speaks for another.
+	Foreign Kind = "foreign"
+)
 
 // Error is this package's error type.
 type Error = fault.Error[Kind]
@@ -33,11 +37,14 @@
 	local   *Homes
 	clients Clients
 	timeout time.Duration
+	links   *links
 }
 
-// NewRemote returns a Remote whose calls are bounded by timeout, waiting not counted.
-func NewRemote(self ident.Router, local *Homes, clients Clients, timeout time.Duration) *Remote {
-	return &Remote{self: self, local: local, clients: clients, timeout: timeout}
+// NewRemote returns a Remote whose calls are bounded by timeout, waiting not
+// counted, and the function that closes its links.
+func NewRemote(self ident.Router, local *Homes, clients Clients, timeout time.Duration) (*Remote, func()) {
+	r := &Remote{self: self, local: local, clients: clients, timeout: timeout, links: newLinks(self, clients)}
+	return r, r.links.close
 }
 
 // Place asks a home for a permit.
@@ -45,33 +52,45 @@
 	if home == r.self {
 		return r.local.Place(ctx, ask, released), nil
 	}
-	client, err := r.clients.Client(home)
+	l, err := r.links.to(home)
 	if err != nil {
-		return Answer{}, fault.New("home.Place", Unreachable, err)
+		return Answer{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.timeout+ask.Wait)
+	limited, cancel := context.WithTimeout(ctx, r.timeout+ask.Wait)
 	defer cancel()
-	reply, err := client.Place(ctx, connect.NewRequest(encodeAsk(ask, released)))
-	if err != nil {
-		return Answer{}, fault.New("home.Place", Unreachable, err)
+	a, err := l.place(limited, ask, released)
+	if err != nil && ctx.Err() == nil && l.miss() {
+		r.links.drop(home)
 	}
-	return decodeAnswer(reply.Msg), nil
+	return a, err
 }
 
 // Release gives permits back to a home.
-func (r *Remote) Release(ctx context.Context, home ident.Router, id place.ShardID, released []uint64) error {
+func (r *Remote) Release(_ context.Context, home ident.Router, id place.ShardID, released []uint64) error {
 	if home == r.self {
 		r.local.Release(id, r.self, released)
 		return nil
 	}
-	return r.call(ctx, "home.Release", home, func(ctx context.Context, client peerpb.PeerServiceClient) error {
-		_, err := client.Release(ctx, connect.NewRequest(&peerpb.ReleaseRequest{
-			Edge: string(r.self), Pool: string(id.Pool), Shard: uint32(id.Shard), Released: released,
-		}))
+	l, err := r.links.to(home)
+	if err != nil {
 		return err
-	})
+	}
+	l.post(linkItem{release: &peerpb.ReleaseRequest{
+		Pool: uint32(id.Pool.Hash()), Shard: uint32(id.Shard), Released: released,
+	}})
+	return nil
+}
+
+// Publish tells a router that is next in line what this home counts.
+func (r *Remote) Publish(to ident.Router, d place.Digest) {
+	if l, err := r.links.to(to); err == nil {
+		l.post(linkItem{load: encodeLoad(d)})
+	}
 }
 
+// LoadSize is the size of a digest on the wire, in bytes without framing.
+func LoadSize(d place.Digest) int { return proto.Size(encodeLoad(d)) }
+
 // Sync tells a home all permits that this router holds in a shard.
 func (r *Remote) Sync(ctx context.Context, home ident.Router, id place.ShardID, held []place.Permit, upto uint64) error {
 	if home == r.self {
--- a/internal/share/home/server.go
+++ b/internal/share/home/server.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/place"
 	"valescale/internal/share/peerpb"
@@ -14,35 +15,40 @@
 // Server answers other routers' calls to the homes here.
 type Server struct {
 	homes *Homes
+	// identify returns who a call comes from, or the empty id when connections have no keys.
+	identify func(context.Context) ident.Router
 }
 
 // NewServer returns a server of the homes.
-func NewServer(homes *Homes) *Server { return &Server{homes: homes} }
-
-// Place answers a request for a permit.
-func (s *Server) Place(ctx context.Context, req *connect.Request[peerpb.PlaceRequest]) (*connect.Response[peerpb.PlaceReply], error) {
-	answer := s.homes.Place(ctx, decodeAsk(req.Msg), req.Msg.GetReleased())
-	return connect.NewResponse(encodeAnswer(answer)), nil
+func NewServer(homes *Homes, identify func(context.Context) ident.Router) *Server {
+	return &Server{homes: homes, identify: identify}
 }
 
-// Release takes permits back.
-func (s *Server) Release(_ context.Context, req *connect.Request[peerpb.ReleaseRequest]) (*connect.Response[peerpb.ReleaseReply], error) {
-	m := req.Msg
-	s.homes.Release(shardID(m.GetPool(), m.GetShard()), ident.Router(m.GetEdge()), m.GetReleased())
-	return connect.NewResponse(&peerpb.ReleaseReply{}), nil
+// checkEdge lets a router speak only for itself.
+func (s *Server) checkEdge(ctx context.Context, edge ident.Router) error {
+	if caller := s.identify(ctx); caller != "" && caller != edge {
+		return connect.NewError(connect.CodePermissionDenied, fault.Newf("home.Server", Foreign, "%s speaks for %s", caller, edge))
+	}
+	return nil
 }
 
 // Sync replaces what is believed of an edge's permits.
-func (s *Server) Sync(_ context.Context, req *connect.Request[peerpb.SyncRequest]) (*connect.Response[peerpb.SyncReply], error) {
+func (s *Server) Sync(ctx context.Context, req *connect.Request[peerpb.SyncRequest]) (*connect.Response[peerpb.SyncReply], error) {
 	m := req.Msg
 	edge := ident.Router(m.GetEdge())
+	if err := s.checkEdge(ctx, edge); err != nil {
+		return nil, err
+	}
 	s.homes.Sync(shardID(m.GetPool(), m.GetShard()), edge, decodePermits(edge, m.GetPermits()), m.GetUpto())
 	return connect.NewResponse(&peerpb.SyncReply{}), nil
 }
 
 // Handoff takes over a shard from its earlier home.
-func (s *Server) Handoff(_ context.Context, req *connect.Request[peerpb.HandoffRequest]) (*connect.Response[peerpb.HandoffReply], error) {
+func (s *Server) Handoff(ctx context.Context, req *connect.Request[peerpb.HandoffRequest]) (*connect.Response[peerpb.HandoffReply], error) {
 	m := req.Msg
+	if err := s.checkEdge(ctx, ident.Router(m.GetFrom())); err != nil {
+		return nil, err
+	}
 	parcel := Parcel{ID: shardID(m.GetPool(), m.GetShard()), Permits: decodePermits("", m.GetPermits())}
 	for _, c := range m.GetPlaces() {
 		parcel.Places = append(parcel.Places, place.ChatPlace{
@@ -72,9 +78,8 @@
 		avoid = append(avoid, uint32(e))
 	}
 	return &peerpb.PlaceRequest{
-		Edge:      string(a.Edge),
 		Permit:    a.Permit,
-		Pool:      string(a.Shard.Pool),
+		Pool:      uint32(a.Shard.Pool.Hash()),
 		Shard:     uint32(a.Shard.Shard),
 		Key:       uint64(a.Key),
 		Workspace: string(a.Workspace),
@@ -109,14 +114,14 @@
 	return out
 }
 
-func decodeAsk(m *peerpb.PlaceRequest) Ask {
+func decodeAsk(edge ident.Router, pool ident.Pool, m *peerpb.PlaceRequest) Ask {
 	var avoid []ident.TargetHash
 	for _, e := range m.GetAvoid() {
 		avoid = append(avoid, ident.TargetHash(e))
 	}
 	return Ask{
 		Request: place.Request{
-			Edge:   ident.Router(m.GetEdge()),
+			Edge:   edge,
 			Permit: m.GetPermit(),
 			Key:    ident.ChatKey(m.GetKey()),
 			Work:   ident.Work(max(m.GetWork(), 1)),
@@ -124,7 +129,7 @@
 			Must:   m.GetMust(),
 			Avoid:  avoid,
 		},
-		Shard:     shardID(m.GetPool(), m.GetShard()),
+		Shard:     place.ShardID{Pool: pool, Shard: ident.Shard(m.GetShard())},
 		Workspace: ident.Workspace(m.GetWorkspace()),
 		Weight:    int(m.GetWeight()),
 		Priority:  int(m.GetPriority()),
@@ -178,3 +183,29 @@
 	}
 	return out
 }
+
+func encodeLoad(d place.Digest) *peerpb.ShardLoad {
+	out := &peerpb.ShardLoad{
+		Pool: uint32(d.ID.Pool.Hash()), Shard: uint32(d.ID.Shard), Seq: d.Seq, Work: int64(d.Work),
+	}
+	for _, l := range d.Loads {
+		out.Engines = append(out.Engines, uint32(l.Engine))
+		out.Loads = append(out.Loads, uint32(max(l.Work, 0)))
+	}
+	return out
+}
+
+func decodeLoad(from ident.Router, pool ident.Pool, in *peerpb.ShardLoad) place.Digest {
+	d := place.Digest{
+		ID:   place.ShardID{Pool: pool, Shard: ident.Shard(in.GetShard())},
+		Home: from, Seq: in.GetSeq(), Work: ident.Work(in.GetWork()),
+	}
+	loads := in.GetLoads()
+	for i, engine := range in.GetEngines() {
+		if i >= len(loads) {
+			break
+		}
+		d.Loads = append(d.Loads, place.EngineWork{Engine: ident.TargetHash(engine), Work: ident.Work(loads[i])})
+	}
+	return d
+}
--- a/internal/share/peer/codec.go
+++ b/internal/share/peer/codec.go
@@ -1,10 +1,7 @@
 package peer
 
 import (
-	"time"
-
 	"valescale/internal/plat/ident"
-	"valescale/internal/rule/place"
 	"valescale/internal/share/peerpb"
 )
 
@@ -25,9 +22,6 @@
 	for _, a := range d.Acks {
 		out.Acks = append(out.Acks, &peerpb.Ack{Member: a.Member, Revision: uint64(a.Revision)})
 	}
-	for _, l := range d.Loads {
-		out.Loads = append(out.Loads, encodeLoad(l))
-	}
 	return out
 }
 
@@ -48,9 +42,6 @@
 	for _, a := range in.GetAcks() {
 		d.Acks = append(d.Acks, Ack{Member: a.GetMember(), Revision: ident.Revision(a.GetRevision())})
 	}
-	for _, l := range in.GetLoads() {
-		d.Loads = append(d.Loads, decodeLoad(l))
-	}
 	return d
 }
 
@@ -78,37 +69,3 @@
 		Seq:         m.GetSeq(),
 	}
 }
-
-func encodeLoad(d place.Digest) *peerpb.ShardLoad {
-	out := &peerpb.ShardLoad{
-		Pool:  string(d.ID.Pool),
-		Shard: uint32(d.ID.Shard),
-		Home:  string(d.Home),
-		Seq:   d.Seq,
-		Work:  int64(d.Work),
-		AgeMs: uint32(d.Age.Milliseconds()),
-	}
-	for _, l := range d.Loads {
-		out.Engines = append(out.Engines, uint32(l.Engine))
-		out.Loads = append(out.Loads, uint32(max(l.Work, 0)))
-	}
-	return out
-}
-
-func decodeLoad(in *peerpb.ShardLoad) place.Digest {
-	d := place.Digest{
-		ID:   place.ShardID{Pool: ident.Pool(in.GetPool()), Shard: ident.Shard(in.GetShard())},
-		Home: ident.Router(in.GetHome()),
-		Seq:  in.GetSeq(),
-		Work: ident.Work(in.GetWork()),
-		Age:  time.Duration(in.GetAgeMs()) * time.Millisecond,
-	}
-	loads := in.GetLoads()
-	for i, engine := range in.GetEngines() {
-		if i >= len(loads) {
-			break
-		}
-		d.Loads = append(d.Loads, place.EngineWork{Engine: ident.TargetHash(engine), Work: ident.Work(loads[i])})
-	}
-	return d
-}
--- a/internal/share/peer/digest.go
+++ b/internal/share/peer/digest.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"valescale/internal/plat/ident"
-	"valescale/internal/rule/place"
 )
 
 // Ack says which revision is in force at a member.
@@ -21,7 +20,6 @@
 	Head    ident.Revision
 	Members []Member
 	Marks   []Mark
-	Loads   []place.Digest
 	Acks    []Ack
 	// MembersHash is the same at routers that know the same members.
 	MembersHash uint64
@@ -33,14 +31,8 @@
 // whole list; news in flight explains one or two.
 const wholeAfter = 4
 
-// Publish replaces what this router, as a home, says of a shard.
-func (v *View) Publish(now time.Time, d place.Digest) {
-	v.loads[loadKey{d.ID, d.Home}] = &loadEntry{Digest: d, at: now}
-}
-
-// Outgoing makes the digest for one peer: the news that was passed on least often
-// first. Loads stay within a region, since pools do.
-func (v *View) Outgoing(now time.Time, to ident.Router, whole bool) Digest {
+// Outgoing makes the digest for one peer: the news that was passed on least often first.
+func (v *View) Outgoing(to ident.Router, whole bool) Digest {
 	d := Digest{From: v.self, Head: v.head, MembersHash: v.hash, Whole: v.wantWhole}
 	v.wantWhole = false
 	d.Members = v.outMembers(whole)
@@ -51,9 +43,6 @@
 	}
 	d.Acks = v.outAcks()
 	d.Marks = v.outMarks()
-	if known && peer.Region == v.members[v.self].Region {
-		d.Loads = v.outLoads(now)
-	}
 	return d
 }
 
@@ -121,34 +110,8 @@
 	return out
 }
 
-func (v *View) outLoads(now time.Time) []place.Digest {
-	limit := v.spreadLimit()
-	var news []*loadEntry
-	for _, l := range v.loads {
-		if l.sent < limit {
-			news = append(news, l)
-		}
-	}
-	slices.SortFunc(news, func(a, b *loadEntry) int {
-		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.ID.Pool, b.ID.Pool),
-			cmp.Compare(a.ID.Shard, b.ID.Shard), cmp.Compare(a.Home, b.Home))
-	})
-	if len(news) > v.limits.Loads {
-		news = news[:v.limits.Loads]
-	}
-	out := make([]place.Digest, 0, len(news))
-	for _, l := range news {
-		l.sent++
-		aged := l.Digest
-		aged.Age = now.Sub(l.at)
-		out = append(out, aged)
-	}
-	return out
-}
-
 // News is what of a digest was not known before.
 type News struct {
-	Loads []place.Digest
 	// Head is set when the sender knows of a later revision than this router did.
 	Head ident.Revision
 	// SendWhole is set when the sender asks for the whole list of members.
@@ -168,11 +131,6 @@
 	for _, a := range d.Acks {
 		v.mergeAck(a)
 	}
-	for _, l := range d.Loads {
-		if v.mergeLoad(now, l) {
-			news.Loads = append(news.Loads, l)
-		}
-	}
 	if d.Head > v.head {
 		v.head = d.Head
 		news.Head = d.Head
@@ -194,18 +152,6 @@
 	}
 }
 
-func (v *View) mergeLoad(now time.Time, d place.Digest) bool {
-	if d.Home == v.self {
-		return false
-	}
-	key := loadKey{d.ID, d.Home}
-	if known, ok := v.loads[key]; ok && known.Seq >= d.Seq {
-		return false
-	}
-	v.loads[key] = &loadEntry{Digest: d, at: now.Add(-d.Age)}
-	return true
-}
-
 // compare asks for the whole list of members when hashes keep differing.
 func (v *View) compare(d Digest) {
 	if d.MembersHash == v.hash {
--- a/internal/share/peer/node.go
+++ b/internal/share/peer/node.go
@@ -11,7 +11,6 @@
 	"valescale/internal/plat/boxes"
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
-	"valescale/internal/rule/place"
 	"valescale/internal/share/peerpb"
 )
 
@@ -29,12 +28,8 @@
 type Hooks struct {
 	// Changed is called after routers or targets changed.
 	Changed func()
-	// Loads is called with digests of other homes that are new.
-	Loads func([]place.Digest)
 	// Head is called when a router tells of a later revision than any known.
 	Head func(revision ident.Revision, from ident.Router)
-	// Digests returns what this router's homes publish; it is called before each exchange.
-	Digests func() []place.Digest
 }
 
 // Pace is how often things are done.
@@ -48,7 +43,7 @@
 }
 
 // DefaultPace stays within a few kilobytes a second.
-var DefaultPace = Pace{Gossip: 500 * time.Millisecond, List: 2 * time.Second, Call: time.Second, Fanout: 3}
+var DefaultPace = Pace{Gossip: time.Second, List: 2 * time.Second, Call: time.Second, Fanout: 3}
 
 // lostOneIn is how seldom a router thought dead is tried instead of a live one.
 const lostOneIn = 10
@@ -195,25 +190,15 @@
 }
 
 func (n *Node) outgoing(to ident.Router, whole bool) Digest {
-	var own []place.Digest
-	if n.hooks.Digests != nil {
-		own = n.hooks.Digests()
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, d := range own {
-		n.view.Publish(n.clock(), d)
-	}
-	return n.view.Outgoing(n.clock(), to, whole)
+	return n.view.Outgoing(to, whole)
 }
 
 // Incoming takes in a peer's digest and reports whether the peer asks for the whole list of members.
 func (n *Node) Incoming(d Digest) bool {
 	var news News
 	n.Do(func(v *View) { news = v.Incoming(n.clock(), d) })
-	if len(news.Loads) > 0 && n.hooks.Loads != nil {
-		n.hooks.Loads(news.Loads)
-	}
 	if news.Head > 0 && n.hooks.Head != nil {
 		n.hooks.Head(news.Head, d.From)
 	}
--- a/internal/share/peer/view.go
+++ b/internal/share/peer/view.go
@@ -6,24 +6,20 @@
 	"time"
 
 	"valescale/internal/plat/ident"
-	"valescale/internal/rule/place"
 )
 
 // Limits bounds what one digest carries and how long things are believed.
 type Limits struct {
-	// Members, Acks, Marks and Loads are how many of each one digest carries at most.
+	// Members, Acks and Marks are how many of each one digest carries at most.
 	Members int
 	Acks    int
 	Marks   int
-	Loads   int
 	// SuspectFor is how long a suspect router has to say that it is alive.
 	SuspectFor time.Duration
 	// DeadFor is how long a dead router is remembered, so that old news cannot revive it.
 	DeadFor time.Duration
 	// MarkFor is how long the mark of a target that is gone is remembered.
 	MarkFor time.Duration
-	// LoadFor is how long a home's digest is passed on.
-	LoadFor time.Duration
 }
 
 // DefaultLimits keep a digest under about a kilobyte.
@@ -31,14 +27,12 @@
 	Members:    8,
 	Acks:       40,
 	Marks:      8,
-	Loads:      32,
 	SuspectFor: 3 * time.Second,
 	DeadFor:    10 * time.Minute,
 	MarkFor:    time.Hour,
-	LoadFor:    4 * time.Second,
 }
 
-// View is one router's knowledge of routers, targets and loads. It is not safe
+// View is one router's knowledge of routers and targets. It is not safe
 // for use by several goroutines at once.
 type View struct {
 	self    ident.Router
@@ -47,7 +41,6 @@
 	byHash  map[uint32]ident.Router
 	targets map[ident.Target]*targetEntry
 	marks   map[ident.Target]*markEntry
-	loads   map[loadKey]*loadEntry
 	head    ident.Revision
 	listed  bool
 	// onList are the live routers of the latest list.
@@ -61,17 +54,6 @@
 	wantWhole  bool
 }
 
-type loadKey struct {
-	id   place.ShardID
-	home ident.Router
-}
-
-type loadEntry struct {
-	place.Digest
-	at   time.Time
-	sent int
-}
-
 // NewView returns a view that knows only its own router.
 func NewView(now time.Time, self Member, limits Limits) *View {
 	v := &View{
@@ -81,7 +63,6 @@
 		byHash:  map[uint32]ident.Router{},
 		targets: map[ident.Target]*targetEntry{},
 		marks:   map[ident.Target]*markEntry{},
-		loads:   map[loadKey]*loadEntry{},
 	}
 	self.State = Live
 	self.Seq = 1
@@ -249,11 +230,6 @@
 			delete(v.marks, id)
 		}
 	}
-	for key, l := range v.loads {
-		if now.Sub(l.at) > v.limits.LoadFor {
-			delete(v.loads, key)
-		}
-	}
 }
 
 // SetRevision notes the revision in force here.
--- a/internal/share/peerpb/peer.connect.go
+++ b/internal/share/peerpb/peer.connect.go
@@ -39,10 +39,8 @@
 const (
 	// PeerServiceGossipProcedure is the fully-qualified name of the PeerService's Gossip RPC.
 	PeerServiceGossipProcedure = "/valescale.v1.PeerService/Gossip"
-	// PeerServicePlaceProcedure is the fully-qualified name of the PeerService's Place RPC.
-	PeerServicePlaceProcedure = "/valescale.v1.PeerService/Place"
-	// PeerServiceReleaseProcedure is the fully-qualified name of the PeerService's Release RPC.
-	PeerServiceReleaseProcedure = "/valescale.v1.PeerService/Release"
+	// PeerServiceLinkProcedure is the fully-qualified name of the PeerService's Link RPC.
+	PeerServiceLinkProcedure = "/valescale.v1.PeerService/Link"
 	// PeerServiceSyncProcedure is the fully-qualified name of the PeerService's Sync RPC.
 	PeerServiceSyncProcedure = "/valescale.v1.PeerService/Sync"
 	// PeerServiceHandoffProcedure is the fully-qualified name of the PeerService's Handoff RPC.
@@ -73,10 +71,8 @@
 type PeerServiceClient interface {
 	// Gossip exchanges one bounded digest each way.
 	Gossip(context.Context, *connect.Request[Digest]) (*connect.Response[Digest], error)
-	// Place asks a shard's home for an engine and takes a permit.
-	Place(context.Context, *connect.Request[PlaceRequest]) (*connect.Response[PlaceReply], error)
-	// Release gives permits back.
-	Release(context.Context, *connect.Request[ReleaseRequest]) (*connect.Response[ReleaseReply], error)
+	// Link carries one router's requests for permits and returns to another's homes.
+	Link(context.Context) *connect.BidiStreamForClient[LinkRequest, LinkReply]
 	// Sync replaces all that a home believes of one edge's permits.
 	Sync(context.Context, *connect.Request[SyncRequest]) (*connect.Response[SyncReply], error)
 	// Handoff passes a shard's counts and chat places to its next home.
@@ -104,16 +100,10 @@
 			connect.WithSchema(peerServiceMethods.ByName("Gossip")),
 			connect.WithClientOptions(opts...),
 		),
-		place: connect.NewClient[PlaceRequest, PlaceReply](
+		link: connect.NewClient[LinkRequest, LinkReply](
 			httpClient,
-			baseURL+PeerServicePlaceProcedure,
-			connect.WithSchema(peerServiceMethods.ByName("Place")),
-			connect.WithClientOptions(opts...),
-		),
-		release: connect.NewClient[ReleaseRequest, ReleaseReply](
-			httpClient,
-			baseURL+PeerServiceReleaseProcedure,
-			connect.WithSchema(peerServiceMethods.ByName("Release")),
+			baseURL+PeerServiceLinkProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Link")),
 			connect.WithClientOptions(opts...),
 		),
 		sync: connect.NewClient[SyncRequest, SyncReply](
@@ -146,8 +136,7 @@
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
 	gossip  *connect.Client[Digest, Digest]
-	place   *connect.Client[PlaceRequest, PlaceReply]
-	release *connect.Client[ReleaseRequest, ReleaseReply]
+	link    *connect.Client[LinkRequest, LinkReply]
 	sync    *connect.Client[SyncRequest, SyncReply]
 	handoff *connect.Client[HandoffRequest, HandoffReply]
 	fetch   *connect.Client[FetchRequest, FetchReply]
@@ -159,14 +148,9 @@
 	return c.gossip.CallUnary(ctx, req)
 }
 
-// Place calls valescale.v1.PeerService.Place.
-func (c *peerServiceClient) Place(ctx context.Context, req *connect.Request[PlaceRequest]) (*connect.Response[PlaceReply], error) {
-	return c.place.CallUnary(ctx, req)
-}
-
-// Release calls valescale.v1.PeerService.Release.
-func (c *peerServiceClient) Release(ctx context.Context, req *connect.Request[ReleaseRequest]) (*connect.Response[ReleaseReply], error) {
-	return c.release.CallUnary(ctx, req)
+// Link calls valescale.v1.PeerService.Link.
+func (c *peerServiceClient) Link(ctx context.Context) *connect.BidiStreamForClient[LinkRequest, LinkReply] {
+	return c.link.CallBidiStream(ctx)
 }
 
 // Sync calls valescale.v1.PeerService.Sync.
@@ -193,10 +177,8 @@
 type PeerServiceHandler interface {
 	// Gossip exchanges one bounded digest each way.
 	Gossip(context.Context, *connect.Request[Digest]) (*connect.Response[Digest], error)
-	// Place asks a shard's home for an engine and takes a permit.
-	Place(context.Context, *connect.Request[PlaceRequest]) (*connect.Response[PlaceReply], error)
-	// Release gives permits back.
-	Release(context.Context, *connect.Request[ReleaseRequest]) (*connect.Response[ReleaseReply], error)
+	// Link carries one router's requests for permits and returns to another's homes.
+	Link(context.Context, *connect.BidiStream[LinkRequest, LinkReply]) error
 	// Sync replaces all that a home believes of one edge's permits.
 	Sync(context.Context, *connect.Request[SyncRequest]) (*connect.Response[SyncReply], error)
 	// Handoff passes a shard's counts and chat places to its next home.
@@ -220,16 +202,10 @@
 		connect.WithSchema(peerServiceMethods.ByName("Gossip")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerServicePlaceHandler := connect.NewUnaryHandler(
-		PeerServicePlaceProcedure,
-		svc.Place,
-		connect.WithSchema(peerServiceMethods.ByName("Place")),
-		connect.WithHandlerOptions(opts...),
-	)
-	peerServiceReleaseHandler := connect.NewUnaryHandler(
-		PeerServiceReleaseProcedure,
-		svc.Release,
-		connect.WithSchema(peerServiceMethods.ByName("Release")),
+	peerServiceLinkHandler := connect.NewBidiStreamHandler(
+		PeerServiceLinkProcedure,
+		svc.Link,
+		connect.WithSchema(peerServiceMethods.ByName("Link")),
 		connect.WithHandlerOptions(opts...),
 	)
 	peerServiceSyncHandler := connect.NewUnaryHandler(
@@ -260,10 +236,8 @@
 		switch r.URL.Path {
 		case PeerServiceGossipProcedure:
 			peerServiceGossipHandler.ServeHTTP(w, r)
-		case PeerServicePlaceProcedure:
-			peerServicePlaceHandler.ServeHTTP(w, r)
-		case PeerServiceReleaseProcedure:
-			peerServiceReleaseHandler.ServeHTTP(w, r)
+		case PeerServiceLinkProcedure:
+			peerServiceLinkHandler.ServeHTTP(w, r)
 		case PeerServiceSyncProcedure:
 			peerServiceSyncHandler.ServeHTTP(w, r)
 		case PeerServiceHandoffProcedure:
@@ -285,12 +259,8 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("valescale.v1.PeerService.Gossip is not implemented"))
 }
 
-func (UnimplementedPeerServiceHandler) Place(context.Context, *connect.Request[PlaceRequest]) (*connect.Response[PlaceReply], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("valescale.v1.PeerService.Place is not implemented"))
-}
-
-func (UnimplementedPeerServiceHandler) Release(context.Context, *connect.Request[ReleaseRequest]) (*connect.Response[ReleaseReply], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("valescale.v1.PeerService.Release is not implemented"))
+func (UnimplementedPeerServiceHandler) Link(context.Context, *connect.BidiStream[LinkRequest, LinkReply]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("valescale.v1.PeerService.Link is not implemented"))
 }
 
 func (UnimplementedPeerServiceHandler) Sync(context.Context, *connect.Request[SyncRequest]) (*connect.Response[SyncReply], error) {
