Specifications, schedules over the real code, and failures on whole fleets

Cause: the promises were only seen in the demo.

What they found is mended: the retry budget started empty; retries after a failed connect used it up; a request whose targets had all failed once found none; the holder of a lease ordered models only from engines it was home of. Orders now carry the configuration's revision as their epoch and come from each shard's home; the lease serves the removal of old claims.

--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,7 @@
 
 demo:
 	go run ./cmd/demo
+
+# Walks 120,000 random schedules over claims, configuration and leases; takes minutes.
+schedules:
+	SCHEDULES=40000 go test -timeout 30m -run Schedules -v ./internal/share/...
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -203,7 +203,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return &Problem{Status: statusCallerGone, Code: CodeCallerGone, Message: "the caller has gone", Outcome: j.outcome}
-	case retry.MaySend(j.decision.Repeat, step, !j.first.IsZero()) && j.tries < f.limits.Tries && f.mayRetry():
+	case retry.MaySend(j.decision.Repeat, step, !j.first.IsZero()) && j.tries < f.limits.Tries && (retry.Free(step) || f.mayRetry()):
 		return nil
 	case step == retry.Refused && j.outcome == retry.NotRun:
 		return &Problem{
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -392,6 +392,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock()
+	if len(avoid) >= p.picture.Usable() {
+		// Each has failed this request once; another try is all that is left.
+		avoid = nil
+	}
 	blocked := 0
 	for hash := range p.Targets {
 		if b, ok := r.breakers[hash]; ok && b.Blocked(now) {
--- a/internal/fake/fleet/caller.go
+++ b/internal/fake/fleet/caller.go
@@ -37,10 +37,10 @@
 	Code    front.Code
 	Text    string
 	// Whole is set when the answer came to its end.
-	Whole  bool
-	LastID string
-	Events int
-	Err    error
+	Whole bool
+	// IDs are the ids of a stream's events.
+	IDs []string
+	Err error
 }
 
 type chatBody struct {
@@ -139,7 +139,7 @@
 		line := scanner.Text()
 		switch {
 		case strings.HasPrefix(line, "id: "):
-			r.LastID = line[len("id: "):]
+			r.IDs = append(r.IDs, line[len("id: "):])
 		case line == "event: error":
 			failed = true
 		case line == "data: "+relay.EndMark:
@@ -155,7 +155,6 @@
 			}
 			if len(parsed.Choices) > 0 {
 				r.Text += parsed.Choices[0].Delta.Content
-				r.Events++
 			}
 		}
 	}
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -225,6 +225,9 @@
 	return r, nil
 }
 
+// Kill ends a router at once, as a crash would: nothing is told to anybody.
+func (r *Router) Kill() { r.Daemon.Kill() }
+
 // OnLeave calls something once the router has begun to stop, as a balancer that
 // watches its readiness would.
 func (r *Router) OnLeave(call func()) { r.onLeave = call }
--- a/internal/fake/store/store.go
+++ b/internal/fake/store/store.go
@@ -17,21 +17,30 @@
 
 // Store is the stand-in; its methods match those of the platform's clients.
 type Store struct {
-	mu       sync.Mutex
-	rows     map[rowKey]table.Row
-	objects  map[string][]byte
-	boxes    []boxes.Box
-	down     bool
-	lose     int
-	frozen   map[rowKey]table.Row
-	commits  int
-	puts     int
-	beforeTx func(table.Txn)
+	mu      sync.Mutex
+	rows    map[rowKey]table.Row
+	objects map[string][]byte
+	boxes   []boxes.Box
+	down    bool
+	// downAfter is how many more commits take effect before the store goes down; negative never.
+	downAfter int
+	lose      int
+	frozen    map[rowKey]table.Row
+	commits   int
+	puts      int
+	beforeTx  func(table.Txn)
 }
 
 // New returns an empty store that is up.
 func New() *Store {
-	return &Store{rows: map[rowKey]table.Row{}, objects: map[string][]byte{}}
+	return &Store{rows: map[rowKey]table.Row{}, objects: map[string][]byte{}, downAfter: -1}
+}
+
+// DownAfterCommits lets n more commits take effect and then takes the store down.
+func (s *Store) DownAfterCommits(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.downAfter = n
 }
 
 // SetDown makes every call fail without effect, or stops that.
@@ -106,6 +115,10 @@
 		s.put(p)
 	}
 	s.commits++
+	if s.downAfter > 0 {
+		s.downAfter--
+		s.down = s.down || s.downAfter == 0
+	}
 	if s.lose > 0 {
 		s.lose--
 		return fault.New(op, table.Unknown, nil)
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -61,19 +61,24 @@
 	admin    *admin.Service
 	table    *table.Client
 	engines  *engine.Client
-	orders   *lease.Lease
+	sweeper  *claim.Sweeper
+	sweeping *lease.Lease
 	// meter counts what goes to and from other routers, outside what goes to the
 	// platform and the engines' side interfaces.
-	meter     *peer.Meter
-	outside   *peer.Meter
-	reports   *reports
-	pools     atomic.Pointer[poolSet]
-	dirty     chan struct{}
-	ready     atomic.Bool
-	leaving   atomic.Bool
-	listeners listeners
-	cleanups  []func()
-	stopClaim func(context.Context)
+	meter   *peer.Meter
+	outside *peer.Meter
+	reports *reports
+	pools   atomic.Pointer[poolSet]
+	dirty   chan struct{}
+	ready   atomic.Bool
+	leaving atomic.Bool
+	killed  atomic.Bool
+	servers []*http.Server
+	// stopBackground ends what Run started beside the servers.
+	stopBackground context.CancelFunc
+	listeners      listeners
+	cleanups       []func()
+	stopClaim      func(context.Context)
 }
 
 type listeners struct {
@@ -147,6 +152,27 @@
 	return d.meter.Traffic(), d.outside.Traffic()
 }
 
+// Leaving reports whether this router knows that a target is leaving.
+func (d *Daemon) Leaving(id ident.Target) bool {
+	for _, p := range d.pools.Load().pools {
+		for _, e := range p.Engines {
+			if e.ID == id {
+				return e.Leaving
+			}
+		}
+	}
+	return false
+}
+
+// Kill ends the router at once with all its connections, as a crash would.
+func (d *Daemon) Kill() {
+	d.killed.Store(true)
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	d.stopBackground()
+}
+
 // Revision is the configuration revision in force.
 func (d *Daemon) Revision() ident.Revision { return d.keeper.InForce().Revision }
 
@@ -215,7 +241,8 @@
 	sender, closeSender := relay.New(relayLimits)
 	d.cleanups = append(d.cleanups, closeSender, func() { stopNow(stopClaims) })
 	d.engines = engine.New(platform, s.Platform.Timeout)
-	d.orders = lease.New(d.table, ordersLease, s.Router.ID, string(claim.NewAttempt()), s.Pace.Lease, d.clock)
+	d.sweeper = claim.NewSweeper(d.table, claim.DefaultKeep, d.clock)
+	d.sweeping = lease.New(d.table, sweepLease, s.Router.ID, string(claim.NewAttempt()), s.Pace.Lease, d.clock)
 	shadow := admin.NewShadow()
 	d.metrics = telem.New(shadow, d.gauges())
 	frontLimits := front.DefaultLimits
@@ -241,7 +268,7 @@
 const (
 	platformIdle  = time.Minute
 	platformConns = 16
-	ordersLease   = "orders"
+	sweepLease    = "sweep"
 )
 
 // platformTransport dials the platform and the engines' side interfaces; what
--- a/internal/oper/daemon/pools.go
+++ b/internal/oper/daemon/pools.go
@@ -18,8 +18,9 @@
 
 // poolSet is what the view and the configuration give together.
 type poolSet struct {
-	pools   []route.Pool
-	routers []ident.Router
+	revision ident.Revision
+	pools    []route.Pool
+	routers  []ident.Router
 }
 
 // makePools joins the services of the configuration with the targets of the view.
@@ -57,7 +58,7 @@
 // refresh brings pools, homes and permits up to date with the view and the configuration.
 func (d *Daemon) refresh(ctx context.Context) {
 	force := d.keeper.InForce()
-	next := &poolSet{}
+	next := &poolSet{revision: force.Revision}
 	gone := map[ident.Router]uint64{}
 	d.node.Read(func(v *peer.View) {
 		next.pools = makePools(force, v, d.reports)
--- a/internal/oper/daemon/probe.go
+++ b/internal/oper/daemon/probe.go
@@ -9,6 +9,7 @@
 	"valescale/internal/edge/route"
 	"valescale/internal/plat/engine"
 	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
 	"valescale/internal/rule/place"
 	"valescale/internal/rule/policy"
 )
@@ -33,14 +34,14 @@
 			gate <- struct{}{}
 			wg.Go(func() {
 				defer func() { <-gate }()
-				d.readReport(ctx, id, p.Targets[e.Hash], p.Service)
+				d.readReport(ctx, id, p.Targets[e.Hash], set.revision, p.Service)
 			})
 		}
 	}
 	wg.Wait()
 }
 
-func (d *Daemon) readReport(ctx context.Context, id place.ShardID, t route.Target, service policy.Service) {
+func (d *Daemon) readReport(ctx context.Context, id place.ShardID, t route.Target, wanted ident.Revision, service policy.Service) {
 	known := d.reports.of(t.ID)
 	since := known.Seq
 	if known.Incarnation != t.Incarnation {
@@ -61,21 +62,23 @@
 	if fresh.Leaving {
 		d.MarkLeaving(t.ID, fresh.Incarnation)
 	}
-	d.order(ctx, t, service, fresh)
+	d.order(ctx, t, wanted, service, fresh)
 }
 
-// order tells an engine which model it is to have loaded, under the lease's epoch.
-// The order states the wanted end, so that a late or repeated one does no harm
-// unless the wish has changed; an engine that checks refuses an older epoch.
-func (d *Daemon) order(ctx context.Context, t route.Target, service policy.Service, fresh engine.Report) {
-	epoch, held := d.orders.Epoch()
-	if !held || service.Model == "" || fresh.Model == service.Model || fresh.Leaving {
+// order tells an engine which model it is to have loaded. The order states the
+// wanted end and carries the revision that wants it, which only grows: an engine
+// that checks refuses an older one. To one that does not check, the home of its
+// shard sends the order again until the report matches, so that what a router with
+// an old configuration may have sent does not last.
+func (d *Daemon) order(ctx context.Context, t route.Target, wanted ident.Revision, service policy.Service, fresh engine.Report) {
+	if service.Model == "" || fresh.Model == service.Model || fresh.Leaving {
 		return
 	}
+	epoch := ident.Epoch(wanted)
 	err := d.engines.Send(ctx, t.Addr, engine.Order{Kind: engine.LoadModel, Epoch: epoch, Model: service.Model})
 	if fault.KindOf[engine.Kind](err) == engine.Stale {
-		_ = level.Warn(d.logger).Log("msg", "engine knows a later epoch", "target", t.ID, "epoch", epoch)
+		_ = level.Warn(d.logger).Log("msg", "engine knows a later revision", "target", t.ID, "revision", wanted)
 		return
 	}
-	_ = level.Info(d.logger).Log("msg", "ordered model", "target", t.ID, "model", service.Model, "epoch", epoch, "err", err)
+	_ = level.Info(d.logger).Log("msg", "ordered model", "target", t.ID, "model", service.Model, "revision", wanted, "err", err)
 }
--- a/internal/oper/daemon/serve.go
+++ b/internal/oper/daemon/serve.go
@@ -50,6 +50,8 @@
 		return err
 	}
 	operators := d.adminServer()
+	d.servers = []*http.Server{callers, peers, operators}
+	d.stopBackground = stop
 	serve(&wg, peers, d.meter.Listener(d.listeners.peers))
 	serve(&wg, operators, d.listeners.admin)
 	wg.Go(func() { d.node.Run(background) })
@@ -57,13 +59,13 @@
 	wg.Go(func() { d.keepFresh(background) })
 	wg.Go(func() { every(background, d.settings.Pace.Report, d.probe) })
 	wg.Go(func() { d.keepPublished(background) })
-	wg.Go(func() {
-		every(background, d.settings.Pace.Lease/4, func(ctx context.Context) { _ = d.orders.Step(ctx) })
-	})
+	wg.Go(func() { every(background, d.settings.Pace.Lease/leaseSteps, d.sweep) })
 	wg.Go(func() { d.becomeReady(background) })
 	serve(&wg, callers, d.listeners.callers)
 	<-ctx.Done()
-	d.drain(callers)
+	if !d.killed.Load() {
+		d.drain(callers)
+	}
 	stop()
 	_ = peers.Close()
 	_ = operators.Close()
@@ -138,6 +140,21 @@
 	}
 }
 
+// leaseSteps is how often a lease is renewed in its time.
+const leaseSteps = 4
+
+// sweep removes old claims while this router holds the lease for it. Two routers
+// that both believe to hold it do no harm: each row goes under its own condition.
+func (d *Daemon) sweep(ctx context.Context) {
+	_ = d.sweeping.Step(ctx)
+	if _, held := d.sweeping.Epoch(); !held {
+		return
+	}
+	if n, err := d.sweeper.Step(ctx); n > 0 || err != nil {
+		_ = level.Info(d.logger).Log("msg", "swept claims", "removed", n, "err", err)
+	}
+}
+
 // copyConfig takes the configuration from the first ready router that answers.
 func (d *Daemon) copyConfig(ctx context.Context) {
 	var peers []peer.Member
@@ -166,7 +183,7 @@
 	}
 	d.refresh(ctx)
 	d.stopClaim(ctx)
-	_ = d.orders.Release(ctx)
+	_ = d.sweeping.Release(ctx)
 	d.node.Tell(ctx)
 }
 
--- a/internal/rule/retry/budget.go
+++ b/internal/rule/retry/budget.go
@@ -12,10 +12,12 @@
 	at     time.Time
 }
 
-// NewBudget returns a budget of a share of requests plus floor retries a second.
+// NewBudget returns a budget of a share of requests plus floor retries a second; it
+// starts with ten seconds' worth of the floor.
 func NewBudget(now time.Time, share, floor float64) *Budget {
 	const seconds = 10
-	return &Budget{share: share, floor: floor, tokens: floor, limit: max(floor*seconds, 1), at: now}
+	limit := max(floor*seconds, 1)
+	return &Budget{share: share, floor: floor, tokens: limit, limit: limit, at: now}
 }
 
 // Request notes a caller's request.
--- a/internal/rule/retry/outcome.go
+++ b/internal/rule/retry/outcome.go
@@ -80,3 +80,7 @@
 	}
 	return repeat == Safe
 }
+
+// Free reports whether trying again after a step puts no load on targets, so that
+// it need not come out of the budget: nothing has reached a target yet.
+func Free(step Step) bool { return step == Placing || step == Dialing }
--- /dev/null
+++ b/internal/share/lease/lease_test.go
@@ -0,0 +1,127 @@
+package lease_test
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"valescale/internal/fake/sched"
+	"valescale/internal/fake/store"
+	"valescale/internal/plat/ident"
+	"valescale/internal/share/lease"
+)
+
+func TestMain(m *testing.M) { sched.Main(m) }
+
+const ttl = 10 * time.Second
+
+var ctx = context.Background()
+
+// hand is a clock that is moved by hand.
+type hand struct{ now time.Time }
+
+func (h *hand) time() time.Time { return h.now }
+
+func newHand() *hand { return &hand{now: time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)} }
+
+func TestOnlyOneHolds(t *testing.T) {
+	s, clock := store.New(), newHand()
+	a := lease.New(s, "orders", "a", "1", ttl, clock.time)
+	b := lease.New(s, "orders", "b", "2", ttl, clock.time)
+	_ = a.Step(ctx)
+	_ = b.Step(ctx)
+	first, holds := a.Epoch()
+	if _, other := b.Epoch(); !holds || other {
+		t.Fatalf("a holds: %v, b holds: %v", holds, other)
+	}
+	clock.now = clock.now.Add(ttl + time.Second)
+	if _, still := a.Epoch(); still {
+		t.Error("a holds a lease that it has not renewed")
+	}
+	_ = b.Step(ctx)
+	second, holds := b.Epoch()
+	if !holds || second <= first {
+		t.Errorf("b holds: %v under epoch %d, want one after %d", holds, second, first)
+	}
+}
+
+func TestReleasedLeaseIsFreeAtOnce(t *testing.T) {
+	s, clock := store.New(), newHand()
+	a := lease.New(s, "orders", "a", "1", ttl, clock.time)
+	b := lease.New(s, "orders", "b", "2", ttl, clock.time)
+	_ = a.Step(ctx)
+	if err := a.Release(ctx); err != nil {
+		t.Fatal(err)
+	}
+	_ = b.Step(ctx)
+	if epoch, holds := b.Epoch(); !holds || epoch != 2 {
+		t.Errorf("b holds: %v under epoch %d, want 2", holds, epoch)
+	}
+}
+
+func TestLostAnswerOfATakeover(t *testing.T) {
+	s, clock := store.New(), newHand()
+	a := lease.New(s, "orders", "a", "1", ttl, clock.time)
+	s.LoseAnswers(1)
+	if err := a.Step(ctx); err == nil {
+		t.Fatal("no answer, but no error")
+	}
+	if err := a.Step(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if epoch, holds := a.Epoch(); !holds || epoch != 1 {
+		t.Errorf("a holds: %v under epoch %d, want 1", holds, epoch)
+	}
+}
+
+// TestSchedules walks the actions of spec/lease.pml over the real code: two
+// holders, pauses of any length at any place, lost answers, a store that is down.
+func TestSchedules(t *testing.T) {
+	sched.Walk(t, walk)
+}
+
+func walk(r *rapid.T) {
+	s, clock := store.New(), newHand()
+	names := []ident.Router{"a", "b", "c"}
+	var leases []*lease.Lease
+	for i, name := range names {
+		leases = append(leases, lease.New(s, "orders", name, strconv.Itoa(i), ttl, clock.time))
+	}
+	var latest ident.Epoch
+	holderOf := map[ident.Epoch]int{}
+	for range rapid.IntRange(3, 30).Draw(r, "steps") {
+		i := rapid.IntRange(0, len(leases)-1).Draw(r, "holder")
+		switch rapid.IntRange(0, 4).Draw(r, "action") {
+		case 0, 1:
+			_ = leases[i].Step(ctx)
+		case 2:
+			clock.now = clock.now.Add(time.Duration(rapid.IntRange(0, 15).Draw(r, "s")) * time.Second)
+		case 3:
+			s.LoseAnswers(rapid.IntRange(0, 2).Draw(r, "lost"))
+		case 4:
+			s.SetDown(rapid.Bool().Draw(r, "down"))
+		}
+		held := 0
+		for j, l := range leases {
+			epoch, ok := l.Epoch()
+			if !ok {
+				continue
+			}
+			held++
+			if other, taken := holderOf[epoch]; taken && other != j {
+				r.Fatalf("epoch %d is of both %s and %s", epoch, names[other], names[j])
+			}
+			if _, known := holderOf[epoch]; !known && epoch <= latest {
+				r.Fatalf("epoch %d comes after %d", epoch, latest)
+			}
+			holderOf[epoch] = j
+			latest = max(latest, epoch)
+		}
+		if held > 1 {
+			r.Fatalf("%d routers hold the lease", held)
+		}
+	}
+}
