The operators' command line, and tests of placement, settings and commands

Cause: there was no program to run, and the placement rules had only been measured.

Change: valescale with serve, check, diff, apply, show, history, audit, status, shadow, claim, token, settings and man; settings are documented from their own options; a held claim can be given back on an operator's word, with an audit row.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,8 @@
 # Walks 120,000 random schedules over claims, configuration and leases; takes minutes.
 schedules:
 	SCHEDULES=40000 go test -timeout 30m -run Schedules -v ./internal/share/...
+
+# The pages that are made from the program itself.
+docs: build
+	{ printf '# Settings of `valescale serve`\n\nMade by `make docs` from the options in `internal/oper/conf/options.go`.\n'; ./valescale settings | head -c -1; } > docs/SETTINGS.md
+	./valescale man > docs/valescale.1
--- a/internal/oper/admin/service.go
+++ b/internal/oper/admin/service.go
@@ -10,6 +10,7 @@
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/policy"
+	"valescale/internal/share/claim"
 	"valescale/internal/share/config"
 	"valescale/internal/share/peer"
 	"valescale/internal/share/peerpb"
@@ -46,6 +47,8 @@
 	Follower  *config.Follower
 	Views     Views
 	Shadow    *Shadow
+	Claims    claim.Store
+	Clock     ident.Clock
 	Status    func() Status
 }
 
@@ -239,3 +242,29 @@
 		Decisions: counts.Decisions, Differing: counts.Differing, Examples: counts.Examples,
 	}), nil
 }
+
+// Claim shows the claim on a key, or gives it back on the operator's word.
+func (s *Service) Claim(ctx context.Context, req *connect.Request[peerpb.ClaimRequest]) (*connect.Response[peerpb.ClaimReply], error) {
+	m := req.Msg
+	key := claim.Key{Workspace: ident.Workspace(m.GetWorkspace()), Name: m.GetKey()}
+	var record claim.Record
+	var err error
+	if m.GetGiveBack() {
+		record, err = claim.GiveBack(ctx, s.Claims, key, claim.GivenBack{
+			Operator: string(operatorOf(ctx)), At: s.Clock(), Workspace: key.Workspace, Key: key.Name, Note: m.GetNote(),
+		})
+	} else {
+		record, _, err = claim.Inspect(ctx, s.Claims, key)
+	}
+	switch {
+	case fault.KindOf[claim.Kind](err) == claim.Running:
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	case err != nil:
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	case record.State == "":
+		return nil, connect.NewError(connect.CodeNotFound, errors.New("there is no claim on this key"))
+	}
+	return connect.NewResponse(&peerpb.ClaimReply{
+		State: string(record.State), Attempt: string(record.Attempt), UnixMs: record.UnixMS,
+	}), nil
+}
--- a/internal/share/peerpb/peer.connect.go
+++ b/internal/share/peerpb/peer.connect.go
@@ -65,6 +65,8 @@
 	AdminServiceStatusProcedure = "/valescale.v1.AdminService/Status"
 	// AdminServiceShadowProcedure is the fully-qualified name of the AdminService's Shadow RPC.
 	AdminServiceShadowProcedure = "/valescale.v1.AdminService/Shadow"
+	// AdminServiceClaimProcedure is the fully-qualified name of the AdminService's Claim RPC.
+	AdminServiceClaimProcedure = "/valescale.v1.AdminService/Claim"
 )
 
 // PeerServiceClient is a client for the valescale.v1.PeerService service.
@@ -289,6 +291,7 @@
 	Audit(context.Context, *connect.Request[AuditRequest]) (*connect.Response[AuditReply], error)
 	Status(context.Context, *connect.Request[StatusRequest]) (*connect.Response[StatusReply], error)
 	Shadow(context.Context, *connect.Request[ShadowRequest]) (*connect.Response[ShadowReply], error)
+	Claim(context.Context, *connect.Request[ClaimRequest]) (*connect.Response[ClaimReply], error)
 }
 
 // NewAdminServiceClient constructs a client for the valescale.v1.AdminService service. By default,
@@ -350,6 +353,12 @@
 			connect.WithSchema(adminServiceMethods.ByName("Shadow")),
 			connect.WithClientOptions(opts...),
 		),
+		claim: connect.NewClient[ClaimRequest, ClaimReply](
+			httpClient,
+			baseURL+AdminServiceClaimProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("Claim")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -363,6 +372,7 @@
 	audit    *connect.Client[AuditRequest, AuditReply]
 	status   *connect.Client[StatusRequest, StatusReply]
 	shadow   *connect.Client[ShadowRequest, ShadowReply]
+	claim    *connect.Client[ClaimRequest, ClaimReply]
 }
 
 // Check calls valescale.v1.AdminService.Check.
@@ -405,6 +415,11 @@
 	return c.shadow.CallUnary(ctx, req)
 }
 
+// Claim calls valescale.v1.AdminService.Claim.
+func (c *adminServiceClient) Claim(ctx context.Context, req *connect.Request[ClaimRequest]) (*connect.Response[ClaimReply], error) {
+	return c.claim.CallUnary(ctx, req)
+}
+
 // AdminServiceHandler is an implementation of the valescale.v1.AdminService service.
 type AdminServiceHandler interface {
 	Check(context.Context, *connect.Request[CheckRequest]) (*connect.Response[CheckReply], error)
@@ -415,6 +430,7 @@
 	Audit(context.Context, *connect.Request[AuditRequest]) (*connect.Response[AuditReply], error)
 	Status(context.Context, *connect.Request[StatusRequest]) (*connect.Response[StatusReply], error)
 	Shadow(context.Context, *connect.Request[ShadowRequest]) (*connect.Response[ShadowReply], error)
+	Claim(context.Context, *connect.Request[ClaimRequest]) (*connect.Response[ClaimReply], error)
 }
 
 // NewAdminServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -472,6 +488,12 @@
 		connect.WithSchema(adminServiceMethods.ByName("Shadow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	adminServiceClaimHandler := connect.NewUnaryHandler(
+		AdminServiceClaimProcedure,
+		svc.Claim,
+		connect.WithSchema(adminServiceMethods.ByName("Claim")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/valescale.v1.AdminService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AdminServiceCheckProcedure:
@@ -490,6 +512,8 @@
 			adminServiceStatusHandler.ServeHTTP(w, r)
 		case AdminServiceShadowProcedure:
 			adminServiceShadowHandler.ServeHTTP(w, r)
+		case AdminServiceClaimProcedure:
+			adminServiceClaimHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -530,3 +554,7 @@
 func (UnimplementedAdminServiceHandler) Shadow(context.Context, *connect.Request[ShadowRequest]) (*connect.Response[ShadowReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("valescale.v1.AdminService.Shadow is not implemented"))
 }
+
+func (UnimplementedAdminServiceHandler) Claim(context.Context, *connect.Request[ClaimRequest]) (*connect.Response[ClaimReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("valescale.v1.AdminService.Claim is not implemented"))
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,12 @@
+// Command valescale runs a router of a fleet and holds the operators' commands.
+package main
+
+import (
+	"os"
+
+	"valescale/internal/oper/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
