--- a/internal/edge/relay/stream.go
+++ b/internal/edge/relay/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"iter"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,19 @@
 // EndMark is the data of the event that ends a chat completion's stream.
 const EndMark = "[DONE]"
 
+// ParseEvents yields the events of a text until its end or the first error.
+func ParseEvents(r io.Reader, limit int) iter.Seq[Event] {
+	return func(yield func(Event) bool) {
+		scanner := newScanner(r, limit)
+		for {
+			e, err := readEvent(scanner)
+			if err != nil || !yield(e) {
+				return
+			}
+		}
+	}
+}
+
 // Stream reads the events of an answer.
 type Stream struct {
 	reply   *Reply
--- /dev/null
+++ b/internal/rule/quota/quota_test.go
@@ -0,0 +1,173 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/quota"
+)
+
+var start = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+func waiter(w string, weight, priority int) *quota.Waiter {
+	return &quota.Waiter{Workspace: ident.Workspace(w), Weight: weight, Priority: priority, Work: ident.OneRequest}
+}
+
+// order pops n waiters and returns their workspaces.
+func order(q *quota.Queue, n int) []ident.Workspace {
+	var out []ident.Workspace
+	for range n {
+		w, _ := q.Pop(start)
+		if w == nil {
+			break
+		}
+		out = append(out, w.Workspace)
+	}
+	return out
+}
+
+func TestSurgingWorkspaceDoesNotHoldUpQuietOnes(t *testing.T) {
+	q := quota.NewQueue(1000, 1000)
+	for range 100 {
+		q.Push(waiter("surge", 1, 5))
+	}
+	order(q, 20)
+	q.Push(waiter("quiet", 1, 5))
+	if got := order(q, 2); got[0] != "quiet" && got[1] != "quiet" {
+		t.Errorf("a quiet workspace waits behind a surge: %v", got)
+	}
+}
+
+func TestWeightsAndPriorities(t *testing.T) {
+	q := quota.NewQueue(1000, 1000)
+	for range 60 {
+		q.Push(waiter("light", 1, 5))
+		q.Push(waiter("heavy", 3, 5))
+	}
+	q.Push(waiter("urgent", 1, 9))
+	got := map[ident.Workspace]int{}
+	for i, w := range order(q, 41) {
+		if i == 0 && w != "urgent" {
+			t.Errorf("%s came before the higher priority", w)
+		}
+		got[w]++
+	}
+	want := map[ident.Workspace]int{"urgent": 1, "light": 10, "heavy": 30}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestBoundedQueueShedsTheLowest(t *testing.T) {
+	q := quota.NewQueue(2, 2)
+	low := waiter("a", 1, 1)
+	q.Push(low)
+	q.Push(waiter("b", 1, 5))
+	if shed := q.Push(waiter("c", 1, 5)); shed != low {
+		t.Errorf("shed %+v, want the low priority", shed)
+	}
+	equal := waiter("d", 1, 5)
+	if shed := q.Push(equal); shed != equal {
+		t.Errorf("shed %+v, want the newcomer", shed)
+	}
+	q = quota.NewQueue(10, 1)
+	q.Push(waiter("a", 1, 5))
+	again := waiter("a", 1, 9)
+	if shed := q.Push(again); shed != again {
+		t.Error("a workspace has more waiting than it may")
+	}
+}
+
+func TestLateAndGoneWaiters(t *testing.T) {
+	q := quota.NewQueue(10, 10)
+	late, gone, next := waiter("a", 1, 5), waiter("b", 1, 5), waiter("c", 1, 5)
+	late.Deadline = start.Add(-time.Second)
+	for _, w := range []*quota.Waiter{late, gone, next} {
+		q.Push(w)
+	}
+	q.Remove(gone)
+	q.Remove(gone)
+	got, expired := q.Pop(start)
+	if got != next || len(expired) != 1 || expired[0] != late || q.Len() != 0 {
+		t.Errorf("popped %+v with %d late, %d left", got, len(expired), q.Len())
+	}
+	q.Push(next)
+	popped, _ := q.Pop(start)
+	q.Return(popped)
+	if again, _ := q.Pop(start); again != next {
+		t.Error("a returned waiter is lost")
+	}
+}
+
+func TestBucketOverTheFleet(t *testing.T) {
+	b := quota.NewBucket(start, 10, 5)
+	allowances := make([]quota.Allowance, 8)
+	served := 0
+	for ms := range 10_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		a := &allowances[ms%len(allowances)]
+		if a.Take(now) {
+			served++
+			continue
+		}
+		if _, denied := a.Denied(now); denied {
+			continue
+		}
+		granted, later := b.Grant(now, a.Ask(now))
+		a.Granted(now, granted, later)
+		if granted > 0 && a.Take(now) {
+			served++
+		}
+	}
+	if served < 90 || served > 106 {
+		t.Errorf("%d requests in 10 s at a rate of 10 a second and a burst of 5", served)
+	}
+}
+
+func TestTwoHomesGrantTheRateTwiceAtMost(t *testing.T) {
+	old := quota.NewBucket(start, 10, 100)
+	old.Grant(start, 100)
+	fresh := quota.NewColdBucket(start, 10, 100)
+	granted := 0
+	for s := range 5 {
+		now := start.Add(time.Duration(s+1) * time.Second)
+		for _, b := range []*quota.Bucket{old, fresh} {
+			n, _ := b.Grant(now, 1000)
+			granted += n
+		}
+	}
+	if granted != 100 {
+		t.Errorf("%d granted by two homes in 5 s at 10 a second, want 100", granted)
+	}
+}
+
+func TestAllowanceWithoutHome(t *testing.T) {
+	var a quota.Allowance
+	served := 0
+	for ms := range 4000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		a.NoHome(now, 16, 8)
+		if a.Take(now) {
+			served++
+		}
+	}
+	if served < 7 || served > 10 {
+		t.Errorf("%d requests in 4 s of an eighth of 16 a second, want about 8", served)
+	}
+}
+
+func TestLimitsChange(t *testing.T) {
+	b := quota.NewBucket(start, 10, 100)
+	b.Set(start, 1, 3)
+	if n, _ := b.Grant(start, 50); n != 3 {
+		t.Errorf("granted %d after the burst was lowered to 3", n)
+	}
+	_, later := b.Grant(start, 1)
+	if diff := cmp.Diff("1s", fmt.Sprint(later)); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/internal/rule/retry/retry_test.go
@@ -0,0 +1,113 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"valescale/internal/rule/retry"
+)
+
+var start = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+func TestMaySend(t *testing.T) {
+	cases := []struct {
+		repeat retry.Repeat
+		step   retry.Step
+		bytes  bool
+		want   bool
+	}{
+		{retry.Never, retry.Placing, false, true},
+		{retry.Never, retry.Dialing, false, true},
+		{retry.Never, retry.Refused, false, true},
+		{retry.Never, retry.Sending, false, false},
+		{retry.Never, retry.Answering, false, false},
+		{retry.Unstarted, retry.Dialing, false, true},
+		{retry.Unstarted, retry.Sending, false, false},
+		{retry.Safe, retry.Sending, false, true},
+		{retry.Safe, retry.Answering, false, true},
+		{retry.Safe, retry.Answering, true, false},
+		{retry.Safe, retry.Answered, false, false},
+	}
+	for _, c := range cases {
+		if got := retry.MaySend(c.repeat, c.step, c.bytes); got != c.want {
+			t.Errorf("MaySend(%s, %d, %v) = %v", c.repeat, c.step, c.bytes, got)
+		}
+	}
+}
+
+func TestOutcomesJoin(t *testing.T) {
+	cases := []struct{ a, b, want retry.Outcome }{
+		{"", retry.NotRun, retry.NotRun},
+		{retry.Unknown, retry.NotRun, retry.Unknown},
+		{retry.NotRun, retry.Unknown, retry.Unknown},
+		{retry.Unknown, retry.Done, retry.Done},
+		{retry.NotRun, retry.NotRun, retry.NotRun},
+	}
+	for _, c := range cases {
+		if got := retry.Worse(c.a, c.b); got != c.want {
+			t.Errorf("Worse(%q, %q) = %q, want %q", c.a, c.b, got, c.want)
+		}
+	}
+	if retry.OutcomeOf(retry.Sending) != retry.Unknown || retry.OutcomeOf(retry.Dialing) != retry.NotRun {
+		t.Error("a request of which a byte may have left is said not to have run, or the reverse")
+	}
+}
+
+// In an outage every request fails. The budget holds the load on the targets to
+// the requests and a tenth, whatever the number of routers.
+func TestBudgetInAnOutage(t *testing.T) {
+	const perSecond, seconds = 100, 60
+	b := retry.NewBudget(start, 0.1, 1)
+	retries := 0
+	for n := range perSecond * seconds {
+		now := start.Add(time.Duration(n) * time.Second / perSecond)
+		b.Request()
+		for range 2 {
+			if b.Retry(now) {
+				retries++
+			}
+		}
+	}
+	most := perSecond*seconds/10 + seconds + 10
+	if retries > most || retries < perSecond*seconds/10 {
+		t.Errorf("%d retries for %d requests, want at most %d", retries, perSecond*seconds, most)
+	}
+}
+
+func TestBreaker(t *testing.T) {
+	b := retry.NewBreaker(start)
+	for range 3 {
+		b.Report(start, true)
+	}
+	b.Report(start, false)
+	if b.Blocked(start) {
+		t.Fatal("one failure in four opens the breaker")
+	}
+	for range 3 {
+		b.Report(start, false)
+	}
+	if !b.Blocked(start) || b.Allow(start) {
+		t.Fatal("four failures in seven leave the breaker closed")
+	}
+	later := start.Add(2 * time.Second)
+	if b.Blocked(later) || !b.Allow(later) {
+		t.Fatal("no trial after the pause")
+	}
+	if !b.Blocked(later) {
+		t.Error("a second trial beside the first")
+	}
+	b.Report(later, false)
+	if !b.Blocked(later.Add(time.Second)) {
+		t.Error("a failed trial does not lengthen the pause")
+	}
+	again := later.Add(3 * time.Second)
+	b.Allow(again)
+	b.Cancelled()
+	if !b.Allow(again) {
+		t.Error("a trial that told nothing blocks the next")
+	}
+	b.Report(again, true)
+	if b.State() != retry.Closed {
+		t.Errorf("state %s after a good trial", b.State())
+	}
+}
--- /dev/null
+++ b/internal/share/peer/view_test.go
@@ -0,0 +1,287 @@
+package peer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	"valescale/internal/plat/boxes"
+	"valescale/internal/plat/ident"
+	"valescale/internal/share/peer"
+	"valescale/internal/share/peerpb"
+)
+
+var start = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet is routers that exchange digests round by round, through the wire's form.
+type fleet struct {
+	t       *testing.T
+	now     time.Time
+	views   []*peer.View
+	ids     []ident.Router
+	rng     *rand.Rand
+	cut     func(a, b int) bool
+	largest int
+	bytes   int
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, now: start, rng: rand.New(rand.NewPCG(1, 1)), cut: func(int, int) bool { return false }}
+	for i := range n {
+		id := ident.Router(fmt.Sprintf("router-%03d", i))
+		self := peer.Member{
+			ID: id, Addr: fmt.Sprintf("10.0.%d.%d:8081", i/250, i%250), Region: ident.Region(fmt.Sprint("region-", i%5)), Incarnation: 1,
+		}
+		f.ids = append(f.ids, id)
+		f.views = append(f.views, peer.NewView(start, self, peer.DefaultLimits))
+	}
+	// All know all from the platform's list, as routers that start do.
+	var list []boxes.Box
+	for _, v := range f.views {
+		m := v.Self()
+		list = append(list, boxes.Box{ID: string(m.ID), Role: boxes.RouterRole, Addr: m.Addr, Region: m.Region, State: boxes.Live})
+	}
+	for _, v := range f.views {
+		v.ObserveList(start, list)
+	}
+	return f
+}
+
+// wire sends a digest through its encoding.
+func (f *fleet) wire(d peer.Digest) peer.Digest {
+	data, err := proto.Marshal(peer.Encode(d))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.largest = max(f.largest, len(data))
+	f.bytes += len(data)
+	var m peerpb.Digest
+	if err := proto.Unmarshal(data, &m); err != nil {
+		f.t.Fatal(err)
+	}
+	return peer.Decode(&m)
+}
+
+// exchange is one call from a to b.
+func (f *fleet) exchange(a, b int) {
+	if f.cut(a, b) {
+		f.views[a].ContactFailed(f.now, f.ids[b])
+		return
+	}
+	f.deliver(a, b, false)
+	f.deliver(b, a, false)
+}
+
+func (f *fleet) deliver(from, to int, whole bool) {
+	news := f.views[to].Incoming(f.now, f.wire(f.views[from].Outgoing(f.ids[to], whole)))
+	if news.SendWhole && !whole {
+		f.deliver(to, from, true)
+	}
+}
+
+// round lets a second pass in which each router calls one other.
+func (f *fleet) round() {
+	f.now = f.now.Add(time.Second)
+	for a := range f.views {
+		f.views[a].Tick(f.now)
+		b := f.rng.IntN(len(f.views))
+		if b != a {
+			f.exchange(a, b)
+		}
+	}
+}
+
+// until counts the rounds until something holds.
+func (f *fleet) until(what string, limit int, holds func() bool) int {
+	f.t.Helper()
+	for n := range limit + 1 {
+		if holds() {
+			return n
+		}
+		f.round()
+	}
+	f.t.Fatalf("not within %d rounds: %s", limit, what)
+	return 0
+}
+
+func (f *fleet) all(holds func(*peer.View) bool) func() bool {
+	return func() bool {
+		for _, v := range f.views {
+			if !holds(v) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// TestSpreadAt400 counts the rounds in which a head, the acknowledgements of it and
+// a leaving target reach everybody. Rounds are seconds; the push that goes ahead of
+// them when something is new is not even counted.
+func TestSpreadAt400(t *testing.T) {
+	for _, n := range []int{8, 400} {
+		t.Run(fmt.Sprint(n, " routers"), func(t *testing.T) {
+			f := newFleet(t, n)
+			f.until("all know all", 60, f.all(func(v *peer.View) bool {
+				for _, m := range v.Members() {
+					if m.Incarnation == 0 {
+						return false
+					}
+				}
+				return true
+			}))
+			f.largest = 0
+			f.views[0].SetRevision(7)
+			f.views[0].MarkLeaving(f.now, peer.Mark{Target: "engine-1", Incarnation: 3})
+			heard := 0
+			rounds := f.until("the head is known and acknowledged", 60, func() bool {
+				heard++
+				for _, v := range f.views {
+					if v.Head() >= 7 {
+						v.SetRevision(7)
+					}
+				}
+				return len(f.views[0].Outstanding(7)) == 0
+			})
+			t.Logf("%d routers: head in force everywhere and acknowledged at its origin after %d rounds, largest digest %d bytes", n, rounds, f.largest)
+			if f.largest > 2048 {
+				t.Errorf("a digest has %d bytes", f.largest)
+			}
+		})
+	}
+}
+
+func TestHeadRounds(t *testing.T) {
+	f := newFleet(t, 400)
+	f.views[0].SetRevision(7)
+	rounds := f.until("the head is known", 30, f.all(func(v *peer.View) bool { return v.Head() == 7 }))
+	t.Logf("head known at 400 routers after %d rounds", rounds)
+}
+
+func live(addr string, incarnation ident.Incarnation, state boxes.State) []boxes.Box {
+	return []boxes.Box{{ID: "engine-1", Role: boxes.TargetRole, Addr: addr, Service: "judge", Region: "r", State: state, Incarnation: incarnation}}
+}
+
+func TestLeavingIsStickyForAnIncarnation(t *testing.T) {
+	v := peer.NewView(start, peer.Member{ID: "a"}, peer.DefaultLimits)
+	v.ObserveList(start, live("x", 1, boxes.Live))
+	v.MarkLeaving(start, peer.Mark{Target: "engine-1", Incarnation: 1})
+	// The list lags and still says live; an old incarnation's mark comes late.
+	v.ObserveList(start, live("x", 1, boxes.Live))
+	if got := v.Targets("judge", "r"); len(got) != 1 || !got[0].Leaving {
+		t.Errorf("got %+v, want leaving", got)
+	}
+	v.ObserveList(start, live("x", 2, boxes.Live))
+	v.MarkLeaving(start, peer.Mark{Target: "engine-1", Incarnation: 1})
+	if got := v.Targets("judge", "r"); got[0].Leaving {
+		t.Error("a new incarnation is still leaving")
+	}
+	v.ObserveList(start, live("x", 1, boxes.Leaving))
+	if got := v.Targets("judge", "r"); got[0].Leaving || got[0].Incarnation != 2 {
+		t.Error("an old list brought the earlier incarnation back")
+	}
+}
+
+func TestMissingOnceIsNotGone(t *testing.T) {
+	v := peer.NewView(start, peer.Member{ID: "a"}, peer.DefaultLimits)
+	v.ObserveList(start, live("x", 1, boxes.Live))
+	v.ObserveList(start, nil)
+	if len(v.Targets("judge", "r")) != 1 {
+		t.Error("gone after one list without it")
+	}
+	v.ObserveList(start, nil)
+	if len(v.Targets("judge", "r")) != 0 {
+		t.Error("still there after two lists without it")
+	}
+	later := start.Add(10 * time.Second)
+	v.ObserveList(later, live("x", 1, boxes.Live))
+	first := v.Targets("judge", "r")[0].Joined
+	for range 2 {
+		v.ObserveList(later, nil)
+		v.ObserveList(later, nil)
+		v.ObserveList(later, live("x", 1, boxes.Live))
+	}
+	if again := v.Targets("judge", "r")[0].Joined; !again.After(first) {
+		t.Error("a flapping target starts as fast as a steady one")
+	}
+}
+
+func TestDeadRouterIsNoticedAndWrongNewsRefuted(t *testing.T) {
+	f := newFleet(t, 20)
+	f.until("all know all", 30, f.all(func(v *peer.View) bool { return len(v.Routers("")) == 20 }))
+	f.cut = func(a, b int) bool { return a == 3 || b == 3 }
+	dead := func(v *peer.View) bool {
+		m, _ := v.Member("router-003")
+		return m.ID == v.Self().ID || m.State == peer.Dead
+	}
+	f.until("router 3 is dead", 20, f.all(dead))
+	f.cut = func(int, int) bool { return false }
+	f.until("router 3 is back", 30, f.all(func(v *peer.View) bool {
+		m, _ := v.Member("router-003")
+		return m.State == peer.Live
+	}))
+}
+
+func TestTwoHalvesJoinAgain(t *testing.T) {
+	f := newFleet(t, 20)
+	half := func(i int) bool { return i%2 == 0 }
+	f.cut = func(a, b int) bool { return half(a) != half(b) }
+	f.until("each half holds the other dead", 40, f.all(func(v *peer.View) bool { return len(v.Routers("")) == 10 }))
+	f.cut = func(int, int) bool { return false }
+	f.until("all are live again", 40, f.all(func(v *peer.View) bool { return len(v.Routers("")) == 20 }))
+}
+
+func TestLeavingRouterStaysLeaving(t *testing.T) {
+	f := newFleet(t, 8)
+	f.until("all know all", 20, f.all(func(v *peer.View) bool { return len(v.Members()) == 8 }))
+	f.views[2].Leave(f.now)
+	f.until("all know that router 2 leaves", 20, f.all(func(v *peer.View) bool {
+		m, _ := v.Member("router-002")
+		return m.State == peer.Leaving
+	}))
+	m, _ := f.views[0].Member("router-002")
+	m.State, m.Seq = peer.Live, m.Seq+5
+	f.views[0].Incoming(f.now, peer.Digest{From: "x", Members: []peer.Member{m}})
+	if got, _ := f.views[0].Member("router-002"); got.State != peer.Leaving {
+		t.Errorf("a leaving router became %s", got.State)
+	}
+	f.views[0].ContactFailed(f.now, "router-002")
+	if got, _ := f.views[0].Member("router-002"); got.State != peer.Dead {
+		t.Errorf("a leaving router that has gone is %s", got.State)
+	}
+}
+
+func TestOutstanding(t *testing.T) {
+	f := newFleet(t, 3)
+	v := f.views[0]
+	v.SetRevision(2)
+	if diff := cmp.Diff([]ident.Router{"router-001", "router-002"}, v.Outstanding(2)); diff != "" {
+		t.Error(diff)
+	}
+	// A router that does not answer may still serve until the platform's list drops it.
+	v.ContactFailed(f.now, "router-002")
+	v.Tick(f.now.Add(peer.DefaultLimits.SuspectFor * 2))
+	if diff := cmp.Diff(2, len(v.Outstanding(2))); diff != "" {
+		t.Error(diff)
+	}
+	v.ObserveList(f.now, []boxes.Box{{ID: "router-001", Role: boxes.RouterRole, State: boxes.Live}})
+	if diff := cmp.Diff([]ident.Router{"router-001"}, v.Outstanding(2)); diff != "" {
+		t.Error(diff)
+	}
+	// What a router's earlier process had in force says nothing of the next one.
+	f.views[1].SetRevision(2)
+	f.exchange(1, 0)
+	if diff := cmp.Diff(0, len(v.Outstanding(2))); diff != "" {
+		t.Error(diff)
+	}
+	m := f.views[1].Self()
+	m.Incarnation++
+	v.Incoming(f.now, peer.Digest{From: m.ID, Members: []peer.Member{m}})
+	if diff := cmp.Diff([]ident.Router{"router-001"}, v.Outstanding(2)); diff != "" {
+		t.Error(diff)
+	}
+}
