measure: reuse through churn, fairness, control traffic and capacity, with pictures

Change: cmd/measure with fair, control, capacity and more churn: a zone lost, a third of the routers replaced, a home that crashes every 20 s.

--- a/cmd/measure/homes.go
+++ b/cmd/measure/homes.go
@@ -35,6 +35,9 @@
 	choices int
 	byHash  map[ident.TargetHash]*engine
 	cpu     time.Duration
+	// retired routers have left as planned and end what they have in flight.
+	retired  []*node
+	renewals int
 }
 
 // node is one router's homes and edge.
@@ -44,6 +47,8 @@
 	router *route.Router
 	// missing is a router that this one believes to be gone.
 	missing ident.Router
+	// gone routers crashed and answer nobody.
+	gone bool
 }
 
 func newHomesWay() *homesWay {
@@ -56,31 +61,91 @@
 
 func (h *homesWay) start(w *world) {
 	h.w = w
-	clock := func() time.Time { return w.now }
 	for _, e := range w.engines {
 		h.byHash[e.hash] = e
 	}
 	for i := range w.routers {
-		id := ident.Router("router-" + itoa(i))
-		n := &node{id: id}
-		n.homes = home.New(id, home.DefaultLimits, clock, func(ident.Workspace) (policy.Workspace, bool) {
-			return policy.Workspace{}, false
-		})
-		n.router = route.New(route.Self{
-			ID: id, Region: region, Zone: ident.Zone("zone-" + itoa(i%3)),
-			Later: func(d time.Duration, f func()) { w.after(d, f) },
-		}, network{h, id}, clock)
-		h.nodes = append(h.nodes, n)
+		h.nodes = append(h.nodes, h.newNode(i, ident.Router("router-"+itoa(i))))
 	}
 	h.changed(w)
-	for i, n := range h.nodes {
+	for i := range h.nodes {
 		w.after(time.Duration(i)*publishEvery/time.Duration(len(h.nodes)), func() {
-			w.every(publishEvery, func() { h.publish(n) })
+			w.every(publishEvery, func() { h.publish(h.nodes[i]) })
 		})
 	}
 	if w.disagree {
 		w.every(15*time.Second, h.startDisagreement)
 	}
+	if w.replace {
+		third := len(h.nodes) / 3
+		for i := range third {
+			w.after(w.run/2+w.run/4*time.Duration(i)/time.Duration(third), func() { h.stopPlanned(i) })
+		}
+	}
+	if w.crash {
+		w.every(20*time.Second, func() { h.crash(w.rng.IntN(len(h.nodes))) })
+	}
+}
+
+// renewed returns a fresh router in the place of one that has gone.
+func (h *homesWay) renewed(i int) *node {
+	h.renewals++
+	return h.newNode(i, ident.Router("router-"+itoa(i)+"-"+itoa(h.renewals)))
+}
+
+// stopPlanned replaces a router that leaves in order: the others learn of it and of
+// the new one at once, and its homes hand over what they have. Requests that it has
+// in flight end as usual.
+func (h *homesWay) stopPlanned(i int) {
+	old := h.nodes[i]
+	h.nodes[i] = h.renewed(i)
+	h.retired = append(h.retired, old)
+	p := h.pool()
+	for _, n := range h.nodes {
+		h.refresh(n, p)
+	}
+	h.refresh(old, p)
+	h.w.after(publishSoon, h.publishUrgent)
+}
+
+// crash replaces a router without notice. Its requests in flight are lost; the
+// others notice after detectTime, and drop what it held.
+func (h *homesWay) crash(i int) {
+	old := h.nodes[i]
+	h.nodes[i] = h.renewed(i)
+	old.gone = true
+	for _, e := range h.w.engines {
+		for r := range e.active {
+			if r.router == i {
+				h.w.after(0, func() { h.w.finish(r) })
+			}
+		}
+	}
+	h.w.after(detectTime, func() {
+		p := h.pool()
+		for _, n := range h.nodes {
+			n.homes.Forget(old.id, ^uint64(0))
+			h.refresh(n, p)
+		}
+	})
+}
+
+// detectTime is how long a crash goes unnoticed: an exchange that fails, and the
+// time that a suspect has to speak up.
+const detectTime = 4 * time.Second
+
+// newNode makes the router in a place of the fleet.
+func (h *homesWay) newNode(i int, id ident.Router) *node {
+	clock := func() time.Time { return h.w.now }
+	n := &node{id: id}
+	n.homes = home.New(id, home.DefaultLimits, clock, func(ident.Workspace) (policy.Workspace, bool) {
+		return policy.Workspace{}, false
+	})
+	n.router = route.New(route.Self{
+		ID: id, Region: region, Zone: ident.Zone("zone-" + itoa(i%3)),
+		Later: func(d time.Duration, f func()) { h.w.after(d, f) },
+	}, network{h, id}, clock)
+	return n
 }
 
 // routersOf is who a node believes to be live.
@@ -138,13 +203,15 @@
 	n.router.Set(context.Background(), []route.Pool{p}, routers)
 	for _, parcel := range n.homes.Misplaced(func(id place.ShardID) ident.Router { return place.HomeOf(id, routers) }) {
 		h.count(home.HandoffSize(parcel))
-		h.node(parcel.To).homes.Accept(parcel)
-		n.homes.Moved(parcel.ID)
+		if to := h.node(parcel.To); to != nil {
+			to.homes.Accept(parcel)
+			n.homes.Moved(parcel.ID)
+		}
 	}
 }
 
 func (h *homesWay) node(id ident.Router) *node {
-	for _, n := range h.nodes {
+	for _, n := range append(h.nodes[:len(h.nodes):len(h.nodes)], h.retired...) {
 		if n.id == id {
 			return n
 		}
@@ -182,7 +249,9 @@
 	for _, d := range n.homes.Digests() {
 		for _, to := range place.Standbys(d.ID, n.id, routers, 2) {
 			h.bytes += float64(home.LoadSize(d)) + messageOverhead
-			h.node(to).homes.Merge([]place.Digest{d})
+			if other := h.node(to); other != nil {
+				other.homes.Merge([]place.Digest{d})
+			}
 		}
 	}
 }
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -51,7 +51,9 @@
 		}
 		os.Exit(2)
 	}
-	measures := map[string]func(options) []row{"skew": skew, "reuse": reuse}
+	measures := map[string]func(options) []row{
+		"skew": skew, "reuse": reuse, "fair": fair, "control": control, "capacity": capacity,
+	}
 	measure, ok := measures[o.Args.What]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "measure: no measure is called %q\n", o.Args.What)
--- a/cmd/measure/skew.go
+++ b/cmd/measure/skew.go
@@ -68,7 +68,3 @@
 	}
 	return rows
 }
-
-func reuse(o options) []row { return skew(o) }
-
-func plotRows(string, string, []row) error { return nil }
--- a/cmd/measure/world.go
+++ b/cmd/measure/world.go
@@ -36,8 +36,12 @@
 	heavy float64
 	// lag is how old engines' reports are.
 	lag time.Duration
-	// prefix is whether new chats of a workspace share a cached prefix.
-	shrink bool
+	// zoneLost takes a third of the engines away for good.
+	zoneLost bool
+	// replace stops a third of the routers as planned, one after the other, and brings new ones.
+	replace bool
+	// crash ends a router without notice now and then and brings a new one.
+	crash bool
 }
 
 const warmUp = 0.4
@@ -205,8 +209,8 @@
 	if w.flap > 0 {
 		w.every(w.flap, w.flapOne)
 	}
-	if w.shrink {
-		w.after(w.run*6/10, w.shrinkPool)
+	if w.zoneLost {
+		w.after(w.run*6/10, w.loseZone)
 	}
 	for len(w.events) > 0 {
 		e := heap.Pop(&w.events).(event)
@@ -369,10 +373,10 @@
 	w.way.changed(w)
 }
 
-// shrinkPool takes half of the engines away.
-func (w *world) shrinkPool() {
-	for i, e := range w.engines {
-		if i%2 == 0 {
+// loseZone takes the engines of one zone away.
+func (w *world) loseZone() {
+	for _, e := range w.engines {
+		if e.zone == "zone-0" {
 			w.lose(e)
 		}
 	}
