The router next in line knows counts and chat places, and is asked when a home is silent

Change: a home tells its first standby where chats went, in its counts each second, and once all places when the standby is new; an edge whose home does not answer asks the standby, bringing its permits, which are taken off the dead home's count.

--- a/cmd/measure/homes.go
+++ b/cmd/measure/homes.go
@@ -246,13 +246,17 @@
 	for _, other := range h.nodes {
 		routers = append(routers, other.id)
 	}
-	for _, d := range n.homes.Digests() {
-		for _, to := range place.Standbys(d.ID, n.id, routers, 2) {
-			h.bytes += float64(home.LoadSize(d)) + messageOverhead
+	for _, p := range n.homes.Publications(routers, 2) {
+		for _, to := range p.To {
+			h.bytes += float64(home.LoadSize(p.Digest)) + messageOverhead
 			if other := h.node(to); other != nil {
-				other.homes.Merge([]place.Digest{d})
+				other.homes.Merge([]place.Digest{p.Digest})
 			}
 		}
+		if p.Whole != nil {
+			h.count(home.HandoffSize(*p.Whole))
+			h.node(p.Whole.To).homes.Accept(*p.Whole)
+		}
 	}
 }
 
@@ -329,10 +333,10 @@
 }
 
 // Sync tells a home what an edge holds.
-func (n network) Sync(_ context.Context, to ident.Router, id place.ShardID, held []place.Permit, upto uint64) error {
+func (n network) Sync(_ context.Context, to ident.Router, id place.ShardID, held []place.Permit, upto uint64, from ident.Router) error {
 	n.h.count(len(held) * 16)
 	if node := n.h.node(to); node != nil {
-		node.homes.Sync(id, n.self, held, upto)
+		node.homes.Sync(id, n.self, held, upto, from)
 	}
 	return nil
 }
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -18,7 +18,7 @@
 type Homes interface {
 	Place(ctx context.Context, home ident.Router, ask home.Ask, released []uint64) (home.Answer, error)
 	Release(ctx context.Context, home ident.Router, id place.ShardID, released []uint64) error
-	Sync(ctx context.Context, home ident.Router, id place.ShardID, held []place.Permit, upto uint64) error
+	Sync(ctx context.Context, home ident.Router, id place.ShardID, held []place.Permit, upto uint64, from ident.Router) error
 	Withdraw(ctx context.Context, home ident.Router, id place.ShardID, upto uint64) error
 	Grant(ctx context.Context, home ident.Router, workspace ident.Workspace, want int) (int, time.Duration, error)
 }
@@ -67,12 +67,14 @@
 
 // Router finds targets.
 type Router struct {
-	self     Self
-	homes    Homes
-	clock    ident.Clock
-	mu       sync.Mutex
-	pools    map[ident.Service][]*pool
-	routers  []ident.Router
+	self    Self
+	homes   Homes
+	clock   ident.Clock
+	mu      sync.Mutex
+	pools   map[ident.Service][]*pool
+	routers []ident.Router
+	// silent are homes that did not answer lately, until when they are passed over.
+	silent   map[ident.Router]time.Time
 	permit   uint64
 	held     map[place.ShardID]map[uint64]place.Permit
 	granted  map[place.ShardID]ident.Router
@@ -116,6 +118,7 @@
 		pending:  map[place.ShardID][]uint64{},
 		drift:    map[place.ShardID]int{},
 		breakers: map[ident.TargetHash]*retry.Breaker{},
+		silent:   map[ident.Router]time.Time{},
 		allowed:  map[ident.Workspace]*quota.Allowance{},
 	}
 }
@@ -146,12 +149,42 @@
 	r.routers = routers
 	moved := r.movedShards()
 	r.mu.Unlock()
+	r.move(ctx, moved)
+}
+
+// move tells new homes what this router holds, and the earlier ones that it moved.
+func (r *Router) move(ctx context.Context, moved []move) {
 	for _, m := range moved {
-		r.sync(ctx, m.id)
+		r.sync(ctx, m.id, m.old)
 		r.withdraw(ctx, m)
 	}
 }
 
+// homeOf is the home of a shard among the routers that answer; the caller holds the lock.
+func (r *Router) homeOf(id place.ShardID) ident.Router {
+	home := place.HomeOf(id, r.routers)
+	if until, silent := r.silent[home]; !silent || !r.clock().Before(until) {
+		return home
+	}
+	for _, next := range place.Standbys(id, home, r.routers, 1) {
+		return next
+	}
+	return home
+}
+
+// silentFor is how long a home that did not answer is passed over for the next in line.
+const silentFor = 3 * time.Second
+
+// passOver asks the next in line instead of a home that did not answer, until
+// membership knows whether it is gone.
+func (r *Router) passOver(ctx context.Context, home ident.Router) {
+	r.mu.Lock()
+	r.silent[home] = r.clock().Add(silentFor)
+	moved := r.movedShards()
+	r.mu.Unlock()
+	r.move(ctx, moved)
+}
+
 // renew keeps what a pool's picture has counted when only its engines change.
 func (r *Router) renew(old []*pool, p Pool) *pool {
 	for _, o := range old {
@@ -180,7 +213,7 @@
 		if len(permits) == 0 {
 			continue
 		}
-		if now := place.HomeOf(id, r.routers); now != r.granted[id] {
+		if now := r.homeOf(id); now != r.granted[id] {
 			out = append(out, move{id: id, old: r.granted[id]})
 			r.granted[id] = now
 			r.forgetHome(id)
@@ -252,6 +285,7 @@
 	r.mu.Lock()
 	search := p.picture.NewSearch(ask.Key, r.clock().Before(p.saturated))
 	r.mu.Unlock()
+	passed := false
 	for {
 		r.mu.Lock()
 		step, ok := search.Next(r.clock(), p.picture)
@@ -260,6 +294,11 @@
 			return nil, false, fault.New("route.Acquire", NoTarget, nil)
 		}
 		a, seat, err := r.ask(ctx, p, step, ask, arrived)
+		if err != nil && !passed && ctx.Err() == nil {
+			// The next in line knows what the silent home counted a second ago.
+			passed = true
+			a, seat, err = r.ask(ctx, p, step, ask, arrived)
+		}
 		switch {
 		case err != nil:
 			return r.withoutHome(ctx, p, ask, err)
@@ -308,7 +347,7 @@
 	r.mu.Lock()
 	r.permit++
 	permit := r.permit
-	to := place.HomeOf(id, r.routers)
+	to := r.homeOf(id)
 	released := r.pending[id]
 	delete(r.pending, id)
 	sums := p.picture.SumsFor(now, step.Shard, nil)
@@ -332,6 +371,9 @@
 		request.Wait = max(ask.Deadline.Sub(now), 0)
 	}
 	a, err := r.homes.Place(ctx, to, request, released)
+	if err != nil && ctx.Err() == nil {
+		r.passOver(ctx, to)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
--- a/internal/edge/route/seat.go
+++ b/internal/edge/route/seat.go
@@ -76,7 +76,7 @@
 	r.pending = map[place.ShardID][]uint64{}
 	homes := make(map[place.ShardID]ident.Router, len(pending))
 	for id := range pending {
-		homes[id] = place.HomeOf(id, r.routers)
+		homes[id] = r.homeOf(id)
 	}
 	r.mu.Unlock()
 	for id, permits := range pending {
@@ -101,13 +101,13 @@
 		return
 	}
 	r.drift[id] = 0
-	r.self.Later(0, func() { r.sync(context.Background(), id) })
+	r.self.Later(0, func() { r.sync(context.Background(), id, "") })
 }
 
-// sync tells a shard's home all permits held here.
-func (r *Router) sync(ctx context.Context, id place.ShardID) {
+// sync tells a shard's home all permits held here, and which home counted them before.
+func (r *Router) sync(ctx context.Context, id place.ShardID, from ident.Router) {
 	r.mu.Lock()
-	to := place.HomeOf(id, r.routers)
+	to := r.homeOf(id)
 	held := make([]place.Permit, 0, len(r.held[id]))
 	for _, p := range r.held[id] {
 		held = append(held, p)
@@ -117,7 +117,7 @@
 	if to == "" {
 		return
 	}
-	_ = r.homes.Sync(ctx, to, id, held, upto)
+	_ = r.homes.Sync(ctx, to, id, held, upto, from)
 }
 
 // Report notes how a target did, for its breaker.
--- a/internal/oper/daemon/pools.go
+++ b/internal/oper/daemon/pools.go
@@ -115,18 +115,14 @@
 		case <-d.homes.Urgent():
 			sleep(ctx, publishSoon)
 		}
-		d.publish()
+		d.publish(ctx)
 	}
 }
 
 // publish tells the routers next in line what this router's homes count. Routers
 // that are thought dead are told too: if they are not, they may well believe to be
 // home themselves.
-func (d *Daemon) publish() {
-	digests := d.homes.Digests()
-	if len(digests) == 0 {
-		return
-	}
+func (d *Daemon) publish(ctx context.Context) {
 	var routers []ident.Router
 	d.node.Read(func(v *peer.View) {
 		for _, m := range v.Members() {
@@ -135,9 +131,13 @@
 			}
 		}
 	})
-	for _, digest := range digests {
-		for _, to := range place.Standbys(digest.ID, d.self.ID, routers, standbys) {
-			d.remote.Publish(to, digest)
+	for _, p := range d.homes.Publications(routers, standbys) {
+		for _, to := range p.To {
+			d.remote.Publish(to, p.Digest)
+		}
+		if p.Whole != nil {
+			// If it does not arrive, the standby learns the places as chats return.
+			_ = d.remote.Handoff(ctx, *p.Whole)
 		}
 	}
 }
--- a/internal/rule/place/digest.go
+++ b/internal/rule/place/digest.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"valescale/internal/plat/ident"
@@ -22,6 +23,8 @@
 	Work ident.Work
 	// Loads are what this home admitted itself.
 	Loads []EngineWork
+	// Places are where chats went since the last digest.
+	Places []ChatPlace
 }
 
 // Sum is one shard's work, as its home said some time ago. Sums travel with
@@ -102,6 +105,8 @@
 			d.Loads = append(d.Loads, EngineWork{Engine: e.Hash, Work: e.own})
 		}
 	}
+	d.Places = slices.Clone(h.moves)
+	h.moves = h.moves[:0]
 	return d
 }
 
@@ -158,6 +163,7 @@
 		h.sums.note(now, Sum{Shard: d.ID.Shard, Work: d.Work})
 		return
 	}
+	h.places.learn(d.Places)
 	if old, ok := h.foreign[d.Home]; ok && old.digest.Seq >= d.Seq {
 		return
 	}
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"valescale/internal/plat/ident"
@@ -114,6 +115,8 @@
 	weights     []int
 	poolEngines int
 	seq         uint64
+	// moves are the chats that went elsewhere since the last digest.
+	moves []ChatPlace
 	// told is the shard whose work was told last with an answer.
 	told int
 }
@@ -193,7 +196,11 @@
 	e := &h.engines[i]
 	h.hold(Permit{Edge: req.Edge, ID: req.Permit, Engine: e.Hash, Work: req.Work})
 	at, _ := h.places.get(req.Key)
-	h.places.put(req.Key, at.moved(spot{engine: e.Hash, incarnation: e.Incarnation}, now.Unix()))
+	next := at.moved(spot{engine: e.Hash, incarnation: e.Incarnation}, now.Unix())
+	h.places.put(req.Key, next)
+	if next.last != at.last {
+		h.note(req.Key, next)
+	}
 	return Decision{Result: Placed, Engine: e.Hash, Warm: warm}
 }
 
@@ -378,9 +385,11 @@
 }
 
 // Sync replaces all permits of one edge with the list it holds. Permits newer than
-// upto were asked for after the list was made and stay.
-func (h *Home) Sync(edge ident.Router, held []Permit, upto uint64) {
+// upto were asked for after the list was made and stay. Permits that another home
+// counted before no longer count as that home's.
+func (h *Home) Sync(edge ident.Router, held []Permit, upto uint64, from ident.Router) {
 	h.synced[edge] = max(h.synced[edge], upto)
+	h.claim(from, held)
 	for key := range h.permits {
 		if key.edge == edge && key.id <= upto {
 			h.drop(key)
@@ -391,6 +400,29 @@
 	}
 }
 
+// claim takes permits that are new here off what another home published. Its next
+// digest, if there is one, says the same.
+func (h *Home) claim(from ident.Router, held []Permit) {
+	f, ok := h.foreign[from]
+	if !ok {
+		return
+	}
+	loads := slices.Clone(f.digest.Loads)
+	for _, p := range held {
+		if _, known := h.permits[permitKey{p.Edge, p.ID}]; known {
+			continue
+		}
+		for i := range loads {
+			if loads[i].Engine == p.Engine {
+				loads[i].Work = max(loads[i].Work-p.Work, 0)
+			}
+		}
+	}
+	f.digest.Loads = loads
+	h.foreign[from] = f
+	h.recount()
+}
+
 // Take counts permits that another home has handed over. What an edge has said of
 // its permits itself goes first.
 func (h *Home) Take(permits []Permit) {
--- a/internal/rule/place/home_test.go
+++ b/internal/rule/place/home_test.go
@@ -84,7 +84,7 @@
 				for n, e := range out {
 					held = append(held, place.Permit{Edge: "router-b", ID: n, Engine: e, Work: ident.OneRequest})
 				}
-				h.Sync("router-b", held, next)
+				h.Sync("router-b", held, next, "")
 			}
 			if h.Held("router-b") != len(out) || h.Work() != ident.Work(len(out))*ident.OneRequest {
 				r.Fatalf("%d permits and work %d counted, %d are out", h.Held("router-b"), h.Work(), len(out))
@@ -228,6 +228,31 @@
 	}
 }
 
+// A home dies. Its standby knows its counts, and each edge that moves there brings
+// its own permits: none may count twice.
+func TestStandbyTakesOver(t *testing.T) {
+	a, list := newHome(4)
+	var held []place.Permit
+	for n := uint64(1); n <= 20; n++ {
+		d := a.Place(start, ask(n, ident.ChatKey(n)))
+		held = append(held, place.Permit{Edge: "router-b", ID: n, Engine: d.Engine, Work: ident.OneRequest})
+	}
+	b := place.NewHome(id, "router-z", place.DefaultBound, 0)
+	b.SetEngines(list, []int{4})
+	b.Merge(start, a.Digest())
+	if diff := cmp.Diff(a.Work(), b.Work()); diff != "" {
+		t.Error(diff)
+	}
+	b.Sync("router-b", held, 20, "router-a")
+	if diff := cmp.Diff(a.Work(), b.Work()); diff != "" {
+		t.Error(diff)
+	}
+	b.Sync("router-b", held, 20, "router-a")
+	if diff := cmp.Diff(a.Work(), b.Work()); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestHandedOverPermits(t *testing.T) {
 	a, list := newHome(2)
 	for n := uint64(1); n <= 4; n++ {
@@ -236,7 +261,7 @@
 	b := place.NewHome(id, "router-z", place.DefaultBound, 0)
 	b.SetEngines(list, []int{2})
 	// The edge has told the new home that only permit 4 is left, before the parcel comes.
-	b.Sync("router-b", []place.Permit{{Edge: "router-b", ID: 4, Engine: list[0].Hash, Work: ident.OneRequest}}, 4)
+	b.Sync("router-b", []place.Permit{{Edge: "router-b", ID: 4, Engine: list[0].Hash, Work: ident.OneRequest}}, 4, "")
 	b.Take(a.Permits())
 	if got := b.Held("router-b"); got != 1 {
 		t.Errorf("%d permits counted, want the edge's own word for 1", got)
--- a/internal/rule/place/memory.go
+++ b/internal/rule/place/memory.go
@@ -100,14 +100,48 @@
 }
 
 // Learn takes over places from another home; a later place that is known here stays.
-func (h *Home) Learn(places []ChatPlace) {
+func (h *Home) Learn(places []ChatPlace) { h.places.learn(places) }
+
+func (m *memory) learn(places []ChatPlace) {
 	for _, p := range places {
-		known, ok := h.places.get(p.Key)
-		if ok && known.seen >= p.SeenUnix {
+		known, ok := m.get(p.Key)
+		if ok && known.seen > p.SeenUnix {
 			continue
 		}
-		h.places.put(p.Key, known.moved(spot{engine: p.Engine, incarnation: p.Incarnation}, p.SeenUnix))
+		m.put(p.Key, known.moved(spot{engine: p.Engine, incarnation: p.Incarnation}, p.SeenUnix))
+	}
+}
+
+// Spare is the memory of chat places that a router keeps for a shard of which it
+// would be home if another were gone.
+type Spare struct {
+	memory memory
+}
+
+// NewSpare returns an empty spare memory of a bound's size.
+func NewSpare(bound Bound) *Spare { return &Spare{memory: newMemory(bound.Places)} }
+
+// Learn takes in places from the shard's home.
+func (s *Spare) Learn(places []ChatPlace) { s.memory.learn(places) }
+
+// Len is the number of places kept.
+func (s *Spare) Len() int { return s.memory.len() }
+
+// Adopt makes a spare memory the home's own; the spare must not be used afterwards.
+func (h *Home) Adopt(s *Spare) { h.places = s.memory }
+
+// maxMoves bounds the places that are kept for the next digest; of more, the
+// standby learns the latest.
+const maxMoves = 512
+
+// note keeps a chat's move for the next digest.
+func (h *Home) note(key ident.ChatKey, at chatPlace) {
+	if len(h.moves) >= maxMoves {
+		h.moves = h.moves[:copy(h.moves, h.moves[maxMoves/2:])]
 	}
+	h.moves = append(h.moves, ChatPlace{
+		Key: key, Engine: at.last.engine, Incarnation: at.last.incarnation, SeenUnix: at.seen,
+	})
 }
 
 // Evicted notes that an engine no longer holds a chat's cached prefix.
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -88,6 +88,8 @@
 	seq     uint64
 	// farewells say of shards that moved on that nothing is counted here any more.
 	farewells []place.Digest
+	// spares are the chat places of shards of which this router is next in line.
+	spares map[place.ShardID]*place.Spare
 	// urgent is signalled when a shard's count jumped and others should know at once.
 	urgent chan struct{}
 }
@@ -105,6 +107,8 @@
 	sentAt time.Time
 	// jumped is set when permits came or went other than one by one.
 	jumped bool
+	// standby is the router next in line that has all chat places.
+	standby ident.Router
 }
 
 type waiting struct {
@@ -126,6 +130,7 @@
 		rates:   rates,
 		seq:     uint64(clock().UnixMilli()),
 		urgent:  make(chan struct{}, 1),
+		spares:  map[place.ShardID]*place.Spare{},
 	}
 }
 
@@ -169,6 +174,10 @@
 			s.home.Merge(now, d)
 		}
 	}
+	if spare, ok := h.spares[id]; ok {
+		s.home.Adopt(spare)
+		delete(h.spares, id)
+	}
 	h.shards[id] = s
 	return s
 }
@@ -296,12 +305,13 @@
 	h.dispatch(s)
 }
 
-// Sync replaces what is believed of one edge's permits in a shard.
-func (h *Homes) Sync(id place.ShardID, edge ident.Router, held []place.Permit, upto uint64) {
+// Sync replaces what is believed of one edge's permits in a shard; from is the home
+// that counted them before, if another did.
+func (h *Homes) Sync(id place.ShardID, edge ident.Router, held []place.Permit, upto uint64, from ident.Router) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.at(id)
-	s.home.Sync(edge, held, upto)
+	s.home.Sync(edge, held, upto, from)
 	h.hurry(s)
 	h.dispatch(s)
 }
@@ -356,6 +366,8 @@
 		if h.loads[d.ID] == nil {
 			h.loads[d.ID] = map[ident.Router]place.Digest{}
 		}
+		h.keepPlaces(d.ID, d.Places)
+		d.Places = nil
 		h.loads[d.ID][d.Home] = d
 		for id, s := range h.shards {
 			if id.Pool == d.ID.Pool {
@@ -365,6 +377,60 @@
 	}
 }
 
+// keepPlaces keeps chat places of a shard of which another router is home.
+func (h *Homes) keepPlaces(id place.ShardID, places []place.ChatPlace) {
+	if s, here := h.shards[id]; here {
+		s.home.Learn(places)
+		return
+	}
+	if len(places) == 0 {
+		return
+	}
+	spare := h.spares[id]
+	if spare == nil {
+		bound := place.DefaultBound
+		if info := h.pools[id.Pool]; info != nil {
+			bound = info.bound
+		}
+		spare = place.NewSpare(bound)
+		h.spares[id] = spare
+	}
+	spare.Learn(places)
+}
+
+// Publication is what the routers next in line are to be told of a shard.
+type Publication struct {
+	Digest place.Digest
+	To     []ident.Router
+	// Whole is set when the first of them is new in line and needs all chat places.
+	Whole *Parcel
+}
+
+// Publications returns what is to be told now, given all routers of the region.
+func (h *Homes) Publications(routers []ident.Router, standbys int) []Publication {
+	var out []Publication
+	for _, d := range h.Digests() {
+		p := Publication{Digest: d, To: place.Standbys(d.ID, h.self, routers, standbys)}
+		if len(p.To) > 0 {
+			p.Whole = h.wholeFor(d.ID, p.To[0])
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// wholeFor returns all chat places of a shard if a router has just become its first standby.
+func (h *Homes) wholeFor(id place.ShardID, standby ident.Router) *Parcel {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, ok := h.shards[id]
+	if !ok || s.standby == standby {
+		return nil
+	}
+	s.standby = standby
+	return &Parcel{ID: id, To: standby, Places: s.home.Places(maxParcelPlaces), Spare: true}
+}
+
 // Digests returns what is to be published: the shards whose counts changed, and
 // now and then those whose did not.
 func (h *Homes) Digests() []place.Digest {
@@ -379,7 +445,7 @@
 			continue
 		}
 		d := s.home.Digest()
-		if age < renewEvery && sameLoads(d, s.sent) {
+		if age < renewEvery && len(d.Places) == 0 && sameLoads(d, s.sent) {
 			continue
 		}
 		s.sent, s.sentAt, s.jumped = d, now, false
--- a/internal/share/home/move.go
+++ b/internal/share/home/move.go
@@ -14,6 +14,8 @@
 	To      ident.Router
 	Permits []place.Permit
 	Places  []place.ChatPlace
+	// Spare parcels are for a router next in line; the sender stays home.
+	Spare bool
 }
 
 // maxParcelPlaces bounds the chat places in one parcel; the most recent go first.
@@ -67,6 +69,10 @@
 func (h *Homes) Accept(p Parcel) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if p.Spare {
+		h.keepPlaces(p.ID, p.Places)
+		return
+	}
 	s := h.at(p.ID)
 	s.home.Take(p.Permits)
 	s.home.Learn(p.Places)
--- a/internal/share/home/remote.go
+++ b/internal/share/home/remote.go
@@ -92,15 +92,15 @@
 func LoadSize(d place.Digest) int { return proto.Size(encodeLoad(d)) }
 
 // Sync tells a home all permits that this router holds in a shard.
-func (r *Remote) Sync(ctx context.Context, home ident.Router, id place.ShardID, held []place.Permit, upto uint64) error {
+func (r *Remote) Sync(ctx context.Context, home ident.Router, id place.ShardID, held []place.Permit, upto uint64, from ident.Router) error {
 	if home == r.self {
-		r.local.Sync(id, r.self, held, upto)
+		r.local.Sync(id, r.self, held, upto, from)
 		return nil
 	}
 	return r.call(ctx, "home.Sync", home, func(ctx context.Context, client peerpb.PeerServiceClient) error {
 		_, err := client.Sync(ctx, connect.NewRequest(&peerpb.SyncRequest{
 			Edge: string(r.self), Pool: string(id.Pool), Shard: uint32(id.Shard),
-			Permits: encodePermits(held), Upto: upto,
+			Permits: encodePermits(held), Upto: upto, From: string(from),
 		}))
 		return err
 	})
@@ -141,11 +141,8 @@
 	request := &peerpb.HandoffRequest{
 		From: string(from), Pool: string(p.ID.Pool), Shard: uint32(p.ID.Shard), Permits: encodePermits(p.Permits),
 	}
-	for _, c := range p.Places {
-		request.Places = append(request.Places, &peerpb.ChatPlace{
-			Key: uint64(c.Key), Engine: uint32(c.Engine), Incarnation: uint64(c.Incarnation), SeenUnixS: c.SeenUnix,
-		})
-	}
+	request.Places = encodePlaces(p.Places)
+	request.Spare = p.Spare
 	return request
 }
 
--- a/internal/share/home/server.go
+++ b/internal/share/home/server.go
@@ -43,7 +43,7 @@
 		s.homes.Withdraw(shardID(m.GetPool(), m.GetShard()), edge, m.GetUpto())
 		return connect.NewResponse(&peerpb.SyncReply{}), nil
 	}
-	s.homes.Sync(shardID(m.GetPool(), m.GetShard()), edge, decodePermits(edge, m.GetPermits()), m.GetUpto())
+	s.homes.Sync(shardID(m.GetPool(), m.GetShard()), edge, decodePermits(edge, m.GetPermits()), m.GetUpto(), ident.Router(m.GetFrom()))
 	return connect.NewResponse(&peerpb.SyncReply{}), nil
 }
 
@@ -54,14 +54,8 @@
 		return nil, err
 	}
 	parcel := Parcel{ID: shardID(m.GetPool(), m.GetShard()), Permits: decodePermits("", m.GetPermits())}
-	for _, c := range m.GetPlaces() {
-		parcel.Places = append(parcel.Places, place.ChatPlace{
-			Key:         ident.ChatKey(c.GetKey()),
-			Engine:      ident.TargetHash(c.GetEngine()),
-			Incarnation: ident.Incarnation(c.GetIncarnation()),
-			SeenUnix:    c.GetSeenUnixS(),
-		})
-	}
+	parcel.Places = decodePlaces(m.GetPlaces())
+	parcel.Spare = m.GetSpare()
 	s.homes.Accept(parcel)
 	return connect.NewResponse(&peerpb.HandoffReply{}), nil
 }
@@ -198,6 +192,28 @@
 		out.Engines = append(out.Engines, uint32(l.Engine))
 		out.Loads = append(out.Loads, uint32(max(l.Work, 0)))
 	}
+	out.Places = encodePlaces(d.Places)
+	return out
+}
+
+func encodePlaces(places []place.ChatPlace) []*peerpb.ChatPlace {
+	out := make([]*peerpb.ChatPlace, 0, len(places))
+	for _, c := range places {
+		out = append(out, &peerpb.ChatPlace{
+			Key: uint64(c.Key), Engine: uint32(c.Engine), Incarnation: uint64(c.Incarnation), SeenUnixS: c.SeenUnix,
+		})
+	}
+	return out
+}
+
+func decodePlaces(in []*peerpb.ChatPlace) []place.ChatPlace {
+	out := make([]place.ChatPlace, 0, len(in))
+	for _, c := range in {
+		out = append(out, place.ChatPlace{
+			Key: ident.ChatKey(c.GetKey()), Engine: ident.TargetHash(c.GetEngine()),
+			Incarnation: ident.Incarnation(c.GetIncarnation()), SeenUnix: c.GetSeenUnixS(),
+		})
+	}
 	return out
 }
 
@@ -206,6 +222,7 @@
 		ID:   place.ShardID{Pool: pool, Shard: ident.Shard(in.GetShard())},
 		Home: from, Seq: in.GetSeq(), Work: ident.Work(in.GetWork()),
 	}
+	d.Places = decodePlaces(in.GetPlaces())
 	loads := in.GetLoads()
 	for i, engine := range in.GetEngines() {
 		if i >= len(loads) {
