measure control: what permits and exchanges cost on real connections

Change: a permit with its return and an exchange of digests are counted on real connections of the run, with the processor time of both sides; engines report every 4 s, since a leaving engine says so with every answer anyway.

--- a/cmd/measure/control.go
+++ b/cmd/measure/control.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -13,6 +14,9 @@
 
 	"valescale/internal/plat/boxes"
 	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
+	"valescale/internal/share/home"
 	"valescale/internal/share/peer"
 	"valescale/internal/share/peerpb"
 )
@@ -22,7 +26,7 @@
 	gossipPerSecond  = 1.0
 	listPerSecond    = 1 / 2.0
 	headPerSecond    = 1 / 5.0
-	reportEvery      = 2.0
+	reportEvery      = 4.0
 	changesPerDay    = 5500.0
 	secondsPerDay    = 86400.0
 	requestsNow      = 14.0
@@ -32,9 +36,6 @@
 	unchangedList    = 260.0
 	headPollBytes    = 420.0
 	changeBytes      = 700.0
-	releaseBytes     = 30.0
-	answerBytes      = 50.0
-	requestBytes     = 80.0
 	asksPerRequest   = 1.02
 	publishPerSecond = 2.0
 )
@@ -52,8 +53,7 @@
 
 // control adds up what one router sends and receives beside callers' requests. What
 // a gossip exchange costs is measured on a connection of this run, with the digests
-// of a fleet of that size; messages of links are counted by their wire form in the
-// skew measure; small calls to the platform have the sizes that the demo shows.
+// of a fleet of that size, and what a permit costs on a real link; small calls to the platform have the sizes that the demo shows.
 func control(o options) []row {
 	var rows []row
 	for _, s := range []controlShape{
@@ -68,7 +68,8 @@
 func (s controlShape) measure(seed uint64) []row {
 	perRouter := s.requests / float64(s.inRegion)
 	digest, _ := gossipSizes(s.routers, seed)
-	exchange := exchangeBytes(digest)
+	exchange, exchangeCPU := exchangeCost(digest)
+	link := measureLink(s.shards)
 	engines := float64(s.engines) / float64(s.inRegion)
 	shards := float64(s.shards) / float64(s.inRegion)
 	parts := []struct {
@@ -77,7 +78,7 @@
 	}{
 		// Each exchange is one call out and, on average, one call in.
 		{"gossip", 2 * gossipPerSecond * exchange / 2},
-		{"permits", perRouter * (asksPerRequest*(requestBytes+answerBytes+2*messageOverhead) + releaseBytes + messageOverhead)},
+		{"permits", perRouter * asksPerRequest * link.bytes},
 		{"counts to standbys", shards * publishPerSecond * (messageOverhead + 30 + 8*engines/max(shards, 0.01))},
 		{"engine reports", engines / reportEvery * reportBytes},
 		{"list", listPerSecond * unchangedList},
@@ -90,7 +91,8 @@
 		total += p.bytes
 		rows = append(rows, row{Case: s.name, Way: p.name, Routers: s.routers, Engines: s.engines, ControlBytes: p.bytes})
 	}
-	note := fmt.Sprintf("a digest of %d bytes, an exchange of %.0f on its connection", digest, exchange)
+	note := fmt.Sprintf("digest %d bytes, exchange %.0f bytes and %.0f us of processor, permit and its return %.0f bytes and %.0f us, both sides",
+		digest, exchange, exchangeCPU, link.bytes, link.micros)
 	return append(rows, row{Case: s.name, Way: "all", Routers: s.routers, Engines: s.engines, ControlBytes: total, Note: note})
 }
 
@@ -111,7 +113,7 @@
 	for _, v := range views {
 		v.ObserveList(now, list)
 	}
-	const rounds, settle = 240, 60
+	const rounds, settle = 330, 300
 	sum, n := 0, 0
 	revision := ident.Revision(1)
 	for round := range rounds {
@@ -152,34 +154,141 @@
 	return connect.NewResponse(req.Msg), nil
 }
 
-// exchangeBytes is what one exchange of digests of a size costs, both ways and with
-// the headers of IP and TCP, counted on a connection.
-func exchangeBytes(size int) float64 {
-	meter := &peer.Meter{}
+// serveClear serves a handler over HTTP/2 in clear text on a port from the kernel.
+func serveClear(meter *peer.Meter, path string, handler http.Handler) (addr string, stop func()) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return 0
+		panic(err)
 	}
 	mux := http.NewServeMux()
-	mux.Handle(peerpb.NewPeerServiceHandler(echoGossip{}))
+	mux.Handle(path, handler)
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{Handler: mux, Protocols: protocols}
 	go func() { _ = server.Serve(meter.Listener(l)) }()
-	defer server.Close()
+	return l.Addr().String(), func() { _ = server.Close() }
+}
+
+// processor is the time that this process has had on processors.
+func processor() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+const (
+	warmCalls = 50
+	costCalls = 2000
+)
+
+// cost runs a call many times and returns the bytes on the connection, with the
+// headers of IP and TCP, and the processor time of one, both sides together.
+func cost(meter *peer.Meter, call func(i int)) (bytes, micros float64) {
+	for i := range warmCalls {
+		call(i)
+	}
+	before, started := meter.Traffic().Total(), processor()
+	for i := range costCalls {
+		call(warmCalls + i)
+	}
+	spent := processor() - started
+	return float64(meter.Traffic().Total()-before) / costCalls, float64(spent.Microseconds()) / costCalls
+}
+
+// exchangeCost is what one exchange of digests of a size costs.
+func exchangeCost(size int) (bytes, micros float64) {
+	meter := &peer.Meter{}
+	path, handler := peerpb.NewPeerServiceHandler(echoGossip{})
+	addr, stop := serveClear(meter, path, handler)
+	defer stop()
 	clients, closeClients := peer.NewClients(nil, meter)
 	defer closeClients()
-	client := clients.At(l.Addr().String())
+	client := clients.At(addr)
 	message := &peerpb.Digest{From: "router-000", InForce: make([]byte, max(size-12, 0))}
-	const warm, calls = 10, 200
-	before := uint64(0)
-	for i := range warm + calls {
-		if i == warm {
-			before = meter.Traffic().Total()
-		}
+	return cost(meter, func(int) {
 		if _, err := client.Gossip(context.Background(), connect.NewRequest(message)); err != nil {
-			return 0
+			panic(err)
 		}
+	})
+}
+
+// linkCosts is what one permit and its return cost.
+type linkCosts struct {
+	bytes  float64
+	micros float64
+}
+
+// oneClient gives the same client for every router.
+type oneClient struct{ client peerpb.PeerServiceClient }
+
+// Client returns the client.
+func (o oneClient) Client(ident.Router) (peerpb.PeerServiceClient, error) { return o.client, nil }
+
+// linkServer is the part of a router that links go to.
+type linkServer struct {
+	peerpb.UnimplementedPeerServiceHandler
+	*home.Server
+}
+
+// Link, Sync, Handoff and Grant are the home's.
+func (l linkServer) Link(ctx context.Context, s *connect.BidiStream[peerpb.LinkRequest, peerpb.LinkReply]) error {
+	return l.Server.Link(ctx, s)
+}
+
+// Sync is the home's.
+func (l linkServer) Sync(ctx context.Context, r *connect.Request[peerpb.SyncRequest]) (*connect.Response[peerpb.SyncReply], error) {
+	return l.Server.Sync(ctx, r)
+}
+
+// Handoff is the home's.
+func (l linkServer) Handoff(ctx context.Context, r *connect.Request[peerpb.HandoffRequest]) (*connect.Response[peerpb.HandoffReply], error) {
+	return l.Server.Handoff(ctx, r)
+}
+
+// Grant is the home's.
+func (l linkServer) Grant(ctx context.Context, r *connect.Request[peerpb.GrantRequest]) (*connect.Response[peerpb.GrantReply], error) {
+	return l.Server.Grant(ctx, r)
+}
+
+// measureLink takes permits over a real link and gives them back in messages of
+// their own, with the sums of a pool's other shards in each request and answer.
+func measureLink(shards int) linkCosts {
+	shards = min(max(shards, 1), 16)
+	meter := &peer.Meter{}
+	homes := home.New("router-home", home.DefaultLimits, time.Now, func(ident.Workspace) (policy.Workspace, bool) {
+		return policy.Workspace{}, false
+	})
+	pool := ident.NewPool(service, region)
+	_, engines := homeWith(124, 1)
+	homes.SetPool(pool, shards, place.DefaultBound, engines)
+	path, handler := peerpb.NewPeerServiceHandler(linkServer{Server: home.NewServer(homes, func(context.Context) ident.Router { return "" })})
+	addr, stop := serveClear(meter, path, handler)
+	defer stop()
+	clients, closeClients := peer.NewClients(nil, meter)
+	defer closeClients()
+	remote, closeRemote := home.NewRemote("router-edge", nil, oneClient{clients.At(addr)}, 5*time.Second)
+	defer closeRemote()
+	id := place.ShardID{Pool: pool}
+	var sums []place.Sum
+	for i := 1; i < min(shards, 5); i++ {
+		sums = append(sums, place.Sum{Shard: ident.Shard(i), Age: 400 * time.Millisecond, Work: 105_000})
 	}
-	return float64(meter.Traffic().Total()-before) / calls
+	const firstPermit = uint64(1_764_000_000_000) << 20
+	var c linkCosts
+	c.bytes, c.micros = cost(meter, func(i int) {
+		permit := firstPermit + uint64(i)
+		_, err := remote.Place(context.Background(), "router-home", home.Ask{
+			Request: place.Request{
+				Edge: "router-edge", Permit: permit, Key: ident.ChatKey(ident.Mix(uint64(i), 2)), Work: ident.OneRequest, Zone: "zone-a",
+			},
+			Shard: id, Workspace: "workspace-17", Weight: 1, Priority: 5, Sums: sums,
+		}, nil)
+		if err != nil {
+			panic(err)
+		}
+		_ = remote.Release(context.Background(), "router-home", id, []uint64{permit})
+	})
+	return c
 }
--- a/internal/oper/conf/options.go
+++ b/internal/oper/conf/options.go
@@ -66,7 +66,7 @@
 	{"pace", "gossip", "1s", false, "time between two exchanges with other routers", span(func(s *Settings) *time.Duration { return &s.Pace.Gossip }, 10*time.Millisecond, time.Minute)},
 	{"pace", "list", "2s", false, "time between two readings of the list of boxes", span(func(s *Settings) *time.Duration { return &s.Pace.List }, 10*time.Millisecond, time.Minute)},
 	{"pace", "head", "5s", false, "time between two polls of the recorded configuration", span(func(s *Settings) *time.Duration { return &s.Pace.Head }, 10*time.Millisecond, time.Minute)},
-	{"pace", "report", "2s", false, "time between two reports of an engine to its home", span(func(s *Settings) *time.Duration { return &s.Pace.Report }, 10*time.Millisecond, time.Minute)},
+	{"pace", "report", "4s", false, "time between two reports of an engine to its home", span(func(s *Settings) *time.Duration { return &s.Pace.Report }, 10*time.Millisecond, time.Minute)},
 	{"pace", "lease", "10s", false, "how long a lease lasts without being renewed", span(func(s *Settings) *time.Duration { return &s.Pace.Lease }, 100*time.Millisecond, time.Hour)},
 	{"pace", "permit", "300ms", false, "how long a call to a home may take before the router decides alone", span(func(s *Settings) *time.Duration { return &s.Pace.Permit }, time.Millisecond, time.Minute)},
 
