--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: all build test lint spec generate demo figures schedules fuzz
+.PHONY: all build test lint spec generate demo docs figures schedules fuzz
 
 all: build lint test
 
@@ -33,3 +33,18 @@
 docs: build
 	{ printf '# Settings of `valescale serve`\n\nMade by `make docs` from the options in `internal/oper/conf/options.go`.\n'; ./valescale settings | head -c -1; } > docs/SETTINGS.md
 	./valescale man > docs/valescale.1
+
+# The tables and pictures that docs/MEASUREMENTS.md shows; takes some minutes.
+figures:
+	mkdir -p docs/figures
+	go build -o .bin/measure ./cmd/measure
+	for what in skew reuse fair control capacity; do \
+		.bin/measure --full --plot docs/figures $$what > docs/figures/$$what.md || exit 1; \
+	done
+
+# Each parser's fuzz target for a while.
+fuzz:
+	go test -run xxx -fuzz '^FuzzEvents$$' -fuzztime 30s ./internal/edge/relay
+	go test -run xxx -fuzz '^FuzzOpen$$' -fuzztime 30s ./internal/edge/relay
+	go test -run xxx -fuzz '^FuzzParse$$' -fuzztime 30s ./internal/oper/conf
+	go test -run xxx -fuzz '^FuzzCompile$$' -fuzztime 30s ./internal/rule/policy
--- a/cmd/measure/fair.go
+++ b/cmd/measure/fair.go
@@ -48,7 +48,6 @@
 		}
 		rows = append(rows, row{
 			Case: c.name, Way: way, Engines: f.slots / 24, MaxRatio: quiet / alone, P99Ratio: wait99,
-			Note: "max ratio: quiet workspaces' time to the answer's end over no surge; p99 ratio: their p99 wait in s",
 		})
 	}
 	return rows
@@ -56,14 +55,13 @@
 
 type fairWorld struct {
 	fairCase
-	now    time.Time
-	rng    *rand.Rand
-	queue  *quota.Queue
-	free   int
-	ends   []time.Time
-	quiet  []float64
-	waits  []float64
-	counts int
+	now   time.Time
+	rng   *rand.Rand
+	queue *quota.Queue
+	free  int
+	ends  []time.Time
+	quiet []float64
+	waits []float64
 }
 
 // play returns the quiet workspaces' mean time to the answer's end and p99 wait, in seconds.
--- a/cmd/measure/homes.go
+++ b/cmd/measure/homes.go
@@ -31,10 +31,8 @@
 	w       *world
 	nodes   []*node
 	bytes   float64
-	asks    int
 	choices int
 	byHash  map[ident.TargetHash]*engine
-	cpu     time.Duration
 	// retired routers have left as planned and end what they have in flight.
 	retired  []*node
 	renewals int
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -60,7 +60,7 @@
 		os.Exit(2)
 	}
 	rows := measure(o)
-	print(rows, o.JSON)
+	print(o.Args.What, rows, o.JSON)
 	if o.Plot != "" {
 		if err := plotRows(o.Plot, o.Args.What, rows); err != nil {
 			fmt.Fprintln(os.Stderr, "measure:", err)
@@ -69,7 +69,7 @@
 	}
 }
 
-func print(rows []row, asJSON bool) {
+func print(what string, rows []row, asJSON bool) {
 	if asJSON {
 		for _, r := range rows {
 			line, err := json.Marshal(r)
@@ -81,11 +81,47 @@
 		}
 		return
 	}
-	fmt.Println("| case | way | routers | engines | max ratio | p99 ratio | max excess | over bound | reuse | of oracle | asks | control B/s | note |")
-	fmt.Println("| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | --- |")
+	table := tables[what]
+	fmt.Println(table.head)
 	for _, r := range rows {
-		fmt.Printf("| %s | %s | %d | %d | %.2f | %.2f | %.2f | %.4f | %.3f | %.3f | %.2f | %.0f | %s |\n",
-			r.Case, r.Way, r.Routers, r.Engines, r.MaxRatio, r.P99Ratio, r.MaxExcess, r.OverShare,
-			r.Reuse, r.ReuseOfOracle, r.AsksPerCall, r.ControlBytes, r.Note)
+		fmt.Println(table.line(r))
 	}
 }
+
+// table is how one measure's rows are printed.
+type table struct {
+	head string
+	line func(row) string
+}
+
+const placeHead = `| case | way | routers | engines | worst load/mean | p99 | worst excess over the bound (requests) | share of admissions over it by more than one | reuse | of the oracle's | asks a request | control B/s a router | note |
+| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | --- |`
+
+func placeLine(r row) string {
+	return fmt.Sprintf("| %s | %s | %d | %d | %.2f | %.2f | %.2f | %.4f | %.3f | %.3f | %.2f | %.0f | %s |",
+		r.Case, r.Way, r.Routers, r.Engines, r.MaxRatio, r.P99Ratio, r.MaxExcess, r.OverShare,
+		r.Reuse, r.ReuseOfOracle, r.AsksPerCall, r.ControlBytes, r.Note)
+}
+
+var tables = map[string]table{
+	"skew":  {placeHead, placeLine},
+	"reuse": {placeHead, placeLine},
+	"fair": {
+		"| case | order | quiet workspaces' time to the end, over no surge | their p99 wait (s) |\n| --- | --- | ---: | ---: |",
+		func(r row) string {
+			return fmt.Sprintf("| %s | %s | %.3f | %.2f |", r.Case, r.Way, r.MaxRatio, r.P99Ratio)
+		},
+	},
+	"control": {
+		"| fleet | part | routers | engines a region | B/s a router | note |\n| --- | --- | ---: | ---: | ---: | --- |",
+		func(r row) string {
+			return fmt.Sprintf("| %s | %s | %d | %d | %.0f | %s |", r.Case, r.Way, r.Routers, r.Engines, r.ControlBytes, r.Note)
+		},
+	},
+	"capacity": {
+		"| what | size | memory (bytes) | one call (us) | slope |\n| --- | --- | ---: | ---: | --- |",
+		func(r row) string {
+			return fmt.Sprintf("| %s | %s | %.0f | %.2f | %s |", r.Case, r.Way, r.BytesPer, r.CPUMicros, r.Note)
+		},
+	},
+}
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -42,6 +42,8 @@
 	Log       io.Writer
 	// Pace overrides how often routers do what nobody asked for; zero fields keep the default.
 	Pace conf.Pace
+	// Keys gives a router's keys for talking to others; nil talks in clear text.
+	Keys func(ident.Router) conf.Listener
 	// DrainDelay is how long a stopping router still takes new requests.
 	DrainDelay time.Duration
 }
@@ -177,6 +179,10 @@
 	base := conf.Default()
 	base.Router = conf.Router{ID: ident.Router(fmt.Sprintf("router-%02d", i)), Zone: f.zone(i), Region: Region}
 	base.Callers.Addr, base.Peers.Addr, base.Admin.Addr = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	if f.options.Keys != nil {
+		base.Peers = f.options.Keys(base.Router.ID)
+		base.Peers.Addr = "127.0.0.1:0"
+	}
 	base.Platform.Table, base.Platform.Object, base.Platform.Boxes = f.url, f.url, f.url
 	base.ResumeKeys = [][]byte{key}
 	base.Operators = map[policy.TokenHash]string{policy.HashToken(OperatorToken): "ana"}
--- /dev/null
+++ b/internal/fake/fleet/keys_test.go
@@ -0,0 +1,135 @@
+package fleet_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"valescale/internal/fake/fleet"
+	"valescale/internal/oper/conf"
+	"valescale/internal/plat/ident"
+	"valescale/internal/share/peerpb"
+)
+
+// authority signs routers' certificates.
+type authority struct {
+	t    *testing.T
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t, dir: t.TempDir()}
+	a.cert, a.key = a.issue("authority", nil, nil)
+	return a
+}
+
+// issue makes a certificate and its files.
+func (a *authority) issue(name string, parent *x509.Certificate, signer *ecdsa.PrivateKey) (*x509.Certificate, *ecdsa.PrivateKey) {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: parent == nil, BasicConstraintsValid: true,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+	}
+	if parent == nil {
+		parent, signer = template, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	raw, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.write(name+".cert", "CERTIFICATE", der)
+	a.write(name+".key", "EC PRIVATE KEY", raw)
+	return cert, key
+}
+
+func (a *authority) write(name, kind string, der []byte) {
+	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	if err := os.WriteFile(filepath.Join(a.dir, name), data, 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+func (a *authority) listener(id ident.Router) conf.Listener {
+	a.issue(string(id), a.cert, a.key)
+	return conf.Listener{
+		Cert: filepath.Join(a.dir, string(id)+".cert"), Key: filepath.Join(a.dir, string(id)+".key"),
+		CA: filepath.Join(a.dir, "authority.cert"),
+	}
+}
+
+// gossip calls a router under a certificate, or none, in the name of a router.
+func gossip(ctx context.Context, t *testing.T, addr string, keys *conf.Listener, from string) connect.Code {
+	t.Helper()
+	config := &tls.Config{InsecureSkipVerify: true}
+	if keys != nil {
+		pair, err := tls.LoadX509KeyPair(keys.Cert, keys.Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		config.Certificates = []tls.Certificate{pair}
+	}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP2(true)
+	transport := &http.Transport{TLSClientConfig: config, Protocols: protocols}
+	defer transport.CloseIdleConnections()
+	client := peerpb.NewPeerServiceClient(&http.Client{Transport: transport}, "https://"+addr)
+	_, err := client.Gossip(ctx, connect.NewRequest(&peerpb.Digest{From: from}))
+	if err == nil {
+		return 0
+	}
+	return connect.CodeOf(err)
+}
+
+func TestPeersNeedCertificates(t *testing.T) {
+	a := newAuthority(t)
+	b := start(t, fleet.Options{Routers: 2, Engines: 2, Keys: a.listener})
+	if r := b.caller.Chat(b.ctx, b.Routers[0].CallerAddr(), "c", "q", words, true); !r.Right("q", words) {
+		t.Errorf("a chat over routers with keys got %+v", r)
+	}
+	addr := b.Routers[0].PeerAddr()
+	mine := a.listener("router-09")
+	foreign := newAuthority(t).listener("router-09")
+	if got := gossip(b.ctx, t, addr, &mine, "router-09"); got != 0 {
+		t.Errorf("under its own name a router got %v", got)
+	}
+	if got := gossip(b.ctx, t, addr, &mine, "router-01"); got != connect.CodePermissionDenied {
+		t.Errorf("under another's name a router got %v", got)
+	}
+	// How a broken handshake shows depends on who notices first.
+	if got := gossip(b.ctx, t, addr, nil, "router-09"); got == 0 {
+		t.Error("a caller without a certificate was answered")
+	}
+	if got := gossip(b.ctx, t, addr, &foreign, "router-09"); got == 0 {
+		t.Error("a certificate of another authority was taken")
+	}
+}
--- a/internal/oper/cli/change.go
+++ b/internal/oper/cmds/change.go
@@ -1,4 +1,4 @@
-package cli
+package cmds
 
 import (
 	"context"
@@ -44,7 +44,7 @@
 func force(ctx context.Context, client peerpb.AdminServiceClient) ([]policy.Document, uint64, error) {
 	reply, err := client.Show(ctx, connect.NewRequest(&peerpb.ShowRequest{}))
 	if err != nil {
-		return nil, 0, fault.New("cli.force", Refused, err)
+		return nil, 0, fault.New("cmds.force", Refused, err)
 	}
 	return admin.DecodeDocuments(reply.Msg.GetDocuments()), reply.Msg.GetRevision(), nil
 }
@@ -78,7 +78,7 @@
 	defer cancel()
 	reply, err := client.Check(ctx, connect.NewRequest(&peerpb.CheckRequest{Documents: admin.EncodeDocuments(documents)}))
 	if err != nil {
-		return fault.New("cli.check", Refused, err)
+		return fault.New("cmds.check", Refused, err)
 	}
 	return c.report(reply.Msg.GetProblems(), len(documents))
 }
@@ -196,7 +196,7 @@
 		Documents: admin.EncodeDocuments(changed), Base: a.Base, ChangeId: a.ChangeID, Note: a.Note,
 	}))
 	if err != nil {
-		return fault.Newf("cli.apply", Refused, "%v; if in doubt, run it again with --change-id %s", err, a.ChangeID)
+		return fault.Newf("cmds.apply", Refused, "%v; if in doubt, run it again with --change-id %s", err, a.ChangeID)
 	}
 	m := reply.Msg
 	switch {
--- a/internal/oper/cli/client.go
+++ b/internal/oper/cmds/client.go
@@ -1,4 +1,4 @@
-package cli
+package cmds
 
 import (
 	"context"
@@ -23,7 +23,7 @@
 	if r.TokenFile != "" {
 		data, err := os.ReadFile(r.TokenFile)
 		if err != nil {
-			return nil, nil, nil, fault.New("cli.client", Unreadable, err)
+			return nil, nil, nil, fault.New("cmds.client", Unreadable, err)
 		}
 		token = strings.TrimSpace(string(data))
 	}
@@ -32,11 +32,11 @@
 	if r.CA != "" {
 		data, err := os.ReadFile(r.CA)
 		if err != nil {
-			return nil, nil, nil, fault.New("cli.client", Unreadable, err)
+			return nil, nil, nil, fault.New("cmds.client", Unreadable, err)
 		}
 		roots := x509.NewCertPool()
 		if !roots.AppendCertsFromPEM(data) {
-			return nil, nil, nil, fault.Newf("cli.client", Unreadable, "%s holds no certificate", r.CA)
+			return nil, nil, nil, fault.Newf("cmds.client", Unreadable, "%s holds no certificate", r.CA)
 		}
 		scheme = "https"
 		transport.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots}
@@ -58,7 +58,7 @@
 	for _, path := range paths {
 		info, err := os.Stat(path)
 		if err != nil {
-			return nil, fault.New("cli.readDocuments", Unreadable, err)
+			return nil, fault.New("cmds.readDocuments", Unreadable, err)
 		}
 		if !info.IsDir() {
 			files = append(files, path)
@@ -66,7 +66,7 @@
 		}
 		found, err := filepath.Glob(filepath.Join(path, "*.ini"))
 		if err != nil {
-			return nil, fault.New("cli.readDocuments", Unreadable, err)
+			return nil, fault.New("cmds.readDocuments", Unreadable, err)
 		}
 		files = append(files, found...)
 	}
@@ -75,7 +75,7 @@
 	for _, file := range files {
 		data, err := os.ReadFile(file)
 		if err != nil {
-			return nil, fault.New("cli.readDocuments", Unreadable, err)
+			return nil, fault.New("cmds.readDocuments", Unreadable, err)
 		}
 		documents, err := policy.Split(file, data)
 		if err != nil {
@@ -83,14 +83,14 @@
 		}
 		for _, d := range documents {
 			if other, twice := seen[d.ID]; twice {
-				return nil, fault.Newf("cli.readDocuments", Unreadable, "%s stands in %s and in %s", d.ID, other, file)
+				return nil, fault.Newf("cmds.readDocuments", Unreadable, "%s stands in %s and in %s", d.ID, other, file)
 			}
 			seen[d.ID] = file
 		}
 		out = append(out, documents...)
 	}
 	if len(out) == 0 {
-		return nil, fault.Newf("cli.readDocuments", Unreadable, "no documents in %s", strings.Join(paths, ", "))
+		return nil, fault.Newf("cmds.readDocuments", Unreadable, "no documents in %s", strings.Join(paths, ", "))
 	}
 	return out, nil
 }
--- a/internal/oper/cli/exit.go
+++ b/internal/oper/cmds/exit.go
@@ -1,4 +1,4 @@
-package cli
+package cmds
 
 import (
 	"valescale/internal/plat/fault"
--- a/internal/oper/cli/look.go
+++ b/internal/oper/cmds/look.go
@@ -1,4 +1,4 @@
-package cli
+package cmds
 
 import (
 	"time"
@@ -16,7 +16,7 @@
 func (c *console) message(m proto.Message) error {
 	data, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(m)
 	if err != nil {
-		return fault.New("cli.message", Refused, err)
+		return fault.New("cmds.message", Refused, err)
 	}
 	c.say("%s", data)
 	return nil
@@ -43,7 +43,7 @@
 	defer cancel()
 	reply, err := client.Show(ctx, connect.NewRequest(&peerpb.ShowRequest{Kind: s.Args.Kind, Name: s.Args.Name}))
 	if err != nil {
-		return fault.New("cli.show", Refused, err)
+		return fault.New("cmds.show", Refused, err)
 	}
 	if s.JSON {
 		return s.console.message(reply.Msg)
@@ -71,7 +71,7 @@
 	defer cancel()
 	reply, err := client.History(ctx, connect.NewRequest(&peerpb.HistoryRequest{Before: h.Before, Limit: h.Limit}))
 	if err != nil {
-		return fault.New("cli.history", Refused, err)
+		return fault.New("cmds.history", Refused, err)
 	}
 	for _, c := range reply.Msg.GetChanges() {
 		if h.JSON {
@@ -101,7 +101,7 @@
 	defer cancel()
 	reply, err := client.Audit(ctx, connect.NewRequest(&peerpb.AuditRequest{Before: a.Before, Limit: a.Limit}))
 	if err != nil {
-		return fault.New("cli.audit", Refused, err)
+		return fault.New("cmds.audit", Refused, err)
 	}
 	for _, row := range reply.Msg.GetRows() {
 		if a.JSON {
@@ -130,7 +130,7 @@
 	defer cancel()
 	reply, err := client.Status(ctx, connect.NewRequest(&peerpb.StatusRequest{}))
 	if err != nil {
-		return fault.New("cli.status", Refused, err)
+		return fault.New("cmds.status", Refused, err)
 	}
 	m := reply.Msg
 	if s.JSON {
@@ -192,7 +192,7 @@
 	defer cancel()
 	reply, err := client.Shadow(ctx, connect.NewRequest(request))
 	if err != nil {
-		return fault.New("cli.shadow", Refused, err)
+		return fault.New("cmds.shadow", Refused, err)
 	}
 	if s.JSON {
 		return s.console.message(reply.Msg)
@@ -226,7 +226,7 @@
 		Workspace: c.Args.Workspace, Key: c.Args.Key, GiveBack: c.GiveBack, Note: c.Note,
 	}))
 	if err != nil {
-		return fault.New("cli.claim", Refused, err)
+		return fault.New("cmds.claim", Refused, err)
 	}
 	if c.JSON {
 		return c.console.message(reply.Msg)
--- a/internal/oper/cli/cli.go
+++ b/internal/oper/cmds/main.go
@@ -1,4 +1,4 @@
-package cli
+package cmds
 
 import (
 	"context"
--- a/internal/oper/cli/cli_test.go
+++ b/internal/oper/cmds/main_test.go
@@ -1,4 +1,4 @@
-package cli_test
+package cmds_test
 
 import (
 	"bytes"
@@ -11,7 +11,7 @@
 
 	"valescale/internal/fake/fleet"
 	"valescale/internal/fake/target"
-	"valescale/internal/oper/cli"
+	"valescale/internal/oper/cmds"
 	"valescale/internal/oper/conf"
 )
 
@@ -19,7 +19,7 @@
 func run(t *testing.T, args ...string) (string, int) {
 	t.Helper()
 	var out bytes.Buffer
-	status := cli.Main(args, &out, &out)
+	status := cmds.Main(args, &out, &out)
 	return out.String(), status
 }
 
@@ -66,26 +66,26 @@
 		status int
 		want   string
 	}{
-		{"wrong mistakes", []string{"check", broken}, cli.Mistakes, `gives "jugde", which does not exist`},
-		{"check", []string{"check", file}, cli.Success, "3 documents are right"},
-		{"offline", []string{"check", "--offline", broken}, cli.Mistakes, "jugde"},
-		{"apply mistakes", []string{"apply", broken}, cli.Mistakes, "nothing was changed"},
-		{"apply", []string{"apply", "--note", "first", file}, cli.Success, "revision 1 is in force on every router"},
-		{"apply again", []string{"apply", file}, cli.Success, "nothing differs"},
-		{"diff", []string{"diff", second}, cli.Differs, "+ slots = 3"},
-		{"shadow", []string{"shadow", second}, cli.Success, "0 of 0 decisions differ"},
-		{"apply second", []string{"apply", "--json", second}, cli.Success, `"revision":2`},
-		{"conflict", []string{"apply", "--base", "1", file}, cli.Conflicted, "- slots = 3"},
-		{"show", []string{"show", "service", "judge"}, cli.Success, "slots = 3"},
-		{"history", []string{"history"}, cli.Success, "ana"},
-		{"audit", []string{"audit"}, cli.Success, "+ slots = 3"},
-		{"status", []string{"status", "--json"}, cli.Success, `"revision":"2"`},
-		{"no claim", []string{"claim", "bogota", "nothing"}, cli.Failure, "there is no claim"},
-		{"prune", []string{"diff", "--prune", write(t, "[service other]\nkind = plain\n")}, cli.Differs, "- policy = runs"},
-		{"no file", []string{"apply", "/nonexistent.ini"}, cli.Mistakes, "nonexistent"},
-		{"usage", []string{"apply"}, cli.Usage, "required"},
-		{"settings", []string{"settings"}, cli.Success, "## [router]"},
-		{"man", []string{"man"}, cli.Success, ".TH valescale"},
+		{"wrong mistakes", []string{"check", broken}, cmds.Mistakes, `gives "jugde", which does not exist`},
+		{"check", []string{"check", file}, cmds.Success, "3 documents are right"},
+		{"offline", []string{"check", "--offline", broken}, cmds.Mistakes, "jugde"},
+		{"apply mistakes", []string{"apply", broken}, cmds.Mistakes, "nothing was changed"},
+		{"apply", []string{"apply", "--note", "first", file}, cmds.Success, "revision 1 is in force on every router"},
+		{"apply again", []string{"apply", file}, cmds.Success, "nothing differs"},
+		{"diff", []string{"diff", second}, cmds.Differs, "+ slots = 3"},
+		{"shadow", []string{"shadow", second}, cmds.Success, "0 of 0 decisions differ"},
+		{"apply second", []string{"apply", "--json", second}, cmds.Success, `"revision":2`},
+		{"conflict", []string{"apply", "--base", "1", file}, cmds.Conflicted, "- slots = 3"},
+		{"show", []string{"show", "service", "judge"}, cmds.Success, "slots = 3"},
+		{"history", []string{"history"}, cmds.Success, "ana"},
+		{"audit", []string{"audit"}, cmds.Success, "+ slots = 3"},
+		{"status", []string{"status", "--json"}, cmds.Success, `"revision":"2"`},
+		{"no claim", []string{"claim", "bogota", "nothing"}, cmds.Failure, "there is no claim"},
+		{"prune", []string{"diff", "--prune", write(t, "[service other]\nkind = plain\n")}, cmds.Differs, "- policy = runs"},
+		{"no file", []string{"apply", "/nonexistent.ini"}, cmds.Mistakes, "nonexistent"},
+		{"usage", []string{"apply"}, cmds.Usage, "required"},
+		{"settings", []string{"settings"}, cmds.Success, "## [router]"},
+		{"man", []string{"man"}, cmds.Success, ".TH valescale"},
 	}
 	for _, s := range steps {
 		out, status := run(t, s.args...)
@@ -94,7 +94,7 @@
 		}
 	}
 	t.Setenv("VALESCALE_TOKEN", "wrong")
-	if out, status := run(t, "show"); status != cli.Failure || !strings.Contains(out, "no known operator") {
+	if out, status := run(t, "show"); status != cmds.Failure || !strings.Contains(out, "no known operator") {
 		t.Errorf("a wrong token: status %d\n%s", status, out)
 	}
 }
--- a/main.go
+++ b/main.go
@@ -4,9 +4,9 @@
 import (
 	"os"
 
-	"valescale/internal/oper/cli"
+	"valescale/internal/oper/cmds"
 )
 
 func main() {
-	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
