A leaving engine copies its chats to its successors; targets over HTTP/2

Cause: a leaving engine's warm chats started cold elsewhere, and targets that speak HTTP/2 could not be used.

Change: the home of the shard orders a leaving engine of a service with export = true to copy its most recent chats' prefixes to the other engines of the shard, and sends those chats there; protocol = http2 speaks HTTP/2 in clear text.

Figures (test, 12 chats on 3 engines): 12 of 12 chats find their context after one engine left, and it gets no new request.

Conclusion: reuse survives planned leaving where engines offer export.

--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -80,6 +80,7 @@
 		arrived:   f.Clock(),
 		call: relay.Call{
 			Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Header: r.Header, Timeout: service.Timeout,
+			HTTP2: service.Protocol == policy.HTTP2,
 		},
 	}, nil
 }
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -48,6 +48,8 @@
 	Body    []byte
 	Attempt ident.Attempt
 	Key     ident.ChatKey
+	// HTTP2 targets are spoken to in HTTP/2 over clear text.
+	HTTP2 bool
 	// Once attempts must not be sent twice, whatever happens to the connection.
 	Once bool
 	// Fence is the fencing token for targets that check one; zero is none.
@@ -72,25 +74,31 @@
 	limits Limits
 	shared http.RoundTripper
 	single http.RoundTripper
+	// streams carries HTTP/2, whose requests share connections without following
+	// each other on them.
+	streams http.RoundTripper
 }
 
 // New returns a relay and the function that closes its idle connections.
 func New(limits Limits) (*Relay, func()) {
-	shared := transport(limits)
-	single := transport(limits)
+	shared := transport(limits, false)
+	single := transport(limits, false)
+	streams := transport(limits, true)
 	// The transport sends a request again by itself when a kept-alive connection
 	// turns out dead. A fresh connection for each attempt never does.
 	single.DisableKeepAlives = true
-	r := &Relay{limits: limits, shared: shared, single: single}
+	r := &Relay{limits: limits, shared: shared, single: single, streams: streams}
 	return r, func() {
+		streams.CloseIdleConnections()
 		shared.CloseIdleConnections()
 		single.CloseIdleConnections()
 	}
 }
 
-func transport(limits Limits) *http.Transport {
+func transport(limits Limits, http2 bool) *http.Transport {
 	protocols := &http.Protocols{}
-	protocols.SetHTTP1(true)
+	protocols.SetHTTP1(!http2)
+	protocols.SetUnencryptedHTTP2(http2)
 	return &http.Transport{
 		Protocols:           protocols,
 		DialContext:         (&net.Dialer{Timeout: limits.Dial}).DialContext,
@@ -151,7 +159,10 @@
 		return nil, failed(op, Connect, retry.Placing, err)
 	}
 	carrier := r.shared
-	if call.Once {
+	switch {
+	case call.HTTP2:
+		carrier = r.streams
+	case call.Once:
 		carrier = r.single
 	}
 	resp, err := carrier.RoundTrip(req)
--- a/internal/fake/fleet/caller.go
+++ b/internal/fake/fleet/caller.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 
 	"valescale/internal/edge/front"
 	"valescale/internal/edge/relay"
@@ -199,7 +200,7 @@
 		return 0, err
 	}
 	if len(reply.Msg.GetProblems()) > 0 {
-		return 0, connect.NewError(connect.CodeInvalidArgument, nil)
+		return 0, connect.NewError(connect.CodeInvalidArgument, errors.New(reply.Msg.GetProblems()[0].GetMessage()))
 	}
 	return ident.Revision(reply.Msg.GetRevision()), nil
 }
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -131,7 +131,10 @@
 	if err != nil {
 		return "", nil, err
 	}
-	s := &http.Server{Handler: handler, ErrorLog: silent}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s := &http.Server{Handler: handler, ErrorLog: silent, Protocols: protocols}
 	go func() { _ = s.Serve(l) }()
 	return l.Addr().String(), func() { _ = s.Close() }, nil
 }
--- a/internal/fake/fleet/fleet_test.go
+++ b/internal/fake/fleet/fleet_test.go
@@ -333,3 +333,66 @@
 		return true
 	})
 }
+
+// The chats of an engine that leaves find their context at its successors.
+func TestLeavingEngineExportsItsChats(t *testing.T) {
+	b := start(t, fleet.Options{Routers: 2, Engines: 3, Engine: target.EngineOptions{Cache: 100}})
+	b.apply(t, "export", strings.Replace(text(), "shards = 2", "shards = 1\nexport = true", 1))
+	const chats = 12
+	ask := func(round string) (warm int) {
+		before := b.warm()
+		for i := range chats {
+			q := fmt.Sprint(round, i)
+			if r := b.caller.Chat(b.ctx, b.Routers[i%2].CallerAddr(), fmt.Sprint("chat", i), q, words, true); !r.Right(q, words) {
+				t.Fatalf("got %+v", r)
+			}
+		}
+		return b.warm() - before
+	}
+	ask("first")
+	leaving := b.Engines[0]
+	if leaving.Counts().Served == 0 {
+		t.Fatal("the leaving engine has no chats")
+	}
+	leaving.Leave()
+	b.until(t, "the engine is told to export", func() bool { return leaving.Counts().Orders > 0 })
+	b.until(t, "all routers know that it leaves", func() bool {
+		return b.Routers[0].Leaving(leaving.ID) && b.Routers[1].Leaving(leaving.ID)
+	})
+	served := leaving.Counts().Served
+	if warm := ask("second"); warm != chats {
+		t.Errorf("%d of %d chats found their context", warm, chats)
+	}
+	if leaving.Counts().Served != served {
+		t.Error("the leaving engine got new work")
+	}
+}
+
+// warm is how many requests found their prefix at the engines.
+func (b *bed) warm() int {
+	sum := 0
+	for _, e := range b.Engines {
+		sum += e.Counts().Warm
+	}
+	return sum
+}
+
+func TestHTTP2Targets(t *testing.T) {
+	b := start(t, fleet.Options{Routers: 1, Engines: 2, Plain: 1})
+	both := strings.ReplaceAll(text(), "kind = ", "protocol = http2\nkind = ")
+	b.apply(t, "http2", both)
+	for i := range 6 {
+		q := fmt.Sprint(i)
+		if r := b.caller.Chat(b.ctx, b.Routers[0].CallerAddr(), q, q, words, i%2 == 0); !r.Right(q, words) {
+			t.Fatalf("got %+v", r)
+		}
+	}
+	for range 2 {
+		if r := b.caller.Order(b.ctx, b.Routers[0].CallerAddr(), "k", "roses"); r.Outcome != retry.Done {
+			t.Errorf("got %+v", r)
+		}
+	}
+	if n := b.Plain[0].Runs()["k"]; n != 1 {
+		t.Errorf("the order ran %d times", n)
+	}
+}
--- a/internal/oper/daemon/pools.go
+++ b/internal/oper/daemon/pools.go
@@ -150,6 +150,8 @@
 	engine.Report
 	missed int
 	at     time.Time
+	// evacuated is the incarnation whose chats have been copied elsewhere.
+	evacuated ident.Incarnation
 }
 
 func (r report) silent() bool { return r.missed >= silentAfter }
@@ -178,11 +180,25 @@
 	return known.missed == silentAfter
 }
 
+// evacuate reports whether an engine's present incarnation is still to be
+// evacuated, and notes that it is being done.
+func (r *reports) evacuate(id ident.Target) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.byID[id]
+	if known.evacuated == known.Incarnation {
+		return false
+	}
+	known.evacuated = known.Incarnation
+	r.byID[id] = known
+	return true
+}
+
 // got notes a report; turned is set when the engine had been silent or its slots changed.
 func (r *reports) got(now time.Time, id ident.Target, fresh engine.Report) (turned bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.byID[id]
-	r.byID[id] = report{Report: fresh, at: now}
+	r.byID[id] = report{Report: fresh, at: now, evacuated: known.evacuated}
 	return known.silent() || known.Slots != fresh.Slots
 }
--- a/internal/oper/daemon/probe.go
+++ b/internal/oper/daemon/probe.go
@@ -61,6 +61,7 @@
 	d.homes.Evicted(id, t.ID.Hash(), fresh.Evicted)
 	if fresh.Leaving {
 		d.MarkLeaving(t.ID, fresh.Incarnation)
+		d.evacuate(ctx, id, t, wanted, service)
 	}
 	d.order(ctx, t, wanted, service, fresh)
 }
@@ -82,3 +83,35 @@
 	}
 	_ = level.Info(d.logger).Log("msg", "ordered model", "target", t.ID, "model", service.Model, "revision", wanted, "err", err)
 }
+
+// evacuate has a leaving engine copy the cached prefixes of its chats to the other
+// engines of its shard, once an incarnation. Copying twice does no harm.
+func (d *Daemon) evacuate(ctx context.Context, id place.ShardID, t route.Target, wanted ident.Revision, service policy.Service) {
+	if !service.Export || !d.reports.evacuate(t.ID) {
+		return
+	}
+	for _, e := range d.homes.Evacuate(id, t.ID.Hash()) {
+		to, ok := d.targetAt(id.Pool, e.To)
+		if !ok {
+			continue
+		}
+		order := engine.Order{Kind: engine.ExportCache, Epoch: ident.Epoch(wanted), Keys: e.Keys, To: to.Addr}
+		if err := d.engines.Send(ctx, t.Addr, order); err != nil {
+			_ = level.Warn(d.logger).Log("msg", "export refused", "target", t.ID, "to", to.ID, "err", err)
+			continue
+		}
+		d.homes.Evacuated(id, e)
+		_ = level.Info(d.logger).Log("msg", "exported chats", "target", t.ID, "to", to.ID, "chats", len(e.Keys))
+	}
+}
+
+// targetAt finds a target of a pool by its hash.
+func (d *Daemon) targetAt(pool ident.Pool, hash ident.TargetHash) (route.Target, bool) {
+	for _, p := range d.pools.Load().pools {
+		if p.Name == pool {
+			t, ok := p.Targets[hash]
+			return t, ok
+		}
+	}
+	return route.Target{}, false
+}
--- /dev/null
+++ b/internal/rule/place/evacuate.go
@@ -0,0 +1,69 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"valescale/internal/plat/ident"
+)
+
+// Evacuation is chats of a leaving engine whose cached prefixes are to be copied to
+// another engine.
+type Evacuation struct {
+	To   ident.TargetHash
+	Keys []ident.ChatKey
+}
+
+// Evacuate plans where the most recent chats of an engine go, at most limit of
+// them, spread evenly over the shard's usable engines.
+func (h *Home) Evacuate(engine ident.TargetHash, limit int) []Evacuation {
+	var to []ident.TargetHash
+	for i := range h.engines {
+		if h.engines[i].usable() && h.engines[i].Hash != engine {
+			to = append(to, h.engines[i].Hash)
+		}
+	}
+	if len(to) == 0 {
+		return nil
+	}
+	chats := h.chatsOf(engine)
+	out := make([]Evacuation, len(to))
+	for i, t := range to {
+		out[i].To = t
+	}
+	for n, c := range chats[:min(len(chats), limit)] {
+		e := &out[n%len(out)]
+		e.Keys = append(e.Keys, c.Key)
+	}
+	return slices.DeleteFunc(out, func(e Evacuation) bool { return len(e.Keys) == 0 })
+}
+
+// chatsOf lists the chats whose last place is an engine, the most recent first.
+func (h *Home) chatsOf(engine ident.TargetHash) []ChatPlace {
+	var chats []ChatPlace
+	for _, p := range h.Places(h.places.len()) {
+		if p.Engine == engine {
+			chats = append(chats, p)
+		}
+	}
+	slices.SortFunc(chats, func(a, b ChatPlace) int {
+		return cmp.Or(cmp.Compare(b.SeenUnix, a.SeenUnix), cmp.Compare(a.Key, b.Key))
+	})
+	return chats
+}
+
+// Evacuated notes that chats' prefixes have been copied to an engine.
+func (h *Home) Evacuated(now time.Time, e Evacuation) {
+	i, ok := h.index[e.To]
+	if !ok {
+		return
+	}
+	to := spot{engine: e.To, incarnation: h.engines[i].Incarnation}
+	for _, key := range e.Keys {
+		at, _ := h.places.get(key)
+		next := at.moved(to, now.Unix())
+		h.places.put(key, next)
+		h.note(key, next)
+	}
+}
--- a/internal/rule/policy/service.go
+++ b/internal/rule/policy/service.go
@@ -45,14 +45,28 @@
 	NotRunStatus []int
 	// Fenced targets refuse orders and claims with an older fencing token.
 	Fenced bool
+	// Export says that its engines can copy cached prefixes to each other.
+	Export bool
+	// Protocol is how its targets are spoken to.
+	Protocol Protocol
 	// Weighing is what its targets' load is measured in.
 	Weighing Weighing
 	// Model is the model that its engines are to have loaded; empty gives no orders.
 	Model string
 }
 
+// Protocol is how targets are spoken to.
+type Protocol string
+
+const (
+	// HTTP1 targets speak HTTP/1.1.
+	HTTP1 Protocol = "http1"
+	// HTTP2 targets speak HTTP/2 in clear text.
+	HTTP2 Protocol = "http2"
+)
+
 // DefaultShards is the number of shards of a pool that does not say.
-const DefaultShards = 8
+const DefaultShards = 2
 
 const (
 	maxShards      = 64
@@ -71,6 +85,8 @@
 		Slots:    f.integer("slots", 0, 0, 1_000_000),
 		Timeout:  f.duration("timeout", defaultTimeout, time.Millisecond, maxTimeout),
 		Fenced:   f.boolean("fenced", false),
+		Export:   f.boolean("export", false),
+		Protocol: Protocol(f.oneOf("protocol", string(HTTP1), string(HTTP1), string(HTTP2))),
 		Model:    f.text("model", ""),
 		Weighing: Weighing(f.oneOf("work", string(ByRequests), string(ByRequests), string(ByTokens))),
 	}
--- a/internal/share/home/move.go
+++ b/internal/share/home/move.go
@@ -99,3 +99,26 @@
 	granted, retryAfter = b.Grant(now, want)
 	return granted, retryAfter, true
 }
+
+// maxEvacuated bounds the chats whose prefixes are copied off one leaving engine.
+const maxEvacuated = 2000
+
+// Evacuate plans where the chats of a leaving engine go, if its shard's home is here.
+func (h *Homes) Evacuate(id place.ShardID, engine ident.TargetHash) []place.Evacuation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, ok := h.shards[id]
+	if !ok {
+		return nil
+	}
+	return s.home.Evacuate(engine, maxEvacuated)
+}
+
+// Evacuated notes that chats' prefixes have been copied.
+func (h *Homes) Evacuated(id place.ShardID, e place.Evacuation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s, ok := h.shards[id]; ok {
+		s.home.Evacuated(h.clock(), e)
+	}
+}
