--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -20,7 +20,7 @@
 	Full bool   `long:"full" description:"also the cases that take minutes"`
 
 	Args struct {
-		What string `positional-arg-name:"skew|reuse|fair|control|capacity"`
+		What string `positional-arg-name:"skew|reuse|fair|control|capacity|path"`
 	} `positional-args:"yes" required:"yes"`
 }
 
@@ -52,7 +52,7 @@
 		os.Exit(2)
 	}
 	measures := map[string]func(options) []row{
-		"skew": skew, "reuse": reuse, "fair": fair, "control": control, "capacity": capacity,
+		"skew": skew, "reuse": reuse, "fair": fair, "control": control, "capacity": capacity, "path": path,
 	}
 	measure, ok := measures[o.Args.What]
 	if !ok {
@@ -118,6 +118,12 @@
 			return fmt.Sprintf("| %s | %s | %d | %d | %.0f | %s |", r.Case, r.Way, r.Routers, r.Engines, r.ControlBytes, r.Note)
 		},
 	},
+	"path": {
+		"| load | way | p50 of the first byte, ratio | p99, ratio | router's processor a request (us) | note |\n| --- | --- | ---: | ---: | ---: | --- |",
+		func(r row) string {
+			return fmt.Sprintf("| %s | %s | %.2f | %.2f | %.0f | %s |", r.Case, r.Way, r.P99Ratio, r.MaxRatio, r.CPUMicros, r.Note)
+		},
+	},
 	"capacity": {
 		"| what | size | memory (bytes) | one call (us) | slope |\n| --- | --- | ---: | ---: | --- |",
 		func(r row) string {
--- /dev/null
+++ b/cmd/measure/path.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"valescale/internal/fake/fleet"
+	"valescale/internal/fake/target"
+	"valescale/internal/rule/policy"
+)
+
+const (
+	pathRequests = 4000
+	pathAtOnce   = 16
+	pathBody     = `{"model":"m","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"q"}]}`
+)
+
+// path measures what the router costs: the same requests to an engine directly and
+// through a router, on loopback and in one process, so only the ratios say something.
+func path(options) []row {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	f, stop, err := fleet.New(fleet.Options{Routers: 1, Engines: 1, Engine: target.EngineOptions{}})
+	if err != nil {
+		panic(err)
+	}
+	defer stop()
+	if err := f.AwaitReady(ctx, 0); err != nil {
+		panic(err)
+	}
+	operator := fleet.NewOperator(http.DefaultClient, f.Routers[0].AdminAddr())
+	revision, err := operator.Apply(ctx, "path", fmt.Sprintf(`
+[service judge]
+kind = engine
+[policy runs]
+service = "judge"
+[workspace bogota]
+policy = runs
+token_sha256 = %s
+`, policy.HashToken("bogota")))
+	if err != nil {
+		panic(err)
+	}
+	if err := f.AwaitReady(ctx, revision); err != nil {
+		panic(err)
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 2 * pathAtOnce}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	direct := "http://" + f.Engines[0].Addr() + "/v1/chat/completions"
+	routed := "http://" + f.Routers[0].CallerAddr() + "/v1/chat/completions"
+	var rows []row
+	for _, atOnce := range []int{1, pathAtOnce} {
+		burst(client, direct, atOnce, pathRequests/4)
+		burst(client, routed, atOnce, pathRequests/4)
+		a := burst(client, direct, atOnce, pathRequests)
+		b := burst(client, routed, atOnce, pathRequests)
+		rows = append(rows, row{
+			Case: fmt.Sprintf("%d at once", atOnce), Way: "router over direct", MaxRatio: b.p99 / a.p99, P99Ratio: b.p50 / a.p50,
+			CPUMicros: b.micros - a.micros,
+			Note: fmt.Sprintf("processor a request: direct %.0f us, routed %.0f us (caller and engine included); a core's worth of the router's part is %.0f requests/s",
+				a.micros, b.micros, 1e6/(b.micros-a.micros)),
+		})
+	}
+	return rows
+}
+
+// burstResult is what a burst showed.
+type burstResult struct {
+	p50    float64
+	p99    float64
+	micros float64
+}
+
+// burst sends requests, so many at once, and times the first byte of each answer.
+func burst(client *http.Client, url string, atOnce, requests int) burstResult {
+	var mu sync.Mutex
+	var times []float64
+	var wg sync.WaitGroup
+	started := processor()
+	for w := range atOnce {
+		wg.Go(func() {
+			for n := range requests / atOnce {
+				d, err := firstByte(client, url, fmt.Sprintf("%d-%d", w, n))
+				if err != nil {
+					panic(err)
+				}
+				mu.Lock()
+				times = append(times, d)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	spent := processor() - started
+	sort.Float64s(times)
+	return burstResult{
+		p50: times[len(times)/2], p99: times[len(times)*99/100],
+		micros: float64(spent.Microseconds()) / float64(len(times)),
+	}
+}
+
+func firstByte(client *http.Client, url, chat string) (float64, error) {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(pathBody))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer bogota")
+	req.Header.Set("Valescale-Chat", chat)
+	started := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	var one [1]byte
+	if _, err := io.ReadFull(resp.Body, one[:]); err != nil {
+		return 0, err
+	}
+	d := time.Since(started).Seconds()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return d, err
+}
--- a/cmd/measure/reuse.go
+++ b/cmd/measure/reuse.go
@@ -19,7 +19,7 @@
 	many.name, many.slack = "8x20 caches hold half the chats", 0.5
 	shapes := []shape{calm, flap, zone, replaced, crashed, many}
 	if o.Full {
-		large := target
+		large := future
 		large.name, large.replace = "80x124 third of routers replaced", true
 		shapes = append(shapes, large)
 	}
--- a/cmd/measure/skew.go
+++ b/cmd/measure/skew.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// today and target are the two sizes of the brief and the letter: the fleet of
+// today and future are the two sizes of the brief and the letter: the fleet of
 // each user now, and one of five pools in one of five regions in two years.
 var (
 	today = shape{
 		routers: 8, engines: 20, shards: 2, mean: 10, duration: 14 * time.Second, chats: 4000, slack: 1.7, skew: 0.9,
 		run: 4 * time.Minute, lag: time.Second,
 	}
-	target = shape{
+	future = shape{
 		routers: 80, engines: 124, shards: 16, mean: 13.5, duration: 14 * time.Second, chats: 40_000, slack: 1.7, skew: 0.9,
 		run: 4 * time.Minute, lag: time.Second,
 	}
@@ -39,7 +39,7 @@
 func skew(o options) []row {
 	shapes := cases(today, "8x20")
 	if o.Full {
-		shapes = append(shapes, cases(target, "80x124")...)
+		shapes = append(shapes, cases(future, "80x124")...)
 	}
 	var rows []row
 	for _, s := range shapes {
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,116 @@
+// Command standin serves stand-ins for the platform and for targets, so that
+// routers can be tried as processes of their own. It prints the platform's URL.
+// PUT /boxes replaces the routers on the platform's list; PUT /down and DELETE
+// /down take the store down and bring it back; GET /runs tells how often orders ran.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"valescale/internal/fake/store"
+	"valescale/internal/fake/target"
+	"valescale/internal/plat/boxes"
+	"valescale/internal/plat/ident"
+)
+
+// options are the command line's.
+type options struct {
+	Addr    string `long:"addr" default:"127.0.0.1:0" description:"where the platform listens"`
+	Engines int    `long:"engines" default:"3" description:"how many engines to serve"`
+	Plain   int    `long:"plain" default:"1" description:"how many plain replicas to serve"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+const perWord = 20 * time.Millisecond
+
+func run(o options) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	platform := store.New()
+	var targets []boxes.Box
+	var plain []*target.Plain
+	for i := range o.Engines {
+		e := target.NewEngine(target.EngineOptions{PerWord: perWord, Cache: 100, Slots: 24})
+		box, err := serveTarget(fmt.Sprintf("engine-%02d", i), "judge", i, e.Handler())
+		if err != nil {
+			return err
+		}
+		targets = append(targets, box)
+	}
+	for i := range o.Plain {
+		p := target.NewPlain(0)
+		box, err := serveTarget(fmt.Sprintf("board-%02d", i), "board", i, p.Handler())
+		if err != nil {
+			return err
+		}
+		targets = append(targets, box)
+		plain = append(plain, p)
+	}
+	platform.SetBoxes(targets)
+	l, err := net.Listen("tcp", o.Addr)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler(platform, targets, plain)}
+	go func() { _ = server.Serve(l) }()
+	fmt.Println("http://" + l.Addr().String())
+	<-ctx.Done()
+	return server.Close()
+}
+
+func serveTarget(id string, service ident.Service, i int, h http.Handler) (boxes.Box, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return boxes.Box{}, err
+	}
+	go func() { _ = http.Serve(l, h) }()
+	return boxes.Box{
+		ID: id, Role: boxes.TargetRole, Addr: l.Addr().String(), Service: service, Zone: ident.Zone(fmt.Sprint("zone-", i%3)),
+		Region: "co-central", State: boxes.Live, Incarnation: 1,
+	}, nil
+}
+
+func handler(platform *store.Store, targets []boxes.Box, plain []*target.Plain) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", platform.Handler())
+	mux.HandleFunc("PUT /boxes", func(w http.ResponseWriter, r *http.Request) {
+		var routers []boxes.Box
+		if err := json.NewDecoder(r.Body).Decode(&routers); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		platform.SetBoxes(append(append([]boxes.Box(nil), targets...), routers...))
+	})
+	mux.HandleFunc("PUT /down", func(http.ResponseWriter, *http.Request) { platform.SetDown(true) })
+	mux.HandleFunc("DELETE /down", func(http.ResponseWriter, *http.Request) { platform.SetDown(false) })
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) {
+		runs := map[string]int{}
+		for _, p := range plain {
+			for key, n := range p.Runs() {
+				runs[key] += n
+			}
+		}
+		_ = json.NewEncoder(w).Encode(runs)
+	})
+	return mux
+}
--- /dev/null
+++ b/examples/processes.sh
@@ -0,0 +1,145 @@
+#!/usr/bin/env bash
+# Runs the whole path as separate processes on loopback: the stand-ins, three
+# routers, the operator's commands and a caller. Kills one router, stops one as
+# planned while a stream runs, takes the store down, and checks what callers got.
+# Ends with "N passed, N failed"; its exit status is 1 if anything failed.
+set -uo pipefail
+cd "$(dirname "$0")/.." || exit 1
+work=$(mktemp -d)
+pids=()
+cleanup() {
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null; done
+  wait 2>/dev/null
+  rm -rf "$work"
+}
+trap cleanup EXIT
+passed=0
+failed=0
+# check NAME WANT GOT: WANT is a pattern that GOT must contain.
+check() {
+  if [[ "$3" == *"$2"* ]]; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+    echo "FAILED $1: wanted $2, got $3"
+  fi
+}
+# until COMMAND: tries for half a minute.
+until_ok() {
+  for _ in $(seq 300); do
+    if "$@" >/dev/null 2>&1; then return 0; fi
+    sleep 0.1
+  done
+  return 1
+}
+
+go build -o "$work/valescale" . && go build -o "$work/standin" ./cmd/standin || exit 1
+"$work/standin" >"$work/standin.out" &
+pids+=($!)
+until_ok test -s "$work/standin.out" || exit 1
+platform=$(cat "$work/standin.out")
+
+token=$("$work/valescale" token)
+printf '%s' "$token" | awk '/^token /{print $2}' >"$work/operator"
+hash=$(printf '%s' "$token" | awk '/^token_sha256/{print $2}')
+
+declare -A pid callers admin
+start() {
+  cat >"$work/$1.ini" <<INI
+[router]
+id = $1
+zone = zone-a
+region = co-central
+[callers]
+addr = 127.0.0.1:0
+[peers]
+addr = 127.0.0.1:0
+[admin]
+addr = 127.0.0.1:0
+[platform]
+table = $platform
+object = $platform
+boxes = $platform
+[limits]
+drain_delay = 300ms
+[pace]
+gossip = 200ms
+list = 200ms
+head = 500ms
+report = 500ms
+[keys]
+resume = 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f
+[operators]
+ana = $hash
+INI
+  "$work/valescale" serve --check "$work/$1.ini" >/dev/null || exit 1
+  "$work/valescale" serve "$work/$1.ini" 2>"$work/$1.log" &
+  pid[$1]=$!
+  pids+=($!)
+  until_ok grep -q '"msg":"listening"' "$work/$1.log" || exit 1
+  callers[$1]=$(sed -n 's/.*"callers":"\([^"]*\)".*"msg":"listening".*/\1/p' "$work/$1.log" | head -1)
+  admin[$1]=$(sed -n 's/.*"admin":"\([^"]*\)".*"msg":"listening".*/\1/p' "$work/$1.log" | head -1)
+}
+box() {
+  local peers
+  peers=$(sed -n 's/.*"msg":"listening".*"peers":"\([^"]*\)".*/\1/p' "$work/$1.log" | head -1)
+  printf '{"id":"%s","role":"router","addr":"%s","zone":"zone-a","region":"co-central","state":"live"}' "$1" "$peers"
+}
+list() {
+  local out="" name
+  for name in "$@"; do out="$out${out:+,}$(box "$name")"; done
+  curl -s -X PUT -d "[$out]" "$platform/boxes"
+}
+chat() {
+  curl -sN --max-time 20 -H 'Authorization: Bearer bogota' -H 'Content-Type: application/json' \
+    -d "{\"model\":\"m\",\"stream\":$2,\"max_tokens\":$3,\"messages\":[{\"role\":\"user\",\"content\":\"q\"}]}" \
+    "http://${callers[$1]}/v1/chat/completions"
+}
+order() {
+  curl -s --max-time 20 -D - -o /dev/null -H 'Authorization: Bearer bogota' -H "Idempotency-Key: $2" -d roses "http://${callers[$1]}/orders" |
+    tr -d '\r' | sed -n 's/^Valescale-Outcome: //p'
+}
+operator() {
+  local router=$1
+  shift
+  VALESCALE_ROUTER=${admin[$router]} "$work/valescale" "$1" --token-file "$work/operator" "${@:2}" 2>&1
+}
+
+for name in router-a router-b router-c; do start "$name"; done
+list router-a router-b router-c
+for name in router-a router-b router-c; do
+  until_ok curl -sf "http://${admin[$name]}/readyz" || { echo "$name is never ready"; exit 1; }
+done
+check "apply" "revision 1 is in force on every router" "$(operator router-a apply examples/services.ini)"
+check "status elsewhere" '"revision":"1"' "$(operator router-c status --json)"
+check "whole answer" '"content":"8e35c2cd.0 8e35c2cd.1 "' "$(chat router-b false 2)"
+check "stream to its end" 'data: [DONE]' "$(chat router-c true 3)"
+check "no token" '"code":"unauthorized"' "$(curl -s "http://${callers[router-a]}/x")"
+check "order" "done" "$(order router-a order-1)"
+check "the same order at another router" "done" "$(order router-b order-1)"
+check "ran once" '"order-1":1' "$(curl -s "$platform/runs")"
+
+curl -s -X PUT "$platform/down"
+check "order without the store" "not_run" "$(order router-a order-2)"
+check "chat without the store" '"content":"8e35c2cd.0 "' "$(chat router-a false 1)"
+curl -s -X DELETE "$platform/down"
+check "order once the store is back" "done" "$(order router-c order-2)"
+
+chat router-b true 60 >"$work/stream" &
+stream=$!
+until_ok grep -q data "$work/stream"
+kill -TERM "${pid[router-b]}"
+wait "$stream"
+check "stream over a planned stop" 'data: [DONE]' "$(cat "$work/stream")"
+list router-a router-c
+kill -KILL "${pid[router-c]}"
+wait "${pid[router-c]}" 2>/dev/null
+check "chat after a kill" '"content":"8e35c2cd.0 "' "$(chat router-a false 1)"
+list router-a
+check "apply with one router left" "in force on every router" "$(sed 's/rate = 100/rate = 90/' examples/services.ini >"$work/second.ini"; operator router-a apply --note second "$work/second.ini")"
+check "audit" "+ rate = 90" "$(operator router-a audit)"
+kill -TERM "${pid[router-a]}"
+wait "${pid[router-a]}"
+check "exit status after a planned stop" 0 "$?"
+echo "$passed passed, $failed failed"
+[ "$failed" = 0 ]
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -279,6 +279,9 @@
 	f.Store.SetBoxes(f.list)
 }
 
+// Addr is where the engine listens.
+func (e *Engine) Addr() string { return e.box.Addr }
+
 // Kill ends an engine at once, with all its connections.
 func (e *Engine) Kill() { e.stop() }
 
--- a/internal/oper/daemon/serve.go
+++ b/internal/oper/daemon/serve.go
@@ -62,6 +62,7 @@
 	wg.Go(func() { every(background, d.settings.Pace.Lease/leaseSteps, d.sweep) })
 	wg.Go(func() { d.becomeReady(background) })
 	serve(&wg, callers, d.listeners.callers)
+	_ = level.Info(d.logger).Log("msg", "listening", "callers", d.CallerAddr(), "peers", d.PeerAddr(), "admin", d.AdminAddr())
 	<-ctx.Done()
 	if !d.killed.Load() {
 		d.drain(callers)
--- a/internal/rule/quota/quota_test.go
+++ b/internal/rule/quota/quota_test.go
@@ -160,6 +160,17 @@
 	}
 }
 
+// A home that dies just after a grant was used up must not stop its workspace.
+func TestHomeLostAfterAGrant(t *testing.T) {
+	var a quota.Allowance
+	a.Granted(start, 1, 0)
+	a.Take(start)
+	a.NoHome(start, 16, 2)
+	if !a.Take(start) {
+		t.Error("no token although the home cannot be asked")
+	}
+}
+
 func TestLimitsChange(t *testing.T) {
 	b := quota.NewBucket(start, 10, 100)
 	b.Set(start, 1, 3)
