--- a/cmd/measure/control.go
+++ b/cmd/measure/control.go
@@ -91,11 +91,35 @@
 		total += p.bytes
 		rows = append(rows, row{Case: s.name, Way: p.name, Routers: s.routers, Engines: s.engines, ControlBytes: p.bytes})
 	}
+	busiest := s.busiestHome()
+	rows = append(rows, row{
+		Case: s.name, Way: "permits at the busiest home", Routers: s.routers, Engines: s.engines,
+		// Of a permit's bytes the home sends the answer, about two fifths.
+		ControlBytes: perRouter * asksPerRequest * link.bytes * (3 + 2*float64(busiest)/max(shards, 0.01)) / 5,
+		Note:         fmt.Sprintf("it has %d of %d shards", busiest, s.shards),
+	})
 	note := fmt.Sprintf("digest %d bytes, exchange %.0f bytes and %.0f us of processor, permit and its return %.0f bytes and %.0f us, both sides",
 		digest, exchange, exchangeCPU, link.bytes, link.micros)
 	return append(rows, row{Case: s.name, Way: "all", Routers: s.routers, Engines: s.engines, ControlBytes: total, Note: note})
 }
 
+// busiestHome is the most shards that one router is home of.
+func (s controlShape) busiestHome() int {
+	var routers []ident.Router
+	for i := range s.inRegion {
+		routers = append(routers, ident.Router(fmt.Sprintf("router-%03d", i)))
+	}
+	counts := map[ident.Router]int{}
+	most := 0
+	for i := range s.shards {
+		pool := ident.NewPool(ident.Service("judge-"+itoa(i/16)), region)
+		home := place.HomeOf(place.ShardID{Pool: pool, Shard: ident.Shard(i % 16)}, routers)
+		counts[home]++
+		most = max(most, counts[home])
+	}
+	return most
+}
+
 // gossipSizes returns the mean and largest digest of a fleet with ordinary news.
 func gossipSizes(routers int, seed uint64) (mean, largest int) {
 	rng := rand.New(rand.NewPCG(seed, 5))
