place: a shard leaves a router that is home of two for one that is home of none

Cause (measure control): rendezvous hashing made one of 80 routers home of 4 of 80 shards, which put its control traffic at 8.4 kB/s.

Change: homes are assigned for all shards of a region at once; a shard whose first router has two goes to the first of its first eight that has none. Standbys are who would be home without the home. Also: the claim's model had lost its reading back to a guard that is never enabled, found since a mutant was no longer caught; mended.

Conclusion: even homes at little cost in moves.

--- a/internal/edge/route/limit.go
+++ b/internal/edge/route/limit.go
@@ -34,11 +34,11 @@
 		return fault.New(op, Limited, Later{RetryAfter: later})
 	}
 	want := a.Ask(now)
-	to := place.OwnerOf("workspace/"+string(w.Name), r.routers)
-	routers := len(r.routers)
+	routers := r.assigned.Routers()
+	to := WorkspaceHome(w.Name, routers)
 	r.mu.Unlock()
 	granted, retryAfter, err := r.homes.Grant(ctx, to, w.Name, want)
-	return r.granting(a, w, granted, retryAfter, err, routers)
+	return r.granting(a, w, granted, retryAfter, err, len(routers))
 }
 
 func (r *Router) granting(a *quota.Allowance, w policy.Workspace, granted int, retryAfter time.Duration, err error, routers int) error {
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -67,12 +67,12 @@
 
 // Router finds targets.
 type Router struct {
-	self    Self
-	homes   Homes
-	clock   ident.Clock
-	mu      sync.Mutex
-	pools   map[ident.Service][]*pool
-	routers []ident.Router
+	self     Self
+	homes    Homes
+	clock    ident.Clock
+	mu       sync.Mutex
+	pools    map[ident.Service][]*pool
+	assigned *place.Assignment
 	// silent are homes that did not answer lately, until when they are passed over.
 	silent   map[ident.Router]time.Time
 	permit   uint64
@@ -113,6 +113,7 @@
 		clock:    clock,
 		pools:    map[ident.Service][]*pool{},
 		permit:   self.FirstPermit,
+		assigned: place.Assign(nil, nil),
 		held:     map[place.ShardID]map[uint64]place.Permit{},
 		granted:  map[place.ShardID]ident.Router{},
 		pending:  map[place.ShardID][]uint64{},
@@ -130,9 +131,9 @@
 	return r.stats
 }
 
-// Set replaces pools and live routers, and tells new homes what this router holds.
+// Set replaces pools and the assignment of homes, and tells new homes what this router holds.
 // A service's own region comes first among its pools.
-func (r *Router) Set(ctx context.Context, pools []Pool, routers []ident.Router) {
+func (r *Router) Set(ctx context.Context, pools []Pool, assigned *place.Assignment) {
 	r.mu.Lock()
 	old := r.pools
 	r.pools = map[ident.Service][]*pool{}
@@ -146,7 +147,7 @@
 		}
 		r.pools[p.Service.Name] = list
 	}
-	r.routers = routers
+	r.assigned = assigned
 	moved := r.movedShards()
 	r.mu.Unlock()
 	r.move(ctx, moved)
@@ -162,14 +163,11 @@
 
 // homeOf is the home of a shard among the routers that answer; the caller holds the lock.
 func (r *Router) homeOf(id place.ShardID) ident.Router {
-	home := place.HomeOf(id, r.routers)
+	home := r.assigned.Home(id)
 	if until, silent := r.silent[home]; !silent || !r.clock().Before(until) {
 		return home
 	}
-	for _, next := range place.Standbys(id, home, r.routers, 1) {
-		return next
-	}
-	return home
+	return r.assigned.Next(id, home)
 }
 
 // silentFor is how long a home that did not answer is passed over for the next in line.
@@ -411,7 +409,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	request := place.Request{Key: ask.Key, Work: ask.Work, Zone: r.self.Zone, Avoid: ask.Avoid}
-	d := p.picture.Local(request, len(r.routers))
+	d := p.picture.Local(request, len(r.assigned.Routers()))
 	target, known := p.Targets[d.Engine]
 	switch {
 	case d.Result == place.Empty:
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"valescale/internal/plat/ident"
 	"valescale/internal/plat/object"
 	"valescale/internal/plat/table"
+	"valescale/internal/rule/place"
 	"valescale/internal/rule/policy"
 	"valescale/internal/share/claim"
 	"valescale/internal/share/config"
@@ -94,7 +95,7 @@
 		settings: settings, logger: logger, clock: clock,
 		meter: &peer.Meter{}, outside: &peer.Meter{}, reports: newReports(), dirty: make(chan struct{}, 1),
 	}
-	d.pools.Store(&poolSet{})
+	d.pools.Store(&poolSet{live: place.Assign(nil, nil), known: place.Assign(nil, nil)})
 	if err := d.listen(); err != nil {
 		d.close()
 		return nil, nil, err
--- a/internal/oper/daemon/pools.go
+++ b/internal/oper/daemon/pools.go
@@ -20,7 +20,24 @@
 type poolSet struct {
 	revision ident.Revision
 	pools    []route.Pool
-	routers  []ident.Router
+	// live assigns homes among the live routers of the region, known among all that
+	// are remembered and do not leave.
+	live  *place.Assignment
+	known *place.Assignment
+}
+
+// shardsOf lists the shards of a region's pools.
+func shardsOf(pools []route.Pool, region ident.Region) []place.ShardID {
+	var out []place.ShardID
+	for _, p := range pools {
+		if p.Region != region || p.Service.Balance != policy.Exact {
+			continue
+		}
+		for s := range p.Service.Shards {
+			out = append(out, place.ShardID{Pool: p.Name, Shard: ident.Shard(s)})
+		}
+	}
+	return out
 }
 
 // makePools joins the services of the configuration with the targets of the view.
@@ -60,10 +77,14 @@
 	force := d.keeper.InForce()
 	next := &poolSet{revision: force.Revision}
 	gone := map[ident.Router]uint64{}
+	var live, known []ident.Router
 	d.node.Read(func(v *peer.View) {
 		next.pools = makePools(force, v, d.reports)
-		next.routers = v.Routers(d.self.Region)
+		live = v.Routers(d.self.Region)
 		for _, m := range v.Members() {
+			if m.Region == d.self.Region && m.State != peer.Leaving {
+				known = append(known, m.ID)
+			}
 			if m.State == peer.Dead {
 				gone[m.ID] = ^uint64(0)
 				continue
@@ -71,6 +92,8 @@
 			gone[m.ID] = firstPermit(m.Incarnation)
 		}
 	})
+	shards := shardsOf(next.pools, d.self.Region)
+	next.live, next.known = place.Assign(shards, live), place.Assign(shards, known)
 	d.pools.Store(next)
 	for _, p := range next.pools {
 		if p.Region == d.self.Region {
@@ -79,18 +102,18 @@
 			d.homes.SetPool(p.Name, p.Service.Shards, bound, p.Engines)
 		}
 	}
-	d.router.Set(ctx, next.pools, next.routers)
+	d.router.Set(ctx, next.pools, next.live)
 	for id, below := range gone {
 		if id != d.self.ID {
 			d.homes.Forget(id, below)
 		}
 	}
-	d.handOff(ctx, next.routers)
+	d.handOff(ctx, next.live)
 }
 
 // handOff passes on the shards that another router is home of now.
-func (d *Daemon) handOff(ctx context.Context, routers []ident.Router) {
-	parcels := d.homes.Misplaced(func(id place.ShardID) ident.Router { return place.HomeOf(id, routers) })
+func (d *Daemon) handOff(ctx context.Context, live *place.Assignment) {
+	parcels := d.homes.Misplaced(live.Home)
 	for _, p := range parcels {
 		if err := d.remote.Handoff(ctx, p); err != nil {
 			_ = level.Warn(d.logger).Log("msg", "handoff failed", "pool", p.ID.Pool, "shard", p.ID.Shard, "to", p.To, "err", err)
@@ -100,9 +123,6 @@
 	}
 }
 
-// standbys is how many routers next in line know a shard's counts.
-const standbys = 2
-
 // keepPublished publishes at intervals, and soon after a count has jumped.
 func (d *Daemon) keepPublished(ctx context.Context) {
 	ticker := time.NewTicker(publishEvery)
@@ -123,15 +143,8 @@
 // that are thought dead are told too: if they are not, they may well believe to be
 // home themselves.
 func (d *Daemon) publish(ctx context.Context) {
-	var routers []ident.Router
-	d.node.Read(func(v *peer.View) {
-		for _, m := range v.Members() {
-			if m.Region == d.self.Region && m.State != peer.Leaving {
-				routers = append(routers, m.ID)
-			}
-		}
-	})
-	for _, p := range d.homes.Publications(routers, standbys) {
+	set := d.pools.Load()
+	for _, p := range d.homes.Publications(set.live, set.known) {
 		for _, to := range p.To {
 			d.remote.Publish(to, p.Digest)
 		}
--- a/internal/oper/daemon/probe.go
+++ b/internal/oper/daemon/probe.go
@@ -28,7 +28,7 @@
 		}
 		for _, e := range p.Engines {
 			id := place.ShardID{Pool: p.Name, Shard: place.ShardOf(e.Hash, p.Service.Shards)}
-			if place.HomeOf(id, set.routers) != d.self.ID {
+			if set.live.Home(id) != d.self.ID {
 				continue
 			}
 			gate <- struct{}{}
--- a/internal/rule/place/shard.go
+++ b/internal/rule/place/shard.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,29 +22,14 @@
 	Shard ident.Shard
 }
 
-// HomeOf returns the router that is home of a shard by rendezvous hashing, or the
-// empty id when there are no routers.
-func HomeOf(id ShardID, routers []ident.Router) ident.Router {
-	seed := ident.Mix(xxhash.Sum64String(string(id.Pool)), uint64(id.Shard))
-	return rendezvous(seed, routers)
+// homeOf returns a shard's first router by rendezvous hashing, or the empty id when
+// there are no routers.
+func homeOf(id ShardID, routers []ident.Router) ident.Router {
+	return rendezvous(shardSeed(id), routers)
 }
 
-// Standbys returns up to n routers other than self that would be home of a shard if
-// self were not there, the next one first.
-func Standbys(id ShardID, self ident.Router, routers []ident.Router, n int) []ident.Router {
-	left := make([]ident.Router, 0, len(routers))
-	for _, r := range routers {
-		if r != self {
-			left = append(left, r)
-		}
-	}
-	var out []ident.Router
-	for len(out) < n && len(left) > 0 {
-		next := HomeOf(id, left)
-		out = append(out, next)
-		left = slices.DeleteFunc(left, func(r ident.Router) bool { return r == next })
-	}
-	return out
+func shardSeed(id ShardID) uint64 {
+	return ident.Mix(xxhash.Sum64String(string(id.Pool)), uint64(id.Shard))
 }
 
 // OwnerOf returns the router that is home of a named thing, such as a workspace's limit.
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -406,11 +406,12 @@
 	Whole *Parcel
 }
 
-// Publications returns what is to be told now, given all routers of the region.
-func (h *Homes) Publications(routers []ident.Router, standbys int) []Publication {
+// Publications returns what is to be told now, given the assignments among the live
+// routers and among all that are known.
+func (h *Homes) Publications(live, known *place.Assignment) []Publication {
 	var out []Publication
 	for _, d := range h.Digests() {
-		p := Publication{Digest: d, To: place.Standbys(d.ID, h.self, routers, standbys)}
+		p := Publication{Digest: d, To: place.Standbys(d.ID, h.self, live, known)}
 		if len(p.To) > 0 {
 			p.Whole = h.wholeFor(d.ID, p.To[0])
 		}
--- a/spec/claim.pml
+++ b/spec/claim.pml
@@ -59,9 +59,12 @@
   commit(ok, lost, mine, seen, sent);
   if
   :: ok && !lost -> seen = version; held = true; goto holding
-  :: told = not_run; goto tell           /* gives up: nothing was sent, and nothing will be */
   :: else
   fi;
+  if
+  :: told = not_run; goto tell           /* gives up: nothing was sent, and nothing will be */
+  :: skip
+  fi;
   /* the answer was lost, or somebody is there: read the row back */
   atomic { row = state; rowOwner = owner; seen = version };
   if
