Counts of homes that are gone no longer come to life in a new home

Cause (measure reuse, traced at each admission over the bound): a home made at a takeover merged every digest that its router had ever heard for the shard as if it had just come; with a home crashing every 20 s it counted five dead homes at once and believed in four times the work, so the bound was far too loose for 4 s.

Change: digests are kept with the time at which they came. Permits of a router that is suspect count on their engines but not in the mean. The driver's crashes pass a router over after 1 s, as membership does, and hold it dead after 4 s.

--- a/cmd/measure/homes.go
+++ b/cmd/measure/homes.go
@@ -48,8 +48,6 @@
 	router *route.Router
 	// missing is a router that this one believes to be gone.
 	missing ident.Router
-	// gone routers crashed and answer nobody.
-	gone bool
 }
 
 func newHomesWay() *homesWay {
@@ -114,26 +112,35 @@
 func (h *homesWay) crash(i int) {
 	old := h.nodes[i]
 	h.nodes[i] = h.renewed(i)
-	old.gone = true
 	for _, e := range h.w.engines {
-		for r := range e.active {
+		for _, r := range e.inOrder() {
 			if r.router == i {
-				h.w.after(0, func() { h.w.finish(r) })
+				h.w.finish(r)
 			}
 		}
 	}
-	h.w.after(detectTime, func() {
+	h.w.after(suspectTime, func() {
 		p := h.pool()
 		for _, n := range h.nodes {
-			n.homes.Forget(old.id, ^uint64(0))
+			n.homes.Doubt([]ident.Router{old.id})
 			h.refresh(n, p)
 		}
+		h.w.after(publishSoon, h.publishUrgent)
+	})
+	h.w.after(deadTime, func() {
+		for _, n := range h.nodes {
+			n.homes.Doubt(nil)
+			n.homes.Forget(old.id, ^uint64(0))
+		}
 	})
 }
 
-// detectTime is how long a crash goes unnoticed: an exchange that fails, and the
-// time that a suspect has to speak up.
-const detectTime = 4 * time.Second
+// After a crash an exchange fails within suspectTime, and the others pass the router
+// over; after deadTime it is held dead, and what it held is dropped.
+const (
+	suspectTime = time.Second
+	deadTime    = 4 * time.Second
+)
 
 // newNode makes the router in a place of the fleet.
 func (h *homesWay) newNode(i int, id ident.Router) *node {
--- a/cmd/measure/world.go
+++ b/cmd/measure/world.go
@@ -360,12 +360,16 @@
 	})
 }
 
+// inOrder lists what runs on an engine: the order in which a map is walked must not
+// change the figures.
+func (e *engine) inOrder() []*request {
+	return slices.SortedFunc(maps.Keys(e.active), func(a, b *request) int { return a.chat.id - b.chat.id })
+}
+
 func (w *world) lose(e *engine) {
 	e.up = false
 	e.incarnation++
-	// The order in which a map is walked must not change the figures.
-	lost := slices.SortedFunc(maps.Keys(e.active), func(a, b *request) int { return a.chat.id - b.chat.id })
-	for _, r := range lost {
+	for _, r := range e.inOrder() {
 		w.finish(r)
 	}
 	e.lru.Init()
--- a/internal/oper/daemon/pools.go
+++ b/internal/oper/daemon/pools.go
@@ -77,7 +77,7 @@
 	force := d.keeper.InForce()
 	next := &poolSet{revision: force.Revision}
 	gone := map[ident.Router]uint64{}
-	var live, known []ident.Router
+	var live, known, doubted []ident.Router
 	d.node.Read(func(v *peer.View) {
 		next.pools = makePools(force, v, d.reports)
 		live = v.Routers(d.self.Region)
@@ -85,6 +85,9 @@
 			if m.Region == d.self.Region && m.State != peer.Leaving {
 				known = append(known, m.ID)
 			}
+			if m.State == peer.Suspect {
+				doubted = append(doubted, m.ID)
+			}
 			if m.State == peer.Dead {
 				gone[m.ID] = ^uint64(0)
 				continue
@@ -103,6 +106,7 @@
 		}
 	}
 	d.router.Set(ctx, next.pools, next.live)
+	d.homes.Doubt(doubted)
 	for id, below := range gone {
 		if id != d.self.ID {
 			d.homes.Forget(id, below)
--- a/internal/rule/place/digest.go
+++ b/internal/rule/place/digest.go
@@ -98,7 +98,7 @@
 // Digest returns what this home admitted itself and the shard's work as it knows it.
 func (h *Home) Digest() Digest {
 	h.seq++
-	d := Digest{ID: h.id, Home: h.self, Seq: h.seq, Work: h.Work()}
+	d := Digest{ID: h.id, Home: h.self, Seq: h.seq, Work: h.SureWork()}
 	for i := range h.engines {
 		e := &h.engines[i]
 		if e.own != 0 {
@@ -121,6 +121,9 @@
 	return work
 }
 
+// SureWork is the work on the shard's usable engines without that of edges that may be gone.
+func (h *Home) SureWork() ident.Work { return max(h.Work()-h.doubtedWork(), 0) }
+
 // MergeSums takes in other shards' work as an edge heard of it.
 func (h *Home) MergeSums(now time.Time, list []Sum) {
 	for _, s := range list {
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -105,9 +105,11 @@
 	index   map[ident.TargetHash]int
 	permits map[permitKey]Permit
 	// held counts the permits of each edge; synced is how far its latest list reached.
-	held   map[ident.Router]int
-	synced map[ident.Router]uint64
-	places memory
+	held map[ident.Router]int
+	// doubted are edges that may be gone, whose requests may have ended.
+	doubted map[ident.Router]bool
+	synced  map[ident.Router]uint64
+	places  memory
 	// sums are the other shards' work, foreign other homes' shares of this one.
 	sums    sums
 	foreign map[ident.Router]foreign
@@ -131,6 +133,7 @@
 		index:   map[ident.TargetHash]int{},
 		permits: map[permitKey]Permit{},
 		held:    map[ident.Router]int{},
+		doubted: map[ident.Router]bool{},
 		synced:  map[ident.Router]uint64{},
 		places:  newMemory(bound.Places),
 		foreign: map[ident.Router]foreign{},
@@ -321,7 +324,7 @@
 
 // Total is the work on the pool's usable engines as far as this home knows.
 func (h *Home) Total(now time.Time) ident.Work {
-	return h.Work() + h.sums.total(now, h.bound.DigestLife, h.id.Shard)
+	return h.SureWork() + h.sums.total(now, h.bound.DigestLife, h.id.Shard)
 }
 
 // Saturated reports whether the shard's engines have no slot left for work.
@@ -442,6 +445,30 @@
 	}
 }
 
+// Doubt names the edges that may be gone. Until that is known their permits count on
+// their engines, but not in the mean: too high a load and too low a mean are the
+// sides to err on.
+func (h *Home) Doubt(edges []ident.Router) {
+	clear(h.doubted)
+	for _, e := range edges {
+		h.doubted[e] = true
+	}
+}
+
+// doubtedWork is the work of permits whose requests may have ended with their edge.
+func (h *Home) doubtedWork() ident.Work {
+	if len(h.doubted) == 0 {
+		return 0
+	}
+	var work ident.Work
+	for key, p := range h.permits {
+		if h.doubted[key.edge] {
+			work += p.Work
+		}
+	}
+	return work
+}
+
 // Held is the number of permits that an edge holds here.
 func (h *Home) Held(edge ident.Router) int { return h.held[edge] }
 
--- a/internal/rule/place/home_test.go
+++ b/internal/rule/place/home_test.go
@@ -253,6 +253,23 @@
 	}
 }
 
+// The permits of a router that may be gone count on their engines, not in the mean.
+func TestDoubtedEdge(t *testing.T) {
+	h, _ := newHome(2)
+	for n := uint64(1); n <= 8; n++ {
+		h.Place(start, ask(n, ident.ChatKey(n)))
+	}
+	total, work := h.Total(start), h.Work()
+	h.Doubt([]ident.Router{"router-b"})
+	if h.Work() != work || h.Total(start) != 0 {
+		t.Errorf("work %d and total %d, want %d and 0", h.Work(), h.Total(start), work)
+	}
+	h.Doubt(nil)
+	if got := h.Total(start); got != total {
+		t.Errorf("total %d once the doubt is over, want %d", got, total)
+	}
+}
+
 func TestHandedOverPermits(t *testing.T) {
 	a, list := newHome(2)
 	for n := uint64(1); n <= 4; n++ {
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -82,12 +82,14 @@
 	shards  map[place.ShardID]*shard
 	pools   map[ident.Pool]*poolInfo
 	names   map[ident.PoolHash]ident.Pool
-	loads   map[place.ShardID]map[ident.Router]place.Digest
+	loads   map[place.ShardID]map[ident.Router]heard
 	buckets map[ident.Workspace]*quota.Bucket
 	rates   func(ident.Workspace) (policy.Workspace, bool)
 	seq     uint64
 	// farewells say of shards that moved on that nothing is counted here any more.
 	farewells []place.Digest
+	// doubted are routers that may be gone.
+	doubted []ident.Router
 	// spares are the chat places of shards of which this router is next in line.
 	spares map[place.ShardID]*place.Spare
 	// urgent is signalled when a shard's count jumped and others should know at once.
@@ -111,6 +113,13 @@
 	standby ident.Router
 }
 
+// heard is a digest with the time at which it came; one of a home that is gone must
+// not come to life again in a home that is made later.
+type heard struct {
+	digest place.Digest
+	at     time.Time
+}
+
 type waiting struct {
 	ask    Ask
 	answer chan Answer
@@ -125,7 +134,7 @@
 		shards:  map[place.ShardID]*shard{},
 		pools:   map[ident.Pool]*poolInfo{},
 		names:   map[ident.PoolHash]ident.Pool{},
-		loads:   map[place.ShardID]map[ident.Router]place.Digest{},
+		loads:   map[place.ShardID]map[ident.Router]heard{},
 		buckets: map[ident.Workspace]*quota.Bucket{},
 		rates:   rates,
 		seq:     uint64(clock().UnixMilli()),
@@ -168,16 +177,18 @@
 	if info != nil {
 		s.home.SetEngines(info.pool.ShardEngines(id.Shard), info.pool.Weights())
 	}
-	now := h.clock()
 	for _, byHome := range h.loads {
-		for _, d := range byHome {
-			s.home.Merge(now, d)
+		for _, l := range byHome {
+			if h.clock().Sub(l.at) <= bound.DigestLife {
+				s.home.Merge(l.at, l.digest)
+			}
 		}
 	}
 	if spare, ok := h.spares[id]; ok {
 		s.home.Adopt(spare)
 		delete(h.spares, id)
 	}
+	s.home.Doubt(h.doubted)
 	h.shards[id] = s
 	return s
 }
@@ -203,7 +214,7 @@
 	}
 	if ask.Wait <= 0 {
 		defer h.mu.Unlock()
-		return Answer{Result: Full, RetryAfter: s.rate.after(now, s.queue.Len()), Held: s.home.Held(ask.Edge), Work: s.home.Work()}
+		return Answer{Result: Full, RetryAfter: s.rate.after(now, s.queue.Len()), Held: s.home.Held(ask.Edge), Work: s.home.SureWork()}
 	}
 	w := &waiting{ask: ask, answer: make(chan Answer, 1)}
 	entry := &quota.Waiter{
@@ -252,7 +263,7 @@
 
 // answer turns a placement's decision into what the edge is told.
 func (s *shard) answer(now time.Time, edge ident.Router, d place.Decision) Answer {
-	a := Answer{Engine: d.Engine, Warm: d.Warm, Held: s.home.Held(edge), Work: s.home.Work(), Sums: s.home.NextSums(now)}
+	a := Answer{Engine: d.Engine, Warm: d.Warm, Held: s.home.Held(edge), Work: s.home.SureWork(), Sums: s.home.NextSums(now)}
 	switch d.Result {
 	case place.Placed:
 		a.Result = Placed
@@ -347,6 +358,16 @@
 // Urgent is signalled when Digests has something that should not wait.
 func (h *Homes) Urgent() <-chan struct{} { return h.urgent }
 
+// Doubt names the routers that may be gone.
+func (h *Homes) Doubt(edges []ident.Router) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.doubted = edges
+	for _, s := range h.shards {
+		s.home.Doubt(edges)
+	}
+}
+
 // Forget drops the permits that a router's earlier process or a dead router held.
 func (h *Homes) Forget(edge ident.Router, below uint64) {
 	h.mu.Lock()
@@ -364,11 +385,11 @@
 	now := h.clock()
 	for _, d := range digests {
 		if h.loads[d.ID] == nil {
-			h.loads[d.ID] = map[ident.Router]place.Digest{}
+			h.loads[d.ID] = map[ident.Router]heard{}
 		}
 		h.keepPlaces(d.ID, d.Places)
 		d.Places = nil
-		h.loads[d.ID][d.Home] = d
+		h.loads[d.ID][d.Home] = heard{digest: d, at: now}
 		for id, s := range h.shards {
 			if id.Pool == d.ID.Pool {
 				s.home.Merge(now, d)
--- /dev/null
+++ b/internal/share/home/homes_test.go
@@ -0,0 +1,61 @@
+package home_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
+	"valescale/internal/share/home"
+)
+
+const pool ident.Pool = "judge@co"
+
+var id = place.ShardID{Pool: pool}
+
+// newHomes returns homes with one engine and a clock to move.
+func newHomes() (*home.Homes, ident.TargetHash, *time.Time) {
+	now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+	h := home.New("router-a", home.DefaultLimits, func() time.Time { return now }, func(ident.Workspace) (policy.Workspace, bool) {
+		return policy.Workspace{}, false
+	})
+	engine := place.Engine{ID: "engine-1", Hash: ident.Target("engine-1").Hash(), Incarnation: 1}
+	h.SetPool(pool, 1, place.DefaultBound, []place.Engine{engine})
+	return h, engine.Hash, &now
+}
+
+func counted(engine ident.TargetHash, from ident.Router, seq uint64) place.Digest {
+	return place.Digest{
+		ID: id, Home: from, Seq: seq, Work: 7 * ident.OneRequest,
+		Loads: []place.EngineWork{{Engine: engine, Work: 7 * ident.OneRequest}},
+	}
+}
+
+// A home that takes over knows what its predecessor counted just now, but not what
+// homes that are long gone once counted.
+func TestOnlyFreshCountsAreTakenOver(t *testing.T) {
+	h, engine, now := newHomes()
+	h.Merge([]place.Digest{counted(engine, "router-old", 1)})
+	*now = now.Add(place.DefaultBound.DigestLife + time.Second)
+	h.Merge([]place.Digest{counted(engine, "router-new", 1)})
+	h.Sync(id, "router-b", nil, 0, "")
+	if diff := cmp.Diff(7, h.RequestsAt(pool, engine)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// The places of a shard whose home is elsewhere serve when that home is gone.
+func TestSparePlacesServeAfterTakeover(t *testing.T) {
+	h, engine, _ := newHomes()
+	h.Accept(home.Parcel{ID: id, Spare: true, Places: []place.ChatPlace{{Key: 7, Engine: engine, Incarnation: 1, SeenUnix: 1}}})
+	if permits, _ := h.InFlight(); permits != 0 {
+		t.Fatalf("%d permits out of a spare parcel", permits)
+	}
+	ask := home.Ask{Shard: id, Request: place.Request{Edge: "router-b", Permit: 1, Key: 7, Work: ident.OneRequest}}
+	if a := h.Place(t.Context(), ask, nil); a.Result != home.Placed || !a.Warm {
+		t.Errorf("got %+v, want a warm place", a)
+	}
+}
