front: callers are known before their body is read; names for newcomers

Cause: a chat's body was read before its caller was known, so anybody could make a router hold megabytes; several names were pictures of our own (seat, parcel, spare, evacuate, farewell).

Change: known, then acceptChat and accept; Placement, Transfer, Replica, Export, last digests.

Conclusion: none of the renames touches a wire name but one field of a handoff.

--- a/cmd/measure/homes.go
+++ b/cmd/measure/homes.go
@@ -151,7 +151,7 @@
 	})
 	n.router = route.New(route.Self{
 		ID: id, Region: region, Zone: ident.Zone("zone-" + itoa(i%3)),
-		Later: func(d time.Duration, f func()) { h.w.after(d, f) },
+		AfterFunc: func(d time.Duration, f func()) { h.w.after(d, f) },
 	}, network{h, id}, clock)
 	return n
 }
@@ -224,11 +224,11 @@
 	live := h.assigned(h.routersOf(n))
 	n.homes.SetPool(p.Name, p.Service.Shards, h.bound, p.Engines)
 	n.router.Set(context.Background(), []route.Pool{p}, live)
-	for _, parcel := range n.homes.Misplaced(live.Home) {
-		h.count(home.HandoffSize(parcel))
-		if to := h.node(parcel.To); to != nil {
-			to.homes.Accept(parcel)
-			n.homes.Moved(parcel.ID)
+	for _, transfer := range n.homes.Misplaced(live.Home) {
+		h.count(home.HandoffSize(transfer))
+		if to := h.node(transfer.To); to != nil {
+			to.homes.Accept(transfer)
+			n.homes.Moved(transfer.ID)
 		}
 	}
 }
@@ -285,14 +285,14 @@
 
 func (h *homesWay) choose(w *world, r *request) *engine {
 	h.choices++
-	seat, err := h.nodes[r.router].router.Acquire(context.Background(), route.Ask{
+	placement, err := h.nodes[r.router].router.Acquire(context.Background(), route.Ask{
 		Service: service, Key: r.chat.key, Work: ident.OneRequest, Deadline: w.now,
 	})
 	if err != nil {
 		return nil
 	}
-	r.end = seat.Release
-	return h.byHash[seat.Hash]
+	r.end = placement.Release
+	return h.byHash[placement.Hash]
 }
 
 func (h *homesWay) evicted(_ *world, e *engine, c *chat) {
--- a/internal/edge/front/chat.go
+++ b/internal/edge/front/chat.go
@@ -9,7 +9,6 @@
 
 	"valescale/internal/edge/relay"
 	"valescale/internal/edge/route"
-	"valescale/internal/plat/ident"
 	"valescale/internal/rule/policy"
 	"valescale/internal/rule/retry"
 	"valescale/internal/share/claim"
@@ -24,24 +23,7 @@
 		f.serveResume(w, r)
 		return
 	}
-	body, problem := f.readBody(w, r)
-	if problem != nil {
-		problem.write(w)
-		return
-	}
-	var chat chatRequest
-	var key ident.ChatKey
-	j, problem := f.accept(r, func(ws policy.Workspace, request *policy.Request) (problem *Problem) {
-		if chat, problem = parseChat(r, body); problem != nil {
-			return problem
-		}
-		request.Model = short(chat.Model)
-		request.Stream = chat.Stream
-		request.Messages = int64(len(chat.Messages))
-		request.Tokens = int64(len(body) / bytesPerToken)
-		key, problem = chatKey(ws, r, chat)
-		return problem
-	})
+	j, chat, problem := f.acceptChat(w, r)
 	if problem != nil {
 		problem.write(w)
 		return
@@ -51,9 +33,6 @@
 		f.fail(w, j, fromRoute(err))
 		return
 	}
-	j.call.Body = body
-	j.key = key
-	j.work = j.service.WorkOf(int64(len(body)/bytesPerToken), chat.MaxTokens)
 	if !chat.Stream {
 		f.whole(w, r, j)
 		return
@@ -61,6 +40,40 @@
 	f.stream(w, r, j)
 }
 
+// acceptChat reads a chat completion request and makes the job.
+func (f *Front) acceptChat(w http.ResponseWriter, r *http.Request) (*job, chatRequest, *Problem) {
+	from, problem := f.known(r)
+	if problem != nil {
+		return nil, chatRequest{}, problem
+	}
+	body, problem := f.readBody(w, r)
+	if problem != nil {
+		return nil, chatRequest{}, problem
+	}
+	chat, problem := parseChat(r, body)
+	if problem != nil {
+		return nil, chat, problem
+	}
+	key, problem := chatKey(from.workspace, r, chat)
+	if problem != nil {
+		return nil, chat, problem
+	}
+	tokens := int64(len(body) / bytesPerToken)
+	request := f.view(from.workspace, r)
+	request.Model = short(chat.Model)
+	request.Stream = chat.Stream
+	request.Messages = int64(len(chat.Messages))
+	request.Tokens = tokens
+	j, problem := f.accept(r, from, request)
+	if problem != nil {
+		return nil, chat, problem
+	}
+	j.call.Body = body
+	j.key = key
+	j.work = j.service.WorkOf(tokens, chat.MaxTokens)
+	return j, chat, nil
+}
+
 // stream relays the events of a chat completion.
 func (f *Front) stream(w http.ResponseWriter, r *http.Request, j *job) {
 	stored, problem := f.claim(r.Context(), j, r.Header.Get(keyHeader))
@@ -89,9 +102,9 @@
 // relayRefusal passes on an answer that is not a stream, such as the target's own error.
 func (f *Front) relayRefusal(w http.ResponseWriter, r *http.Request, j *job, s *sent) {
 	body, err := s.reply.Whole()
-	s.seat.Release()
+	s.placement.Release()
 	if err != nil {
-		if problem := f.after(r.Context(), j, s.seat, relay.StepOf(err), err); problem != nil {
+		if problem := f.after(r.Context(), j, s.placement, relay.StepOf(err), err); problem != nil {
 			f.fail(w, j, problem)
 			return
 		}
@@ -117,11 +130,11 @@
 			return
 		}
 		if out.broken {
-			f.Finder.Cancelled(s.seat.Hash)
+			f.Finder.Cancelled(s.placement.Hash)
 			f.finish(j, retry.Unknown, CodeCallerGone)
 			return
 		}
-		f.judge(ctx, s.seat, false)
+		f.judge(ctx, s.placement, false)
 		next, problem := f.resumeElsewhere(ctx, j, s, out, err)
 		if problem != nil {
 			out.fail(problem)
@@ -136,7 +149,7 @@
 func (f *Front) copyEvents(j *job, s *sent, out *eventWriter, offset uint64) error {
 	stream := s.reply.Events()
 	token := relay.Token{
-		Target: s.seat.Target.ID, Incarnation: s.seat.Target.Incarnation, Stream: s.reply.StreamID, Offset: offset,
+		Target: s.placement.Target.ID, Incarnation: s.placement.Target.Incarnation, Stream: s.reply.StreamID, Offset: offset,
 	}
 	for {
 		e, err := stream.Next()
@@ -178,7 +191,7 @@
 		}
 		j.call.Body = body
 	}
-	j.avoid = append(j.avoid, s.seat.Hash)
+	j.avoid = append(j.avoid, s.placement.Hash)
 	next, problem := f.attempt(ctx, j)
 	if problem != nil {
 		return nil, problem
@@ -222,12 +235,12 @@
 
 // serveResume goes on with a stream from the last event that the caller has.
 func (f *Front) serveResume(w http.ResponseWriter, r *http.Request) {
-	force := f.Configs.InForce()
-	ws, problem := identify(force, r)
+	from, problem := f.known(r)
 	if problem != nil {
 		problem.write(w)
 		return
 	}
+	ws := from.workspace
 	token, err := f.Keys.Open(ws.Name, r.Header.Get(lastEventHeader))
 	if err != nil {
 		bad(CodeBadResume, http.StatusBadRequest, "Last-Event-ID is missing or not an id that this workspace was given").write(w)
@@ -252,7 +265,7 @@
 		f.fail(w, j, fromAttempts(err, retry.Unknown))
 		return
 	}
-	s := &sent{seat: &route.Seat{Target: target, Hash: target.ID.Hash()}, reply: reply}
+	s := &sent{placement: &route.Placement{Target: target, Hash: target.ID.Hash()}, reply: reply}
 	if reply.Status != http.StatusOK {
 		reply.Close()
 		f.fail(w, j, gone)
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -24,7 +24,7 @@
 
 // Finder finds targets and keeps workspaces within their rates.
 type Finder interface {
-	Acquire(ctx context.Context, ask route.Ask) (*route.Seat, error)
+	Acquire(ctx context.Context, ask route.Ask) (*route.Placement, error)
 	Admit(ctx context.Context, w policy.Workspace) error
 	Report(target ident.TargetHash, ok bool)
 	Cancelled(target ident.TargetHash)
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -15,6 +15,7 @@
 	"valescale/internal/rule/policy"
 	"valescale/internal/rule/retry"
 	"valescale/internal/share/claim"
+	"valescale/internal/share/config"
 )
 
 // keyHeader carries a caller's name for a request that may not be repeated.
@@ -42,29 +43,32 @@
 
 // sent is an attempt whose answer has begun.
 type sent struct {
-	seat  *route.Seat
-	reply *relay.Reply
+	placement *route.Placement
+	reply     *relay.Reply
 }
 
 // close gives back the target and drops what is unread.
 func (s *sent) close() {
 	s.reply.Close()
-	s.seat.Release()
+	s.placement.Release()
 }
 
-// accept identifies the caller, runs the policy and makes the job.
-func (f *Front) accept(r *http.Request, fill func(policy.Workspace, *policy.Request) *Problem) (*job, *Problem) {
+// caller is who sent a request, under the configuration that it is served by.
+type caller struct {
+	force     config.InForce
+	workspace policy.Workspace
+}
+
+// known tells who sent a request, before anything of its body is read.
+func (f *Front) known(r *http.Request) (caller, *Problem) {
 	force := f.Configs.InForce()
 	w, problem := identify(force, r)
-	if problem != nil {
-		return nil, problem
-	}
-	request := f.view(w, r)
-	if fill != nil {
-		if problem := fill(w, request); problem != nil {
-			return nil, problem
-		}
-	}
+	return caller{force: force, workspace: w}, problem
+}
+
+// accept runs the policy on what it can see of a request and makes the job.
+func (f *Front) accept(r *http.Request, from caller, request *policy.Request) (*job, *Problem) {
+	force, w := from.force, from.workspace
 	decision := force.Set.Decide(w, request)
 	f.Observer.Decided(w, request, decision)
 	service, ok := force.Set.Services[decision.Service]
@@ -115,20 +119,20 @@
 // retry budget and the truth allow.
 func (f *Front) attempt(ctx context.Context, j *job) (*sent, *Problem) {
 	for {
-		seat, err := f.Finder.Acquire(ctx, j.ask())
+		placement, err := f.Finder.Acquire(ctx, j.ask())
 		if err != nil {
 			return nil, f.joined(j, fromRoute(err))
 		}
 		if j.found.IsZero() {
 			j.found = f.Clock()
-			j.warm = seat.Warm
+			j.warm = placement.Warm
 		}
 		j.tries++
-		s, step, err := f.sendOnce(ctx, j, seat)
+		s, step, err := f.sendOnce(ctx, j, placement)
 		if s != nil {
 			return s, nil
 		}
-		if problem := f.after(ctx, j, seat, step, err); problem != nil {
+		if problem := f.after(ctx, j, placement, step, err); problem != nil {
 			return nil, problem
 		}
 	}
@@ -149,32 +153,32 @@
 }
 
 // sendOnce makes one attempt; without an answer it says at which step it ended.
-func (f *Front) sendOnce(ctx context.Context, j *job, seat *route.Seat) (*sent, retry.Step, error) {
+func (f *Front) sendOnce(ctx context.Context, j *job, placement *route.Placement) (*sent, retry.Step, error) {
 	call := j.call
-	call.Addr = seat.Target.Addr
+	call.Addr = placement.Target.Addr
 	call.Attempt = claim.NewAttempt()
 	call.Key = j.key
 	reply, err := f.Sender.Send(ctx, call)
 	if err != nil {
-		seat.Release()
-		f.judge(ctx, seat, false)
+		placement.Release()
+		f.judge(ctx, placement, false)
 		return nil, relay.StepOf(err), err
 	}
 	if reply.Leaving {
-		f.Directory.MarkLeaving(seat.Target.ID, seat.Target.Incarnation)
+		f.Directory.MarkLeaving(placement.Target.ID, placement.Target.Incarnation)
 	}
 	if j.service.MeansNotRun(reply.Status) {
 		reply.Close()
-		seat.Release()
+		placement.Release()
 		return nil, retry.Refused, errRefused
 	}
-	f.judge(ctx, seat, reply.Status < http.StatusInternalServerError)
+	f.judge(ctx, placement, reply.Status < http.StatusInternalServerError)
 	if j.decision.Repeat == retry.Safe && gatewayStatus(reply.Status) && j.tries < f.limits.Tries {
 		reply.Close()
-		seat.Release()
+		placement.Release()
 		return nil, retry.Answering, errGateway
 	}
-	return &sent{seat: seat, reply: reply}, 0, nil
+	return &sent{placement: placement, reply: reply}, 0, nil
 }
 
 var (
@@ -188,19 +192,19 @@
 }
 
 // judge tells the target's breaker how it did; a caller that went away says nothing of it.
-func (f *Front) judge(ctx context.Context, seat *route.Seat, ok bool) {
+func (f *Front) judge(ctx context.Context, placement *route.Placement, ok bool) {
 	if !ok && ctx.Err() != nil {
-		f.Finder.Cancelled(seat.Hash)
+		f.Finder.Cancelled(placement.Hash)
 		return
 	}
-	f.Finder.Report(seat.Hash, ok)
+	f.Finder.Report(placement.Hash, ok)
 }
 
 // after decides whether a failed attempt is followed by another; a problem ends the request.
-func (f *Front) after(ctx context.Context, j *job, seat *route.Seat, step retry.Step, err error) *Problem {
+func (f *Front) after(ctx context.Context, j *job, placement *route.Placement, step retry.Step, err error) *Problem {
 	j.outcome = retry.Worse(j.outcome, retry.OutcomeOf(step))
-	j.avoid = append(j.avoid, seat.Hash)
-	_ = level.Info(f.Logger).Log("msg", "attempt failed", "request", j.id, "target", seat.Target.ID, "step", int(step), "err", err)
+	j.avoid = append(j.avoid, placement.Hash)
+	_ = level.Info(f.Logger).Log("msg", "attempt failed", "request", j.id, "target", placement.Target.ID, "step", int(step), "err", err)
 	switch {
 	case ctx.Err() != nil:
 		return &Problem{Status: statusCallerGone, Code: CodeCallerGone, Message: "the caller has gone", Outcome: j.outcome}
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -12,7 +12,12 @@
 
 // servePlain serves a request to a plain service.
 func (f *Front) servePlain(w http.ResponseWriter, r *http.Request) {
-	j, problem := f.accept(r, nil)
+	from, problem := f.known(r)
+	if problem != nil {
+		problem.write(w)
+		return
+	}
+	j, problem := f.accept(r, from, f.view(from.workspace, r))
 	if problem != nil {
 		problem.write(w)
 		return
@@ -57,9 +62,9 @@
 			return
 		}
 		body, err := s.reply.Whole()
-		s.seat.Release()
+		s.placement.Release()
 		if err != nil {
-			if problem := f.after(r.Context(), j, s.seat, relay.StepOf(err), err); problem != nil {
+			if problem := f.after(r.Context(), j, s.placement, relay.StepOf(err), err); problem != nil {
 				f.fail(w, j, problem)
 				return
 			}
--- a/internal/edge/front/problem.go
+++ b/internal/edge/front/problem.go
@@ -97,9 +97,9 @@
 // fromRoute turns a failure to find a target into a problem.
 func fromRoute(err error) *Problem {
 	p := &Problem{Status: http.StatusServiceUnavailable, Outcome: retry.NotRun, Message: err.Error()}
-	var later route.Later
+	var later route.RetryAfter
 	if errors.As(err, &later) {
-		p.RetryAfter = later.RetryAfter
+		p.RetryAfter = later.Wait
 	}
 	switch fault.KindOf[route.Kind](err) {
 	case route.NoTarget:
--- a/internal/edge/route/error.go
+++ b/internal/edge/route/error.go
@@ -25,10 +25,10 @@
 // Error is this package's error type.
 type Error = fault.Error[Kind]
 
-// Later is the cause of an error that says when to come back.
-type Later struct {
-	RetryAfter time.Duration
+// RetryAfter is the cause of an error that says when to come back.
+type RetryAfter struct {
+	Wait time.Duration
 }
 
 // Error says when to come back.
-func (l Later) Error() string { return "come back in " + l.RetryAfter.String() }
+func (r RetryAfter) Error() string { return "come back in " + r.Wait.String() }
--- a/internal/edge/route/limit.go
+++ b/internal/edge/route/limit.go
@@ -31,7 +31,7 @@
 	}
 	if later, denied := a.Denied(now); denied {
 		r.mu.Unlock()
-		return fault.New(op, Limited, Later{RetryAfter: later})
+		return fault.New(op, Limited, RetryAfter{Wait: later})
 	}
 	want := a.Ask(now)
 	routers := r.assigned.Routers()
@@ -51,11 +51,11 @@
 		if a.Take(now) {
 			return nil
 		}
-		return fault.New(op, Limited, Later{RetryAfter: time.Second})
+		return fault.New(op, Limited, RetryAfter{Wait: time.Second})
 	}
 	a.Granted(now, granted, retryAfter)
 	if granted == 0 {
-		return fault.New(op, Limited, Later{RetryAfter: retryAfter})
+		return fault.New(op, Limited, RetryAfter{Wait: retryAfter})
 	}
 	a.Take(now)
 	return nil
--- a/internal/edge/route/seat.go
+++ b/internal/edge/route/placement.go
@@ -10,8 +10,8 @@
 	"valescale/internal/rule/retry"
 )
 
-// Seat is one request's place at a target.
-type Seat struct {
+// Placement is one request's place at a target.
+type Placement struct {
 	Target Target
 	Hash   ident.TargetHash
 	// Warm means that the chat ran there before.
@@ -21,7 +21,7 @@
 }
 
 // Release gives the place back; calling it again does nothing.
-func (s *Seat) Release() {
+func (s *Placement) Release() {
 	s.once.Do(func() {
 		if s.release != nil {
 			s.release()
@@ -31,7 +31,7 @@
 
 // sit records a permit as held; the caller holds the lock. An empty shard means
 // that no home counts it.
-func (r *Router) sit(p *pool, id place.ShardID, permit place.Permit, target Target) *Seat {
+func (r *Router) hold(p *pool, id place.ShardID, permit place.Permit, target Target) *Placement {
 	p.picture.Begin(permit.Engine, permit.Work)
 	r.stats.Placed++
 	counted := id != (place.ShardID{})
@@ -44,7 +44,7 @@
 	if b, ok := r.breakers[permit.Engine]; ok {
 		b.Allow(r.clock())
 	}
-	return &Seat{Target: target, Hash: permit.Engine, release: func() {
+	return &Placement{Target: target, Hash: permit.Engine, release: func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		p.picture.End(permit.Engine, permit.Work)
@@ -65,7 +65,7 @@
 		return
 	}
 	r.flushing = true
-	r.self.Later(flushAfter, r.flush)
+	r.self.AfterFunc(flushAfter, r.flush)
 }
 
 // flush returns all permits that are still waiting for it.
@@ -101,7 +101,7 @@
 		return
 	}
 	r.drift[id] = 0
-	r.self.Later(0, func() { r.sync(context.Background(), id, "") })
+	r.self.AfterFunc(0, func() { r.sync(context.Background(), id, "") })
 }
 
 // sync tells a shard's home all permits held here, and which home counted them before.
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -47,8 +47,8 @@
 	Region ident.Region
 	// FirstPermit is above all permit ids of earlier processes of this router.
 	FirstPermit uint64
-	// Later runs a function after a while; nil means time.AfterFunc.
-	Later func(time.Duration, func())
+	// AfterFunc runs a function after a while; nil means time.AfterFunc.
+	AfterFunc func(time.Duration, func())
 }
 
 // Ask is one request that needs a target.
@@ -104,8 +104,8 @@
 
 // New returns a router without pools.
 func New(self Self, homes Homes, clock ident.Clock) *Router {
-	if self.Later == nil {
-		self.Later = func(d time.Duration, f func()) { time.AfterFunc(d, f) }
+	if self.AfterFunc == nil {
+		self.AfterFunc = func(d time.Duration, f func()) { time.AfterFunc(d, f) }
 	}
 	return &Router{
 		self:     self,
@@ -243,8 +243,8 @@
 	_ = r.homes.Withdraw(ctx, m.old, m.id, upto)
 }
 
-// Acquire finds a target and counts the request there until the seat is released.
-func (r *Router) Acquire(ctx context.Context, ask Ask) (*Seat, error) {
+// Acquire finds a target and counts the request there until the placement is released.
+func (r *Router) Acquire(ctx context.Context, ask Ask) (*Placement, error) {
 	const op = "route.Acquire"
 	arrived := r.clock()
 	p := r.poolFor(ask.Service)
@@ -253,12 +253,12 @@
 	}
 	ask.Avoid = r.withBlocked(p, ask.Avoid)
 	if p.Service.Balance == policy.Local {
-		return r.alone(p, ask)
+		return r.local(p, ask)
 	}
 	for {
-		seat, again, err := r.askAround(ctx, p, ask, arrived)
+		placement, again, err := r.askAround(ctx, p, ask, arrived)
 		if !again {
-			return seat, err
+			return placement, err
 		}
 	}
 }
@@ -279,7 +279,7 @@
 const saturatedFor = 200 * time.Millisecond
 
 // askAround asks the shards for a permit; again is set when a home moved meanwhile.
-func (r *Router) askAround(ctx context.Context, p *pool, ask Ask, arrived time.Time) (seat *Seat, again bool, err error) {
+func (r *Router) askAround(ctx context.Context, p *pool, ask Ask, arrived time.Time) (placement *Placement, again bool, err error) {
 	r.mu.Lock()
 	search := p.picture.NewSearch(ask.Key, r.clock().Before(p.saturated))
 	r.mu.Unlock()
@@ -291,17 +291,17 @@
 		if !ok {
 			return nil, false, fault.New("route.Acquire", NoTarget, nil)
 		}
-		a, seat, err := r.ask(ctx, p, step, ask, arrived)
+		a, placement, err := r.ask(ctx, p, step, ask, arrived)
 		if err != nil && !passed && ctx.Err() == nil {
 			// The next in line knows what the silent home counted a second ago.
 			passed = true
-			a, seat, err = r.ask(ctx, p, step, ask, arrived)
+			a, placement, err = r.ask(ctx, p, step, ask, arrived)
 		}
 		switch {
 		case err != nil:
 			return r.withoutHome(ctx, p, ask, err)
-		case seat != nil:
-			return seat, false, nil
+		case placement != nil:
+			return placement, false, nil
 		case a.Result == home.Moved:
 			return nil, true, nil
 		case step.Must:
@@ -316,7 +316,7 @@
 	r.mu.Lock()
 	p.saturated = r.clock().Add(saturatedFor)
 	r.mu.Unlock()
-	later := Later{RetryAfter: a.RetryAfter}
+	later := RetryAfter{Wait: a.RetryAfter}
 	switch {
 	case a.Result == home.Empty:
 		return fault.New(op, NoTarget, later)
@@ -330,16 +330,16 @@
 }
 
 // withoutHome decides alone after a home did not answer.
-func (r *Router) withoutHome(ctx context.Context, p *pool, ask Ask, cause error) (*Seat, bool, error) {
+func (r *Router) withoutHome(ctx context.Context, p *pool, ask Ask, cause error) (*Placement, bool, error) {
 	if ctx.Err() != nil {
 		return nil, false, fault.New("route.Acquire", Gone, cause)
 	}
-	seat, err := r.alone(p, ask)
-	return seat, false, err
+	placement, err := r.local(p, ask)
+	return placement, false, err
 }
 
 // ask asks one home for a permit.
-func (r *Router) ask(ctx context.Context, p *pool, step place.Step, ask Ask, arrived time.Time) (home.Answer, *Seat, error) {
+func (r *Router) ask(ctx context.Context, p *pool, step place.Step, ask Ask, arrived time.Time) (home.Answer, *Placement, error) {
 	id := place.ShardID{Pool: p.Name, Shard: step.Shard}
 	now := r.clock()
 	r.mu.Lock()
@@ -394,17 +394,17 @@
 		return home.Answer{Result: home.Full}, nil, nil
 	}
 	r.granted[id] = to
-	seat := r.sit(p, id, place.Permit{Edge: r.self.ID, ID: permit, Engine: a.Engine, Work: ask.Work}, target)
-	seat.Warm = a.Warm
+	placement := r.hold(p, id, place.Permit{Edge: r.self.ID, ID: permit, Engine: a.Engine, Work: ask.Work}, target)
+	placement.Warm = a.Warm
 	if a.Warm {
 		r.stats.Warm++
 	}
 	r.watchDrift(id, a.Held)
-	return a, seat, nil
+	return a, placement, nil
 }
 
 // alone decides from this router's own counts and what homes published last.
-func (r *Router) alone(p *pool, ask Ask) (*Seat, error) {
+func (r *Router) local(p *pool, ask Ask) (*Placement, error) {
 	const op = "route.Acquire"
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -415,16 +415,16 @@
 	case d.Result == place.Empty:
 		return nil, fault.New(op, NoTarget, nil)
 	case d.Result != place.Placed || !known:
-		return nil, fault.New(op, TimedOut, Later{RetryAfter: time.Second})
+		return nil, fault.New(op, TimedOut, RetryAfter{Wait: time.Second})
 	}
 	r.permit++
 	permit := place.Permit{Edge: r.self.ID, ID: r.permit, Engine: d.Engine, Work: ask.Work}
 	if p.Service.Balance == policy.Local {
-		return r.sit(p, place.ShardID{}, permit, target), nil
+		return r.hold(p, place.ShardID{}, permit, target), nil
 	}
 	r.stats.Fallback++
 	id := place.ShardID{Pool: p.Name, Shard: place.ShardOf(d.Engine, p.picture.Shards())}
-	return r.sit(p, id, permit, target), nil
+	return r.hold(p, id, permit, target), nil
 }
 
 // withBlocked adds the targets whose breakers are open to those to avoid.
--- a/internal/fake/fleet/fleet_test.go
+++ b/internal/fake/fleet/fleet_test.go
@@ -48,14 +48,14 @@
 	return fmt.Sprintf(configuration, policy.HashToken("bogota"), policy.HashToken("cali"))
 }
 
-type bed struct {
+type fixture struct {
 	*fleet.Fleet
 	ctx    context.Context
 	caller *fleet.Caller
 }
 
 // start brings a small fleet up with its first configuration.
-func start(t *testing.T, options fleet.Options) *bed {
+func start(t *testing.T, options fleet.Options) *fixture {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
@@ -68,12 +68,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(stop)
-	b := &bed{Fleet: f, ctx: ctx, caller: &fleet.Caller{HTTP: http.DefaultClient, Token: "bogota"}}
+	b := &fixture{Fleet: f, ctx: ctx, caller: &fleet.Caller{HTTP: http.DefaultClient, Token: "bogota"}}
 	b.apply(t, "first", text())
 	return b
 }
 
-func (b *bed) apply(t *testing.T, id, text string) ident.Revision {
+func (b *fixture) apply(t *testing.T, id, text string) ident.Revision {
 	t.Helper()
 	if err := b.AwaitReady(b.ctx, 0); err != nil {
 		t.Fatal(err)
@@ -89,7 +89,7 @@
 }
 
 // until tries something until it holds.
-func (b *bed) until(t *testing.T, what string, holds func() bool) {
+func (b *fixture) until(t *testing.T, what string, holds func() bool) {
 	t.Helper()
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
@@ -369,7 +369,7 @@
 }
 
 // warm is how many requests found their prefix at the engines.
-func (b *bed) warm() int {
+func (b *fixture) warm() int {
 	sum := 0
 	for _, e := range b.Engines {
 		sum += e.Counts().Warm
--- a/internal/oper/daemon/pools.go
+++ b/internal/oper/daemon/pools.go
@@ -117,8 +117,8 @@
 
 // handOff passes on the shards that another router is home of now.
 func (d *Daemon) handOff(ctx context.Context, live *place.Assignment) {
-	parcels := d.homes.Misplaced(live.Home)
-	for _, p := range parcels {
+	transfers := d.homes.Misplaced(live.Home)
+	for _, p := range transfers {
 		if err := d.remote.Handoff(ctx, p); err != nil {
 			_ = level.Warn(d.logger).Log("msg", "handoff failed", "pool", p.ID.Pool, "shard", p.ID.Shard, "to", p.To, "err", err)
 			continue
@@ -167,8 +167,8 @@
 	engine.Report
 	missed int
 	at     time.Time
-	// evacuated is the incarnation whose chats have been copied elsewhere.
-	evacuated ident.Incarnation
+	// exported is the incarnation whose chats have been copied elsewhere.
+	exported ident.Incarnation
 }
 
 func (r report) silent() bool { return r.missed >= silentAfter }
@@ -197,16 +197,16 @@
 	return known.missed == silentAfter
 }
 
-// evacuate reports whether an engine's present incarnation is still to be
-// evacuated, and notes that it is being done.
-func (r *reports) evacuate(id ident.Target) bool {
+// export reports whether an engine's present incarnation is still to be
+// exported, and notes that it is being done.
+func (r *reports) export(id ident.Target) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.byID[id]
-	if known.evacuated == known.Incarnation {
+	if known.exported == known.Incarnation {
 		return false
 	}
-	known.evacuated = known.Incarnation
+	known.exported = known.Incarnation
 	r.byID[id] = known
 	return true
 }
@@ -216,6 +216,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.byID[id]
-	r.byID[id] = report{Report: fresh, at: now, evacuated: known.evacuated}
+	r.byID[id] = report{Report: fresh, at: now, exported: known.exported}
 	return known.silent() || known.Slots != fresh.Slots
 }
--- a/internal/oper/daemon/probe.go
+++ b/internal/oper/daemon/probe.go
@@ -61,7 +61,7 @@
 	d.homes.Evicted(id, t.ID.Hash(), fresh.Evicted)
 	if fresh.Leaving {
 		d.MarkLeaving(t.ID, fresh.Incarnation)
-		d.evacuate(ctx, id, t, wanted, service)
+		d.export(ctx, id, t, wanted, service)
 	}
 	d.order(ctx, t, wanted, service, fresh)
 }
@@ -84,13 +84,13 @@
 	_ = level.Info(d.logger).Log("msg", "ordered model", "target", t.ID, "model", service.Model, "revision", wanted, "err", err)
 }
 
-// evacuate has a leaving engine copy the cached prefixes of its chats to the other
+// export has a leaving engine copy the cached prefixes of its chats to the other
 // engines of its shard, once an incarnation. Copying twice does no harm.
-func (d *Daemon) evacuate(ctx context.Context, id place.ShardID, t route.Target, wanted ident.Revision, service policy.Service) {
-	if !service.Export || !d.reports.evacuate(t.ID) {
+func (d *Daemon) export(ctx context.Context, id place.ShardID, t route.Target, wanted ident.Revision, service policy.Service) {
+	if !service.Export || !d.reports.export(t.ID) {
 		return
 	}
-	for _, e := range d.homes.Evacuate(id, t.ID.Hash()) {
+	for _, e := range d.homes.PlanExport(id, t.ID.Hash()) {
 		to, ok := d.targetAt(id.Pool, e.To)
 		if !ok {
 			continue
@@ -100,7 +100,7 @@
 			_ = level.Warn(d.logger).Log("msg", "export refused", "target", t.ID, "to", to.ID, "err", err)
 			continue
 		}
-		d.homes.Evacuated(id, e)
+		d.homes.Exported(id, e)
 		_ = level.Info(d.logger).Log("msg", "exported chats", "target", t.ID, "to", to.ID, "chats", len(e.Keys))
 	}
 }
--- a/internal/oper/daemon/serve.go
+++ b/internal/oper/daemon/serve.go
@@ -215,7 +215,7 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler: slim(checkPeer(tls != nil, mux)), TLSConfig: tls, ReadHeaderTimeout: headerTime,
+		Handler: trimReply(checkPeer(tls != nil, mux)), TLSConfig: tls, ReadHeaderTimeout: headerTime,
 		Protocols: protocols, ErrorLog: quiet(d.logger),
 	}, nil
 }
@@ -223,8 +223,8 @@
 // maxPeerMessage bounds a message of another router, in bytes.
 const maxPeerMessage = 16 << 20
 
-// slim leaves out answer headers that routers have no use for.
-func slim(next http.Handler) http.Handler {
+// trimReply leaves out answer headers that routers have no use for.
+func trimReply(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header()["Date"] = nil
 		next.ServeHTTP(w, r)
--- a/internal/rule/place/evacuate.go
+++ b/internal/rule/place/export.go
@@ -8,16 +8,16 @@
 	"valescale/internal/plat/ident"
 )
 
-// Evacuation is chats of a leaving engine whose cached prefixes are to be copied to
+// Export is chats of a leaving engine whose cached prefixes are to be copied to
 // another engine.
-type Evacuation struct {
+type Export struct {
 	To   ident.TargetHash
 	Keys []ident.ChatKey
 }
 
-// Evacuate plans where the most recent chats of an engine go, at most limit of
+// PlanExport plans where the most recent chats of an engine go, at most limit of
 // them, spread evenly over the shard's usable engines.
-func (h *Home) Evacuate(engine ident.TargetHash, limit int) []Evacuation {
+func (h *Home) PlanExport(engine ident.TargetHash, limit int) []Export {
 	var to []ident.TargetHash
 	for i := range h.engines {
 		if h.engines[i].usable() && h.engines[i].Hash != engine {
@@ -28,7 +28,7 @@
 		return nil
 	}
 	chats := h.chatsOf(engine)
-	out := make([]Evacuation, len(to))
+	out := make([]Export, len(to))
 	for i, t := range to {
 		out[i].To = t
 	}
@@ -36,7 +36,7 @@
 		e := &out[n%len(out)]
 		e.Keys = append(e.Keys, c.Key)
 	}
-	return slices.DeleteFunc(out, func(e Evacuation) bool { return len(e.Keys) == 0 })
+	return slices.DeleteFunc(out, func(e Export) bool { return len(e.Keys) == 0 })
 }
 
 // chatsOf lists the chats whose last place is an engine, the most recent first.
@@ -53,8 +53,8 @@
 	return chats
 }
 
-// Evacuated notes that chats' prefixes have been copied to an engine.
-func (h *Home) Evacuated(now time.Time, e Evacuation) {
+// Exported notes that chats' prefixes have been copied to an engine.
+func (h *Home) Exported(now time.Time, e Export) {
 	i, ok := h.index[e.To]
 	if !ok {
 		return
--- a/internal/rule/place/home_test.go
+++ b/internal/rule/place/home_test.go
@@ -277,7 +277,7 @@
 	}
 	b := place.NewHome(id, "router-z", place.DefaultBound, 0)
 	b.SetEngines(list, []int{2})
-	// The edge has told the new home that only permit 4 is left, before the parcel comes.
+	// The edge has told the new home that only permit 4 is left, before the transfer comes.
 	b.Sync("router-b", []place.Permit{{Edge: "router-b", ID: 4, Engine: list[0].Hash, Work: ident.OneRequest}}, 4, "")
 	b.Take(a.Permits())
 	if got := b.Held("router-b"); got != 1 {
--- a/internal/rule/place/memory.go
+++ b/internal/rule/place/memory.go
@@ -112,23 +112,23 @@
 	}
 }
 
-// Spare is the memory of chat places that a router keeps for a shard of which it
+// Replica is the memory of chat places that a router keeps for a shard of which it
 // would be home if another were gone.
-type Spare struct {
+type Replica struct {
 	memory memory
 }
 
-// NewSpare returns an empty spare memory of a bound's size.
-func NewSpare(bound Bound) *Spare { return &Spare{memory: newMemory(bound.Places)} }
+// NewReplica returns an empty replica memory of a bound's size.
+func NewReplica(bound Bound) *Replica { return &Replica{memory: newMemory(bound.Places)} }
 
 // Learn takes in places from the shard's home.
-func (s *Spare) Learn(places []ChatPlace) { s.memory.learn(places) }
+func (s *Replica) Learn(places []ChatPlace) { s.memory.learn(places) }
 
 // Len is the number of places kept.
-func (s *Spare) Len() int { return s.memory.len() }
+func (s *Replica) Len() int { return s.memory.len() }
 
-// Adopt makes a spare memory the home's own; the spare must not be used afterwards.
-func (h *Home) Adopt(s *Spare) { h.places = s.memory }
+// Adopt makes a replica memory the home's own; the replica must not be used afterwards.
+func (h *Home) Adopt(s *Replica) { h.places = s.memory }
 
 // maxMoves bounds the places that are kept for the next digest; of more, the
 // standby learns the latest.
--- a/internal/rule/quota/bucket.go
+++ b/internal/rule/quota/bucket.go
@@ -68,8 +68,8 @@
 	denied time.Time
 	served int
 	since  time.Time
-	// alone is until when the share that the edge gave itself has to last.
-	alone time.Time
+	// localUntil is until when the share that the edge gave itself has to last.
+	localUntil time.Time
 }
 
 // allowanceLife is how long unused granted tokens stay valid, so that an idle edge does not hoard.
@@ -128,12 +128,12 @@
 
 // NoHome gives this edge its even share of the rate while the home cannot be reached.
 func (a *Allowance) NoHome(now time.Time, rate Rate, routers int) {
-	if now.Before(a.alone) {
+	if now.Before(a.localUntil) {
 		return
 	}
 	share := float64(rate) / float64(max(routers, 1))
 	seconds := max(1, 1/max(share, 0.001))
 	a.tokens = max(int(share*seconds), 1)
-	a.alone = now.Add(time.Duration(seconds * float64(time.Second)))
-	a.until = a.alone
+	a.localUntil = now.Add(time.Duration(seconds * float64(time.Second)))
+	a.until = a.localUntil
 }
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -86,12 +86,12 @@
 	buckets map[ident.Workspace]*quota.Bucket
 	rates   func(ident.Workspace) (policy.Workspace, bool)
 	seq     uint64
-	// farewells say of shards that moved on that nothing is counted here any more.
-	farewells []place.Digest
+	// lastDigests say of shards that moved on that nothing is counted here any more.
+	lastDigests []place.Digest
 	// doubted are routers that may be gone.
 	doubted []ident.Router
-	// spares are the chat places of shards of which this router is next in line.
-	spares map[place.ShardID]*place.Spare
+	// replicas are the chat places of shards of which this router is next in line.
+	replicas map[place.ShardID]*place.Replica
 	// urgent is signalled when a shard's count jumped and others should know at once.
 	urgent chan struct{}
 }
@@ -128,18 +128,18 @@
 // New returns homes that hold nothing yet; rates gives a workspace's limits in force.
 func New(self ident.Router, limits Limits, clock ident.Clock, rates func(ident.Workspace) (policy.Workspace, bool)) *Homes {
 	return &Homes{
-		self:    self,
-		limits:  limits,
-		clock:   clock,
-		shards:  map[place.ShardID]*shard{},
-		pools:   map[ident.Pool]*poolInfo{},
-		names:   map[ident.PoolHash]ident.Pool{},
-		loads:   map[place.ShardID]map[ident.Router]heard{},
-		buckets: map[ident.Workspace]*quota.Bucket{},
-		rates:   rates,
-		seq:     uint64(clock().UnixMilli()),
-		urgent:  make(chan struct{}, 1),
-		spares:  map[place.ShardID]*place.Spare{},
+		self:     self,
+		limits:   limits,
+		clock:    clock,
+		shards:   map[place.ShardID]*shard{},
+		pools:    map[ident.Pool]*poolInfo{},
+		names:    map[ident.PoolHash]ident.Pool{},
+		loads:    map[place.ShardID]map[ident.Router]heard{},
+		buckets:  map[ident.Workspace]*quota.Bucket{},
+		rates:    rates,
+		seq:      uint64(clock().UnixMilli()),
+		urgent:   make(chan struct{}, 1),
+		replicas: map[place.ShardID]*place.Replica{},
 	}
 }
 
@@ -184,9 +184,9 @@
 			}
 		}
 	}
-	if spare, ok := h.spares[id]; ok {
-		s.home.Adopt(spare)
-		delete(h.spares, id)
+	if replica, ok := h.replicas[id]; ok {
+		s.home.Adopt(replica)
+		delete(h.replicas, id)
 	}
 	s.home.Doubt(h.doubted)
 	h.shards[id] = s
@@ -407,16 +407,16 @@
 	if len(places) == 0 {
 		return
 	}
-	spare := h.spares[id]
-	if spare == nil {
+	replica := h.replicas[id]
+	if replica == nil {
 		bound := place.DefaultBound
 		if info := h.pools[id.Pool]; info != nil {
 			bound = info.bound
 		}
-		spare = place.NewSpare(bound)
-		h.spares[id] = spare
+		replica = place.NewReplica(bound)
+		h.replicas[id] = replica
 	}
-	spare.Learn(places)
+	replica.Learn(places)
 }
 
 // Publication is what the routers next in line are to be told of a shard.
@@ -424,7 +424,7 @@
 	Digest place.Digest
 	To     []ident.Router
 	// Whole is set when the first of them is new in line and needs all chat places.
-	Whole *Parcel
+	Whole *Transfer
 }
 
 // Publications returns what is to be told now, given the assignments among the live
@@ -442,7 +442,7 @@
 }
 
 // wholeFor returns all chat places of a shard if a router has just become its first standby.
-func (h *Homes) wholeFor(id place.ShardID, standby ident.Router) *Parcel {
+func (h *Homes) wholeFor(id place.ShardID, standby ident.Router) *Transfer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s, ok := h.shards[id]
@@ -450,7 +450,7 @@
 		return nil
 	}
 	s.standby = standby
-	return &Parcel{ID: id, To: standby, Places: s.home.Places(maxParcelPlaces), Spare: true}
+	return &Transfer{ID: id, To: standby, Places: s.home.Places(maxTransferPlaces), Replica: true}
 }
 
 // Digests returns what is to be published: the shards whose counts changed, and
@@ -459,8 +459,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock()
-	out := h.farewells
-	h.farewells = nil
+	out := h.lastDigests
+	h.lastDigests = nil
 	for _, s := range h.shards {
 		age := now.Sub(s.sentAt)
 		if age < publishEvery && !s.jumped {
--- a/internal/share/home/homes_test.go
+++ b/internal/share/home/homes_test.go
@@ -50,9 +50,9 @@
 // The places of a shard whose home is elsewhere serve when that home is gone.
 func TestSparePlacesServeAfterTakeover(t *testing.T) {
 	h, engine, _ := newHomes()
-	h.Accept(home.Parcel{ID: id, Spare: true, Places: []place.ChatPlace{{Key: 7, Engine: engine, Incarnation: 1, SeenUnix: 1}}})
+	h.Accept(home.Transfer{ID: id, Replica: true, Places: []place.ChatPlace{{Key: 7, Engine: engine, Incarnation: 1, SeenUnix: 1}}})
 	if permits, _ := h.InFlight(); permits != 0 {
-		t.Fatalf("%d permits out of a spare parcel", permits)
+		t.Fatalf("%d permits out of a replica transfer", permits)
 	}
 	ask := home.Ask{Shard: id, Request: place.Request{Edge: "router-b", Permit: 1, Key: 7, Work: ident.OneRequest}}
 	if a := h.Place(t.Context(), ask, nil); a.Result != home.Placed || !a.Warm {
--- a/internal/share/home/move.go
+++ b/internal/share/home/move.go
@@ -8,35 +8,35 @@
 	"valescale/internal/rule/quota"
 )
 
-// Parcel is what a home hands to its successor.
-type Parcel struct {
+// Transfer is what a home hands to its successor.
+type Transfer struct {
 	ID      place.ShardID
 	To      ident.Router
 	Permits []place.Permit
 	Places  []place.ChatPlace
-	// Spare parcels are for a router next in line; the sender stays home.
-	Spare bool
+	// Replica transfers are for a router next in line; the sender stays home.
+	Replica bool
 }
 
-// maxParcelPlaces bounds the chat places in one parcel; the most recent go first.
-const maxParcelPlaces = 50_000
+// maxTransferPlaces bounds the chat places in one transfer; the most recent go first.
+const maxTransferPlaces = 50_000
 
-// Misplaced returns parcels of the shards that another router is home of, as homeOf tells.
-func (h *Homes) Misplaced(homeOf func(place.ShardID) ident.Router) []Parcel {
+// Misplaced returns transfers of the shards that another router is home of, as homeOf tells.
+func (h *Homes) Misplaced(homeOf func(place.ShardID) ident.Router) []Transfer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var out []Parcel
+	var out []Transfer
 	for id, s := range h.shards {
 		to := homeOf(id)
 		if to == h.self || to == "" {
 			continue
 		}
-		out = append(out, Parcel{ID: id, To: to, Permits: s.home.Permits(), Places: s.home.Places(maxParcelPlaces)})
+		out = append(out, Transfer{ID: id, To: to, Permits: s.home.Permits(), Places: s.home.Places(maxTransferPlaces)})
 	}
 	return out
 }
 
-// Moved drops a shard after its parcel has arrived, and sends those who wait to
+// Moved drops a shard after its transfer has arrived, and sends those who wait to
 // the new home. The last digest says that nothing is counted here any more.
 func (h *Homes) Moved(id place.ShardID) {
 	h.mu.Lock()
@@ -60,16 +60,16 @@
 	}
 	last := s.home.Digest()
 	h.seq = max(h.seq, last.Seq)
-	h.farewells = append(h.farewells, last)
+	h.lastDigests = append(h.lastDigests, last)
 	delete(h.shards, id)
 	h.signal()
 }
 
-// Accept takes in a parcel.
-func (h *Homes) Accept(p Parcel) {
+// Accept takes in a transfer.
+func (h *Homes) Accept(p Transfer) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if p.Spare {
+	if p.Replica {
 		h.keepPlaces(p.ID, p.Places)
 		return
 	}
@@ -100,25 +100,25 @@
 	return granted, retryAfter, true
 }
 
-// maxEvacuated bounds the chats whose prefixes are copied off one leaving engine.
-const maxEvacuated = 2000
+// maxExported bounds the chats whose prefixes are copied off one leaving engine.
+const maxExported = 2000
 
-// Evacuate plans where the chats of a leaving engine go, if its shard's home is here.
-func (h *Homes) Evacuate(id place.ShardID, engine ident.TargetHash) []place.Evacuation {
+// PlanExport plans where the chats of a leaving engine go, if its shard's home is here.
+func (h *Homes) PlanExport(id place.ShardID, engine ident.TargetHash) []place.Export {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s, ok := h.shards[id]
 	if !ok {
 		return nil
 	}
-	return s.home.Evacuate(engine, maxEvacuated)
+	return s.home.PlanExport(engine, maxExported)
 }
 
-// Evacuated notes that chats' prefixes have been copied.
-func (h *Homes) Evacuated(id place.ShardID, e place.Evacuation) {
+// Exported notes that chats' prefixes have been copied.
+func (h *Homes) Exported(id place.ShardID, e place.Export) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if s, ok := h.shards[id]; ok {
-		s.home.Evacuated(h.clock(), e)
+		s.home.Exported(h.clock(), e)
 	}
 }
--- a/internal/share/home/remote.go
+++ b/internal/share/home/remote.go
@@ -120,10 +120,10 @@
 	})
 }
 
-// Handoff passes a parcel to a shard's next home.
-func (r *Remote) Handoff(ctx context.Context, p Parcel) error {
+// Handoff passes a transfer to a shard's next home.
+func (r *Remote) Handoff(ctx context.Context, p Transfer) error {
 	return r.call(ctx, "home.Handoff", p.To, func(ctx context.Context, client peerpb.PeerServiceClient) error {
-		_, err := client.Handoff(ctx, connect.NewRequest(encodeParcel(r.self, p)))
+		_, err := client.Handoff(ctx, connect.NewRequest(encodeTransfer(r.self, p)))
 		return err
 	})
 }
@@ -134,15 +134,15 @@
 	return proto.Size(encodeAsk(ask, released)) + proto.Size(encodeAnswer(answer))
 }
 
-// HandoffSize is the size of a parcel on the wire, in bytes without framing.
-func HandoffSize(p Parcel) int { return proto.Size(encodeParcel("", p)) }
+// HandoffSize is the size of a transfer on the wire, in bytes without framing.
+func HandoffSize(p Transfer) int { return proto.Size(encodeTransfer("", p)) }
 
-func encodeParcel(from ident.Router, p Parcel) *peerpb.HandoffRequest {
+func encodeTransfer(from ident.Router, p Transfer) *peerpb.HandoffRequest {
 	request := &peerpb.HandoffRequest{
 		From: string(from), Pool: string(p.ID.Pool), Shard: uint32(p.ID.Shard), Permits: encodePermits(p.Permits),
 	}
 	request.Places = encodePlaces(p.Places)
-	request.Spare = p.Spare
+	request.Replica = p.Replica
 	return request
 }
 
--- a/internal/share/home/server.go
+++ b/internal/share/home/server.go
@@ -53,10 +53,10 @@
 	if err := s.checkEdge(ctx, ident.Router(m.GetFrom())); err != nil {
 		return nil, err
 	}
-	parcel := Parcel{ID: shardID(m.GetPool(), m.GetShard()), Permits: decodePermits("", m.GetPermits())}
-	parcel.Places = decodePlaces(m.GetPlaces())
-	parcel.Spare = m.GetSpare()
-	s.homes.Accept(parcel)
+	transfer := Transfer{ID: shardID(m.GetPool(), m.GetShard()), Permits: decodePermits("", m.GetPermits())}
+	transfer.Places = decodePlaces(m.GetPlaces())
+	transfer.Replica = m.GetReplica()
+	s.homes.Accept(transfer)
 	return connect.NewResponse(&peerpb.HandoffReply{}), nil
 }
 
--- a/internal/share/lease/lease_test.go
+++ b/internal/share/lease/lease_test.go
@@ -20,15 +20,17 @@
 
 var ctx = context.Background()
 
-// hand is a clock that is moved by hand.
-type hand struct{ now time.Time }
+// manualClock is a clock that is moved by manualClock.
+type manualClock struct{ now time.Time }
 
-func (h *hand) time() time.Time { return h.now }
+func (h *manualClock) time() time.Time { return h.now }
 
-func newHand() *hand { return &hand{now: time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)} }
+func newManualClock() *manualClock {
+	return &manualClock{now: time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)}
+}
 
 func TestOnlyOneHolds(t *testing.T) {
-	s, clock := store.New(), newHand()
+	s, clock := store.New(), newManualClock()
 	a := lease.New(s, "orders", "a", "1", ttl, clock.time)
 	b := lease.New(s, "orders", "b", "2", ttl, clock.time)
 	_ = a.Step(ctx)
@@ -49,7 +51,7 @@
 }
 
 func TestReleasedLeaseIsFreeAtOnce(t *testing.T) {
-	s, clock := store.New(), newHand()
+	s, clock := store.New(), newManualClock()
 	a := lease.New(s, "orders", "a", "1", ttl, clock.time)
 	b := lease.New(s, "orders", "b", "2", ttl, clock.time)
 	_ = a.Step(ctx)
@@ -63,7 +65,7 @@
 }
 
 func TestLostAnswerOfATakeover(t *testing.T) {
-	s, clock := store.New(), newHand()
+	s, clock := store.New(), newManualClock()
 	a := lease.New(s, "orders", "a", "1", ttl, clock.time)
 	s.LoseAnswers(1)
 	if err := a.Step(ctx); err == nil {
@@ -84,7 +86,7 @@
 }
 
 func walk(r *rapid.T) {
-	s, clock := store.New(), newHand()
+	s, clock := store.New(), newManualClock()
 	names := []ident.Router{"a", "b", "c"}
 	var leases []*lease.Lease
 	for i, name := range names {
--- a/internal/share/peer/client.go
+++ b/internal/share/peer/client.go
@@ -67,17 +67,17 @@
 	defer c.mu.Unlock()
 	client, ok := c.known[addr]
 	if !ok {
-		client = peerpb.NewPeerServiceClient(c.http, c.scheme+"://"+addr, connect.WithInterceptors(lean{}))
+		client = peerpb.NewPeerServiceClient(c.http, c.scheme+"://"+addr, connect.WithInterceptors(trimHeaders{}))
 		c.known[addr] = client
 	}
 	return client
 }
 
-// lean takes out of each call the headers that routers have no use for.
-type lean struct{}
+// trimHeaders takes out of each call the headers that routers have no use for.
+type trimHeaders struct{}
 
 // WrapUnary drops the user agent.
-func (lean) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+func (trimHeaders) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
 	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
 		if req.Spec().IsClient {
 			req.Header().Set("User-Agent", "v")
@@ -88,11 +88,11 @@
 }
 
 // WrapStreamingClient leaves streams as they are; there are none.
-func (lean) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+func (trimHeaders) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
 	return next
 }
 
 // WrapStreamingHandler leaves streams as they are; there are none.
-func (lean) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+func (trimHeaders) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
 	return next
 }
