--- a/cmd/measure/control.go
+++ b/cmd/measure/control.go
@@ -292,14 +292,16 @@
 	defer stop()
 	clients, closeClients := peer.NewClients(nil, meter)
 	defer closeClients()
-	remote, closeRemote := home.NewRemote("router-edge", nil, oneClient{clients.At(addr)}, 5*time.Second)
+	// A process that has run for a while is that far from its base.
+	const base = uint64(1_764_000_000_000) << 20
+	remote, closeRemote := home.NewRemote(home.Edge{ID: "router-edge", Zone: "zone-a", Base: base}, nil, oneClient{clients.At(addr)}, 5*time.Second)
 	defer closeRemote()
 	id := place.ShardID{Pool: pool}
 	var sums []place.Sum
 	for i := 1; i < min(shards, 5); i++ {
 		sums = append(sums, place.Sum{Shard: ident.Shard(i), Age: 400 * time.Millisecond, Work: 105_000})
 	}
-	const firstPermit = uint64(1_764_000_000_000) << 20
+	const firstPermit = base + 1_000_000
 	var c linkCosts
 	c.bytes, c.micros = cost(meter, func(i int) {
 		permit := firstPermit + uint64(i)
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -44,6 +44,8 @@
 	Pace conf.Pace
 	// Keys gives a router's keys for talking to others; nil talks in clear text.
 	Keys func(ident.Router) conf.Listener
+	// CallerKeys are a router's keys towards callers; nil serves in clear text.
+	CallerKeys func(ident.Router) conf.Listener
 	// DrainDelay is how long a stopping router still takes new requests.
 	DrainDelay time.Duration
 }
@@ -186,6 +188,10 @@
 		base.Peers = f.options.Keys(base.Router.ID)
 		base.Peers.Addr = "127.0.0.1:0"
 	}
+	if f.options.CallerKeys != nil {
+		base.Callers = f.options.CallerKeys(base.Router.ID)
+		base.Callers.Addr = "127.0.0.1:0"
+	}
 	base.Platform.Table, base.Platform.Object, base.Platform.Boxes = f.url, f.url, f.url
 	base.ResumeKeys = [][]byte{key}
 	base.Operators = map[policy.TokenHash]string{policy.HashToken(OperatorToken): "ana"}
--- a/internal/fake/fleet/keys_test.go
+++ b/internal/fake/fleet/keys_test.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -133,3 +134,43 @@
 		t.Error("a certificate of another authority was taken")
 	}
 }
+
+// Callers may show a certificate instead of a token; it names their workspace.
+func TestCallersWithCertificates(t *testing.T) {
+	a := newAuthority(t)
+	b := start(t, fleet.Options{Routers: 1, Engines: 1, Plain: 1, CallerKeys: a.listener})
+	b.apply(t, "certs", strings.Replace(text(), "[workspace cali]", "[workspace cali]\ncerts = driver-7", 1))
+	get := func(keys *conf.Listener) int {
+		config := &tls.Config{InsecureSkipVerify: true}
+		if keys != nil {
+			pair, err := tls.LoadX509KeyPair(keys.Cert, keys.Key)
+			if err != nil {
+				t.Fatal(err)
+			}
+			config.Certificates = []tls.Certificate{pair}
+		}
+		transport := &http.Transport{TLSClientConfig: config}
+		defer transport.CloseIdleConnections()
+		resp, err := (&http.Client{Transport: transport}).Get("https://" + b.Routers[0].CallerAddr() + "/standings")
+		if err != nil {
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	driver, stranger := a.listener("driver-7"), a.listener("stranger")
+	foreign := newAuthority(t).listener("driver-7")
+	if got := get(&driver); got != http.StatusOK {
+		t.Errorf("a workspace's certificate got %d", got)
+	}
+	if got := get(&stranger); got != http.StatusUnauthorized {
+		t.Errorf("a certificate that names no workspace got %d", got)
+	}
+	if got := get(nil); got != http.StatusUnauthorized {
+		t.Errorf("no certificate got %d", got)
+	}
+	// The other side may break the handshake; it must not serve.
+	if got := get(&foreign); got == http.StatusOK {
+		t.Error("a certificate of another authority was served")
+	}
+}
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -220,7 +220,9 @@
 	limits := home.Limits{Queue: s.Limits.Queue, PerWorkspace: s.Limits.PerWorkspace}
 	d.homes = home.New(s.Router.ID, limits, d.clock, d.workspace)
 	var closeLinks func()
-	d.remote, closeLinks = home.NewRemote(s.Router.ID, d.homes, d.node, s.Pace.Permit)
+	d.remote, closeLinks = home.NewRemote(home.Edge{
+		ID: s.Router.ID, Zone: s.Router.Zone, Base: firstPermit(incarnation),
+	}, d.homes, d.node, s.Pace.Permit)
 	d.cleanups = append(d.cleanups, closeLinks)
 	d.router = route.New(route.Self{
 		ID: s.Router.ID, Zone: s.Router.Zone, Region: s.Router.Region, FirstPermit: firstPermit(incarnation),
--- a/internal/oper/daemon/keys.go
+++ b/internal/oper/daemon/keys.go
@@ -27,14 +27,15 @@
 // certificate reads a key pair anew after its files have changed.
 type certificate struct {
 	cert, key string
+	clock     ident.Clock
 	mu        sync.Mutex
 	pair      *tls.Certificate
 	read      time.Time
 	changed   time.Time
 }
 
-func loadCertificate(l conf.Listener) (*certificate, error) {
-	c := &certificate{cert: l.Cert, key: l.Key}
+func loadCertificate(l conf.Listener, clock ident.Clock) (*certificate, error) {
+	c := &certificate{cert: l.Cert, key: l.Key, clock: clock}
 	_, err := c.current()
 	return c, err
 }
@@ -43,7 +44,7 @@
 func (c *certificate) current() (*tls.Certificate, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now := c.clock()
 	if c.pair != nil && now.Sub(c.read) < reloadEvery {
 		return c.pair, nil
 	}
@@ -83,7 +84,7 @@
 	if l.Cert == "" {
 		return nil, nil
 	}
-	pair, err := loadCertificate(l)
+	pair, err := loadCertificate(l, time.Now)
 	if err != nil {
 		return nil, err
 	}
@@ -110,7 +111,7 @@
 	if l.Cert == "" {
 		return nil, nil
 	}
-	pair, err := loadCertificate(l)
+	pair, err := loadCertificate(l, time.Now)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/share/home/link.go
+++ b/internal/share/home/link.go
@@ -23,6 +23,8 @@
 	// waiting are the requests without an answer, by permit.
 	waiting map[uint64]chan Answer
 	closed  bool
+	// base is taken off permits as they are written and added as they are read.
+	base uint64
 	// missed counts the answers in a row that did not come in time.
 	missed int
 }
@@ -42,12 +44,20 @@
 	linkBatch = 64
 )
 
+// Edge is what a router says of itself once on each link.
+type Edge struct {
+	ID   ident.Router
+	Zone ident.Zone
+	// Base is below all permits that this process will ask for.
+	Base uint64
+}
+
 // openLink starts a link; ended is called once it has broken.
-func openLink(client peerpb.PeerServiceClient, self ident.Router, ended func(*link)) *link {
+func openLink(client peerpb.PeerServiceClient, self Edge, ended func(*link)) *link {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &link{
 		cancel: cancel, out: make(chan linkItem, linkBacklog), done: make(chan struct{}),
-		waiting: map[uint64]chan Answer{},
+		waiting: map[uint64]chan Answer{}, base: self.Base,
 	}
 	stream := client.Link(ctx)
 	go l.send(stream, self)
@@ -61,16 +71,16 @@
 }
 
 // send writes what is queued, as much as fits in one message at a time.
-func (l *link) send(stream *connect.BidiStreamForClient[peerpb.LinkRequest, peerpb.LinkReply], self ident.Router) {
+func (l *link) send(stream *connect.BidiStreamForClient[peerpb.LinkRequest, peerpb.LinkReply], self Edge) {
 	defer func() { _ = stream.CloseRequest() }()
-	hello := string(self)
+	hello := &peerpb.LinkRequest{Edge: string(self.ID), Base: self.Base, Zone: string(self.Zone)}
 	for {
 		select {
 		case <-l.done:
 			return
 		case first := <-l.out:
-			message := &peerpb.LinkRequest{Edge: hello}
-			hello = ""
+			message := hello
+			hello = &peerpb.LinkRequest{}
 			l.gather(message, first)
 			if stream.Send(message) != nil {
 				l.cancel()
@@ -110,7 +120,7 @@
 			return
 		}
 		for _, m := range reply.GetPlaces() {
-			l.deliver(m.GetPermit(), decodeAnswer(m))
+			l.deliver(m.GetPermit()+l.base, decodeAnswer(m))
 		}
 	}
 }
@@ -158,6 +168,22 @@
 	}
 }
 
+// shift adds an offset to permits; a negative one is its two's complement.
+func shift(permits []uint64, by uint64) []uint64 {
+	out := make([]uint64, len(permits))
+	for i, p := range permits {
+		out[i] = p + by
+	}
+	return out
+}
+
+// release gives permits back.
+func (l *link) release(id place.ShardID, released []uint64) {
+	l.post(linkItem{release: &peerpb.ReleaseRequest{
+		Pool: uint32(id.Pool.Hash()), Shard: uint32(id.Shard), Released: shift(released, -l.base),
+	}})
+}
+
 // place asks for a permit and waits for the answer.
 func (l *link) place(ctx context.Context, ask Ask, released []uint64) (Answer, error) {
 	const op = "home.Place"
@@ -169,7 +195,7 @@
 	}
 	l.waiting[ask.Permit] = ch
 	l.mu.Unlock()
-	if !l.post(linkItem{place: encodeAsk(ask, released)}) {
+	if !l.post(linkItem{place: encodeAsk(ask, released, l.base)}) {
 		l.forget(ask.Permit)
 		return Answer{}, fault.New(op, Unreachable, nil)
 	}
@@ -181,7 +207,7 @@
 		return a, nil
 	case <-ctx.Done():
 		l.forget(ask.Permit)
-		l.post(linkItem{cancel: ask.Permit})
+		l.post(linkItem{cancel: ask.Permit - l.base})
 		return Answer{}, fault.New(op, Unreachable, ctx.Err())
 	}
 }
@@ -194,13 +220,13 @@
 
 // links keeps one link to each home.
 type links struct {
-	self    ident.Router
+	self    Edge
 	clients Clients
 	mu      sync.Mutex
 	open    map[ident.Router]*link
 }
 
-func newLinks(self ident.Router, clients Clients) *links {
+func newLinks(self Edge, clients Clients) *links {
 	return &links{self: self, clients: clients, open: map[ident.Router]*link{}}
 }
 
@@ -263,6 +289,8 @@
 		}
 		if session.edge == "" {
 			session.edge = ident.Router(message.GetEdge())
+			session.zone = ident.Zone(message.GetZone())
+			session.base = message.GetBase()
 			if err := s.checkEdge(ctx, session.edge); err != nil {
 				return err
 			}
@@ -276,6 +304,8 @@
 	server  *Server
 	ctx     context.Context
 	edge    ident.Router
+	zone    ident.Zone
+	base    uint64
 	replies chan *peerpb.PlaceReply
 	mu      sync.Mutex
 	// cancels end the waiting of requests, by permit.
@@ -284,22 +314,23 @@
 
 func (s *session) take(wg *sync.WaitGroup, message *peerpb.LinkRequest) {
 	for _, m := range message.GetReleases() {
-		s.server.homes.ReleaseAt(ident.PoolHash(m.GetPool()), ident.Shard(m.GetShard()), s.edge, m.GetReleased())
+		s.server.homes.ReleaseAt(ident.PoolHash(m.GetPool()), ident.Shard(m.GetShard()), s.edge, shift(m.GetReleased(), s.base))
 	}
 	for _, m := range message.GetLoads() {
 		s.server.homes.Merge([]place.Digest{decodeLoad(s.edge, s.server.homes.poolName(ident.PoolHash(m.GetPool())), m)})
 	}
 	for _, permit := range message.GetCancels() {
 		s.mu.Lock()
-		if cancel, ok := s.cancels[permit]; ok {
+		if cancel, ok := s.cancels[permit+s.base]; ok {
 			cancel()
 		}
 		s.mu.Unlock()
 	}
 	for _, m := range message.GetPlaces() {
-		ask := decodeAsk(s.edge, s.server.homes.poolName(ident.PoolHash(m.GetPool())), m)
+		ask := s.ask(m)
+		released := shift(m.GetReleased(), s.base)
 		if ask.Wait <= 0 {
-			s.answer(ask.Permit, s.server.homes.Place(s.ctx, ask, m.GetReleased()))
+			s.answer(ask.Permit, s.server.homes.Place(s.ctx, ask, released))
 			continue
 		}
 		ctx, cancel := context.WithCancel(s.ctx)
@@ -307,7 +338,7 @@
 		s.cancels[ask.Permit] = cancel
 		s.mu.Unlock()
 		wg.Go(func() {
-			a := s.server.homes.Place(ctx, ask, m.GetReleased())
+			a := s.server.homes.Place(ctx, ask, released)
 			s.mu.Lock()
 			delete(s.cancels, ask.Permit)
 			s.mu.Unlock()
@@ -317,9 +348,18 @@
 	}
 }
 
+// ask reads a request for a permit in the edge's name.
+func (s *session) ask(m *peerpb.PlaceRequest) Ask {
+	ask := decodeAsk(m)
+	ask.Edge, ask.Zone = s.edge, s.zone
+	ask.Permit += s.base
+	ask.Shard.Pool = s.server.homes.poolName(ident.PoolHash(m.GetPool()))
+	return ask
+}
+
 func (s *session) answer(permit uint64, a Answer) {
 	m := encodeAnswer(a)
-	m.Permit = permit
+	m.Permit = permit - s.base
 	select {
 	case s.replies <- m:
 	case <-s.ctx.Done():
--- a/internal/share/home/remote.go
+++ b/internal/share/home/remote.go
@@ -42,8 +42,8 @@
 
 // NewRemote returns a Remote whose calls are bounded by timeout, waiting not
 // counted, and the function that closes its links.
-func NewRemote(self ident.Router, local *Homes, clients Clients, timeout time.Duration) (*Remote, func()) {
-	r := &Remote{self: self, local: local, clients: clients, timeout: timeout, links: newLinks(self, clients)}
+func NewRemote(self Edge, local *Homes, clients Clients, timeout time.Duration) (*Remote, func()) {
+	r := &Remote{self: self.ID, local: local, clients: clients, timeout: timeout, links: newLinks(self, clients)}
 	return r, r.links.close
 }
 
@@ -75,9 +75,7 @@
 	if err != nil {
 		return err
 	}
-	l.post(linkItem{release: &peerpb.ReleaseRequest{
-		Pool: uint32(id.Pool.Hash()), Shard: uint32(id.Shard), Released: released,
-	}})
+	l.release(id, released)
 	return nil
 }
 
@@ -131,7 +129,7 @@
 // PlaceSize is the size of a request for a permit and its answer on the wire, in
 // bytes without framing.
 func PlaceSize(ask Ask, released []uint64, answer Answer) int {
-	return proto.Size(encodeAsk(ask, released)) + proto.Size(encodeAnswer(answer))
+	return proto.Size(encodeAsk(ask, released, 0)) + proto.Size(encodeAnswer(answer))
 }
 
 // HandoffSize is the size of a transfer on the wire, in bytes without framing.
--- a/internal/share/home/server.go
+++ b/internal/share/home/server.go
@@ -70,24 +70,24 @@
 	return place.ShardID{Pool: ident.Pool(pool), Shard: ident.Shard(shard)}
 }
 
-func encodeAsk(a Ask, released []uint64) *peerpb.PlaceRequest {
+// encodeAsk returns the wire form of a request, with permits counted from a base on.
+func encodeAsk(a Ask, released []uint64, base uint64) *peerpb.PlaceRequest {
 	avoid := make([]uint32, 0, len(a.Avoid))
 	for _, e := range a.Avoid {
 		avoid = append(avoid, uint32(e))
 	}
 	return &peerpb.PlaceRequest{
-		Permit:    a.Permit,
+		Permit:    a.Permit - base,
 		Pool:      uint32(a.Shard.Pool.Hash()),
 		Shard:     uint32(a.Shard.Shard),
 		Key:       uint64(a.Key),
 		Workspace: string(a.Workspace),
 		Work:      int64(a.Work),
 		Priority:  int32(a.Priority),
-		Zone:      string(a.Zone),
 		WaitMs:    a.Wait.Milliseconds(),
 		WaitedMs:  a.Waited.Milliseconds(),
 		Must:      a.Must,
-		Released:  released,
+		Released:  shift(released, -base),
 		Weight:    int32(a.Weight),
 		Avoid:     avoid,
 		Sums:      encodeSums(a.Sums),
@@ -112,22 +112,21 @@
 	return out
 }
 
-func decodeAsk(edge ident.Router, pool ident.Pool, m *peerpb.PlaceRequest) Ask {
+// decodeAsk reads a request but for what its link says of the edge.
+func decodeAsk(m *peerpb.PlaceRequest) Ask {
 	var avoid []ident.TargetHash
 	for _, e := range m.GetAvoid() {
 		avoid = append(avoid, ident.TargetHash(e))
 	}
 	return Ask{
 		Request: place.Request{
-			Edge:   edge,
 			Permit: m.GetPermit(),
 			Key:    ident.ChatKey(m.GetKey()),
 			Work:   ident.Work(max(m.GetWork(), 1)),
-			Zone:   ident.Zone(m.GetZone()),
 			Must:   m.GetMust(),
 			Avoid:  avoid,
 		},
-		Shard:     place.ShardID{Pool: pool, Shard: ident.Shard(m.GetShard())},
+		Shard:     place.ShardID{Shard: ident.Shard(m.GetShard())},
 		Workspace: ident.Workspace(m.GetWorkspace()),
 		Weight:    int(m.GetWeight()),
 		Priority:  int(m.GetPriority()),
--- a/internal/share/peer/view_test.go
+++ b/internal/share/peer/view_test.go
@@ -267,6 +267,39 @@
 	f.until("all are live again", 40, f.all(func(v *peer.View) bool { return len(v.Routers("")) == 20 }))
 }
 
+// A region is cut off for two minutes. Meanwhile a change cannot be accepted, since
+// its routers are still on the platform's list; afterwards it reaches them soon.
+func TestRegionCutOff(t *testing.T) {
+	f := newFleet(t, 25)
+	f.until("all know all", 40, f.all(func(v *peer.View) bool { return len(v.Routers("")) == 25 }))
+	region := func(i int) bool { return i%5 == 0 }
+	f.cut = func(a, b int) bool { return region(a) != region(b) }
+	for range 60 {
+		f.round()
+	}
+	f.views[1].SetRevision(9)
+	for range 60 {
+		f.round()
+		for i, v := range f.views {
+			if region(i) != region(1) && v.Head() != 0 {
+				t.Fatal("a head crossed the cut")
+			}
+			v.SetRevision(v.Head())
+		}
+	}
+	if got := len(f.views[1].Outstanding(9)); got != 5 {
+		t.Errorf("%d routers outstanding, want the 5 that are cut off", got)
+	}
+	f.cut = func(int, int) bool { return false }
+	rounds := f.until("in force and acknowledged everywhere", 20, func() bool {
+		for _, v := range f.views {
+			v.SetRevision(v.Head())
+		}
+		return len(f.views[1].Outstanding(9)) == 0
+	})
+	t.Logf("in force everywhere %d rounds after the cut", rounds)
+}
+
 func TestLeavingRouterStaysLeaving(t *testing.T) {
 	f := newFleet(t, 8)
 	f.until("all know all", 20, f.all(func(v *peer.View) bool { return len(v.Members()) == 8 }))
