route: tests of silent homes, lost returns, broken targets and rates alone

Cause: the edge's side of placement was tested only through whole fleets.

Change: a router over three homes called without a network.

--- /dev/null
+++ b/internal/edge/route/router_test.go
@@ -0,0 +1,236 @@
+package route_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"valescale/internal/edge/route"
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
+	"valescale/internal/share/home"
+)
+
+// fleet is the homes of some routers, called without a network.
+type fleet struct {
+	now   time.Time
+	homes map[ident.Router]*home.Homes
+	down  map[ident.Router]bool
+	asked []ident.Router
+	// dropReturns loses what is given back.
+	dropReturns bool
+	later       []func()
+}
+
+func (f *fleet) at(to ident.Router) (*home.Homes, error) {
+	if f.down[to] || f.homes[to] == nil {
+		return nil, fault.New("test", home.Unreachable, nil)
+	}
+	return f.homes[to], nil
+}
+
+func (f *fleet) Place(ctx context.Context, to ident.Router, ask home.Ask, released []uint64) (home.Answer, error) {
+	f.asked = append(f.asked, to)
+	h, err := f.at(to)
+	if err != nil {
+		return home.Answer{}, err
+	}
+	return h.Place(ctx, ask, released), nil
+}
+
+func (f *fleet) Release(_ context.Context, to ident.Router, id place.ShardID, released []uint64) error {
+	h, err := f.at(to)
+	if err == nil && !f.dropReturns {
+		h.Release(id, edge, released)
+	}
+	return err
+}
+
+func (f *fleet) Sync(_ context.Context, to ident.Router, id place.ShardID, held []place.Permit, upto uint64, from ident.Router) error {
+	h, err := f.at(to)
+	if err == nil {
+		h.Sync(id, edge, held, upto, from)
+	}
+	return err
+}
+
+func (f *fleet) Withdraw(_ context.Context, to ident.Router, id place.ShardID, upto uint64) error {
+	h, err := f.at(to)
+	if err == nil {
+		h.Withdraw(id, edge, upto)
+	}
+	return err
+}
+
+func (f *fleet) Grant(_ context.Context, to ident.Router, w ident.Workspace, want int) (int, time.Duration, error) {
+	h, err := f.at(to)
+	if err != nil {
+		return 0, 0, err
+	}
+	granted, later, _ := h.Grant(w, want)
+	return granted, later, nil
+}
+
+const (
+	edge ident.Router = "edge"
+	pool ident.Pool   = "judge@co"
+)
+
+var (
+	id        = place.ShardID{Pool: pool}
+	routers   = []ident.Router{"a", "b", "c"}
+	workspace = policy.Workspace{Name: "bogota", Rate: 10, Burst: 2}
+)
+
+// newFleet returns a router over three homes and a pool of two engines in one shard.
+func newFleet() (*fleet, *route.Router, *place.Assignment) {
+	f := &fleet{now: time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC), homes: map[ident.Router]*home.Homes{}, down: map[ident.Router]bool{}}
+	clock := func() time.Time { return f.now }
+	p := route.Pool{
+		Name: pool, Region: "co", Targets: map[ident.TargetHash]route.Target{},
+		Service: policy.Service{Name: "judge", Balance: policy.Exact, Shards: 1, Bound: 1.25},
+	}
+	for _, name := range []ident.Target{"engine-1", "engine-2"} {
+		p.Engines = append(p.Engines, place.Engine{ID: name, Hash: name.Hash(), Incarnation: 1})
+		p.Targets[name.Hash()] = route.Target{ID: name, Incarnation: 1}
+	}
+	for _, r := range routers {
+		f.homes[r] = home.New(r, home.DefaultLimits, clock, func(ident.Workspace) (policy.Workspace, bool) { return workspace, true })
+		f.homes[r].SetPool(pool, 1, place.DefaultBound, p.Engines)
+	}
+	r := route.New(route.Self{
+		ID: edge, Region: "co", AfterFunc: func(_ time.Duration, run func()) { f.later = append(f.later, run) },
+	}, f, clock)
+	assigned := place.Assign([]place.ShardID{id}, routers)
+	r.Set(context.Background(), []route.Pool{p}, assigned)
+	return f, r, assigned
+}
+
+// run runs what was put off.
+func (f *fleet) run() {
+	for len(f.later) > 0 {
+		next := f.later[0]
+		f.later = f.later[1:]
+		next()
+	}
+}
+
+func (f *fleet) permits(at ident.Router) int {
+	n, _ := f.homes[at].InFlight()
+	return n
+}
+
+func acquire(t *testing.T, r *route.Router, key ident.ChatKey) *route.Placement {
+	t.Helper()
+	p, err := r.Acquire(context.Background(), route.Ask{Service: "judge", Key: key, Work: ident.OneRequest})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestPermitsComeBack(t *testing.T) {
+	f, r, assigned := newFleet()
+	at := assigned.Home(id)
+	p := acquire(t, r, 1)
+	if f.permits(at) != 1 {
+		t.Errorf("%d permits counted, want 1", f.permits(at))
+	}
+	p.Release()
+	p.Release()
+	f.run()
+	if f.permits(at) != 0 {
+		t.Errorf("%d permits counted after the return, want 0", f.permits(at))
+	}
+}
+
+func TestLostReturnsAreMended(t *testing.T) {
+	f, r, assigned := newFleet()
+	f.dropReturns = true
+	for key := range ident.ChatKey(5) {
+		acquire(t, r, key).Release()
+		f.run()
+	}
+	if got := f.permits(assigned.Home(id)); got > 3 {
+		t.Errorf("%d permits counted of requests that have ended", got)
+	}
+}
+
+func TestSilentHome(t *testing.T) {
+	f, r, assigned := newFleet()
+	at := assigned.Home(id)
+	next := assigned.Next(id, at)
+	first := acquire(t, r, 1)
+	f.down[at] = true
+	acquire(t, r, 2)
+	acquire(t, r, 3)
+	if diff := cmp.Diff([]ident.Router{at, at, next, next}, f.asked); diff != "" {
+		t.Error(diff)
+	}
+	if got := f.permits(next); got != 3 {
+		t.Errorf("the next in line counts %d permits, want all 3", got)
+	}
+	first.Release()
+	f.run()
+	if got := f.permits(next); got != 2 {
+		t.Errorf("the next in line counts %d permits after one came back, want 2", got)
+	}
+	if got := r.Stats().Fallback; got != 0 {
+		t.Errorf("%d decided without a home", got)
+	}
+}
+
+func TestNoHomeAtAll(t *testing.T) {
+	f, r, _ := newFleet()
+	for _, name := range routers {
+		f.down[name] = true
+	}
+	one, two := acquire(t, r, 1), acquire(t, r, 1)
+	if one.Hash == two.Hash {
+		t.Error("both requests at one engine, although the other is idle")
+	}
+	if got := r.Stats().Fallback; got != 2 {
+		t.Errorf("%d decided without a home, want 2", got)
+	}
+}
+
+func TestBrokenTargetIsPassedOver(t *testing.T) {
+	_, r, _ := newFleet()
+	bad := acquire(t, r, 1)
+	for range 5 {
+		r.Report(bad.Hash, false)
+	}
+	bad.Release()
+	for range 4 {
+		if p := acquire(t, r, 1); p.Hash == bad.Hash {
+			t.Fatal("a target whose answers fail gets new work")
+		}
+	}
+}
+
+func TestRateWithoutItsHome(t *testing.T) {
+	f, r, _ := newFleet()
+	admitted := func() int {
+		n := 0
+		for range 10 {
+			if r.Admit(context.Background(), workspace) == nil {
+				n++
+			}
+		}
+		return n
+	}
+	if got := admitted(); got < 1 || got > workspace.Burst {
+		t.Errorf("%d of 10 admitted at once, want up to the burst of %d", got, workspace.Burst)
+	}
+	for _, name := range routers {
+		f.down[name] = true
+	}
+	f.now = f.now.Add(3 * time.Second)
+	if got := admitted(); got != 3 {
+		t.Errorf("%d of 10 admitted without a home, want this router's third of 10 a second", got)
+	}
+}
