A revision is in force only once its pools are there

Change: pools and configuration are swapped together, the acknowledgement follows, and only then is anything sent to other routers. One look at view and configuration at a time. The claim's part of whole answers and streams is one function; loops that follow a signal are one.

--- a/cmd/measure/homes.go
+++ b/cmd/measure/homes.go
@@ -223,7 +223,7 @@
 func (h *homesWay) refresh(n *node, p route.Pool) {
 	live := h.assigned(h.routersOf(n))
 	n.homes.SetPool(p.Name, p.Service.Shards, h.bound, p.Engines)
-	n.router.Set(context.Background(), []route.Pool{p}, live)
+	n.router.Move(context.Background(), n.router.Set([]route.Pool{p}, live))
 	for _, transfer := range n.homes.Misplaced(live.Home) {
 		h.count(home.HandoffSize(transfer))
 		if to := h.node(transfer.To); to != nil {
--- a/internal/edge/front/chat.go
+++ b/internal/edge/front/chat.go
@@ -76,14 +76,7 @@
 
 // stream relays the events of a chat completion.
 func (f *Front) stream(w http.ResponseWriter, r *http.Request, j *job) {
-	stored, problem := f.claim(r.Context(), j, r.Header.Get(keyHeader))
-	if problem != nil {
-		f.fail(w, j, problem)
-		return
-	}
-	if stored != nil {
-		writeAnswer(w, *stored)
-		f.finish(j, retry.Done, CodeNone)
+	if f.claimed(w, r, j) {
 		return
 	}
 	s, problem := f.attempt(r.Context(), j)
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -115,6 +115,22 @@
 	return answer, nil
 }
 
+// claimed takes the claim that a request may need and reports whether the caller
+// has been answered by that: with the stored answer, or because there is no claim to be had.
+func (f *Front) claimed(w http.ResponseWriter, r *http.Request, j *job) bool {
+	stored, problem := f.claim(r.Context(), j, r.Header.Get(keyHeader))
+	switch {
+	case problem != nil:
+		f.fail(w, j, problem)
+	case stored != nil:
+		writeAnswer(w, *stored)
+		f.finish(j, retry.Done, CodeNone)
+	default:
+		return false
+	}
+	return true
+}
+
 // attempt sends the request until an answer begins, as often as the policy, the
 // retry budget and the truth allow.
 func (f *Front) attempt(ctx context.Context, j *job) (*sent, *Problem) {
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -45,14 +45,7 @@
 
 // whole gives the caller an answer only once it is there to its end.
 func (f *Front) whole(w http.ResponseWriter, r *http.Request, j *job) {
-	stored, problem := f.claim(r.Context(), j, r.Header.Get(keyHeader))
-	if problem != nil {
-		f.fail(w, j, problem)
-		return
-	}
-	if stored != nil {
-		writeAnswer(w, *stored)
-		f.finish(j, retry.Done, CodeNone)
+	if f.claimed(w, r, j) {
 		return
 	}
 	for {
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -131,9 +131,9 @@
 	return r.stats
 }
 
-// Set replaces pools and the assignment of homes, and tells new homes what this router holds.
-// A service's own region comes first among its pools.
-func (r *Router) Set(ctx context.Context, pools []Pool, assigned *place.Assignment) {
+// Set replaces pools and the assignment of homes, and returns the shards whose home
+// has changed, to be moved. A service's own region comes first among its pools.
+func (r *Router) Set(pools []Pool, assigned *place.Assignment) []Move {
 	r.mu.Lock()
 	old := r.pools
 	r.pools = map[ident.Service][]*pool{}
@@ -150,11 +150,11 @@
 	r.assigned = assigned
 	moved := r.movedShards()
 	r.mu.Unlock()
-	r.move(ctx, moved)
+	return moved
 }
 
-// move tells new homes what this router holds, and the earlier ones that it moved.
-func (r *Router) move(ctx context.Context, moved []move) {
+// Move tells new homes what this router holds, and the earlier ones that it moved.
+func (r *Router) Move(ctx context.Context, moved []Move) {
 	for _, m := range moved {
 		r.sync(ctx, m.id, m.old)
 		r.withdraw(ctx, m)
@@ -180,7 +180,7 @@
 	r.silent[home] = r.clock().Add(silentFor)
 	moved := r.movedShards()
 	r.mu.Unlock()
-	r.move(ctx, moved)
+	r.Move(ctx, moved)
 }
 
 // renew keeps what a pool's picture has counted when only its engines change.
@@ -198,21 +198,21 @@
 	return &pool{Pool: p, picture: picture}
 }
 
-// move is a shard whose home is another than the one that gave the permits held here.
-type move struct {
+// Move is a shard whose home is another than the one that gave the permits held here.
+type Move struct {
 	id  place.ShardID
 	old ident.Router
 }
 
 // movedShards lists the shards with permits here whose home has changed.
-func (r *Router) movedShards() []move {
-	var out []move
+func (r *Router) movedShards() []Move {
+	var out []Move
 	for id, permits := range r.held {
 		if len(permits) == 0 {
 			continue
 		}
 		if now := r.homeOf(id); now != r.granted[id] {
-			out = append(out, move{id: id, old: r.granted[id]})
+			out = append(out, Move{id: id, old: r.granted[id]})
 			r.granted[id] = now
 			r.forgetHome(id)
 		}
@@ -233,7 +233,7 @@
 
 // withdraw tells a shard's earlier home that this router's permits are counted
 // elsewhere now. If that router still believes to be home, they would count twice.
-func (r *Router) withdraw(ctx context.Context, m move) {
+func (r *Router) withdraw(ctx context.Context, m Move) {
 	if m.old == "" {
 		return
 	}
--- a/internal/edge/route/router_test.go
+++ b/internal/edge/route/router_test.go
@@ -106,7 +106,7 @@
 		ID: edge, Region: "co", AfterFunc: func(_ time.Duration, run func()) { f.later = append(f.later, run) },
 	}, f, clock)
 	assigned := place.Assign([]place.ShardID{id}, routers)
-	r.Set(context.Background(), []route.Pool{p}, assigned)
+	r.Set([]route.Pool{p}, assigned)
 	return f, r, assigned
 }
 
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -71,10 +72,12 @@
 	reports *reports
 	pools   atomic.Pointer[poolSet]
 	dirty   chan struct{}
-	ready   atomic.Bool
-	leaving atomic.Bool
-	killed  atomic.Bool
-	servers []*http.Server
+	// refreshing keeps an older look at view and configuration from replacing a later one.
+	refreshing sync.Mutex
+	ready      atomic.Bool
+	leaving    atomic.Bool
+	killed     atomic.Bool
+	servers    []*http.Server
 	// stopBackground ends what Run started beside the servers.
 	stopBackground context.CancelFunc
 	listeners      listeners
@@ -95,7 +98,6 @@
 		settings: settings, logger: logger, clock: clock,
 		meter: &peer.Meter{}, outside: &peer.Meter{}, reports: newReports(), dirty: make(chan struct{}, 1),
 	}
-	d.pools.Store(&poolSet{live: place.Assign(nil, nil), known: place.Assign(nil, nil)})
 	if err := d.listen(); err != nil {
 		d.close()
 		return nil, nil, err
@@ -174,8 +176,11 @@
 	d.stopBackground()
 }
 
+// InForce is the configuration that callers are served by.
+func (d *Daemon) InForce() config.InForce { return d.pools.Load().force }
+
 // Revision is the configuration revision in force.
-func (d *Daemon) Revision() ident.Revision { return d.keeper.InForce().Revision }
+func (d *Daemon) Revision() ident.Revision { return d.InForce().Revision }
 
 // Ready reports whether the router wants requests.
 func (d *Daemon) Ready() bool { return d.ready.Load() }
@@ -214,6 +219,7 @@
 	d.node = peer.NewNode(view, clients, list, pace, s.Router.Seeds, seed, d.clock)
 
 	d.keeper = config.NewKeeper(d.installed)
+	d.pools.Store(&poolSet{force: d.keeper.InForce(), live: place.Assign(nil, nil), known: place.Assign(nil, nil)})
 	d.recorder = config.NewRecorder(d.table, d.keeper, d.clock)
 	d.follower = config.NewFollower(d.keeper, d.recorder, fetcher{d.node}, s.Pace.Head, seed)
 
@@ -251,7 +257,7 @@
 	frontLimits := front.DefaultLimits
 	frontLimits.Body, frontLimits.BodyTime, frontLimits.Tries = s.Limits.Body, s.Limits.BodyTime, s.Limits.Tries
 	d.front = front.New(front.Parts{
-		Configs: d.keeper, Finder: d.router, Sender: sender, Claims: claims, Directory: d, Observer: d.metrics,
+		Configs: d, Finder: d.router, Sender: sender, Claims: claims, Directory: d, Observer: d.metrics,
 		Logger: d.logger, Keys: s.ResumeKeys, Zone: s.Router.Zone, Clock: d.clock,
 	}, frontLimits)
 	d.admin = admin.New(admin.Parts{
@@ -300,13 +306,8 @@
 	return w, ok
 }
 
-// installed follows a change of the configuration in force.
-func (d *Daemon) installed(force config.InForce) {
-	d.node.Do(func(v *peer.View) { v.SetRevision(force.Revision) })
-	d.markDirty()
-	_ = level.Info(d.logger).Log("msg", "configuration in force", "revision", force.Revision)
-	go d.node.Tell(context.Background())
-}
+// installed follows a change of the configuration.
+func (d *Daemon) installed(config.InForce) { d.markDirty() }
 
 // heard follows a router that told of a later revision.
 func (d *Daemon) heard(_ ident.Revision, from ident.Router) {
--- a/internal/oper/daemon/pools.go
+++ b/internal/oper/daemon/pools.go
@@ -16,10 +16,11 @@
 	"valescale/internal/share/peer"
 )
 
-// poolSet is what the view and the configuration give together.
+// poolSet is what the view and the configuration give together. Callers are served
+// by the configuration in it, so that a service is never in force without its pools.
 type poolSet struct {
-	revision ident.Revision
-	pools    []route.Pool
+	force config.InForce
+	pools []route.Pool
 	// live assigns homes among the live routers of the region, known among all that
 	// are remembered and do not leave.
 	live  *place.Assignment
@@ -74,8 +75,10 @@
 
 // refresh brings pools, homes and permits up to date with the view and the configuration.
 func (d *Daemon) refresh(ctx context.Context) {
+	d.refreshing.Lock()
+	defer d.refreshing.Unlock()
 	force := d.keeper.InForce()
-	next := &poolSet{revision: force.Revision}
+	next := &poolSet{force: force}
 	gone := map[ident.Router]uint64{}
 	var live, known, doubted []ident.Router
 	d.node.Read(func(v *peer.View) {
@@ -97,7 +100,6 @@
 	})
 	shards := shardsOf(next.pools, d.self.Region)
 	next.live, next.known = place.Assign(shards, live), place.Assign(shards, known)
-	d.pools.Store(next)
 	for _, p := range next.pools {
 		if p.Region == d.self.Region {
 			bound := place.DefaultBound
@@ -105,7 +107,10 @@
 			d.homes.SetPool(p.Name, p.Service.Shards, bound, p.Engines)
 		}
 	}
-	d.router.Set(ctx, next.pools, next.live)
+	moved := d.router.Set(next.pools, next.live)
+	d.pools.Store(next)
+	d.acknowledge(force.Revision)
+	d.router.Move(ctx, moved)
 	d.homes.Doubt(doubted)
 	for id, below := range gone {
 		if id != d.self.ID {
@@ -115,6 +120,19 @@
 	d.handOff(ctx, next.live)
 }
 
+// acknowledge says that callers are served by a revision from now on.
+func (d *Daemon) acknowledge(revision ident.Revision) {
+	fresh := false
+	d.node.Do(func(v *peer.View) {
+		fresh = v.RevisionOf(d.self.ID) < revision
+		v.SetRevision(revision)
+	})
+	if fresh {
+		_ = level.Info(d.logger).Log("msg", "configuration in force", "revision", revision)
+		go d.node.Tell(context.Background())
+	}
+}
+
 // handOff passes on the shards that another router is home of now.
 func (d *Daemon) handOff(ctx context.Context, live *place.Assignment) {
 	transfers := d.homes.Misplaced(live.Home)
@@ -127,22 +145,6 @@
 	}
 }
 
-// keepPublished publishes at intervals, and soon after a count has jumped.
-func (d *Daemon) keepPublished(ctx context.Context) {
-	ticker := time.NewTicker(publishEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-d.homes.Urgent():
-			sleep(ctx, publishSoon)
-		}
-		d.publish(ctx)
-	}
-}
-
 // publish tells the routers next in line what this router's homes count. Routers
 // that are thought dead are told too: if they are not, they may well believe to be
 // home themselves.
--- a/internal/oper/daemon/probe.go
+++ b/internal/oper/daemon/probe.go
@@ -34,7 +34,7 @@
 			gate <- struct{}{}
 			wg.Go(func() {
 				defer func() { <-gate }()
-				d.readReport(ctx, id, p.Targets[e.Hash], set.revision, p.Service)
+				d.readReport(ctx, id, p.Targets[e.Hash], set.force.Revision, p.Service)
 			})
 		}
 	}
--- a/internal/oper/daemon/serve.go
+++ b/internal/oper/daemon/serve.go
@@ -26,6 +26,8 @@
 	// leaveRounds is how many times a leaving router tells its peers.
 	leaveRounds = 3
 	refreshTime = time.Second
+	// refreshSoon lets changes of the view that come together be followed together.
+	refreshSoon = 2 * time.Millisecond
 	copyPause   = 200 * time.Millisecond
 	// publishEvery is how often the routers next in line are told of counts that changed.
 	publishEvery = time.Second
@@ -56,9 +58,9 @@
 	serve(&wg, operators, d.listeners.admin)
 	wg.Go(func() { d.node.Run(background) })
 	wg.Go(func() { d.follower.Run(background) })
-	wg.Go(func() { d.keepFresh(background) })
+	wg.Go(func() { follow(background, d.dirty, refreshSoon, refreshTime, d.refresh) })
 	wg.Go(func() { every(background, d.settings.Pace.Report, d.probe) })
-	wg.Go(func() { d.keepPublished(background) })
+	wg.Go(func() { follow(background, d.homes.Urgent(), publishSoon, publishEvery, d.publish) })
 	wg.Go(func() { every(background, d.settings.Pace.Lease/leaseSteps, d.sweep) })
 	wg.Go(func() { d.becomeReady(background) })
 	serve(&wg, callers, d.listeners.callers)
@@ -98,19 +100,21 @@
 	}
 }
 
-// keepFresh follows changes of view and configuration, and now and then works
-// through even without one, so that a failed handoff is tried again.
-func (d *Daemon) keepFresh(ctx context.Context) {
-	ticker := time.NewTicker(refreshTime)
+// follow calls work when signalled, a short while later so that signals that come
+// together are followed once, and at intervals even without a signal, so that what
+// failed is tried again.
+func follow(ctx context.Context, signal <-chan struct{}, soon, interval time.Duration, work func(context.Context)) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-d.dirty:
+		case <-signal:
+			sleep(ctx, soon)
 		case <-ticker.C:
 		}
-		d.refresh(ctx)
+		work(ctx)
 	}
 }
 
@@ -269,7 +273,7 @@
 	if !d.follower.Seen() {
 		return nil, connect.NewError(connect.CodeUnavailable, nil)
 	}
-	reply := &peerpb.FetchReply{Head: uint64(d.Revision())}
+	reply := &peerpb.FetchReply{Head: uint64(d.keeper.InForce().Revision)}
 	changes, ok := d.keeper.Since(ident.Revision(req.Msg.GetAfter()))
 	if !ok {
 		whole := d.keeper.Documents()
