--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -369,6 +369,10 @@
 		request.Wait = max(ask.Deadline.Sub(now), 0)
 	}
 	a, err := r.homes.Place(ctx, to, request, released)
+	if err == nil && a.Result == home.Empty && r.hasEngines(p, step.Shard) {
+		// A router that has just started is home already and knows no engines yet.
+		err = fault.New("route.Acquire", NoTarget, nil)
+	}
 	if err != nil && ctx.Err() == nil {
 		r.passOver(ctx, to)
 	}
@@ -403,7 +407,14 @@
 	return a, placement, nil
 }
 
-// alone decides from this router's own counts and what homes published last.
+// hasEngines reports whether this router knows usable engines of a shard.
+func (r *Router) hasEngines(p *pool, shard ident.Shard) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return p.picture.Weights()[shard] > 0
+}
+
+// local decides from this router's own counts alone.
 func (r *Router) local(p *pool, ask Ask) (*Placement, error) {
 	const op = "route.Acquire"
 	r.mu.Lock()
--- a/internal/edge/route/router_test.go
+++ b/internal/edge/route/router_test.go
@@ -184,6 +184,18 @@
 	}
 }
 
+// A router that has just started may be home before it knows any engine.
+func TestHomeThatKnowsNoEngines(t *testing.T) {
+	f, r, assigned := newFleet()
+	at := assigned.Home(id)
+	clock := func() time.Time { return f.now }
+	f.homes[at] = home.New(at, home.DefaultLimits, clock, func(ident.Workspace) (policy.Workspace, bool) { return workspace, true })
+	acquire(t, r, 1)
+	if diff := cmp.Diff([]ident.Router{at, assigned.Next(id, at)}, f.asked); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestNoHomeAtAll(t *testing.T) {
 	f, r, _ := newFleet()
 	for _, name := range routers {
