--- a/cmd/demo/load.go
+++ b/cmd/demo/load.go
@@ -17,7 +17,7 @@
 
 const (
 	chats     = 100
-	chatWords = 100
+	chatWords = 80
 )
 
 // load sends requests and keeps account of the answers.
--- a/cmd/demo/run.go
+++ b/cmd/demo/run.go
@@ -26,9 +26,9 @@
 	// waits longer when the engine does not have the chat's prefix.
 	perWord   = 32 * time.Millisecond
 	cold      = 300 * time.Millisecond
-	settling  = 4 * time.Second
-	measuring = 4 * time.Second
-	phaseTime = 1500 * time.Millisecond
+	settling  = 3500 * time.Millisecond
+	measuring = 3500 * time.Millisecond
+	phaseTime = 1200 * time.Millisecond
 	// leavingGrace is how long a leaving engine may still get new work.
 	leavingGrace = 3 * time.Second
 	orders       = 40
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -320,7 +320,7 @@
 
 // returning is the share of the permits whose requests are thought to have ended
 // already, while the permits are on their way back.
-const returning = 0.02
+const returning = 0.03
 
 // Total is the work on the pool's usable engines as far as this home knows.
 func (h *Home) Total(now time.Time) ident.Work {
