--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -23,7 +23,9 @@
 
 // job is one caller's request on its way.
 type job struct {
-	id        ident.Attempt
+	id ident.Attempt
+	// attempt is the latest sending.
+	attempt   ident.Attempt
 	workspace policy.Workspace
 	service   policy.Service
 	decision  policy.Decision
@@ -174,6 +176,7 @@
 	call.Addr = placement.Target.Addr
 	call.Attempt = claim.NewAttempt()
 	call.Key = j.key
+	j.attempt = call.Attempt
 	reply, err := f.Sender.Send(ctx, call)
 	if err != nil {
 		placement.Release()
@@ -220,7 +223,7 @@
 func (f *Front) after(ctx context.Context, j *job, placement *route.Placement, step retry.Step, err error) *Problem {
 	j.outcome = retry.Worse(j.outcome, retry.OutcomeOf(step))
 	j.avoid = append(j.avoid, placement.Hash)
-	_ = level.Info(f.Logger).Log("msg", "attempt failed", "request", j.id, "target", placement.Target.ID, "step", int(step), "err", err)
+	_ = level.Info(f.Logger).Log("msg", "attempt failed", "request", j.id, "attempt", j.attempt, "target", placement.Target.ID, "step", int(step), "err", err)
 	switch {
 	case ctx.Err() != nil:
 		return &Problem{Status: statusCallerGone, Code: CodeCallerGone, Message: "the caller has gone", Outcome: j.outcome}
@@ -271,6 +274,6 @@
 		end.FirstByte = j.first.Sub(j.arrived)
 	}
 	f.Observer.Finished(end)
-	_ = level.Info(f.Logger).Log("msg", "request", "request", j.id, "workspace", j.workspace.Name, "service", j.service.Name,
+	_ = level.Info(f.Logger).Log("msg", "request", "request", j.id, "attempt", j.attempt, "workspace", j.workspace.Name, "service", j.service.Name,
 		"chat", strconv.FormatUint(uint64(j.key), 16), "outcome", outcome, "code", code, "tries", j.tries, "ms", end.Whole.Milliseconds())
 }
--- a/internal/fake/fleet/fleet_test.go
+++ b/internal/fake/fleet/fleet_test.go
@@ -397,3 +397,21 @@
 		t.Errorf("the order ran %d times", n)
 	}
 }
+
+// A caller that goes away takes its request off the engine and its permit off the home.
+func TestCallerGoesAway(t *testing.T) {
+	b := start(t, fleet.Options{Routers: 2, Engines: 1, Engine: target.EngineOptions{PerWord: time.Minute}})
+	for _, stream := range []bool{true, false} {
+		ctx, cancel := context.WithCancel(b.ctx)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			b.caller.Chat(ctx, b.Routers[0].CallerAddr(), "c", "q", words, stream)
+		}()
+		b.until(t, "the engine runs it", func() bool { return b.Engines[0].Counts().Running == 1 })
+		cancel()
+		<-done
+		b.until(t, "the engine is free", func() bool { return b.Engines[0].Counts().Running == 0 })
+		b.until(t, "no permit is out", func() bool { return b.Routers[0].Permits()+b.Routers[1].Permits() == 0 })
+	}
+}
--- a/internal/fake/target/engine.go
+++ b/internal/fake/target/engine.go
@@ -95,19 +95,20 @@
 
 // Counts is what an engine has done.
 type Counts struct {
-	Served int
-	Warm   int
-	Peak   int
-	Orders int
-	Model  string
-	Epoch  ident.Epoch
+	Served  int
+	Running int
+	Warm    int
+	Peak    int
+	Orders  int
+	Model   string
+	Epoch   ident.Epoch
 }
 
 // Counts returns what the engine has done so far.
 func (e *Engine) Counts() Counts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return Counts{Served: e.served, Warm: e.warm, Peak: e.peak, Orders: e.orders, Model: e.model, Epoch: e.epoch}
+	return Counts{Served: e.served, Running: e.running, Warm: e.warm, Peak: e.peak, Orders: e.orders, Model: e.model, Epoch: e.epoch}
 }
 
 // Handler serves the engine's interfaces.
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -185,6 +185,12 @@
 // Ready reports whether the router wants requests.
 func (d *Daemon) Ready() bool { return d.ready.Load() }
 
+// Permits is the number of permits that this router's homes have given out.
+func (d *Daemon) Permits() int {
+	permits, _ := d.homes.InFlight()
+	return permits
+}
+
 // Stats returns how targets were found.
 func (d *Daemon) Stats() route.Stats { return d.router.Stats() }
 
