--- /dev/null
+++ b/internal/edge/route/home.go
@@ -0,0 +1,84 @@
+package route
+
+import (
+	"context"
+	"time"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+)
+
+// Move tells new homes what this router holds, and the earlier ones that it moved.
+func (r *Router) Move(ctx context.Context, moved []Move) {
+	for _, m := range moved {
+		r.sync(ctx, m.id, m.old)
+		r.withdraw(ctx, m)
+	}
+}
+
+// homeOf is the home of a shard among the routers that answer; the caller holds the lock.
+func (r *Router) homeOf(id place.ShardID) ident.Router {
+	home := r.assigned.Home(id)
+	if until, silent := r.silent[home]; !silent || !r.clock().Before(until) {
+		return home
+	}
+	return r.assigned.Next(id, home)
+}
+
+// silentFor is how long a home that did not answer is passed over for the next in line.
+const silentFor = 3 * time.Second
+
+// passOver asks the next in line instead of a home that did not answer, until
+// membership knows whether it is gone.
+func (r *Router) passOver(ctx context.Context, home ident.Router) {
+	r.mu.Lock()
+	r.silent[home] = r.clock().Add(silentFor)
+	moved := r.movedShards()
+	r.mu.Unlock()
+	r.Move(ctx, moved)
+}
+
+// Move is a shard whose home is another than the one that gave the permits held here.
+type Move struct {
+	id  place.ShardID
+	old ident.Router
+}
+
+// movedShards lists the shards with permits here whose home has changed.
+func (r *Router) movedShards() []Move {
+	var out []Move
+	for id, permits := range r.held {
+		if len(permits) == 0 {
+			continue
+		}
+		if now := r.homeOf(id); now != r.granted[id] {
+			out = append(out, Move{id: id, old: r.granted[id]})
+			r.granted[id] = now
+			r.forgetHome(id)
+		}
+	}
+	return out
+}
+
+// forgetHome has the next request tell the shard's new home what the others said.
+func (r *Router) forgetHome(id place.ShardID) {
+	for _, pools := range r.pools {
+		for _, p := range pools {
+			if p.Name == id.Pool {
+				p.picture.NewHome(id.Shard)
+			}
+		}
+	}
+}
+
+// withdraw tells a shard's earlier home that this router's permits are counted
+// elsewhere now. If that router still believes to be home, they would count twice.
+func (r *Router) withdraw(ctx context.Context, m Move) {
+	if m.old == "" {
+		return
+	}
+	r.mu.Lock()
+	upto := r.permit
+	r.mu.Unlock()
+	_ = r.homes.Withdraw(ctx, m.old, m.id, upto)
+}
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"slices"
 	"time"
 
 	"valescale/internal/plat/ident"
@@ -71,19 +70,6 @@
 	Warm bool
 }
 
-// Permit is one request's work on an engine.
-type Permit struct {
-	Edge   ident.Router
-	ID     uint64
-	Engine ident.TargetHash
-	Work   ident.Work
-}
-
-type permitKey struct {
-	edge ident.Router
-	id   uint64
-}
-
 type engineLoad struct {
 	Engine
 	// own is the work of permits given here, foreign what another home of this shard published.
@@ -354,136 +340,6 @@
 	return min(max(share, minRamp), 1)
 }
 
-// hold counts a permit; one that is held already is replaced.
-func (h *Home) hold(p Permit) {
-	key := permitKey{p.Edge, p.ID}
-	h.drop(key)
-	h.permits[key] = p
-	i, ok := h.index[p.Engine]
-	if !ok {
-		i = len(h.engines)
-		h.index[p.Engine] = i
-		h.engines = append(h.engines, engineLoad{Engine: Engine{Hash: p.Engine}})
-	}
-	h.engines[i].own += p.Work
-	h.held[p.Edge]++
-}
-
-func (h *Home) drop(key permitKey) {
-	p, ok := h.permits[key]
-	if !ok {
-		return
-	}
-	delete(h.permits, key)
-	h.engines[h.index[p.Engine]].own -= p.Work
-	h.held[p.Edge]--
-	if h.held[p.Edge] == 0 {
-		delete(h.held, p.Edge)
-	}
-}
-
-// Release gives a permit back; releasing twice, or one never given, does nothing.
-func (h *Home) Release(edge ident.Router, id uint64) {
-	h.drop(permitKey{edge, id})
-}
-
-// Sync replaces all permits of one edge with the list it holds. Permits newer than
-// upto were asked for after the list was made and stay. Permits that another home
-// counted before no longer count as that home's.
-func (h *Home) Sync(edge ident.Router, held []Permit, upto uint64, from ident.Router) {
-	h.synced[edge] = max(h.synced[edge], upto)
-	h.claim(from, held)
-	for key := range h.permits {
-		if key.edge == edge && key.id <= upto {
-			h.drop(key)
-		}
-	}
-	for _, p := range held {
-		h.hold(p)
-	}
-}
-
-// claim takes permits that are new here off what another home published. Its next
-// digest, if there is one, says the same.
-func (h *Home) claim(from ident.Router, held []Permit) {
-	f, ok := h.foreign[from]
-	if !ok {
-		return
-	}
-	loads := slices.Clone(f.digest.Loads)
-	for _, p := range held {
-		if _, known := h.permits[permitKey{p.Edge, p.ID}]; known {
-			continue
-		}
-		for i := range loads {
-			if loads[i].Engine == p.Engine {
-				loads[i].Work = max(loads[i].Work-p.Work, 0)
-			}
-		}
-	}
-	f.digest.Loads = loads
-	h.foreign[from] = f
-	h.recount()
-}
-
-// Take counts permits that another home has handed over. What an edge has said of
-// its permits itself goes first.
-func (h *Home) Take(permits []Permit) {
-	for _, p := range permits {
-		if p.ID > h.synced[p.Edge] {
-			h.hold(p)
-		}
-	}
-}
-
-// Forget drops the permits of an edge with ids below a limit: those of a process that is gone.
-func (h *Home) Forget(edge ident.Router, below uint64) {
-	for key := range h.permits {
-		if key.edge == edge && key.id < below {
-			h.drop(key)
-		}
-	}
-}
-
-// Doubt names the edges that may be gone. Until that is known their permits count on
-// their engines, but not in the mean: too high a load and too low a mean are the
-// sides to err on.
-func (h *Home) Doubt(edges []ident.Router) {
-	clear(h.doubted)
-	for _, e := range edges {
-		h.doubted[e] = true
-	}
-}
-
-// doubtedWork is the work of permits whose requests may have ended with their edge.
-func (h *Home) doubtedWork() ident.Work {
-	if len(h.doubted) == 0 {
-		return 0
-	}
-	var work ident.Work
-	for key, p := range h.permits {
-		if h.doubted[key.edge] {
-			work += p.Work
-		}
-	}
-	return work
-}
-
-// Held is the number of permits that an edge holds here.
-func (h *Home) Held(edge ident.Router) int { return h.held[edge] }
-
-// Permits lists the permits held here.
-func (h *Home) Permits() []Permit {
-	out := make([]Permit, 0, len(h.permits))
-	for _, p := range h.permits {
-		out = append(out, p)
-	}
-	return out
-}
-
-// Len is the number of permits held here.
-func (h *Home) Len() int { return len(h.permits) }
-
 // ID returns the shard that this home counts.
 func (h *Home) ID() ShardID { return h.id }
 
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -113,13 +112,6 @@
 	standby ident.Router
 }
 
-// heard is a digest with the time at which it came; one of a home that is gone must
-// not come to life again in a home that is made later.
-type heard struct {
-	digest place.Digest
-	at     time.Time
-}
-
 type waiting struct {
 	ask    Ask
 	answer chan Answer
@@ -342,22 +334,6 @@
 	h.dispatch(s)
 }
 
-// hurry has a shard's count published at once.
-func (h *Homes) hurry(s *shard) {
-	s.jumped = true
-	h.signal()
-}
-
-func (h *Homes) signal() {
-	select {
-	case h.urgent <- struct{}{}:
-	default:
-	}
-}
-
-// Urgent is signalled when Digests has something that should not wait.
-func (h *Homes) Urgent() <-chan struct{} { return h.urgent }
-
 // Doubt names the routers that may be gone.
 func (h *Homes) Doubt(edges []ident.Router) {
 	h.mu.Lock()
@@ -378,108 +354,6 @@
 	}
 }
 
-// Merge takes in what other homes published.
-func (h *Homes) Merge(digests []place.Digest) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.clock()
-	for _, d := range digests {
-		if h.loads[d.ID] == nil {
-			h.loads[d.ID] = map[ident.Router]heard{}
-		}
-		h.keepPlaces(d.ID, d.Places)
-		d.Places = nil
-		h.loads[d.ID][d.Home] = heard{digest: d, at: now}
-		for id, s := range h.shards {
-			if id.Pool == d.ID.Pool {
-				s.home.Merge(now, d)
-			}
-		}
-	}
-}
-
-// keepPlaces keeps chat places of a shard of which another router is home.
-func (h *Homes) keepPlaces(id place.ShardID, places []place.ChatPlace) {
-	if s, here := h.shards[id]; here {
-		s.home.Learn(places)
-		return
-	}
-	if len(places) == 0 {
-		return
-	}
-	replica := h.replicas[id]
-	if replica == nil {
-		bound := place.DefaultBound
-		if info := h.pools[id.Pool]; info != nil {
-			bound = info.bound
-		}
-		replica = place.NewReplica(bound)
-		h.replicas[id] = replica
-	}
-	replica.Learn(places)
-}
-
-// Publication is what the routers next in line are to be told of a shard.
-type Publication struct {
-	Digest place.Digest
-	To     []ident.Router
-	// Whole is set when the first of them is new in line and needs all chat places.
-	Whole *Transfer
-}
-
-// Publications returns what is to be told now, given the assignments among the live
-// routers and among all that are known.
-func (h *Homes) Publications(live, known *place.Assignment) []Publication {
-	var out []Publication
-	for _, d := range h.Digests() {
-		p := Publication{Digest: d, To: place.Standbys(d.ID, h.self, live, known)}
-		if len(p.To) > 0 {
-			p.Whole = h.wholeFor(d.ID, p.To[0])
-		}
-		out = append(out, p)
-	}
-	return out
-}
-
-// wholeFor returns all chat places of a shard if a router has just become its first standby.
-func (h *Homes) wholeFor(id place.ShardID, standby ident.Router) *Transfer {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	s, ok := h.shards[id]
-	if !ok || s.standby == standby {
-		return nil
-	}
-	s.standby = standby
-	return &Transfer{ID: id, To: standby, Places: s.home.Places(maxTransferPlaces), Replica: true}
-}
-
-// Digests returns what is to be published: the shards whose counts changed, and
-// now and then those whose did not.
-func (h *Homes) Digests() []place.Digest {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.clock()
-	out := h.lastDigests
-	h.lastDigests = nil
-	for _, s := range h.shards {
-		age := now.Sub(s.sentAt)
-		if age < publishEvery && !s.jumped {
-			continue
-		}
-		d := s.home.Digest()
-		if age < renewEvery && len(d.Places) == 0 && sameLoads(d, s.sent) {
-			continue
-		}
-		s.sent, s.sentAt, s.jumped = d, now, false
-		out = append(out, d)
-	}
-	return out
-}
-
-func sameLoads(a, b place.Digest) bool {
-	return a.Work == b.Work && slices.Equal(a.Loads, b.Loads)
-}
-
 // Evicted notes cache events of an engine.
 func (h *Homes) Evicted(id place.ShardID, engine ident.TargetHash, keys []ident.ChatKey) {
 	h.mu.Lock()
