demo: a request may be on its way for a quarter of a second

Cause: the demo holds an engine's load against the highest mean of the last 100 ms; on a busy machine a request is longer on its way from the permit to the engine.

Change: 250 ms.

--- a/cmd/demo/summary.go
+++ b/cmd/demo/summary.go
@@ -76,7 +76,7 @@
 
 // transit is how long a request may be on its way from the decision to the engine.
 // Its load is held against the highest mean of that time.
-const transit = 100 * time.Millisecond
+const transit = 250 * time.Millisecond
 
 // recent notes the present mean and returns the highest of the last moments.
 func (g *gauge) recent(mean float64) float64 {
