Late orders at targets that check and that do not; a router killed under an order

Cause: two gaps of docs/FAILURES.md: fenced orders were only tested in good order, and a kill between sending and answer only in schedules, not on processes.

Change: a late order of an earlier revision is refused by an engine that checks and undone by the next report at one that does not; the process script kills a router while an order runs: the next router says unknown, it ran once, and the operator sees the claim.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -28,6 +28,8 @@
 	Addr    string `long:"addr" default:"127.0.0.1:0" description:"where the platform listens"`
 	Engines int    `long:"engines" default:"3" description:"how many engines to serve"`
 	Plain   int    `long:"plain" default:"1" description:"how many plain replicas to serve"`
+	// PlainTime is how long a plain request takes.
+	PlainTime time.Duration `long:"plain-time" default:"0s" description:"how long a plain request takes"`
 }
 
 func main() {
@@ -58,7 +60,7 @@
 		targets = append(targets, box)
 	}
 	for i := range o.Plain {
-		p := target.NewPlain(0)
+		p := target.NewPlain(o.PlainTime)
 		box, err := serveTarget(fmt.Sprintf("board-%02d", i), "board", i, p.Handler())
 		if err != nil {
 			return err
--- a/examples/processes.sh
+++ b/examples/processes.sh
@@ -34,7 +34,7 @@
 }
 
 go build -o "$work/valescale" . && go build -o "$work/standin" ./cmd/standin || exit 1
-"$work/standin" >"$work/standin.out" &
+"$work/standin" --plain-time 500ms >"$work/standin.out" &
 pids+=($!)
 until_ok test -s "$work/standin.out" || exit 1
 platform=$(cat "$work/standin.out")
@@ -132,8 +132,13 @@
 wait "$stream"
 check "stream over a planned stop" 'data: [DONE]' "$(cat "$work/stream")"
 list router-a router-c
+order router-c order-3 >/dev/null &
+until_ok sh -c "curl -s $platform/runs | grep -q order-3"
 kill -KILL "${pid[router-c]}"
 wait "${pid[router-c]}" 2>/dev/null
+check "order whose router was killed while it ran" "unknown" "$(order router-a order-3)"
+check "and ran once" '"order-3":1' "$(curl -s "$platform/runs")"
+check "operator sees the claim" "sent" "$(operator router-a claim bogota order-3)"
 check "chat after a kill" '"content":"8e35c2cd.0 "' "$(chat router-a false 1)"
 list router-a
 check "apply with one router left" "in force on every router" "$(sed 's/rate = 100/rate = 90/' examples/services.ini >"$work/second.ini"; operator router-a apply --note second "$work/second.ini")"
--- a/internal/fake/fleet/fleet_test.go
+++ b/internal/fake/fleet/fleet_test.go
@@ -15,6 +15,8 @@
 	"valescale/internal/fake/fleet"
 	"valescale/internal/fake/target"
 	"valescale/internal/oper/conf"
+	"valescale/internal/plat/engine"
+	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/policy"
 	"valescale/internal/rule/retry"
@@ -322,17 +324,33 @@
 	}
 }
 
-func TestModelOrders(t *testing.T) {
-	b := start(t, fleet.Options{Routers: 2, Engines: 3, Engine: target.EngineOptions{Fenced: true, Model: "old"}})
-	b.apply(t, "model", strings.Replace(text(), "slots = 8", "slots = 8\nmodel = new", 1))
-	b.until(t, "all engines have the wanted model", func() bool {
-		for _, e := range b.Engines {
-			if e.Counts().Model != "new" {
-				return false
+// A router that was paused wakes and sends an order of an earlier configuration. A
+// target that checks refuses it; at one that does not, it does not last.
+func TestLateModelOrders(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		t.Run(fmt.Sprint("fenced ", fenced), func(t *testing.T) {
+			b := start(t, fleet.Options{Routers: 2, Engines: 3, Engine: target.EngineOptions{Fenced: fenced, Model: "old"}})
+			b.apply(t, "model", strings.Replace(text(), "slots = 8", "slots = 8\nmodel = new", 1))
+			wanted := func() bool {
+				for _, e := range b.Engines {
+					if e.Counts().Model != "new" {
+						return false
+					}
+				}
+				return true
 			}
-		}
-		return true
-	})
+			b.until(t, "all engines have the wanted model", wanted)
+			late := engine.New(http.DefaultTransport, time.Second)
+			err := late.Send(b.ctx, b.Engines[0].Addr(), engine.Order{Kind: engine.LoadModel, Epoch: 1, Model: "old"})
+			if kind := fault.KindOf[engine.Kind](err); fenced != (kind == engine.Stale) {
+				t.Errorf("a late order got %v", err)
+			}
+			if fenced && !wanted() {
+				t.Error("a late order was followed")
+			}
+			b.until(t, "the wanted model is back", wanted)
+		})
+	}
 }
 
 // The chats of an engine that leaves find their context at its successors.
