daemon: pools and homes are made anew only when something has changed

Cause, found on reading the whole change: each second, changed or not, every router made all pools and the assignment of homes anew, only so that a handoff that failed is tried again. docs/CAPACITY.md did not count it.

Change: the tick compares the counts of changes of view, configuration and reports, and without one only tries handoffs again. The default bound with a service's own multiple is made in one place. Gone: Home.Saturated, which nobody called; learning places a second time in Home.Merge, which never got any; the unread time of a report.

--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -161,9 +161,7 @@
 			return &pool{Pool: p, picture: o.picture, saturated: o.saturated}
 		}
 	}
-	bound := place.DefaultBound
-	bound.Factor = p.Service.Bound
-	picture := place.NewPool(p.Name, p.Service.Shards, bound)
+	picture := place.NewPool(p.Name, p.Service.Shards, place.BoundOf(p.Service.Bound))
 	picture.SetEngines(p.Engines)
 	return &pool{Pool: p, picture: picture}
 }
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -74,10 +74,12 @@
 	dirty   chan struct{}
 	// refreshing keeps an older look at view and configuration from replacing a later one.
 	refreshing sync.Mutex
-	ready      atomic.Bool
-	leaving    atomic.Bool
-	killed     atomic.Bool
-	servers    []*http.Server
+	// refreshed is what pools and homes were made from last.
+	refreshed inputs
+	ready     atomic.Bool
+	leaving   atomic.Bool
+	killed    atomic.Bool
+	servers   []*http.Server
 	// stopBackground ends what Run started beside the servers.
 	stopBackground context.CancelFunc
 	listeners      listeners
--- a/internal/oper/daemon/pools.go
+++ b/internal/oper/daemon/pools.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/go-kit/log/level"
 
@@ -73,10 +72,31 @@
 	return p
 }
 
+// inputs are what pools and homes are made from, by the counts of their changes.
+type inputs struct {
+	view     uint64
+	revision ident.Revision
+	reports  uint64
+}
+
+// inputs returns the present counts.
+func (d *Daemon) inputs() inputs {
+	in := inputs{revision: d.keeper.InForce().Revision, reports: d.reports.version()}
+	d.node.Read(func(v *peer.View) { in.view = v.Version() })
+	return in
+}
+
 // refresh brings pools, homes and permits up to date with the view and the configuration.
 func (d *Daemon) refresh(ctx context.Context) {
 	d.refreshing.Lock()
 	defer d.refreshing.Unlock()
+	seen := d.inputs()
+	if seen == d.refreshed {
+		// Only a handoff that failed is left to be tried again.
+		d.handOff(ctx, d.pools.Load().live)
+		return
+	}
+	d.refreshed = seen
 	force := d.keeper.InForce()
 	next := &poolSet{force: force}
 	gone := map[ident.Router]uint64{}
@@ -102,9 +122,7 @@
 	next.live, next.known = place.Assign(shards, live), place.Assign(shards, known)
 	for _, p := range next.pools {
 		if p.Region == d.self.Region {
-			bound := place.DefaultBound
-			bound.Factor = p.Service.Bound
-			d.homes.SetPool(p.Name, p.Service.Shards, bound, p.Engines)
+			d.homes.SetPool(p.Name, p.Service.Shards, place.BoundOf(p.Service.Bound), p.Engines)
 		}
 	}
 	moved := d.router.Set(next.pools, next.live)
@@ -168,7 +186,6 @@
 type report struct {
 	engine.Report
 	missed int
-	at     time.Time
 	// exported is the incarnation whose chats have been copied elsewhere.
 	exported ident.Incarnation
 }
@@ -179,6 +196,8 @@
 type reports struct {
 	mu   sync.Mutex
 	byID map[ident.Target]report
+	// turns counts the reports that change what the engine may get.
+	turns uint64
 }
 
 func newReports() *reports { return &reports{byID: map[ident.Target]report{}} }
@@ -189,6 +208,21 @@
 	return r.byID[id]
 }
 
+// version grows with each report that changes what an engine may get.
+func (r *reports) version() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.turns
+}
+
+// turn counts a change, if it is one.
+func (r *reports) turn(turned bool) bool {
+	if turned {
+		r.turns++
+	}
+	return turned
+}
+
 // missed notes that an engine did not report; turned is set when that silences it.
 func (r *reports) missed(id ident.Target) (turned bool) {
 	r.mu.Lock()
@@ -196,7 +230,7 @@
 	known := r.byID[id]
 	known.missed++
 	r.byID[id] = known
-	return known.missed == silentAfter
+	return r.turn(known.missed == silentAfter)
 }
 
 // export reports whether an engine's present incarnation is still to be
@@ -214,10 +248,10 @@
 }
 
 // got notes a report; turned is set when the engine had been silent or its slots changed.
-func (r *reports) got(now time.Time, id ident.Target, fresh engine.Report) (turned bool) {
+func (r *reports) got(id ident.Target, fresh engine.Report) (turned bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.byID[id]
-	r.byID[id] = report{Report: fresh, at: now, exported: known.exported}
-	return known.silent() || known.Slots != fresh.Slots
+	r.byID[id] = report{Report: fresh, exported: known.exported}
+	return r.turn(known.silent() || known.Slots != fresh.Slots)
 }
--- a/internal/oper/daemon/probe.go
+++ b/internal/oper/daemon/probe.go
@@ -55,7 +55,7 @@
 		}
 		return
 	}
-	if d.reports.got(d.clock(), t.ID, fresh) {
+	if d.reports.got(t.ID, fresh) {
 		d.markDirty()
 	}
 	d.homes.Evicted(id, t.ID.Hash(), fresh.Evicted)
--- a/internal/rule/place/digest.go
+++ b/internal/rule/place/digest.go
@@ -166,7 +166,6 @@
 		h.sums.note(now, Sum{Shard: d.ID.Shard, Work: d.Work})
 		return
 	}
-	h.places.learn(d.Places)
 	if old, ok := h.foreign[d.Home]; ok && old.digest.Seq >= d.Seq {
 		return
 	}
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -18,6 +18,13 @@
 	Places int
 }
 
+// BoundOf returns the default bound with a service's own multiple of the mean.
+func BoundOf(factor float64) Bound {
+	b := DefaultBound
+	b.Factor = factor
+	return b
+}
+
 // DefaultBound is the bound of the brief's users.
 var DefaultBound = Bound{Factor: 1.25, Ramp: 10 * time.Second, DigestLife: 4 * time.Second, Places: 100_000}
 
@@ -313,22 +320,6 @@
 	return h.SureWork() + h.sums.total(now, h.bound.DigestLife, h.id.Shard)
 }
 
-// Saturated reports whether the shard's engines have no slot left for work.
-func (h *Home) Saturated(work ident.Work) bool {
-	any := false
-	for i := range h.engines {
-		e := &h.engines[i]
-		if !e.usable() {
-			continue
-		}
-		any = true
-		if e.Slots == 0 || e.load()+work <= e.Slots {
-			return false
-		}
-	}
-	return any
-}
-
 // minRamp is the share that an engine has as it joins.
 const minRamp = 0.1
 
