Gone: what was sent and kept for nobody

Cause, found on reading the whole change: each request for a permit carried how long its caller had waited, which no home read (waiting is ordered by workspace and weight); table.Insert had no caller; two tests made the same TLS side by hand.

Conclusion: behaviour is unchanged.

--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -169,7 +169,6 @@
 // Acquire finds a target and counts the request there until the placement is released.
 func (r *Router) Acquire(ctx context.Context, ask Ask) (*Placement, error) {
 	const op = "route.Acquire"
-	arrived := r.clock()
 	p := r.poolFor(ask.Service)
 	if p == nil {
 		return nil, fault.Newf(op, NoTarget, "service %s", ask.Service)
@@ -179,7 +178,7 @@
 		return r.local(p, ask)
 	}
 	for {
-		placement, again, err := r.askAround(ctx, p, ask, arrived)
+		placement, again, err := r.askAround(ctx, p, ask)
 		if !again {
 			return placement, err
 		}
@@ -202,7 +201,7 @@
 const saturatedFor = 200 * time.Millisecond
 
 // askAround asks the shards for a permit; again is set when a home moved meanwhile.
-func (r *Router) askAround(ctx context.Context, p *pool, ask Ask, arrived time.Time) (placement *Placement, again bool, err error) {
+func (r *Router) askAround(ctx context.Context, p *pool, ask Ask) (placement *Placement, again bool, err error) {
 	r.mu.Lock()
 	search := p.picture.NewSearch(ask.Key, r.clock().Before(p.saturated))
 	r.mu.Unlock()
@@ -214,11 +213,11 @@
 		if !ok {
 			return nil, false, fault.New("route.Acquire", NoTarget, nil)
 		}
-		a, placement, err := r.ask(ctx, p, step, ask, arrived)
+		a, placement, err := r.ask(ctx, p, step, ask)
 		if err != nil && !passed && ctx.Err() == nil {
 			// The next in line knows what the silent home counted a second ago.
 			passed = true
-			a, placement, err = r.ask(ctx, p, step, ask, arrived)
+			a, placement, err = r.ask(ctx, p, step, ask)
 		}
 		switch {
 		case err != nil:
@@ -262,7 +261,7 @@
 }
 
 // ask asks one home for a permit.
-func (r *Router) ask(ctx context.Context, p *pool, step place.Step, ask Ask, arrived time.Time) (home.Answer, *Placement, error) {
+func (r *Router) ask(ctx context.Context, p *pool, step place.Step, ask Ask) (home.Answer, *Placement, error) {
 	id := place.ShardID{Pool: p.Name, Shard: step.Shard}
 	now := r.clock()
 	r.mu.Lock()
@@ -285,7 +284,6 @@
 		Workspace: ask.Workspace,
 		Weight:    ask.Weight,
 		Priority:  ask.Priority,
-		Waited:    now.Sub(arrived),
 		Sums:      sums,
 	}
 	if step.Must {
--- a/internal/fake/fleet/keys_test.go
+++ b/internal/fake/fleet/keys_test.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// gossip calls a router under a certificate, or none, in the name of a router.
-func gossip(ctx context.Context, t *testing.T, addr string, keys *conf.Listener, from string) connect.Code {
+// showing is the TLS side of a client that shows a certificate, or none.
+func showing(t *testing.T, keys *conf.Listener) *tls.Config {
 	t.Helper()
 	config := &tls.Config{InsecureSkipVerify: true}
 	if keys != nil {
@@ -99,6 +99,13 @@
 		}
 		config.Certificates = []tls.Certificate{pair}
 	}
+	return config
+}
+
+// gossip calls a router under a certificate, or none, in the name of a router.
+func gossip(ctx context.Context, t *testing.T, addr string, keys *conf.Listener, from string) connect.Code {
+	t.Helper()
+	config := showing(t, keys)
 	protocols := &http.Protocols{}
 	protocols.SetHTTP2(true)
 	transport := &http.Transport{TLSClientConfig: config, Protocols: protocols}
@@ -141,14 +148,7 @@
 	b := start(t, fleet.Options{Routers: 1, Engines: 1, Plain: 1, CallerKeys: a.listener})
 	b.apply(t, "certs", strings.Replace(text(), "[workspace cali]", "[workspace cali]\ncerts = driver-7", 1))
 	get := func(keys *conf.Listener) int {
-		config := &tls.Config{InsecureSkipVerify: true}
-		if keys != nil {
-			pair, err := tls.LoadX509KeyPair(keys.Cert, keys.Key)
-			if err != nil {
-				t.Fatal(err)
-			}
-			config.Certificates = []tls.Certificate{pair}
-		}
+		config := showing(t, keys)
 		transport := &http.Transport{TLSClientConfig: config}
 		defer transport.CloseIdleConnections()
 		resp, err := (&http.Client{Transport: transport}).Get("https://" + b.Routers[0].CallerAddr() + "/standings")
--- a/internal/plat/table/row.go
+++ b/internal/plat/table/row.go
@@ -48,14 +48,6 @@
 	Limit int  `json:"limit"`
 }
 
-// Insert returns a transaction that writes a row which must not exist yet.
-func Insert(name Name, key Key, value []byte) Txn {
-	return Txn{
-		Checks: []Check{{Table: name, Key: key}},
-		Puts:   []Put{{Table: name, Key: key, Value: value}},
-	}
-}
-
 // Replace returns a transaction that writes a row which must have a version.
 func Replace(row Row, value []byte) Txn {
 	return Txn{
--- a/internal/rule/quota/queue.go
+++ b/internal/rule/quota/queue.go
@@ -13,7 +13,7 @@
 	Priority  int
 	Weight    int
 	Work      ident.Work
-	// Arrived is when the request began to wait, at this home or an earlier one.
+	// Arrived is when the request began to wait, for the caller's own figures.
 	Arrived  time.Time
 	Deadline time.Time
 	// Value belongs to the caller.
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -36,9 +36,8 @@
 	Workspace ident.Workspace
 	Weight    int
 	Priority  int
-	// Wait is how much longer the request can wait, Waited how long it has.
-	Wait   time.Duration
-	Waited time.Duration
+	// Wait is how much longer the request can wait.
+	Wait time.Duration
 	// Sums are other shards' work as the edge heard it.
 	Sums []place.Sum
 }
@@ -214,7 +213,6 @@
 		Priority:  ask.Priority,
 		Weight:    ask.Weight,
 		Work:      ask.Work,
-		Arrived:   now.Add(-ask.Waited),
 		Deadline:  now.Add(ask.Wait),
 		Value:     w,
 	}
--- a/internal/share/home/server.go
+++ b/internal/share/home/server.go
@@ -85,7 +85,6 @@
 		Work:      int64(a.Work),
 		Priority:  int32(a.Priority),
 		WaitMs:    a.Wait.Milliseconds(),
-		WaitedMs:  a.Waited.Milliseconds(),
 		Must:      a.Must,
 		Released:  shift(released, -base),
 		Weight:    int32(a.Weight),
@@ -131,7 +130,6 @@
 		Weight:    int(m.GetWeight()),
 		Priority:  int(m.GetPriority()),
 		Wait:      time.Duration(m.GetWaitMs()) * time.Millisecond,
-		Waited:    time.Duration(m.GetWaitedMs()) * time.Millisecond,
 		Sums:      decodeSums(m.GetSums()),
 	}
 }
