Engines take a prompt's shared parts from where its subject ran last

Change: a home tells with each permit that is not warm which engine still there has the subject, and the target is told to take the cached parts from it.

--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -96,7 +96,12 @@
 // exchange is what the target gets.
 func (h *Handler) exchange(j *job, placement *route.Placement) relay.Exchange {
 	header := relay.EndToEnd(j.header)
+	holder := ""
+	if placement.Holder != nil {
+		holder = placement.Holder.Addr
+	}
 	h.Dialect.Write(header, j.call, Order{
+		Holder:    holder,
 		Left:      j.limit.Sub(h.Clock()) - answerMargin,
 		Target:    placement.Target.ID,
 		Workspace: j.workspace.Name,
--- a/internal/edge/route/placement.go
+++ b/internal/edge/route/placement.go
@@ -15,7 +15,9 @@
 	Target Target
 	Hash   ident.TargetHash
 	// Warm means that the chat ran there before.
-	Warm    bool
+	Warm bool
+	// Holder is another target that has the chat's prefix cached, or nil.
+	Holder  *Target
 	release func()
 	once    sync.Once
 }
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -321,6 +321,7 @@
 	r.granted[id] = to
 	placement := r.hold(p, id, place.Permit{Edge: r.self.ID, ID: permit, Engine: a.Engine, Work: ask.Work}, target)
 	placement.Warm = a.Warm
+	placement.Holder = p.target(a.Holder)
 	if a.Warm {
 		r.stats.Warm++
 	}
@@ -356,7 +357,18 @@
 	}
 	r.stats.Fallback++
 	id := place.ShardID{Pool: p.Name, Shard: place.ShardOf(d.Engine, p.picture.Shards())}
-	return r.hold(p, id, permit, target), nil
+	placement := r.hold(p, id, permit, target)
+	placement.Holder = p.target(d.Holder)
+	return placement, nil
+}
+
+// target returns a target of the pool, or nil.
+func (p *pool) target(hash ident.TargetHash) *Target {
+	t, ok := p.Targets[hash]
+	if !ok {
+		return nil
+	}
+	return &t
 }
 
 // withBlocked adds the targets whose breakers are open to those to avoid.
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -82,6 +82,9 @@
 	Engine ident.TargetHash
 	// Warm means that the chat ran on this incarnation of the engine before.
 	Warm bool
+	// Holder is where a chat that is not warm ran last, zero if nowhere: its cached
+	// prefix can be taken from there.
+	Holder ident.TargetHash
 }
 
 type engineLoad struct {
@@ -204,7 +207,22 @@
 	if next.last != at.last {
 		h.note(req.Key, next)
 	}
-	return Decision{Result: Placed, Engine: e.Hash, Warm: warm}
+	d := Decision{Result: Placed, Engine: e.Hash, Warm: warm}
+	if !warm {
+		d.Holder = h.holder(at, e.Hash)
+	}
+	return d
+}
+
+// holder returns an engine at which a chat ran and that is still there, other than one.
+func (h *Home) holder(at chatPlace, other ident.TargetHash) ident.TargetHash {
+	for _, s := range [2]spot{at.last, at.before} {
+		i, known := h.index[s.engine]
+		if known && s.engine != other && h.engines[i].present && h.engines[i].Incarnation == s.incarnation {
+			return s.engine
+		}
+	}
+	return 0
 }
 
 // choose picks the chat's last engine while it is under the limit, else the one
--- a/internal/rule/place/pool.go
+++ b/internal/rule/place/pool.go
@@ -127,6 +127,19 @@
 	return p.own[engine] * ident.Work(max(routers, 1))
 }
 
+// likelyHolder is the engine that a key's own order puts first, if it is another than
+// the one chosen: routers that decide alone tend to send the key there.
+func (p *Pool) likelyHolder(key ident.ChatKey, chosen int) ident.TargetHash {
+	var best ranked
+	for i, e := range p.engines {
+		best = best.better(ranked{index: i, set: true, score: ident.Mix(uint64(key), uint64(e.Hash))})
+	}
+	if best.index == chosen {
+		return 0
+	}
+	return p.engines[best.index].Hash
+}
+
 // Local decides without a home, from estimates alone: the first engine under the
 // bound in the key's own order, or the least loaded of all.
 func (p *Pool) Local(req Request, routers int) Decision {
@@ -161,7 +174,7 @@
 	}
 	switch {
 	case first.set:
-		return Decision{Result: Placed, Engine: p.engines[first.index].Hash}
+		return Decision{Result: Placed, Engine: p.engines[first.index].Hash, Holder: p.likelyHolder(req.Key, first.index)}
 	case least.set:
 		return Decision{Result: Placed, Engine: p.engines[least.index].Hash}
 	default:
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -44,9 +44,11 @@
 
 // Answer is what a home says.
 type Answer struct {
-	Result     Result
-	Engine     ident.TargetHash
-	Warm       bool
+	Result Result
+	Engine ident.TargetHash
+	Warm   bool
+	// Holder is another engine that has the chat's prefix, zero if none is known.
+	Holder     ident.TargetHash
 	RetryAfter time.Duration
 	// Held is the number of permits that the home believes the edge to hold.
 	Held int
@@ -253,7 +255,7 @@
 
 // answer turns a placement's decision into what the edge is told.
 func (s *shard) answer(now time.Time, edge ident.Router, d place.Decision) Answer {
-	a := Answer{Engine: d.Engine, Warm: d.Warm, Held: s.home.Held(edge), Work: s.home.SureWork(), Sums: s.home.NextSums(now)}
+	a := Answer{Engine: d.Engine, Warm: d.Warm, Holder: d.Holder, Held: s.home.Held(edge), Work: s.home.SureWork(), Sums: s.home.NextSums(now)}
 	switch d.Result {
 	case place.Placed:
 		a.Result = Placed
