A home's count of a router's permits is checked on every answer

A permit given too late to be heard was also given back to the next home in line instead of the one that counted it. Change: refusals and time-outs carry the count too, and each is checked; a permit whose answer was lost goes back to the home that was asked. Tests: route TestLostReturnsOfAFullPool, TestPermitOfALostAnswer.

--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -300,8 +300,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
-		// The permit may have been given; say that it is not used.
+		// The permit may have been given; say that it is not used, to that home too if
+		// another one is asked from now on.
 		r.giveBack(id, append(released, permit)...)
+		if to != r.homeOf(id) {
+			r.self.AfterFunc(0, func() { _ = r.homes.Release(context.Background(), to, id, []uint64{permit}) })
+		}
 		return a, nil, err
 	}
 	answered := r.clock()
@@ -310,6 +314,9 @@
 		p.picture.NoteSum(answered, sum)
 	}
 	if a.Result != home.Placed {
+		if a.Result != home.Moved && a.Result != home.Empty {
+			r.watchDrift(id, a.Held)
+		}
 		return a, nil, nil
 	}
 	target, ok := p.Targets[a.Engine]
--- a/internal/edge/route/router_test.go
+++ b/internal/edge/route/router_test.go
@@ -21,6 +21,8 @@
 	homes map[ident.Router]*home.Homes
 	down  map[ident.Router]bool
 	asked []ident.Router
+	// loseAnswers has homes give permits whose answers do not arrive.
+	loseAnswers bool
 	// dropReturns loses what is given back.
 	dropReturns bool
 	later       []func()
@@ -39,7 +41,14 @@
 	if err != nil {
 		return home.Answer{}, err
 	}
-	return h.Place(ctx, ask, released), nil
+	if f.dropReturns {
+		released = nil
+	}
+	a := h.Place(ctx, ask, released)
+	if f.loseAnswers {
+		return home.Answer{}, fault.New("test", home.Unreachable, nil)
+	}
+	return a, nil
 }
 
 func (f *fleet) Release(_ context.Context, to ident.Router, id place.ShardID, released []uint64) error {
@@ -160,6 +169,42 @@
 	}
 }
 
+// Permits that are lost while a pool is full must not keep it full for ever.
+func TestLostReturnsOfAFullPool(t *testing.T) {
+	f, r, assigned := newFleet()
+	at := assigned.Home(id)
+	var engines []place.Engine
+	for _, name := range []ident.Target{"engine-1", "engine-2"} {
+		engines = append(engines, place.Engine{ID: name, Hash: name.Hash(), Incarnation: 1, Slots: ident.OneRequest})
+	}
+	f.homes[at].SetPool(pool, 1, place.DefaultBound, engines)
+	f.dropReturns = true
+	acquire(t, r, 1).Release()
+	acquire(t, r, 2).Release()
+	f.run()
+	f.dropReturns = false
+	for range 4 {
+		if p, err := r.Acquire(context.Background(), route.Ask{Service: "judge", Key: 3, Work: ident.OneRequest}); err == nil {
+			p.Release()
+		}
+		f.run()
+	}
+	if got := f.permits(at); got != 0 {
+		t.Errorf("%d permits counted of requests that have ended", got)
+	}
+}
+
+// A home that gave a permit too late to be heard gets it back, not the next in line.
+func TestPermitOfALostAnswer(t *testing.T) {
+	f, r, assigned := newFleet()
+	f.loseAnswers = true
+	acquire(t, r, 1)
+	f.run()
+	if got := f.permits(assigned.Home(id)); got != 0 {
+		t.Errorf("%d permits counted of answers that nobody got", got)
+	}
+}
+
 func TestSilentHome(t *testing.T) {
 	f, r, assigned := newFleet()
 	at := assigned.Home(id)
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -207,7 +207,7 @@
 	}
 	if ask.Wait <= 0 {
 		defer h.mu.Unlock()
-		return Answer{Result: Full, RetryAfter: s.rate.after(now, s.queue.Len()), Held: s.home.Held(ask.Edge), Work: s.home.SureWork()}
+		return s.refusal(ask.Edge, Full, s.rate.after(now, s.queue.Len()))
 	}
 	w := &waiting{ask: ask, answer: make(chan Answer, 1)}
 	entry := &quota.Waiter{
@@ -220,7 +220,8 @@
 	}
 	if shed := s.queue.Push(entry); shed != nil {
 		retryAfter := s.rate.after(now, s.queue.Len())
-		shed.Value.(*waiting).answer <- Answer{Result: Shed, RetryAfter: retryAfter}
+		other := shed.Value.(*waiting)
+		other.answer <- s.refusal(other.ask.Edge, Shed, retryAfter)
 	}
 	h.dispatch(s)
 	h.mu.Unlock()
@@ -250,7 +251,12 @@
 	default:
 	}
 	s.queue.Remove(entry)
-	return Answer{Result: TimedOut, RetryAfter: s.rate.after(h.clock(), s.queue.Len()+1)}
+	return s.refusal(w.ask.Edge, TimedOut, s.rate.after(h.clock(), s.queue.Len()+1))
+}
+
+// refusal is an answer without a permit.
+func (s *shard) refusal(edge ident.Router, result Result, retryAfter time.Duration) Answer {
+	return Answer{Result: result, RetryAfter: retryAfter, Held: s.home.Held(edge), Work: s.home.SureWork()}
 }
 
 // answer turns a placement's decision into what the edge is told.
@@ -273,7 +279,8 @@
 	for {
 		next, late := s.queue.Pop(now)
 		for _, l := range late {
-			l.Value.(*waiting).answer <- Answer{Result: TimedOut, RetryAfter: s.rate.after(now, s.queue.Len())}
+			other := l.Value.(*waiting)
+			other.answer <- s.refusal(other.ask.Edge, TimedOut, s.rate.after(now, s.queue.Len()))
 		}
 		if next == nil {
 			return
