New subjects go to the first engine of their own order

Change: under 1.3 times the mean load a subject that no home remembers goes to the first engine of its own order, where it most likely was, and the next of that order is named as holder.

--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -157,6 +157,10 @@
 	// boundShare is the part of the load factor that homes hand out. Requests that have
 	// just ended still count at a home for a moment and make its mean too high.
 	boundShare = 0.9
+	// steadyShare is the multiple of the mean under which a new subject goes to the first
+	// engine of its own order: high enough that homes which have lost their memory find
+	// most subjects again, low enough to spread load.
+	steadyShare = 1.3
 	// boundExtra is added to the bound: with a small mean, whole requests are coarse.
 	boundExtra = ident.OneRequest
 )
@@ -165,6 +169,7 @@
 func (n *Node) bound(policy.Service) place.Bound {
 	b := place.BoundOf(n.settings.Load().LoadFactor * boundShare)
 	b.Extra = boundExtra
+	b.Steady = steadyShare
 	return b
 }
 
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -12,6 +12,10 @@
 	Factor float64
 	// Extra is work that is added to that multiple.
 	Extra ident.Work
+	// Steady is the multiple of the mean load under which a chat that is nowhere yet goes
+	// to the first engine of its own order, where it was if homes have forgotten it. Zero
+	// sends it to the least loaded.
+	Steady float64
 	// Ramp is how long a joined engine takes to reach its full share.
 	Ramp time.Duration
 	// DigestLife is how long a digest counts after it was received.
@@ -209,13 +213,17 @@
 	}
 	d := Decision{Result: Placed, Engine: e.Hash, Warm: warm}
 	if !warm {
-		d.Holder = h.holder(at, e.Hash)
+		d.Holder = h.holder(req.Key, at, e.Hash)
 	}
 	return d
 }
 
 // holder returns an engine at which a chat ran and that is still there, other than one.
-func (h *Home) holder(at chatPlace, other ident.TargetHash) ident.TargetHash {
+// For a chat that is not remembered it is the first of the chat's own order.
+func (h *Home) holder(key ident.ChatKey, at chatPlace, other ident.TargetHash) ident.TargetHash {
+	if at == (chatPlace{}) && h.bound.Steady > 0 {
+		return h.likely(key, other)
+	}
 	for _, s := range [2]spot{at.last, at.before} {
 		i, known := h.index[s.engine]
 		if known && s.engine != other && h.engines[i].present && h.engines[i].Incarnation == s.incarnation {
@@ -225,6 +233,21 @@
 	return 0
 }
 
+// likely returns the first engine of a chat's own order, other than one.
+func (h *Home) likely(key ident.ChatKey, other ident.TargetHash) ident.TargetHash {
+	var best ranked
+	for i := range h.engines {
+		e := &h.engines[i]
+		if e.present && e.Hash != other {
+			best = best.better(ranked{index: i, set: true, score: ident.Mix(uint64(key), uint64(e.Hash))})
+		}
+	}
+	if !best.set {
+		return 0
+	}
+	return h.engines[best.index].Hash
+}
+
 // choose picks the chat's last engine while it is under the limit, else the one
 // before, else the least loaded.
 func (h *Home) choose(now time.Time, req Request) (int, Result, bool) {
@@ -237,7 +260,8 @@
 			}
 		}
 	}
-	var best ranked
+	var best, first ranked
+	steady := h.steadyLimit(now)
 	outcome := Empty
 	for i := range h.engines {
 		if !h.engines[i].usable() || avoided(req.Avoid, h.engines[i].Hash) {
@@ -248,12 +272,28 @@
 			outcome = worse(outcome, verdict)
 			continue
 		}
-		best = best.better(h.rank(i, req))
+		r := h.rank(i, req)
+		best = best.better(r)
+		if float64(r.load) < steady && (!first.set || r.score > first.score) {
+			first = r
+		}
 	}
-	if !best.set {
+	switch {
+	case first.set:
+		return first.index, Placed, false
+	case best.set:
+		return best.index, Placed, false
+	default:
 		return 0, outcome, false
 	}
-	return best.index, Placed, false
+}
+
+// steadyLimit is the load under which an engine takes the chats that prefer it.
+func (h *Home) steadyLimit(now time.Time) float64 {
+	if h.bound.Steady <= 0 {
+		return 0
+	}
+	return h.bound.Steady*float64(h.Total(now))/float64(max(h.poolEngines, 1)) + float64(h.bound.Extra)
 }
 
 // rank says how well an engine suits a chat that is nowhere yet: the least loaded
