A router of each zone reads the store, the others read from it

Change: of each zone's live routers the first in a common order reads the store; the others ask it, or in large zones one that does, with the same versions. Whoever hears nothing fresh reads for itself. Rows that come together are read together.

--- a/internal/oper/daemon/serve.go
+++ b/internal/oper/daemon/serve.go
@@ -239,6 +239,11 @@
 	return connect.NewResponse(reply), nil
 }
 
+// Rows is not offered: these routers read their configuration by revision.
+func (p *peerService) Rows(context.Context, *connect.Request[peerpb.RowsRequest]) (*connect.Response[peerpb.RowsReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, nil)
+}
+
 // fetcher fetches changes from other routers.
 type fetcher struct{ node *peer.Node }
 
--- a/internal/oper/node/members.go
+++ b/internal/oper/node/members.go
@@ -57,31 +57,69 @@
 		observe()
 		n.mesh.MarkDirty()
 	})
-	n.board.Follow(routerTable, func(rows []table.Row) {
-		n.state.setRouters(rows)
-		observe()
-	})
 }
 
+// tables are the tables that routers follow.
+func (n *Node) tables() []table.Name { return []table.Name{n.Rows.ConfigTable(), n.Rows.TargetTable()} }
+
 // follower returns the follower of one table.
 func (n *Node) follower(name table.Name) *feed.Follower {
 	seed := uint64(n.self.ID.Hash())
-	return feed.NewFollower(n.board, n.Store, name, feed.DefaultPace, n.Logger, seed)
+	return feed.NewFollower(n.board, n.Store, name, feed.DefaultPace, n.roles, n.Logger, seed)
 }
 
-// announcePause is the pause between two tries to write this router's row.
-const announcePause = 500 * time.Millisecond
+const (
+	// announcePause is the pause between two tries to write this router's row.
+	announcePause = 500 * time.Millisecond
+	// listPause is the pause between two readings of the routers' rows while this router
+	// knows no other, listEvery that of readers later on: gossip tells the rest.
+	listPause = time.Second
+	listEvery = 15 * time.Second
+)
 
-// announce writes this router's row until the store has taken it.
+// announce writes this router's row until the store has taken it, then reads the
+// others' now and then.
 func (n *Node) announce(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := n.Store.Commit(ctx, table.Txn{Puts: []table.Put{encodeRouter(n.self)}})
 		if err == nil {
-			return
+			break
 		}
 		_ = level.Warn(n.Logger).Log("msg", "could not announce this router", "err", err)
 		sleep(ctx, announcePause)
 	}
+	for ctx.Err() == nil {
+		reader, _ := n.roles.Reader()
+		if reader {
+			n.listRouters(ctx)
+		}
+		if n.alone() {
+			sleep(ctx, listPause)
+			continue
+		}
+		sleep(ctx, listEvery)
+	}
+}
+
+// alone reports whether this router knows no other.
+func (n *Node) alone() bool {
+	others := 0
+	n.peers.Read(func(v *peer.View) { others = len(v.Peers()) })
+	return others == 0
+}
+
+// listRouters reads the routers' rows.
+func (n *Node) listRouters(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listPause)
+	defer cancel()
+	page, err := n.Store.All(ctx, routerTable)
+	if err != nil {
+		_ = level.Warn(n.Logger).Log("msg", "routers cannot be read", "err", err)
+		return
+	}
+	n.state.setRouters(page.Rows)
+	list := n.state.boxes()
+	n.peers.Do(func(v *peer.View) { v.ObserveList(n.Clock(), list) })
 }
 
 // withdraw removes this router's row.
--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -30,6 +30,7 @@
 	settings atomic.Pointer[Settings]
 	board    *feed.Board
 	state    *state
+	roles    *feed.Roles
 	self     peer.Member
 	peers    *peer.Node
 	homes    *home.Homes
@@ -107,6 +108,7 @@
 	s := n.settings.Load()
 	now := n.Clock()
 	n.board = feed.NewBoard(n.Clock)
+	n.roles = feed.NewRoles()
 	n.state = newState(n.Rows, n.Logger)
 	n.self = peer.Member{
 		ID: s.ID, Addr: n.listeners.peers.Addr().String(), Zone: s.Zone, Region: s.Region, Incarnation: n.incarnation(now),
@@ -126,7 +128,7 @@
 		Self: n.self, Node: n.peers, Homes: n.homes, Remote: remote, Router: n.router, Logger: n.Logger,
 		Wanted: n.state.wanted, Capacity: n.state.capacity, Bound: n.bound,
 	})
-	n.peers.SetHooks(peer.Hooks{Changed: n.mesh.MarkDirty})
+	n.peers.SetHooks(peer.Hooks{Changed: n.membersChanged})
 	n.followTables()
 	conns, closeConns := relay.NewConns(relay.DefaultConnLimits)
 	n.conns = conns
--- a/internal/oper/node/serve.go
+++ b/internal/oper/node/serve.go
@@ -19,6 +19,7 @@
 	"valescale/internal/oper/mesh"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/match"
+	"valescale/internal/share/feed"
 	"valescale/internal/share/home"
 	"valescale/internal/share/peer"
 	"valescale/internal/share/peerpb"
@@ -33,10 +34,12 @@
 	// graceMargin is kept of the grace for the last steps of a stop.
 	graceMargin = 400 * time.Millisecond
 	// freshFor is how old the store's word may be for a configuration to count as
-	// fresh: a call to the store waits for up to one and a half seconds.
+	// fresh: news over 1.4 s old is not taken from other routers, and comes each 0.4 s.
 	freshFor = 2 * time.Second
 	// leaveRounds is how many times a leaving router tells its peers.
 	leaveRounds = 2
+	// sweepEvery is how often rows that lapsed with the store are looked at.
+	sweepEvery = 200 * time.Millisecond
 	// readyPause is the pause between two looks whether this router can serve.
 	readyPause = 20 * time.Millisecond
 )
@@ -74,9 +77,11 @@
 	serve(&wg, ready, n.listeners.ready)
 	serve(&wg, peers, n.meter.Listener(n.listeners.peers))
 	serve(&wg, callers, n.listeners.callers)
-	wg.Go(func() { n.follower(n.Rows.ConfigTable()).Run(background) })
-	wg.Go(func() { n.follower(n.Rows.TargetTable()).Run(background) })
-	wg.Go(func() { n.follower(routerTable).Run(background) })
+	for _, name := range n.tables() {
+		wg.Go(func() { n.follower(name).Run(background) })
+	}
+	wg.Go(func() { n.puller().Run(background) })
+	wg.Go(func() { mesh.Every(background, sweepEvery, func(context.Context) { n.board.Sweep() }) })
 	wg.Go(func() { n.announce(background) })
 	wg.Go(func() { n.peers.Run(background) })
 	wg.Go(func() { n.mesh.Run(background) })
@@ -194,6 +199,7 @@
 type peerService struct {
 	*home.Server
 	peers *peer.Node
+	board *feed.Board
 }
 
 // Gossip exchanges digests.
@@ -209,7 +215,7 @@
 func (n *Node) peerServer() *http.Server {
 	mux := http.NewServeMux()
 	anyone := func(context.Context) ident.Router { return "" }
-	mux.Handle(peerpb.NewPeerServiceHandler(&peerService{Server: home.NewServer(n.homes, anyone), peers: n.peers}))
+	mux.Handle(peerpb.NewPeerServiceHandler(&peerService{Server: home.NewServer(n.homes, anyone), peers: n.peers, board: n.board}))
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
--- a/internal/plat/table/row.go
+++ b/internal/plat/table/row.go
@@ -1,5 +1,7 @@
 package table
 
+import "time"
+
 // Name is the name of a table.
 type Name string
 
@@ -27,6 +29,10 @@
 	Rows []Row
 	// Version is the store's version that the page leads up to.
 	Version Version
+	// Whole pages hold all rows, others those that changed.
+	Whole bool
+	// Age is how long ago the store said that there is nothing later.
+	Age time.Duration
 }
 
 // Check demands that a row has a version at the commit.
--- a/internal/share/feed/board.go
+++ b/internal/share/feed/board.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -15,35 +16,53 @@
 	mu     sync.Mutex
 	clock  ident.Clock
 	tables map[table.Name]*replica
+	// moved is closed and made anew whenever rows change.
+	moved chan struct{}
 }
 
 // replica is the copy of one table.
 type replica struct {
-	rows    map[table.Key]table.Row
+	rows map[table.Key]table.Row
+	// deleted are rows that went, for those who ask what changed.
+	deleted map[table.Key]deletion
+	// floor is the version from which on all changes are known.
+	floor   table.Version
 	version table.Version
 	known   bool
 	// confirmed is when the store last said that there is nothing later.
 	confirmed time.Time
-	// lost is when the store stopped answering, regained when it answered again; zero
-	// while it has answered all along.
-	lost     time.Time
+	// regained is when the store was first heard again after an outage.
 	regained time.Time
-	// lapsed are rows that went during an outage, until when they are believed.
-	lapsed  map[table.Key]time.Time
+	// lapsed are rows that went with an outage and still count for a while.
+	lapsed  map[table.Key]lapse
 	changed func([]table.Row)
 }
 
-// LapseGrace is how long after the store's return a row that went meanwhile still
-// counts. The platform has live targets write theirs again within about two seconds.
-const LapseGrace = 2200 * time.Millisecond
+type deletion struct {
+	version table.Version
+	at      time.Time
+}
 
-// lapseOutage is the shortest outage after which rows can have gone because of it: a
-// target's row goes after three missed heartbeats of about a second.
-const lapseOutage = 2 * time.Second
+type lapse struct {
+	row   table.Row
+	until time.Time
+}
+
+const (
+	// LapseGrace is how long after the store's return a row that went meanwhile still
+	// counts. The platform has live targets write theirs again within about two seconds.
+	LapseGrace = 2200 * time.Millisecond
+	// outage is the shortest silence of the store after which rows can have gone because
+	// of it: a target's row goes after three missed heartbeats of about a second.
+	outage = 2500 * time.Millisecond
+	// keepDeleted is how long deletions are remembered: longer than anybody who asks
+	// what changed can have been away without asking for the whole table.
+	keepDeleted = time.Minute
+)
 
 // NewBoard returns a board without tables.
 func NewBoard(clock ident.Clock) *Board {
-	return &Board{clock: clock, tables: map[table.Name]*replica{}}
+	return &Board{clock: clock, tables: map[table.Name]*replica{}, moved: make(chan struct{})}
 }
 
 // Follow adds a table; changed is called in order with all rows after each change, and
@@ -52,7 +71,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.tables[name] = &replica{
-		rows: map[table.Key]table.Row{}, lapsed: map[table.Key]time.Time{}, changed: changed,
+		rows: map[table.Key]table.Row{}, deleted: map[table.Key]deletion{}, lapsed: map[table.Key]lapse{}, changed: changed,
 	}
 }
 
@@ -65,35 +84,29 @@
 }
 
 // Age is how long ago the store confirmed that a table's copy is its latest.
-func (b *Board) Age(name table.Name) (time.Duration, bool) {
+func (b *Board) Age(name table.Name) (age time.Duration, known bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.tables[name]
 	return b.clock().Sub(r.confirmed), r.known
 }
 
-// Replace takes in the whole of a table; one that is older than the copy is refused.
-func (b *Board) Replace(name table.Name, page table.Page) bool {
+// Take takes in a page that follows on a version of the copy, or a whole one. It
+// refuses what is older than the copy or leaves a gap.
+func (b *Board) Take(name table.Name, after table.Version, page table.Page) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.tables[name]
-	if r.known && page.Version < r.version {
+	if r == nil || (r.known && page.Version < r.version) || (!page.Whole && (!r.known || after > r.version)) {
 		return false
 	}
 	now := b.clock()
-	r.confirm(now)
-	fresh := make(map[table.Key]table.Row, len(page.Rows))
-	for _, row := range page.Rows {
-		fresh[row.Key] = row
-	}
+	r.confirm(now.Add(-page.Age))
 	changed := !r.known
-	for key := range r.rows {
-		if _, ok := fresh[key]; !ok {
-			changed = r.remove(now, key) || changed
-		}
-	}
-	for _, row := range page.Rows {
-		changed = r.put(row) || changed
+	if page.Whole {
+		changed = r.replace(now, page) || changed
+	} else {
+		changed = r.apply(now, page) || changed
 	}
 	r.known = true
 	r.version = page.Version
@@ -101,66 +114,88 @@
 	return true
 }
 
-// Apply takes in the changes that follow on a version. It refuses those that leave a gap.
-func (b *Board) Apply(name table.Name, after table.Version, page table.Page) bool {
+// Sweep drops lapsed rows whose time is over and forgets old deletions.
+func (b *Board) Sweep() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.tables[name]
-	if !r.known || after > r.version || page.Version < r.version {
-		return false
-	}
 	now := b.clock()
-	r.confirm(now)
-	changed := false
-	for _, row := range page.Rows {
-		if row.Deleted {
-			if known, ok := r.rows[row.Key]; ok && known.Version < row.Version {
-				changed = r.remove(now, row.Key) || changed
-			}
-			continue
-		}
-		changed = r.put(row) || changed
+	for _, r := range b.tables {
+		b.tell(r, r.sweep(now))
 	}
-	r.version = page.Version
-	b.tell(r, changed)
-	return true
 }
 
-// Lost notes that the store does not answer for a table and reports whether that is news.
-func (b *Board) Lost(name table.Name) bool {
+// Since returns what changed in a table after a version, or all of it to those who have
+// no copy or one that is too old; known is false while there is nothing to tell.
+func (b *Board) Since(name table.Name, after table.Version, have bool) (page table.Page, known bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.tables[name]
-	if !r.lost.IsZero() {
-		return false
+	if r == nil || !r.known {
+		return table.Page{}, false
 	}
-	r.lost = b.clock()
-	return true
+	page = table.Page{Version: r.version, Whole: !have || after < r.floor, Age: b.clock().Sub(r.confirmed)}
+	for _, row := range r.rows {
+		if page.Whole || row.Version > after {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	if page.Whole {
+		return page, true
+	}
+	for key, d := range r.deleted {
+		if d.version > after {
+			page.Rows = append(page.Rows, table.Row{Table: name, Key: key, Version: d.version, Deleted: true})
+		}
+	}
+	return page, true
 }
 
-// Sweep drops the lapsed rows of a table whose time is over.
-func (b *Board) Sweep(name table.Name) {
+// Wait waits until rows change after some versions, for at most a while.
+func (b *Board) Wait(ctx context.Context, after map[table.Name]table.Version, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		moved, news := b.news(after)
+		if news {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-moved:
+		}
+	}
+}
+
+// news reports whether a table has changed rows after a version, and what is closed
+// when that may change.
+func (b *Board) news(after map[table.Name]table.Version) (<-chan struct{}, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.tables[name]
-	now := b.clock()
-	changed := false
-	for key, until := range r.lapsed {
-		if now.Before(until) {
-			continue
+	for name, version := range after {
+		if r := b.tables[name]; r != nil && r.known && r.newest() > version {
+			return nil, true
 		}
-		delete(r.lapsed, key)
-		delete(r.rows, key)
-		changed = true
 	}
-	b.tell(r, changed)
+	return b.moved, false
 }
 
 func (b *Board) tell(r *replica, changed bool) {
-	if !changed || r.changed == nil {
+	if !changed {
+		return
+	}
+	close(b.moved)
+	b.moved = make(chan struct{})
+	if r.changed == nil {
 		return
 	}
-	rows := slices.SortedFunc(maps.Values(r.rows), func(a, c table.Row) int {
+	rows := slices.Collect(maps.Values(r.rows))
+	for _, l := range r.lapsed {
+		rows = append(rows, l.row)
+	}
+	slices.SortFunc(rows, func(a, c table.Row) int {
 		if a.Key < c.Key {
 			return -1
 		}
@@ -169,38 +204,97 @@
 	r.changed(rows)
 }
 
-// confirm notes that the store answered.
-func (r *replica) confirm(now time.Time) {
-	r.confirmed = now
-	if r.lost.IsZero() {
-		return
+// newest is the version of the latest change of a row.
+func (r *replica) newest() table.Version {
+	latest := table.Version(0)
+	for _, row := range r.rows {
+		latest = max(latest, row.Version)
+	}
+	for _, d := range r.deleted {
+		latest = max(latest, d.version)
+	}
+	return latest
+}
+
+// confirm notes when the store said that there is nothing later.
+func (r *replica) confirm(at time.Time) {
+	if r.known && at.Sub(r.confirmed) >= outage {
+		r.regained = at
+	}
+	if at.After(r.confirmed) {
+		r.confirmed = at
 	}
-	if now.Sub(r.lost) >= lapseOutage {
-		r.regained = now
+}
+
+func (r *replica) replace(now time.Time, page table.Page) bool {
+	fresh := make(map[table.Key]bool, len(page.Rows))
+	changed := false
+	for _, row := range page.Rows {
+		fresh[row.Key] = true
+		changed = r.put(row) || changed
 	}
-	r.lost = time.Time{}
+	for key := range r.rows {
+		if !fresh[key] {
+			r.remove(now, key, page.Version)
+			changed = true
+		}
+	}
+	if !r.known {
+		r.floor = page.Version
+	}
+	return changed
+}
+
+func (r *replica) apply(now time.Time, page table.Page) bool {
+	changed := false
+	for _, row := range page.Rows {
+		if !row.Deleted {
+			changed = r.put(row) || changed
+			continue
+		}
+		if known, ok := r.rows[row.Key]; ok && known.Version < row.Version {
+			r.remove(now, row.Key, row.Version)
+			changed = true
+		}
+	}
+	return changed
 }
 
 func (r *replica) put(row table.Row) bool {
-	known, ok := r.rows[row.Key]
-	_, lapsed := r.lapsed[row.Key]
-	if ok && !lapsed && known.Version >= row.Version {
+	if known, ok := r.rows[row.Key]; ok && known.Version >= row.Version {
 		return false
 	}
+	if gone, ok := r.deleted[row.Key]; ok && gone.version >= row.Version {
+		return false
+	}
+	delete(r.deleted, row.Key)
 	delete(r.lapsed, row.Key)
 	r.rows[row.Key] = row
 	return true
 }
 
-// remove takes a row out, later if it may have gone only because the store was away.
-func (r *replica) remove(now time.Time, key table.Key) bool {
-	if _, lapsed := r.lapsed[key]; lapsed {
-		return false
-	}
+// remove takes a row out; it still counts for a while if it may have gone only because
+// the store was away.
+func (r *replica) remove(now time.Time, key table.Key, version table.Version) {
 	if until := r.regained.Add(LapseGrace); !r.regained.IsZero() && now.Before(until) {
-		r.lapsed[key] = until
-		return false
+		r.lapsed[key] = lapse{row: r.rows[key], until: until}
 	}
 	delete(r.rows, key)
-	return true
+	r.deleted[key] = deletion{version: version, at: now}
+}
+
+func (r *replica) sweep(now time.Time) (changed bool) {
+	for key, l := range r.lapsed {
+		if !now.Before(l.until) {
+			delete(r.lapsed, key)
+			changed = true
+		}
+	}
+	for key, d := range r.deleted {
+		if now.Sub(d.at) > keepDeleted {
+			delete(r.deleted, key)
+			r.floor = max(r.floor, d.version)
+		}
+	}
+	return changed
 }
--- a/internal/share/feed/follow.go
+++ b/internal/share/feed/follow.go
@@ -19,31 +19,40 @@
 	Changes(ctx context.Context, name table.Name, after table.Version, wait time.Duration) (table.Page, error)
 }
 
-// Pace is how often the store is called.
+// Pace is how often the store and other routers are called.
 type Pace struct {
 	// Wait is how long the store may hold a call until something changes. A connection
 	// that has died without a word is noticed only after it.
 	Wait time.Duration
-	// Slack is added to Wait until a call counts as lost.
+	// Slack is added to a wait until a call counts as lost.
 	Slack time.Duration
+	// Gather is the pause after a change, so that those that come together are read together.
+	Gather time.Duration
 	// Least and Most bound the pause after a failed call.
 	Least time.Duration
 	Most  time.Duration
+	// PeerWait is how long another router may hold a call, Old how old its news may be.
+	PeerWait time.Duration
+	Old      time.Duration
 }
 
-// DefaultPace notices a dead connection within two seconds, the time within which a
-// configuration must be in force, and finds a returned store within half a second.
+// DefaultPace has a configuration in force within two seconds whatever hangs: a router
+// that reads from another notices that its news is over 1.4 s old at its next answer,
+// 0.4 s later at most, and reads the store itself. A returned store is found within
+// half a second.
 var DefaultPace = Pace{
-	Wait: 1500 * time.Millisecond, Slack: 400 * time.Millisecond,
+	Wait: time.Second, Slack: 300 * time.Millisecond, Gather: 150 * time.Millisecond,
 	Least: 50 * time.Millisecond, Most: 500 * time.Millisecond,
+	PeerWait: 400 * time.Millisecond, Old: 1400 * time.Millisecond,
 }
 
-// Follower keeps one table's copy up with the store.
+// Follower keeps one table's copy up with the store while it is wanted to.
 type Follower struct {
 	board  *Board
 	source Source
 	name   table.Name
 	pace   Pace
+	roles  *Roles
 	logger log.Logger
 	rng    *rand.Rand
 	// broken is set when the next call must read the whole table.
@@ -52,9 +61,9 @@
 }
 
 // NewFollower returns a follower of a table that the board holds.
-func NewFollower(board *Board, source Source, name table.Name, pace Pace, logger log.Logger, seed uint64) *Follower {
+func NewFollower(board *Board, source Source, name table.Name, pace Pace, roles *Roles, logger log.Logger, seed uint64) *Follower {
 	return &Follower{
-		board: board, source: source, name: name, pace: pace, logger: logger,
+		board: board, source: source, name: name, pace: pace, roles: roles, logger: logger,
 		rng: rand.New(rand.NewPCG(seed, uint64(len(name)))),
 	}
 }
@@ -62,13 +71,19 @@
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := f.Step(ctx); err != nil && ctx.Err() == nil {
-			f.lost(err)
+		if !f.roles.awaitStore(ctx) {
+			return
+		}
+		before, _ := f.board.Version(f.name)
+		if err := f.Step(ctx); err != nil {
+			f.lost(ctx, err)
 			sleep(ctx, f.nextPause())
 			continue
 		}
-		f.pause = 0
-		f.board.Sweep(f.name)
+		f.regained()
+		if after, _ := f.board.Version(f.name); after != before {
+			sleep(ctx, f.pace.Gather)
+		}
 	}
 }
 
@@ -89,11 +104,8 @@
 	if err != nil {
 		return err
 	}
-	f.regained(page.Version)
-	if !f.board.Apply(f.name, version, page) {
-		// Somebody else brought the copy further meanwhile.
-		return nil
-	}
+	// A copy that another router has brought further meanwhile needs nothing of this.
+	f.board.Take(f.name, version, page)
 	return nil
 }
 
@@ -104,8 +116,8 @@
 	if err != nil {
 		return err
 	}
-	f.regained(page.Version)
-	if !f.board.Replace(f.name, page) {
+	page.Whole = true
+	if !f.board.Take(f.name, 0, page) {
 		version, _ := f.board.Version(f.name)
 		_ = level.Warn(f.logger).Log("msg", "the store answered with an older state", "table", f.name, "version", page.Version, "have", version)
 		sleep(ctx, f.pace.Least)
@@ -115,16 +127,20 @@
 	return nil
 }
 
-func (f *Follower) lost(err error) {
-	if f.board.Lost(f.name) {
+func (f *Follower) lost(ctx context.Context, err error) {
+	if f.pause == 0 && ctx.Err() == nil {
 		_ = level.Warn(f.logger).Log("msg", "dependency lost", "dependency", "store", "table", f.name, "err", err)
 	}
+	f.roles.storeFailed(f.name, true)
 }
 
-func (f *Follower) regained(version table.Version) {
+func (f *Follower) regained() {
 	if f.pause > 0 {
+		version, _ := f.board.Version(f.name)
 		_ = level.Info(f.logger).Log("msg", "dependency regained", "dependency", "store", "table", f.name, "version", version)
 	}
+	f.pause = 0
+	f.roles.storeFailed(f.name, false)
 }
 
 // nextPause doubles from failure to failure and varies by half, so that routers do not
--- /dev/null
+++ b/internal/share/feed/pull.go
@@ -0,0 +1,160 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/plat/table"
+)
+
+// Kind tells this package's errors apart.
+type Kind string
+
+const (
+	// Stale means that another router's news is too old to be relied on.
+	Stale Kind = "stale"
+	// Alone means that there is no other router to ask.
+	Alone Kind = "alone"
+	// Unreachable means that another router did not answer.
+	Unreachable Kind = "unreachable"
+)
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// State is how far a copy of a table goes.
+type State struct {
+	Table   table.Name
+	Known   bool
+	Version table.Version
+}
+
+// Reply is one table's page from another router.
+type Reply struct {
+	Table table.Name
+	Page  table.Page
+}
+
+// Peers reads tables from other routers.
+type Peers interface {
+	// Rows returns what changed after the given states, after at most wait.
+	Rows(ctx context.Context, from ident.Router, have []State, wait time.Duration) ([]Reply, error)
+	// Others lists routers that may have fresh news, the best first.
+	Others() []ident.Router
+}
+
+// Puller keeps the copies of all tables up with other routers' while it is wanted to.
+type Puller struct {
+	board  *Board
+	peers  Peers
+	names  []table.Name
+	pace   Pace
+	roles  *Roles
+	logger log.Logger
+	clock  ident.Clock
+	// avoided is the parent that failed, until when it is not asked.
+	avoided      ident.Router
+	avoidedUntil time.Time
+	// next is which of the others is asked instead.
+	next   int
+	failed bool
+}
+
+// NewPuller returns a puller of some tables of a board.
+func NewPuller(board *Board, peers Peers, names []table.Name, pace Pace, roles *Roles, logger log.Logger, clock ident.Clock) *Puller {
+	return &Puller{board: board, peers: peers, names: names, pace: pace, roles: roles, logger: logger, clock: clock}
+}
+
+// Run reads from others until the context ends.
+func (p *Puller) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !p.roles.awaitPeers(ctx) {
+			return
+		}
+		from, ok := p.from()
+		if !ok {
+			p.note(ctx, from, fault.New("feed.Pull", Alone, nil))
+			sleep(ctx, p.pace.Most)
+			continue
+		}
+		err := p.Step(ctx, from)
+		p.note(ctx, from, err)
+		if err != nil {
+			sleep(ctx, p.pace.Least)
+		}
+	}
+}
+
+// from chooses whom to ask: the parent, and while that fails or for a reader, the others
+// in turn.
+func (p *Puller) from() (ident.Router, bool) {
+	reader, parent := p.roles.Reader()
+	avoided := parent == p.avoided && p.clock().Before(p.avoidedUntil)
+	if !reader && parent != "" && !avoided {
+		return parent, true
+	}
+	others := p.peers.Others()
+	if len(others) == 0 {
+		return parent, parent != ""
+	}
+	return others[p.next%len(others)], true
+}
+
+// avoidFor is how long a router that failed is not asked again: membership notices
+// within that time whether it is gone.
+const avoidFor = 2 * time.Second
+
+// note follows success and failure of a call to another router.
+func (p *Puller) note(ctx context.Context, from ident.Router, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil {
+		if p.failed {
+			_ = level.Info(p.logger).Log("msg", "dependency regained", "dependency", "router", "router_asked", from)
+		}
+		p.failed = false
+		p.roles.peersFailed(false)
+		return
+	}
+	if !p.failed {
+		_ = level.Warn(p.logger).Log("msg", "dependency lost", "dependency", "router", "router_asked", from, "err", err)
+	}
+	p.failed = true
+	p.next++
+	p.avoided, p.avoidedUntil = from, p.clock().Add(avoidFor)
+	p.roles.peersFailed(true)
+}
+
+// Step makes one call and takes in its answer.
+func (p *Puller) Step(ctx context.Context, from ident.Router) error {
+	const op = "feed.Pull"
+	have := make([]State, 0, len(p.names))
+	after := map[table.Name]table.Version{}
+	for _, name := range p.names {
+		version, known := p.board.Version(name)
+		have = append(have, State{Table: name, Known: known, Version: version})
+		after[name] = version
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.pace.PeerWait+p.pace.Slack)
+	defer cancel()
+	replies, err := p.peers.Rows(ctx, from, have, p.pace.PeerWait)
+	if err != nil {
+		return err
+	}
+	for _, reply := range replies {
+		if reply.Page.Age > p.pace.Old {
+			return fault.Newf(op, Stale, "%s has table %s of %s ago", from, reply.Table, reply.Page.Age)
+		}
+		p.board.Take(reply.Table, after[reply.Table], reply.Page)
+	}
+	if len(replies) < len(p.names) {
+		return fault.Newf(op, Stale, "%s has %d of %d tables", from, len(replies), len(p.names))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/share/feed/roles.go
@@ -0,0 +1,116 @@
+package feed
+
+import (
+	"context"
+	"sync"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/plat/table"
+)
+
+// Roles says from where a router reads: from the store, from another router, or, when
+// one of them does not answer, from whoever does.
+//
+// A few routers read the store and the others read from them, so that calls to the store
+// do not grow with the fleet. Reading gives no authority: with two readers, or none for
+// a moment, the copies stay right, and only calls or age change.
+type Roles struct {
+	mu sync.Mutex
+	// reader routers read the store.
+	reader bool
+	// parent is whom the others read from.
+	parent ident.Router
+	// failing are the tables for which the store does not answer.
+	failing map[table.Name]bool
+	// orphan is set while no other router answers.
+	orphan  bool
+	changed chan struct{}
+}
+
+// NewRoles returns the roles of a router that knows no other yet: it reads the store.
+func NewRoles() *Roles {
+	return &Roles{reader: true, failing: map[table.Name]bool{}, changed: make(chan struct{})}
+}
+
+// Assign makes this router a reader, or gives it a router to read from.
+func (r *Roles) Assign(reader bool, parent ident.Router) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reader == reader && r.parent == parent {
+		return
+	}
+	r.reader, r.parent = reader, parent
+	r.orphan = false
+	r.signal()
+}
+
+// Reader reports whether this router is to read the store, and else from whom.
+func (r *Roles) Reader() (reader bool, parent ident.Router) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reader, r.parent
+}
+
+// signal wakes those who wait; the caller holds the lock.
+func (r *Roles) signal() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Roles) storeFailed(name table.Name, failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failing[name] == failed {
+		return
+	}
+	r.failing[name] = failed
+	r.signal()
+}
+
+func (r *Roles) peersFailed(failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.orphan == failed {
+		return
+	}
+	r.orphan = failed
+	r.signal()
+}
+
+// wantsStore reports whether this router is to read the store now; the caller holds the lock.
+func (r *Roles) wantsStore() bool { return r.reader || r.parent == "" || r.orphan }
+
+// wantsPeers reports whether this router is to read from another now; the caller holds the lock.
+func (r *Roles) wantsPeers() bool {
+	if !r.reader && r.parent != "" {
+		return true
+	}
+	for _, failing := range r.failing {
+		if failing {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitStore waits until this router is to read the store; false means that the context ended.
+func (r *Roles) awaitStore(ctx context.Context) bool { return r.await(ctx, r.wantsStore) }
+
+// awaitPeers waits until this router is to read from others.
+func (r *Roles) awaitPeers(ctx context.Context) bool { return r.await(ctx, r.wantsPeers) }
+
+func (r *Roles) await(ctx context.Context, wanted func() bool) bool {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		ready, changed := wanted(), r.changed
+		r.mu.Unlock()
+		if ready {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+	return false
+}
--- a/internal/share/peerpb/peer.connect.go
+++ b/internal/share/peerpb/peer.connect.go
@@ -47,6 +47,8 @@
 	PeerServiceHandoffProcedure = "/valescale.v1.PeerService/Handoff"
 	// PeerServiceFetchProcedure is the fully-qualified name of the PeerService's Fetch RPC.
 	PeerServiceFetchProcedure = "/valescale.v1.PeerService/Fetch"
+	// PeerServiceRowsProcedure is the fully-qualified name of the PeerService's Rows RPC.
+	PeerServiceRowsProcedure = "/valescale.v1.PeerService/Rows"
 	// PeerServiceGrantProcedure is the fully-qualified name of the PeerService's Grant RPC.
 	PeerServiceGrantProcedure = "/valescale.v1.PeerService/Grant"
 	// AdminServiceCheckProcedure is the fully-qualified name of the AdminService's Check RPC.
@@ -81,6 +83,9 @@
 	Handoff(context.Context, *connect.Request[HandoffRequest]) (*connect.Response[HandoffReply], error)
 	// Fetch returns the configuration changes after a revision.
 	Fetch(context.Context, *connect.Request[FetchRequest]) (*connect.Response[FetchReply], error)
+	// Rows returns what changed in tables of the store that the other follows, as soon as
+	// something does.
+	Rows(context.Context, *connect.Request[RowsRequest]) (*connect.Response[RowsReply], error)
 	// Grant hands out a workspace's rate tokens.
 	Grant(context.Context, *connect.Request[GrantRequest]) (*connect.Response[GrantReply], error)
 }
@@ -126,6 +131,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Fetch")),
 			connect.WithClientOptions(opts...),
 		),
+		rows: connect.NewClient[RowsRequest, RowsReply](
+			httpClient,
+			baseURL+PeerServiceRowsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Rows")),
+			connect.WithClientOptions(opts...),
+		),
 		grant: connect.NewClient[GrantRequest, GrantReply](
 			httpClient,
 			baseURL+PeerServiceGrantProcedure,
@@ -142,6 +153,7 @@
 	sync    *connect.Client[SyncRequest, SyncReply]
 	handoff *connect.Client[HandoffRequest, HandoffReply]
 	fetch   *connect.Client[FetchRequest, FetchReply]
+	rows    *connect.Client[RowsRequest, RowsReply]
 	grant   *connect.Client[GrantRequest, GrantReply]
 }
 
@@ -170,6 +182,11 @@
 	return c.fetch.CallUnary(ctx, req)
 }
 
+// Rows calls valescale.v1.PeerService.Rows.
+func (c *peerServiceClient) Rows(ctx context.Context, req *connect.Request[RowsRequest]) (*connect.Response[RowsReply], error) {
+	return c.rows.CallUnary(ctx, req)
+}
+
 // Grant calls valescale.v1.PeerService.Grant.
 func (c *peerServiceClient) Grant(ctx context.Context, req *connect.Request[GrantRequest]) (*connect.Response[GrantReply], error) {
 	return c.grant.CallUnary(ctx, req)
@@ -187,6 +204,9 @@
 	Handoff(context.Context, *connect.Request[HandoffRequest]) (*connect.Response[HandoffReply], error)
 	// Fetch returns the configuration changes after a revision.
 	Fetch(context.Context, *connect.Request[FetchRequest]) (*connect.Response[FetchReply], error)
+	// Rows returns what changed in tables of the store that the other follows, as soon as
+	// something does.
+	Rows(context.Context, *connect.Request[RowsRequest]) (*connect.Response[RowsReply], error)
 	// Grant hands out a workspace's rate tokens.
 	Grant(context.Context, *connect.Request[GrantRequest]) (*connect.Response[GrantReply], error)
 }
@@ -228,6 +248,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Fetch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceRowsHandler := connect.NewUnaryHandler(
+		PeerServiceRowsProcedure,
+		svc.Rows,
+		connect.WithSchema(peerServiceMethods.ByName("Rows")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceGrantHandler := connect.NewUnaryHandler(
 		PeerServiceGrantProcedure,
 		svc.Grant,
@@ -246,6 +272,8 @@
 			peerServiceHandoffHandler.ServeHTTP(w, r)
 		case PeerServiceFetchProcedure:
 			peerServiceFetchHandler.ServeHTTP(w, r)
+		case PeerServiceRowsProcedure:
+			peerServiceRowsHandler.ServeHTTP(w, r)
 		case PeerServiceGrantProcedure:
 			peerServiceGrantHandler.ServeHTTP(w, r)
 		default:
@@ -277,6 +305,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("valescale.v1.PeerService.Fetch is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Rows(context.Context, *connect.Request[RowsRequest]) (*connect.Response[RowsReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("valescale.v1.PeerService.Rows is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Grant(context.Context, *connect.Request[GrantRequest]) (*connect.Response[GrantReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("valescale.v1.PeerService.Grant is not implemented"))
 }
