Permits that nobody holds are found, and a full pool is tried before a refusal

Two routers were home for a moment; one kept 22 permits of routers that had gone over to the other, since its answers and their withdrawals had been lost while it started, and published them to the other. Change: a home drops the permits of a router it has not heard of for 2 s, and routers that hold some speak each 0.5 s; a withdrawal is repeated until confirmed; a request that waited in vain is placed beyond the slots before it is refused, since targets queue a few themselves; gossip each 0.4 s; calls to other routers no longer hold up pools. A retry's budget is taken before a target's 500 is dropped, so that it is passed on otherwise. A request waits up to 250 ms for a router that has just started.

--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -24,6 +24,8 @@
 	step retry.Step
 	err  error
 	took time.Duration
+	// paid is set when the budget for another attempt is used already.
+	paid bool
 }
 
 const (
@@ -52,13 +54,16 @@
 	j.sends++
 	reply := h.Dialect.Reply(answer.Status, answer.Header)
 	if reply.NotRun {
-		h.Finder.Report(placement.Hash, !reply.Elsewhere)
+		if reply.Elsewhere {
+			h.Finder.Unreachable(placement.Hash)
+		}
 		return result{step: retry.Refused, reason: Refused, status: answer.Status, took: h.Clock().Sub(began)}
 	}
 	j.ran++
-	if answer.Status >= http.StatusInternalServerError && j.mayRepeat() {
+	if answer.Status >= http.StatusInternalServerError && j.mayRepeat() && h.Budget.Retry(j.service, h.Clock()) {
+		// The target's failure is an answer; it is dropped only for another try.
 		h.Finder.Report(placement.Hash, false)
-		return result{step: retry.Answering, reason: Lost, status: answer.Status, took: h.Clock().Sub(began)}
+		return result{step: retry.Answering, reason: Failed, status: answer.Status, took: h.Clock().Sub(began), paid: true}
 	}
 	got := h.pass(w, j, answer, patience)
 	got.took = h.Clock().Sub(began)
@@ -89,7 +94,11 @@
 		j.ran++
 		reason = Lost
 	}
-	h.judge(ctx, placement, false)
+	if retry.Free(step) && ctx.Err() == nil {
+		h.Finder.Unreachable(placement.Hash)
+	} else {
+		h.judge(ctx, placement, false)
+	}
 	return result{step: step, reason: reason, err: err, took: h.Clock().Sub(began)}
 }
 
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"valescale/internal/edge/relay"
@@ -22,6 +23,8 @@
 	Acquire(ctx context.Context, ask route.Ask) (*route.Placement, error)
 	Report(target ident.TargetHash, ok bool)
 	Cancelled(target ident.TargetHash)
+	// Unreachable notes that a target could not be reached at all.
+	Unreachable(target ident.TargetHash)
 }
 
 // Sender makes attempts.
@@ -95,7 +98,7 @@
 func (h *Handler) accept(r *http.Request) (*job, *problem) {
 	j := &job{arrived: h.Clock(), call: h.Dialect.Read(r.Header), method: r.Method, path: r.RequestURI, host: r.Host}
 	j.header = r.Header
-	table := h.Rules.Table()
+	table := h.table(r.Context())
 	if table == nil {
 		return j, refusal(NoConfig, 0)
 	}
@@ -121,6 +124,28 @@
 	return j, nil
 }
 
+const (
+	// startWait is how long a request waits for a router that has just started to learn
+	// the configuration, which takes it a few round trips to the store.
+	startWait = 250 * time.Millisecond
+	startLook = 5 * time.Millisecond
+)
+
+// table returns the configuration, waiting a little for the first one.
+func (h *Handler) table(ctx context.Context) *match.Table {
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	for {
+		if table := h.Rules.Table(); table != nil || ctx.Err() != nil {
+			return table
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(startLook):
+		}
+	}
+}
+
 // unknown is the answer to a request that the configuration does not know: final if
 // the configuration is fresh, else to be tried again.
 func (h *Handler) unknown(status int, reason Reason) *problem {
@@ -205,6 +230,7 @@
 		return
 	}
 	p := fromFinder(err)
+	_ = level.Info(h.Logger).Log("msg", "no target", "request", j.call.ID, "service", j.service, "sends", j.sends, "err", err)
 	if j.outcome == retry.Unknown {
 		p = unanswered(j.outcome, p.reason, false)
 	}
@@ -270,7 +296,7 @@
 		return mayHaveRun
 	case j.ran >= j.route.Attempts || j.sends > j.route.Attempts:
 		return noAttempts
-	case !h.Budget.Retry(j.service, h.Clock()):
+	case !last.paid && !h.Budget.Retry(j.service, h.Clock()):
 		return noBudget
 	default:
 		return followed
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -68,12 +68,16 @@
 }
 
 // waitShare is the part of its time that a request may wait for a target: what is
-// left must do for the answer.
+// left must do for the answer. It waits no longer than its objective either: later it
+// earns little, and its caller may fare better elsewhere.
 const waitShare = 0.5
 
 // ask is what the job needs of the finder.
 func (j *job) ask() route.Ask {
 	wait := time.Duration(float64(j.limit.Sub(j.arrived)) * waitShare)
+	if j.route.Objective > 0 {
+		wait = min(wait, j.route.Objective)
+	}
 	return route.Ask{
 		Service:   j.service,
 		Workspace: j.workspace.Name,
--- a/internal/edge/entry/problem.go
+++ b/internal/edge/entry/problem.go
@@ -30,6 +30,7 @@
 	Refused     Reason = "target_refused"
 	Unreachable Reason = "target_unreachable"
 	Lost        Reason = "answer_lost"
+	Failed      Reason = "target_failed"
 	TimedOut    Reason = "timed_out"
 	CutOff      Reason = "answer_cut_off"
 	Served      Reason = "served"
--- a/internal/edge/route/error.go
+++ b/internal/edge/route/error.go
@@ -1,9 +1,11 @@
 package route
 
 import (
+	"fmt"
 	"time"
 
 	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
 )
 
 // Kind tells this package's errors apart.
@@ -28,7 +30,17 @@
 // RetryAfter is the cause of an error that says when to come back.
 type RetryAfter struct {
 	Wait time.Duration
+	// Home is who refused, empty if nobody was asked; Work is what it counted in the
+	// shard and Held this router's permits among it.
+	Home ident.Router
+	Work ident.Work
+	Held int
 }
 
-// Error says when to come back.
-func (r RetryAfter) Error() string { return "come back in " + r.Wait.String() }
+// Error says when to come back and what was counted.
+func (r RetryAfter) Error() string {
+	if r.Home == "" {
+		return "come back in " + r.Wait.String()
+	}
+	return fmt.Sprintf("come back in %s: home %s counts %d work units and %d permits of this router", r.Wait, r.Home, r.Work, r.Held)
+}
--- a/internal/edge/route/home.go
+++ b/internal/edge/route/home.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/place"
+	"valescale/internal/share/home"
 )
 
 // Move tells new homes what this router holds, and the earlier ones that it moved.
@@ -71,6 +73,38 @@
 	}
 }
 
+// debt is a withdrawal that an earlier home has not confirmed.
+type debt struct {
+	id   place.ShardID
+	home ident.Router
+}
+
+// owe notes that a home may count permits of this router that another counts now; the
+// caller holds the lock.
+func (r *Router) owe(id place.ShardID, to ident.Router) {
+	if to != "" && to != r.self.ID {
+		r.owed[debt{id, to}] = r.permit
+	}
+}
+
+// payOwed tries the withdrawals again that were not confirmed.
+func (r *Router) payOwed(ctx context.Context) {
+	r.mu.Lock()
+	var due []Move
+	for d := range r.owed {
+		if r.homeOf(d.id) == d.home {
+			// It is home again and has been told what this router holds.
+			delete(r.owed, d)
+			continue
+		}
+		due = append(due, Move{id: d.id, old: d.home})
+	}
+	r.mu.Unlock()
+	for _, m := range due {
+		r.withdraw(ctx, m)
+	}
+}
+
 // withdraw tells a shard's earlier home that this router's permits are counted
 // elsewhere now. If that router still believes to be home, they would count twice.
 func (r *Router) withdraw(ctx context.Context, m Move) {
@@ -78,7 +112,14 @@
 		return
 	}
 	r.mu.Lock()
+	r.owe(m.id, m.old)
 	upto := r.permit
 	r.mu.Unlock()
-	_ = r.homes.Withdraw(ctx, m.old, m.id, upto)
+	err := r.homes.Withdraw(ctx, m.old, m.id, upto)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// A router that membership has forgotten counts nothing any more.
+	if err == nil || fault.KindOf[home.Kind](err) == home.Unknown {
+		delete(r.owed, debt{m.id, m.old})
+	}
 }
--- a/internal/edge/route/placement.go
+++ b/internal/edge/route/placement.go
@@ -94,6 +94,7 @@
 // watchDrift compares the home's count of this router's permits with the true
 // one; the caller holds the lock.
 func (r *Router) watchDrift(id place.ShardID, believed int) {
+	r.believed[id] = believed
 	if believed == len(r.held[id])+len(r.pending[id]) {
 		r.drift[id] = 0
 		return
@@ -106,6 +107,34 @@
 	r.self.AfterFunc(0, func() { r.sync(context.Background(), id, "") })
 }
 
+// speakEvery is how often a home hears of a router that holds permits there, well
+// within the lease for which it counts them.
+const speakEvery = 500 * time.Millisecond
+
+// Reconcile tells the homes whose last count of this router's permits was wrong, or that
+// have not heard of it for a while, all that it holds. A home that is full of permits
+// nobody holds gives no answers that would show it soon.
+func (r *Router) Reconcile(ctx context.Context) {
+	r.mu.Lock()
+	now := r.clock()
+	var wrong []place.ShardID
+	for id, permits := range r.held {
+		believed, told := r.believed[id]
+		drifted := told && believed != len(permits)+len(r.pending[id])
+		silent := len(permits) > 0 && now.Sub(r.spoken[id]) >= speakEvery
+		if drifted || silent {
+			wrong = append(wrong, id)
+			r.spoken[id] = now
+		}
+	}
+	clear(r.believed)
+	r.mu.Unlock()
+	for _, id := range wrong {
+		r.sync(ctx, id, "")
+	}
+	r.payOwed(ctx)
+}
+
 // sync tells a shard's home all permits held here, and which home counted them before.
 func (r *Router) sync(ctx context.Context, id place.ShardID, from ident.Router) {
 	r.mu.Lock()
@@ -138,6 +167,20 @@
 	b.Report(now, ok)
 }
 
+// Unreachable notes that no connection to a target came about, or that another target
+// has its address: it gets no new work for a while.
+func (r *Router) Unreachable(target ident.TargetHash) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock()
+	b := r.breakers[target]
+	if b == nil {
+		b = retry.NewBreaker(now)
+		r.breakers[target] = b
+	}
+	b.Trip(now)
+}
+
 // Cancelled notes that an attempt ended without telling anything of its target.
 func (r *Router) Cancelled(target ident.TargetHash) {
 	r.mu.Lock()
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -74,12 +74,18 @@
 	pools    map[ident.Service][]*pool
 	assigned *place.Assignment
 	// silent are homes that did not answer lately, until when they are passed over.
-	silent   map[ident.Router]time.Time
-	permit   uint64
-	held     map[place.ShardID]map[uint64]place.Permit
-	granted  map[place.ShardID]ident.Router
-	pending  map[place.ShardID][]uint64
-	drift    map[place.ShardID]int
+	silent  map[ident.Router]time.Time
+	permit  uint64
+	held    map[place.ShardID]map[uint64]place.Permit
+	granted map[place.ShardID]ident.Router
+	pending map[place.ShardID][]uint64
+	drift   map[place.ShardID]int
+	// believed are the homes' latest counts of this router's permits.
+	believed map[place.ShardID]int
+	// owed are withdrawals that were not confirmed, with the latest permit they are about.
+	owed map[debt]uint64
+	// spoken is when each shard's home was last told of this router's permits.
+	spoken   map[place.ShardID]time.Time
 	flushing bool
 	breakers map[ident.TargetHash]*retry.Breaker
 	allowed  map[ident.Workspace]*quota.Allowance
@@ -118,6 +124,9 @@
 		granted:  map[place.ShardID]ident.Router{},
 		pending:  map[place.ShardID][]uint64{},
 		drift:    map[place.ShardID]int{},
+		believed: map[place.ShardID]int{},
+		spoken:   map[place.ShardID]time.Time{},
+		owed:     map[debt]uint64{},
 		breakers: map[ident.TargetHash]*retry.Breaker{},
 		silent:   map[ident.Router]time.Time{},
 		allowed:  map[ident.Workspace]*quota.Allowance{},
@@ -227,18 +236,19 @@
 		case a.Result == home.Moved:
 			return nil, true, nil
 		case step.Must:
-			return nil, false, r.giveUp(ctx, p, a)
+			return nil, false, r.giveUp(ctx, p, step.Shard, a)
 		}
 	}
 }
 
 // giveUp turns the last home's answer into an error.
-func (r *Router) giveUp(ctx context.Context, p *pool, a home.Answer) error {
+func (r *Router) giveUp(ctx context.Context, p *pool, shard ident.Shard, a home.Answer) error {
 	const op = "route.Acquire"
 	r.mu.Lock()
 	p.saturated = r.clock().Add(saturatedFor)
+	asked := r.homeOf(place.ShardID{Pool: p.Name, Shard: shard})
 	r.mu.Unlock()
-	later := RetryAfter{Wait: a.RetryAfter}
+	later := RetryAfter{Wait: a.RetryAfter, Home: asked, Work: a.Work, Held: a.Held}
 	switch {
 	case a.Result == home.Empty:
 		return fault.New(op, NoTarget, later)
@@ -304,7 +314,8 @@
 		// another one is asked from now on.
 		r.giveBack(id, append(released, permit)...)
 		if to != r.homeOf(id) {
-			r.self.AfterFunc(0, func() { _ = r.homes.Release(context.Background(), to, id, []uint64{permit}) })
+			r.owe(id, to)
+			r.self.AfterFunc(0, func() { r.payOwed(context.Background()) })
 		}
 		return a, nil, err
 	}
@@ -326,6 +337,7 @@
 		return home.Answer{Result: home.Full}, nil, nil
 	}
 	r.granted[id] = to
+	r.spoken[id] = now
 	placement := r.hold(p, id, place.Permit{Edge: r.self.ID, ID: permit, Engine: a.Engine, Work: ask.Work}, target)
 	placement.Warm = a.Warm
 	placement.Holder = p.target(a.Holder)
--- a/internal/edge/route/router_test.go
+++ b/internal/edge/route/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,9 +24,12 @@
 	asked []ident.Router
 	// loseAnswers has homes give permits whose answers do not arrive.
 	loseAnswers bool
+	// dropWithdrawals loses withdrawals.
+	dropWithdrawals bool
 	// dropReturns loses what is given back.
 	dropReturns bool
 	later       []func()
+	pools       []route.Pool
 }
 
 func (f *fleet) at(to ident.Router) (*home.Homes, error) {
@@ -69,6 +73,9 @@
 
 func (f *fleet) Withdraw(_ context.Context, to ident.Router, id place.ShardID, upto uint64) error {
 	h, err := f.at(to)
+	if f.dropWithdrawals {
+		return fault.New("test", home.Unreachable, nil)
+	}
 	if err == nil {
 		h.Withdraw(id, edge, upto)
 	}
@@ -115,7 +122,8 @@
 		ID: edge, Region: "co", AfterFunc: func(_ time.Duration, run func()) { f.later = append(f.later, run) },
 	}, f, clock)
 	assigned := place.Assign([]place.ShardID{id}, routers)
-	r.Set([]route.Pool{p}, assigned)
+	f.pools = []route.Pool{p}
+	r.Set(f.pools, assigned)
 	return f, r, assigned
 }
 
@@ -205,6 +213,24 @@
 	}
 }
 
+// An earlier home that could not be told is told later that its permits moved.
+func TestUnconfirmedWithdrawalIsRepeated(t *testing.T) {
+	f, r, assigned := newFleet()
+	at := assigned.Home(id)
+	acquire(t, r, 1)
+	f.dropWithdrawals = true
+	others := slices.DeleteFunc(slices.Clone(routers), func(r ident.Router) bool { return r == at })
+	r.Move(context.Background(), r.Set(f.pools, place.Assign([]place.ShardID{id}, others)))
+	if got := f.permits(at); got != 1 {
+		t.Fatalf("the earlier home counts %d permits, want 1 that it was not told of", got)
+	}
+	f.dropWithdrawals = false
+	r.Reconcile(context.Background())
+	if got := f.permits(at); got != 0 {
+		t.Errorf("the earlier home still counts %d permits that moved", got)
+	}
+}
+
 func TestSilentHome(t *testing.T) {
 	f, r, assigned := newFleet()
 	at := assigned.Home(id)
--- a/internal/oper/mesh/loop.go
+++ b/internal/oper/mesh/loop.go
@@ -12,6 +12,8 @@
 	refreshEvery = time.Second
 	// refreshSoon lets changes of the view that come together be followed together.
 	refreshSoon = 2 * time.Millisecond
+	// reconcileEvery is how often homes with a wrong count are told the right one.
+	reconcileEvery = 500 * time.Millisecond
 	// publishEvery is how often the routers next in line are told of counts that changed.
 	publishEvery = time.Second
 	// publishSoon lets counts that jump together be published together.
@@ -22,10 +24,27 @@
 func (m *Mesh) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { Follow(ctx, m.dirty, refreshSoon, refreshEvery, m.Refresh) })
+	wg.Go(func() { Follow(ctx, m.dirty, refreshSoon, refreshEvery, m.updated) })
+	wg.Go(func() { Follow(ctx, m.unsettled, 0, refreshEvery, m.settle) })
+	wg.Go(func() { Every(ctx, reconcileEvery, m.reconcile) })
 	wg.Go(func() { Follow(ctx, m.Homes.Urgent(), publishSoon, publishEvery, m.Publish) })
 }
 
+// reconcile keeps homes' counts of permits and what routers hold the same.
+func (m *Mesh) reconcile(ctx context.Context) {
+	m.Homes.Lapse()
+	m.Router.Reconcile(ctx)
+}
+
+// updated brings pools and homes up to date and leaves what takes calls to another loop.
+func (m *Mesh) updated(context.Context) {
+	m.Update()
+	select {
+	case m.unsettled <- struct{}{}:
+	default:
+	}
+}
+
 // Every calls work at intervals until the context ends.
 func Every(ctx context.Context, interval time.Duration, work func(context.Context)) {
 	ticker := time.NewTicker(interval)
--- a/internal/oper/mesh/mesh.go
+++ b/internal/oper/mesh/mesh.go
@@ -68,11 +68,16 @@
 	// refreshing keeps an older look at membership and configuration from replacing a later one.
 	refreshing sync.Mutex
 	refreshed  inputs
+	// moved are permits whose home has changed and that the new one is to be told of.
+	moved []route.Move
+	// settling keeps to one settlement at a time, unsettled asks for one.
+	settling  sync.Mutex
+	unsettled chan struct{}
 }
 
 // New returns a mesh without pools.
 func New(parts Parts) *Mesh {
-	m := &Mesh{Parts: parts, dirty: make(chan struct{}, 1)}
+	m := &Mesh{Parts: parts, dirty: make(chan struct{}, 1), unsettled: make(chan struct{}, 1)}
 	m.set.Store(&Set{Live: place.Assign(nil, nil), Known: place.Assign(nil, nil)})
 	return m
 }
@@ -115,14 +120,18 @@
 
 // Refresh brings pools, homes and permits up to date with membership and configuration.
 func (m *Mesh) Refresh(ctx context.Context) {
+	m.Update()
+	m.settle(ctx)
+}
+
+// Update brings pools and homes up to date without a call to another router.
+func (m *Mesh) Update() {
 	m.refreshing.Lock()
 	defer m.refreshing.Unlock()
 	wanted := m.Wanted()
 	seen := inputs{revision: wanted.Revision, reports: wanted.Reports}
 	m.Node.Read(func(v *peer.View) { seen.view = v.Version() })
 	if seen == m.refreshed {
-		// Only a handoff that failed is left to be tried again.
-		m.handOff(ctx, m.Set().Live)
 		return
 	}
 	m.refreshed = seen
@@ -139,17 +148,27 @@
 			m.Homes.SetPool(p.Name, p.Service.Shards, m.Bound(p.Service), p.Engines)
 		}
 	}
-	moved := m.Router.Set(next.Pools, next.Live)
+	m.moved = append(m.moved, m.Router.Set(next.Pools, next.Live)...)
 	m.set.Store(next)
 	if wanted.Install != nil {
 		wanted.Install(next)
 	}
-	m.Router.Move(ctx, moved)
 	m.Homes.Doubt(seenRouters.doubted)
 	for id, below := range seenRouters.below {
 		m.Homes.Forget(id, below)
 	}
-	m.handOff(ctx, next.Live)
+}
+
+// settle tells homes what has moved to them. It waits for routers that may not answer.
+func (m *Mesh) settle(ctx context.Context) {
+	m.settling.Lock()
+	defer m.settling.Unlock()
+	m.refreshing.Lock()
+	moved := m.moved
+	m.moved = nil
+	m.refreshing.Unlock()
+	m.Router.Move(ctx, moved)
+	m.handOff(ctx, m.Set().Live)
 }
 
 // routers sorts the routers of the view.
--- a/internal/oper/node/members.go
+++ b/internal/oper/node/members.go
@@ -120,6 +120,7 @@
 	n.state.setRouters(page.Rows)
 	list := n.state.boxes()
 	n.peers.Do(func(v *peer.View) { v.ObserveList(n.Clock(), list) })
+	n.peers.Tell(ctx)
 }
 
 // withdraw removes this router's row.
--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -96,9 +96,13 @@
 
 const (
 	// permitTimeout is how long a call to a home may take before the next in line is
-	// asked: several round trips between availability zones, a small part of the
-	// objectives, which begin at some hundred milliseconds.
-	permitTimeout = 60 * time.Millisecond
+	// asked: many round trips between availability zones, since a home that has just
+	// started on a small box is slow, and still a part of the objectives, which begin at
+	// some hundred milliseconds. At 60 ms permits were lost at each start of the fleet.
+	permitTimeout = 100 * time.Millisecond
+	// gossipEvery is how often a router exchanges news with another. Homes are right only
+	// once views agree; a digest has some hundred bytes.
+	gossipEvery = 400 * time.Millisecond
 	// incarnationWait bounds the reading of this router's own row at the start.
 	incarnationWait = 400 * time.Millisecond
 )
@@ -119,7 +123,9 @@
 	limits.MissingLists = 1
 	view := peer.NewView(now, n.self, limits)
 	seed := uint64(s.ID.Hash())<<32 | uint64(n.self.Incarnation)&0xffffffff
-	n.peers = peer.NewNode(view, clients, n.state, peer.DefaultPace, n.otherSeeds(s.Seeds), seed, n.Clock)
+	pace := peer.DefaultPace
+	pace.Gossip = gossipEvery
+	n.peers = peer.NewNode(view, clients, n.state, pace, n.otherSeeds(s.Seeds), seed, n.Clock)
 	n.homes = home.New(s.ID, home.DefaultLimits, n.Clock, noRate)
 	first := mesh.FirstPermit(n.self.Incarnation)
 	remote, closeLinks := home.NewRemote(home.Edge{ID: s.ID, Zone: s.Zone, Base: first}, n.homes, n.peers, permitTimeout)
--- a/internal/oper/node/serve.go
+++ b/internal/oper/node/serve.go
@@ -44,8 +44,13 @@
 	readyPause = 20 * time.Millisecond
 )
 
-// Table returns the configuration in force, or nil while none is known.
-func (n *Node) Table() *match.Table { return n.state.rules.Load() }
+// Table returns the configuration in force, or nil until it and the first targets are known.
+func (n *Node) Table() *match.Table {
+	if !n.ready.Load() {
+		return nil
+	}
+	return n.state.rules.Load()
+}
 
 // Fresh reports whether the store confirmed the configuration a moment ago.
 func (n *Node) Fresh() bool {
@@ -106,8 +111,8 @@
 func (n *Node) becomeReady(ctx context.Context) {
 	for ctx.Err() == nil {
 		_, targets := n.board.Version(n.Rows.TargetTable())
-		if n.Table() != nil && targets {
-			n.mesh.Refresh(ctx)
+		if n.state.rules.Load() != nil && targets {
+			n.mesh.Update()
 			n.ready.Store(true)
 			_ = level.Info(n.Logger).Log("msg", "ready", "revision", n.Table().Revision)
 			return
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -76,6 +76,9 @@
 	Zone   ident.Zone
 	// Must places on the least loaded engine even above the bound, when all other shards are full.
 	Must bool
+	// Over takes engines that seem to be full, up to twice their slots: counts may be too
+	// high for a while after homes have moved, and engines queue a few requests themselves.
+	Over bool
 	// Avoid are engines that have just failed this request.
 	Avoid []ident.TargetHash
 }
@@ -116,7 +119,9 @@
 	// doubted are edges that may be gone, whose requests may have ended.
 	doubted map[ident.Router]bool
 	synced  map[ident.Router]uint64
-	places  memory
+	// heard is when each edge that holds permits was heard of last.
+	heard  map[ident.Router]time.Time
+	places memory
 	// sums are the other shards' work, foreign other homes' shares of this one.
 	sums    sums
 	foreign map[ident.Router]foreign
@@ -142,6 +147,7 @@
 		held:    map[ident.Router]int{},
 		doubted: map[ident.Router]bool{},
 		synced:  map[ident.Router]uint64{},
+		heard:   map[ident.Router]time.Time{},
 		places:  newMemory(bound.Places),
 		foreign: map[ident.Router]foreign{},
 		seq:     seq,
@@ -358,10 +364,14 @@
 		return Empty
 	}
 	load := e.load()
-	if e.Slots > 0 && load+req.Work > e.Slots && load > 0 {
+	slots := e.Slots
+	if req.Over {
+		slots *= 2
+	}
+	if slots > 0 && load+req.Work > slots && load > 0 {
 		return Busy
 	}
-	if req.Must {
+	if req.Must || req.Over {
 		return Placed
 	}
 	if float64(load) >= limit*h.ramp(now, e) {
--- a/internal/rule/place/permit.go
+++ b/internal/rule/place/permit.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"valescale/internal/plat/ident"
 )
@@ -134,6 +135,28 @@
 	return work
 }
 
+// Heard notes that an edge spoke of this shard.
+func (h *Home) Heard(now time.Time, edge ident.Router) { h.heard[edge] = now }
+
+// Lapse drops the permits of the edges that have not spoken of this shard for a lease:
+// they are counted elsewhere by now, or their edge is gone. It returns how many went.
+func (h *Home) Lapse(now time.Time, lease time.Duration) int {
+	dropped := 0
+	for edge, held := range h.held {
+		if now.Sub(h.heard[edge]) <= lease {
+			continue
+		}
+		dropped += held
+		h.Forget(edge, ^uint64(0))
+	}
+	for edge := range h.heard {
+		if _, holds := h.held[edge]; !holds {
+			delete(h.heard, edge)
+		}
+	}
+	return dropped
+}
+
 // Held is the number of permits that an edge holds here.
 func (h *Home) Held(edge ident.Router) int { return h.held[edge] }
 
--- a/internal/rule/retry/breaker.go
+++ b/internal/rule/retry/breaker.go
@@ -60,6 +60,18 @@
 	}
 }
 
+// Trip opens the breaker at once: the target could not even be reached.
+func (b *Breaker) Trip(now time.Time) {
+	if b.state == Open && now.Before(b.until) {
+		return
+	}
+	pause := b.pause
+	if b.state == HalfOpen {
+		pause = min(2*b.pause, breakerMaxPause)
+	}
+	b.open(now, pause)
+}
+
 // Blocked reports whether Allow would refuse, without starting a trial.
 func (b *Breaker) Blocked(now time.Time) bool {
 	return (b.state == Open && now.Before(b.until)) || (b.state == HalfOpen && b.trial)
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -197,6 +197,7 @@
 	s := h.at(ask.Shard)
 	h.release(s, ask.Edge, released)
 	now := h.clock()
+	s.home.Heard(now, ask.Edge)
 	s.home.MergeSums(now, ask.Sums)
 	if s.queue.Len() == 0 {
 		d := s.home.Place(now, ask.Request)
@@ -251,6 +252,12 @@
 	default:
 	}
 	s.queue.Remove(entry)
+	if !gone {
+		w.ask.Over = true
+		if d := s.home.Place(h.clock(), w.ask.Request); d.Result == place.Placed {
+			return s.answer(h.clock(), w.ask.Edge, d)
+		}
+	}
 	return s.refusal(w.ask.Edge, TimedOut, s.rate.after(h.clock(), s.queue.Len()+1))
 }
 
@@ -300,10 +307,28 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if s, ok := h.shards[id]; ok {
+		s.home.Heard(h.clock(), edge)
 		h.release(s, edge, released)
 	}
 }
 
+// permitLease is how long a home counts the permits of an edge that it does not hear
+// of. An edge that holds some speaks at least each second; see route.Reconcile.
+const permitLease = 2 * time.Second
+
+// Lapse drops the permits of edges that have not spoken for a lease.
+func (h *Homes) Lapse() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock()
+	for _, s := range h.shards {
+		if s.home.Lapse(now, permitLease) > 0 {
+			h.hurry(s)
+			h.dispatch(s)
+		}
+	}
+}
+
 func (h *Homes) release(s *shard, edge ident.Router, released []uint64) {
 	if len(released) == 0 {
 		return
@@ -322,6 +347,7 @@
 	defer h.mu.Unlock()
 	s := h.at(id)
 	s.home.Sync(edge, held, upto, from)
+	s.home.Heard(h.clock(), edge)
 	h.hurry(s)
 	h.dispatch(s)
 }
--- a/internal/share/home/homes_test.go
+++ b/internal/share/home/homes_test.go
@@ -59,3 +59,41 @@
 		t.Errorf("got %+v, want a warm place", a)
 	}
 }
+
+// Permits of an edge that does not speak any more must not fill a pool for ever.
+func TestPermitsLapse(t *testing.T) {
+	h, engine, now := newHomes()
+	for permit := range uint64(3) {
+		ask := home.Ask{Shard: id, Request: place.Request{Edge: "router-b", Permit: permit, Key: 7, Work: ident.OneRequest, Must: true}}
+		h.Place(t.Context(), ask, nil)
+	}
+	*now = now.Add(time.Second)
+	h.Lapse()
+	if diff := cmp.Diff(3, h.RequestsAt(pool, engine)); diff != "" {
+		t.Errorf("within the lease: %s", diff)
+	}
+	*now = now.Add(5 * time.Second)
+	h.Lapse()
+	if diff := cmp.Diff(0, h.RequestsAt(pool, engine)); diff != "" {
+		t.Errorf("after the lease: %s", diff)
+	}
+}
+
+// A pool whose counts say that it is full is tried before a request is refused.
+func TestFullPoolIsTriedBeyondItsSlots(t *testing.T) {
+	h, _, _ := newHomes()
+	full := place.Engine{ID: "engine-1", Hash: ident.Target("engine-1").Hash(), Incarnation: 1, Slots: ident.OneRequest}
+	h.SetPool(pool, 1, place.DefaultBound, []place.Engine{full})
+	want := []home.Result{home.Placed, home.Placed, home.TimedOut}
+	var got []home.Result
+	for permit := range uint64(3) {
+		ask := home.Ask{
+			Shard: id, Wait: time.Millisecond,
+			Request: place.Request{Edge: "router-b", Permit: permit, Key: 7, Work: ident.OneRequest, Must: true},
+		}
+		got = append(got, h.Place(t.Context(), ask, nil).Result)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/share/home/move.go
+++ b/internal/share/home/move.go
@@ -75,6 +75,11 @@
 	}
 	s := h.at(p.ID)
 	s.home.Take(p.Permits)
+	now := h.clock()
+	for _, permit := range p.Permits {
+		// Their edges have the time of a lease to speak for themselves.
+		s.home.Heard(now, permit.Edge)
+	}
 	s.home.Learn(p.Places)
 	h.hurry(s)
 	h.dispatch(s)
--- a/internal/share/home/remote.go
+++ b/internal/share/home/remote.go
@@ -19,6 +19,8 @@
 const (
 	// Unreachable means that the home did not answer; it may have given the permit.
 	Unreachable Kind = "unreachable"
+	// Unknown means that membership does not know the home.
+	Unknown Kind = "unknown"
 	// Foreign means that a router speaks for another.
 	Foreign Kind = "foreign"
 )
@@ -167,7 +169,7 @@
 func (r *Remote) call(ctx context.Context, op string, home ident.Router, do func(context.Context, peerpb.PeerServiceClient) error) error {
 	client, err := r.clients.Client(home)
 	if err != nil {
-		return fault.New(op, Unreachable, err)
+		return fault.New(op, Unknown, err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
