Places stay after a handover, a returned home is asked at once, dead holders are not named

Change: the places stay as a replica's; a router seen live again is asked at once; an engine whose breaker is not closed is not named as holder. A target from which nothing came for an objective's time while a request waits for it gets no new work for a while, unless this router was held up itself. A parent that fails is avoided whatever the others do. Tests: home TestPlacesStayAfterAHandover, feed TestParentThatFails and others.

--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"valescale/internal/edge/relay"
@@ -44,13 +45,15 @@
 // attempt sends the request to one target and passes the answer on.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, j *job, placement *route.Placement) result {
 	began := h.Clock()
-	ctx, patience := newPatience(ctx, j.patience())
+	ctx, patience := newPatience(ctx, j.patience(), j.silence(), func(since time.Time) { h.silent(j, placement, since) })
 	defer patience.stop()
 	answer, err := h.Sender.Send(ctx, h.exchange(j, placement))
 	if err != nil {
 		return h.failed(ctx, j, placement, began, err)
 	}
 	defer answer.Close()
+	h.Finder.Heard(placement.Hash)
+	patience.heard(j.patience())
 	j.sends++
 	reply := h.Dialect.Reply(answer.Status, answer.Header)
 	if reply.NotRun {
@@ -71,6 +74,21 @@
 	return got
 }
 
+// silent notes that a target has sent nothing for too long. A router that was held up
+// itself blames nobody.
+func (h *Handler) silent(j *job, placement *route.Placement, since time.Time) {
+	if h.Clock().Sub(since)-j.silence() > heldUp {
+		return
+	}
+	if h.Finder.Silent(placement.Hash, since) {
+		_ = level.Info(h.Logger).Log("msg", "target is silent", "request", j.call.ID, "target", placement.Target.ID, "silence_ms", j.silence().Milliseconds())
+	}
+}
+
+// heldUp is how late a timer may fire before this router counts as held up itself:
+// frozen, or short of processor time.
+const heldUp = 100 * time.Millisecond
+
 // mayRepeat reports whether another attempt at the request is allowed by its route.
 func (j *job) mayRepeat() bool {
 	return j.route.Repeat == retry.Safe && j.ran < j.route.Attempts
--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -31,6 +31,7 @@
 		}
 		if end > 0 {
 			patience.heard(j.gap())
+			h.Finder.Heard(j.placed.Hash)
 			if !h.passOn(w, control, j, answer, pending[:end]) {
 				return result{ended: true, reason: CallerGone, status: answer.Status}
 			}
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -23,6 +23,11 @@
 	Acquire(ctx context.Context, ask route.Ask) (*route.Placement, error)
 	Report(target ident.TargetHash, ok bool)
 	Cancelled(target ident.TargetHash)
+	// Heard notes that bytes of an answer came from a target.
+	Heard(target ident.TargetHash)
+	// Silent notes that a request sent at some time has had no answer for too long, and
+	// reports whether nothing else came from its target either.
+	Silent(target ident.TargetHash, since time.Time) bool
 	// Unreachable notes that a target could not be reached at all.
 	Unreachable(target ident.TargetHash)
 }
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -104,16 +104,17 @@
 	}
 	h.Observer.Ended(e)
 	var target, holder ident.Target
+	var home ident.Router
 	warm := false
 	if j.placed != nil {
-		target, warm = j.placed.Target.ID, j.placed.Warm
+		target, warm, home = j.placed.Target.ID, j.placed.Warm, j.placed.Home
 		if j.placed.Holder != nil {
 			holder = j.placed.Holder.ID
 		}
 	}
 	_ = level.Info(h.Logger).Log("msg", "request", "request", j.call.ID, "route", e.Route, "workspace", e.Workspace,
 		"service", e.Service, "revision", j.revision, "reason", reason, "status", status, "sends", j.sends, "outcome", j.outcome,
-		"target", target, "key", strconv.FormatUint(uint64(j.key), 16), "warm", warm, "holder", holder,
+		"target", target, "key", strconv.FormatUint(uint64(j.key), 16), "warm", warm, "holder", holder, "home", home,
 		"found_ms", e.Found.Milliseconds(), "first_ms", e.First.Milliseconds(), "whole_ms", e.Whole.Milliseconds())
 }
 
--- a/internal/edge/entry/patience.go
+++ b/internal/edge/entry/patience.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,26 +14,45 @@
 var errSilent = errors.New("the target is silent")
 
 // patience ends an attempt when its target is silent for too long while another
-// target could still do the work.
+// target could still do the work, and tells of the silence when none could.
 type patience struct {
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
+	// watch tells of a silence, silence is how long that is, since when it began.
+	watch   *time.Timer
+	silence time.Duration
+	since   atomic.Pointer[time.Time]
 }
 
-// newPatience returns a context that ends after a silence; zero waits for ever.
-func newPatience(ctx context.Context, silence time.Duration) (context.Context, *patience) {
+// newPatience returns a context that ends after a limit without a byte; zero waits for
+// ever. After a silence, tell is called with its beginning.
+func newPatience(ctx context.Context, limit, silence time.Duration, tell func(since time.Time)) (context.Context, *patience) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	p := &patience{cancel: cancel}
+	p := &patience{cancel: cancel, silence: silence}
+	p.begin()
+	if limit > 0 {
+		p.timer = time.AfterFunc(limit, func() { cancel(errSilent) })
+	}
 	if silence > 0 {
-		p.timer = time.AfterFunc(silence, func() { cancel(errSilent) })
+		p.watch = time.AfterFunc(silence, func() { tell(*p.since.Load()) })
 	}
 	return ctx, p
 }
 
-// heard starts the silence anew, if there is a limit to it.
-func (p *patience) heard(silence time.Duration) {
+// begin notes the beginning of a silence.
+func (p *patience) begin() {
+	now := time.Now()
+	p.since.Store(&now)
+}
+
+// heard starts the silence anew, with a limit if there was one.
+func (p *patience) heard(limit time.Duration) {
 	if p.timer != nil {
-		p.timer.Reset(silence)
+		p.timer.Reset(limit)
+	}
+	if p.watch != nil {
+		p.begin()
+		p.watch.Reset(p.silence)
 	}
 }
 
@@ -41,6 +61,9 @@
 	if p.timer != nil {
 		p.timer.Stop()
 	}
+	if p.watch != nil {
+		p.watch.Stop()
+	}
 	p.cancel(nil)
 }
 
@@ -53,6 +76,10 @@
 	gapPatience = 3
 )
 
+// silence is after how long without a byte a target is suspected: within its objective
+// a sound one has answered somebody.
+func (j *job) silence() time.Duration { return j.route.Objective }
+
 // patience is how long the next attempt may be silent before another is made.
 func (j *job) patience() time.Duration {
 	if j.route.Repeat != retry.Safe || j.ran+1 >= j.route.Attempts {
--- a/internal/edge/route/home.go
+++ b/internal/edge/route/home.go
@@ -30,6 +30,13 @@
 // silentFor is how long a home that did not answer is passed over for the next in line.
 const silentFor = 3 * time.Second
 
+// Returned notes that a router has answered or started anew: it is no longer passed over.
+func (r *Router) Returned(router ident.Router) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.silent, router)
+}
+
 // passOver asks the next in line instead of a home that did not answer, until
 // membership knows whether it is gone.
 func (r *Router) passOver(ctx context.Context, home ident.Router) {
--- a/internal/edge/route/placement.go
+++ b/internal/edge/route/placement.go
@@ -17,7 +17,9 @@
 	// Warm means that the chat ran there before.
 	Warm bool
 	// Holder is another target that has the chat's prefix cached, or nil.
-	Holder  *Target
+	Holder *Target
+	// Home is the router that gave the place, empty if this one decided alone.
+	Home    ident.Router
 	release func()
 	once    sync.Once
 }
@@ -167,6 +169,26 @@
 	b.Report(now, ok)
 }
 
+// Heard notes that bytes of an answer came from a target.
+func (r *Router) Heard(target ident.TargetHash) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heard[target] = r.clock()
+}
+
+// Silent notes that a request sent at some time has had no answer for too long. If
+// nothing at all came from its target since, the target gets no new work for a while.
+// It reports whether that is so.
+func (r *Router) Silent(target ident.TargetHash, since time.Time) bool {
+	r.mu.Lock()
+	quiet := r.heard[target].Before(since)
+	r.mu.Unlock()
+	if quiet {
+		r.Unreachable(target)
+	}
+	return quiet
+}
+
 // Unreachable notes that no connection to a target came about, or that another target
 // has its address: it gets no new work for a while.
 func (r *Router) Unreachable(target ident.TargetHash) {
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -82,6 +82,8 @@
 	drift   map[place.ShardID]int
 	// believed are the homes' latest counts of this router's permits.
 	believed map[place.ShardID]int
+	// heard is when bytes came last from each target.
+	heard map[ident.TargetHash]time.Time
 	// owed are withdrawals that were not confirmed, with the latest permit they are about.
 	owed map[debt]uint64
 	// spoken is when each shard's home was last told of this router's permits.
@@ -127,6 +129,7 @@
 		believed: map[place.ShardID]int{},
 		spoken:   map[place.ShardID]time.Time{},
 		owed:     map[debt]uint64{},
+		heard:    map[ident.TargetHash]time.Time{},
 		breakers: map[ident.TargetHash]*retry.Breaker{},
 		silent:   map[ident.Router]time.Time{},
 		allowed:  map[ident.Workspace]*quota.Allowance{},
@@ -340,7 +343,8 @@
 	r.spoken[id] = now
 	placement := r.hold(p, id, place.Permit{Edge: r.self.ID, ID: permit, Engine: a.Engine, Work: ask.Work}, target)
 	placement.Warm = a.Warm
-	placement.Holder = p.target(a.Holder)
+	placement.Home = to
+	placement.Holder = r.holder(p, a.Holder)
 	if a.Warm {
 		r.stats.Warm++
 	}
@@ -377,16 +381,20 @@
 	r.stats.Fallback++
 	id := place.ShardID{Pool: p.Name, Shard: place.ShardOf(d.Engine, p.picture.Shards())}
 	placement := r.hold(p, id, permit, target)
-	placement.Holder = p.target(d.Holder)
+	placement.Holder = r.holder(p, d.Holder)
 	return placement, nil
 }
 
-// target returns a target of the pool, or nil.
-func (p *pool) target(hash ident.TargetHash) *Target {
+// holder returns a target of the pool from which a prompt can be copied, or nil: an
+// engine would wait in vain for one that does not answer. The caller holds the lock.
+func (r *Router) holder(p *pool, hash ident.TargetHash) *Target {
 	t, ok := p.Targets[hash]
 	if !ok {
 		return nil
 	}
+	if b, known := r.breakers[hash]; known && b.State() != retry.Closed {
+		return nil
+	}
 	return &t
 }
 
--- a/internal/oper/mesh/mesh.go
+++ b/internal/oper/mesh/mesh.go
@@ -70,6 +70,8 @@
 	refreshed  inputs
 	// moved are permits whose home has changed and that the new one is to be told of.
 	moved []route.Move
+	// known are the routers' states as seen last.
+	known map[ident.Router]sighting
 	// settling keeps to one settlement at a time, unsettled asks for one.
 	settling  sync.Mutex
 	unsettled chan struct{}
@@ -77,7 +79,7 @@
 
 // New returns a mesh without pools.
 func New(parts Parts) *Mesh {
-	m := &Mesh{Parts: parts, dirty: make(chan struct{}, 1), unsettled: make(chan struct{}, 1)}
+	m := &Mesh{Parts: parts, dirty: make(chan struct{}, 1), unsettled: make(chan struct{}, 1), known: map[ident.Router]sighting{}}
 	m.set.Store(&Set{Live: place.Assign(nil, nil), Known: place.Assign(nil, nil)})
 	return m
 }
@@ -171,10 +173,27 @@
 	m.handOff(ctx, m.Set().Live)
 }
 
+// sighting is a router's state as seen at one moment.
+type sighting struct {
+	incarnation ident.Incarnation
+	state       peer.State
+}
+
+// noteReturn tells the router of homes that are back or have started anew.
+func (m *Mesh) noteReturn(r peer.Member) {
+	before := m.known[r.ID]
+	now := sighting{incarnation: r.Incarnation, state: r.State}
+	m.known[r.ID] = now
+	if now != before && r.State == peer.Live {
+		m.Router.Returned(r.ID)
+	}
+}
+
 // routers sorts the routers of the view.
 func (m *Mesh) routers(v *peer.View) routers {
 	out := routers{live: v.Routers(m.Self.Region), below: map[ident.Router]uint64{}}
 	for _, r := range v.Members() {
+		m.noteReturn(r)
 		if r.Region == m.Self.Region && r.State != peer.Leaving {
 			out.known = append(out.known, r.ID)
 		}
--- /dev/null
+++ b/internal/share/feed/board_test.go
@@ -0,0 +1,123 @@
+package feed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"valescale/internal/plat/table"
+)
+
+const name table.Name = "targets"
+
+// board returns a board with one table, a clock to move and the keys told of last.
+func board() (*Board, *time.Time, *[]table.Key) {
+	now := time.Unix(1000, 0)
+	keys := &[]table.Key{}
+	b := NewBoard(func() time.Time { return now })
+	b.Follow(name, func(rows []table.Row) {
+		*keys = nil
+		for _, r := range rows {
+			*keys = append(*keys, r.Key)
+		}
+	})
+	return b, &now, keys
+}
+
+func row(key table.Key, version table.Version) table.Row {
+	return table.Row{Table: name, Key: key, Version: version}
+}
+
+func gone(key table.Key, version table.Version) table.Row {
+	return table.Row{Table: name, Key: key, Version: version, Deleted: true}
+}
+
+func whole(version table.Version, rows ...table.Row) table.Page {
+	return table.Page{Version: version, Rows: rows, Whole: true}
+}
+
+func changes(version table.Version, rows ...table.Row) table.Page {
+	return table.Page{Version: version, Rows: rows}
+}
+
+func TestBoardNeverGoesBack(t *testing.T) {
+	b, _, keys := board()
+	b.Take(name, 0, whole(5, row("a", 3), row("b", 5)))
+	if b.Take(name, 0, whole(4, row("a", 3))) {
+		t.Error("an older state is taken in")
+	}
+	if b.Take(name, 4, changes(4, gone("b", 4))) {
+		t.Error("older changes are taken in")
+	}
+	if b.Take(name, 7, changes(8, row("c", 8))) {
+		t.Error("changes that leave a gap are taken in")
+	}
+	if !b.Take(name, 4, changes(6, row("b", 5), row("c", 6))) {
+		t.Error("changes that overlap are refused")
+	}
+	if diff := cmp.Diff([]table.Key{"a", "b", "c"}, *keys); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestRowsLapseOnlyAfterAnOutage(t *testing.T) {
+	b, now, keys := board()
+	b.Take(name, 0, whole(5, row("a", 3), row("b", 5), row("c", 5)))
+	*now = now.Add(time.Second)
+	b.Take(name, 5, changes(6, gone("a", 6)))
+	if diff := cmp.Diff([]table.Key{"b", "c"}, *keys); diff != "" {
+		t.Errorf("without an outage: %s", diff)
+	}
+	*now = now.Add(10 * time.Second)
+	b.Take(name, 6, changes(8, gone("b", 7), gone("c", 8)))
+	b.Take(name, 8, changes(9, row("c", 9)))
+	*now = now.Add(LapseGrace - time.Millisecond)
+	b.Sweep()
+	if diff := cmp.Diff([]table.Key{"b", "c"}, *keys); diff != "" {
+		t.Errorf("within the grace: %s", diff)
+	}
+	*now = now.Add(2 * time.Millisecond)
+	b.Sweep()
+	if diff := cmp.Diff([]table.Key{"c"}, *keys); diff != "" {
+		t.Errorf("after the grace: %s", diff)
+	}
+}
+
+// A copy that follows another through pages sees the same rows.
+func TestCopyOfACopy(t *testing.T) {
+	b, now, _ := board()
+	c, _, keys := board()
+	pass := func() {
+		version, known := c.Version(name)
+		page, ok := b.Since(name, version, known)
+		if ok {
+			c.Take(name, version, page)
+		}
+	}
+	pass()
+	b.Take(name, 0, whole(5, row("a", 3), row("b", 5)))
+	pass()
+	b.Take(name, 5, changes(7, gone("a", 6), row("d", 7)))
+	pass()
+	if diff := cmp.Diff([]table.Key{"b", "d"}, *keys); diff != "" {
+		t.Error(diff)
+	}
+	b.Take(name, 7, changes(8, gone("b", 8)))
+	*now = now.Add(2 * keepDeleted)
+	b.Sweep()
+	pass()
+	if diff := cmp.Diff([]table.Key{"d"}, *keys); diff != "" {
+		t.Errorf("after the deletion was forgotten: %s", diff)
+	}
+}
+
+func TestAgeGoesThroughCopies(t *testing.T) {
+	b, now, _ := board()
+	b.Take(name, 0, whole(5))
+	*now = now.Add(700 * time.Millisecond)
+	page, _ := b.Since(name, 0, false)
+	if diff := cmp.Diff(700*time.Millisecond, page.Age); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/internal/share/feed/follow_test.go
@@ -0,0 +1,145 @@
+package feed
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/go-cmp/cmp"
+
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/plat/table"
+)
+
+// source answers calls from a list of its own.
+type source struct {
+	calls   []string
+	answers []answer
+}
+
+type answer struct {
+	page table.Page
+	err  error
+}
+
+func (s *source) next(call string) (table.Page, error) {
+	s.calls = append(s.calls, call)
+	a := s.answers[0]
+	s.answers = s.answers[1:]
+	return a.page, a.err
+}
+
+func (s *source) All(context.Context, table.Name) (table.Page, error) { return s.next("all") }
+
+func (s *source) Changes(_ context.Context, _ table.Name, _ table.Version, _ time.Duration) (table.Page, error) {
+	return s.next("changes")
+}
+
+func follower(b *Board, s *source) *Follower {
+	return NewFollower(b, s, name, DefaultPace, NewRoles(), log.NewNopLogger(), 1)
+}
+
+func TestForgottenHistoryIsReadWhole(t *testing.T) {
+	b, _, keys := board()
+	s := &source{answers: []answer{
+		{page: table.Page{Version: 5, Rows: []table.Row{row("a", 5)}}},
+		{err: fault.New("test", table.Compacted, nil)},
+		{page: table.Page{Version: 4, Rows: []table.Row{row("old", 4)}}},
+		{page: table.Page{Version: 9, Rows: []table.Row{row("b", 9)}}},
+		{page: changes(10, row("c", 10))},
+	}}
+	f := follower(b, s)
+	for range 5 {
+		if err := f.Step(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if diff := cmp.Diff([]string{"all", "changes", "all", "all", "changes"}, s.calls); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]table.Key{"b", "c"}, *keys); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// routers answers for other routers.
+type routers struct {
+	asked  []ident.Router
+	others []ident.Router
+	reply  func(from ident.Router) ([]Reply, error)
+}
+
+func (r *routers) Rows(_ context.Context, from ident.Router, _ []State, _ time.Duration) ([]Reply, error) {
+	r.asked = append(r.asked, from)
+	return r.reply(from)
+}
+
+func (r *routers) Others() []ident.Router { return r.others }
+
+// A router whose parent fails asks others, reads the store meanwhile, and goes back to
+// the parent later.
+func TestParentThatFails(t *testing.T) {
+	b, now, _ := board()
+	roles := NewRoles()
+	roles.Assign(false, "parent")
+	r := &routers{others: []ident.Router{"x", "y"}}
+	failing := map[ident.Router]bool{"parent": true, "y": true}
+	r.reply = func(from ident.Router) ([]Reply, error) {
+		if failing[from] {
+			return nil, fault.New("test", Unreachable, nil)
+		}
+		return []Reply{{Table: name, Page: whole(5, row("a", 5))}}, nil
+	}
+	p := NewPuller(b, r, []table.Name{name}, DefaultPace, roles, log.NewNopLogger(), func() time.Time { return *now })
+	step := func() {
+		from, ok := p.from()
+		if !ok {
+			t.Fatal("nobody to ask")
+		}
+		p.note(t.Context(), from, p.Step(t.Context(), from))
+	}
+	step()
+	if !roles.wantsStore() {
+		t.Error("the store is not read although no router answers")
+	}
+	step()
+	step()
+	if roles.wantsStore() {
+		t.Error("the store is still read although another router answers")
+	}
+	*now = now.Add(avoidFor)
+	failing["parent"] = false
+	step()
+	if diff := cmp.Diff([]ident.Router{"parent", "y", "x", "parent"}, r.asked); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestOldNewsIsNotTaken(t *testing.T) {
+	b, now, keys := board()
+	old := whole(5, row("a", 5))
+	old.Age = DefaultPace.Old + time.Millisecond
+	r := &routers{reply: func(ident.Router) ([]Reply, error) { return []Reply{{Table: name, Page: old}}, nil }}
+	p := NewPuller(b, r, []table.Name{name}, DefaultPace, NewRoles(), log.NewNopLogger(), func() time.Time { return *now })
+	err := p.Step(t.Context(), "x")
+	if diff := cmp.Diff(Stale, fault.KindOf[Kind](err)); diff != "" {
+		t.Error(diff)
+	}
+	if len(*keys) != 0 {
+		t.Errorf("rows %v are taken from old news", *keys)
+	}
+}
+
+func TestReaderAsksOthersWhileTheStoreIsAway(t *testing.T) {
+	roles := NewRoles()
+	roles.Assign(true, "")
+	if roles.wantsPeers() {
+		t.Error("a reader asks others although the store answers")
+	}
+	roles.storeFailed(name, true)
+	if !roles.wantsPeers() || !roles.wantsStore() {
+		t.Error("a reader without the store asks nobody, or gives the store up")
+	}
+}
--- a/internal/share/feed/pull.go
+++ b/internal/share/feed/pull.go
@@ -57,9 +57,8 @@
 	roles  *Roles
 	logger log.Logger
 	clock  ident.Clock
-	// avoided is the parent that failed, until when it is not asked.
-	avoided      ident.Router
-	avoidedUntil time.Time
+	// avoided are the routers that failed, until when they are not asked.
+	avoided map[ident.Router]time.Time
 	// next is which of the others is asked instead.
 	next   int
 	failed bool
@@ -67,7 +66,7 @@
 
 // NewPuller returns a puller of some tables of a board.
 func NewPuller(board *Board, peers Peers, names []table.Name, pace Pace, roles *Roles, logger log.Logger, clock ident.Clock) *Puller {
-	return &Puller{board: board, peers: peers, names: names, pace: pace, roles: roles, logger: logger, clock: clock}
+	return &Puller{board: board, peers: peers, names: names, pace: pace, roles: roles, logger: logger, clock: clock, avoided: map[ident.Router]time.Time{}}
 }
 
 // Run reads from others until the context ends.
@@ -94,8 +93,7 @@
 // in turn.
 func (p *Puller) from() (ident.Router, bool) {
 	reader, parent := p.roles.Reader()
-	avoided := parent == p.avoided && p.clock().Before(p.avoidedUntil)
-	if !reader && parent != "" && !avoided {
+	if !reader && parent != "" && !p.clock().Before(p.avoided[parent]) {
 		return parent, true
 	}
 	others := p.peers.Others()
@@ -127,7 +125,7 @@
 	}
 	p.failed = true
 	p.next++
-	p.avoided, p.avoidedUntil = from, p.clock().Add(avoidFor)
+	p.avoided[from] = p.clock().Add(avoidFor)
 	p.roles.peersFailed(true)
 }
 
--- a/internal/share/home/homes_test.go
+++ b/internal/share/home/homes_test.go
@@ -97,3 +97,15 @@
 		t.Error(diff)
 	}
 }
+
+// A home that has handed its shard over still knows the places if it is asked again.
+func TestPlacesStayAfterAHandover(t *testing.T) {
+	h, _, _ := newHomes()
+	ask := home.Ask{Shard: id, Request: place.Request{Edge: "router-b", Permit: 1, Key: 7, Work: ident.OneRequest}}
+	h.Place(t.Context(), ask, nil)
+	h.Moved(id)
+	ask.Permit = 2
+	if a := h.Place(t.Context(), ask, nil); a.Result != home.Placed || !a.Warm {
+		t.Errorf("got %+v, want a warm place", a)
+	}
+}
--- a/internal/share/home/move.go
+++ b/internal/share/home/move.go
@@ -62,6 +62,8 @@
 	h.seq = max(h.seq, last.Seq)
 	h.lastDigests = append(h.lastDigests, last)
 	delete(h.shards, id)
+	// Some routers may take this one for home for a while longer.
+	h.keepPlaces(id, s.home.Places(maxTransferPlaces))
 	h.signal()
 }
 
