--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -164,13 +164,13 @@
 const (
 	// boundShare is the part of the load factor that homes hand out. Requests that have
 	// just ended still count at a home for a moment and make its mean too high.
-	boundShare = 0.9
+	boundShare = 0.95
 	// steadyShare is the multiple of the mean under which a new subject goes to the first
 	// engine of its own order: high enough that homes which have lost their memory find
 	// most subjects again, low enough to spread load.
 	steadyShare = 1.3
 	// boundExtra is added to the bound: with a small mean, whole requests are coarse.
-	boundExtra = ident.OneRequest
+	boundExtra = 5 * ident.OneRequest / 2
 )
 
 // bound is the load bound of a service's targets.
