Steady order of shards, routers that are cut off decide alone, two requests a plain slot

Change: plain targets may have two requests a slot; after four failed calls in a row a router decides alone and tries a home each 0.3 s; shards of a pool with a steady bound count alike, routers that decide alone keep to the same order, a full shard names the holder to the next; three refusals of targets are followed by another try.

--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -281,6 +281,10 @@
 	noBudget   follow = "no_budget"
 )
 
+// maxRefused is how many targets may refuse one request: after a crash of many, their
+// addresses can belong to others before the store's rows say so.
+const maxRefused = 3
+
 // maxFree is how many attempts that reached no target one request may make: with that
 // many targets unreachable the fault is more likely the router's own link.
 const maxFree = 4
@@ -299,7 +303,7 @@
 	switch {
 	case last.step != retry.Refused && j.route.Repeat != retry.Safe:
 		return mayHaveRun
-	case j.ran >= j.route.Attempts || j.sends > j.route.Attempts:
+	case j.ran >= j.route.Attempts || j.sends-j.ran > maxRefused:
 		return noAttempts
 	case !last.paid && !h.Budget.Retry(j.service, h.Clock()):
 		return noBudget
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -82,6 +82,10 @@
 	drift   map[place.ShardID]int
 	// believed are the homes' latest counts of this router's permits.
 	believed map[place.ShardID]int
+	// failures counts the calls to homes in a row that failed, tryAt is when one is
+	// tried again after too many.
+	failures int
+	tryAt    time.Time
 	// heard is when bytes came last from each target.
 	heard map[ident.TargetHash]time.Time
 	// owed are withdrawals that were not confirmed, with the latest permit they are about.
@@ -216,8 +220,13 @@
 func (r *Router) askAround(ctx context.Context, p *pool, ask Ask) (placement *Placement, again bool, err error) {
 	r.mu.Lock()
 	search := p.picture.NewSearch(ask.Key, r.clock().Before(p.saturated))
+	cut := r.cutOff()
 	r.mu.Unlock()
+	if cut {
+		return r.withoutHome(ctx, p, ask, nil)
+	}
 	passed := false
+	var holder ident.TargetHash
 	for {
 		r.mu.Lock()
 		step, ok := search.Next(r.clock(), p.picture)
@@ -235,13 +244,43 @@
 		case err != nil:
 			return r.withoutHome(ctx, p, ask, err)
 		case placement != nil:
+			if placement.Holder == nil && !placement.Warm {
+				r.mu.Lock()
+				placement.Holder = r.holder(p, holder)
+				r.mu.Unlock()
+			}
 			return placement, false, nil
 		case a.Result == home.Moved:
 			return nil, true, nil
 		case step.Must:
 			return nil, false, r.giveUp(ctx, p, step.Shard, a)
 		}
+		if holder == 0 {
+			// The shard that the chat prefers is full; its engine may still be copied from.
+			holder = a.Holder
+		}
+	}
+}
+
+const (
+	// cutAfter is how many calls in a row may fail, whatever home was asked, before this
+	// router counts as cut off from the others: two homes and their next in line.
+	cutAfter = 4
+	// cutRetry is how often a router that is cut off asks a home all the same.
+	cutRetry = 300 * time.Millisecond
+)
+
+// cutOff reports whether to decide alone without asking; the caller holds the lock.
+func (r *Router) cutOff() bool {
+	if r.failures < cutAfter {
+		return false
 	}
+	now := r.clock()
+	if now.Before(r.tryAt) {
+		return true
+	}
+	r.tryAt = now.Add(cutRetry)
+	return false
 }
 
 // giveUp turns the last home's answer into an error.
@@ -312,6 +351,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if err == nil {
+		r.failures = 0
+	} else if ctx.Err() == nil {
+		r.failures++
+	}
 	if err != nil {
 		// The permit may have been given; say that it is not used, to that home too if
 		// another one is asked from now on.
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -138,11 +138,20 @@
 	return slices.Concat(s.routers, s.targets)
 }
 
+// plainSlots is how many requests a plain target may have for each of its slots. A
+// request counts while its permit and its return travel too, 15 to 20 ms beside the 60 of
+// the work itself: with one a slot a third of the slots stood idle while callers waited.
+const plainSlots = 2
+
 // capacity is what a target says of itself.
-func (s *state) capacity(_ policy.Service, t peer.Target) mesh.Capacity {
+func (s *state) capacity(service policy.Service, t peer.Target) mesh.Capacity {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return mesh.Capacity{Slots: s.slots[t.ID]}
+	slots := s.slots[t.ID]
+	if service.Kind == policy.PlainTargets {
+		slots *= plainSlots
+	}
+	return mesh.Capacity{Slots: slots}
 }
 
 // wanted is what the configuration wants of the mesh.
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -207,7 +207,9 @@
 	h.expire(now)
 	i, result, warm := h.choose(now, req)
 	if result != Placed {
-		return Decision{Result: result}
+		// Another shard that takes the request can have the prefix copied.
+		at, _ := h.places.get(req.Key)
+		return Decision{Result: result, Holder: h.holder(req.Key, at, 0)}
 	}
 	e := &h.engines[i]
 	h.hold(Permit{Edge: req.Edge, ID: req.Permit, Engine: e.Hash, Work: req.Work})
@@ -280,7 +282,7 @@
 		}
 		r := h.rank(i, req)
 		best = best.better(r)
-		if float64(r.load) < steady && (!first.set || r.score > first.score) {
+		if float64(r.load) < steady && r.preferred(first) {
 			first = r
 		}
 	}
@@ -319,6 +321,20 @@
 	load  ident.Work
 	near  bool
 	score uint64
+	// shard is the place of the engine's shard in the key's order.
+	shard int
+}
+
+// preferred reports whether an engine comes before another in a key's own order.
+func (r ranked) preferred(other ranked) bool {
+	switch {
+	case !other.set:
+		return true
+	case r.shard != other.shard:
+		return r.shard < other.shard
+	default:
+		return r.score > other.score
+	}
 }
 
 // better returns the one of two that suits better; one that is not set never does.
--- a/internal/rule/place/pool.go
+++ b/internal/rule/place/pool.go
@@ -88,9 +88,18 @@
 // Engines returns the pool's engines; the caller must not change them.
 func (p *Pool) Engines() []Engine { return p.engines }
 
-// Order fills out with the shards in the order that a key prefers.
+// Order fills out with the shards in the order that a key prefers. With a steady bound
+// shards count alike, whatever the number of their engines: a chat that changes its shard
+// leaves its cached prefix behind, and the bound evens out what is uneven.
 func (p *Pool) Order(key ident.ChatKey, out []ident.Shard) int {
-	return Order(key, p.weights, out)
+	if p.bound.Steady <= 0 {
+		return Order(key, p.weights, out)
+	}
+	alike := make([]int, len(p.weights))
+	for i, w := range p.weights {
+		alike[i] = min(w, 1)
+	}
+	return Order(key, alike, out)
 }
 
 // Begin counts work that this router sends to an engine.
@@ -127,19 +136,37 @@
 	return p.own[engine] * ident.Work(max(routers, 1))
 }
 
-// likelyHolder is the engine that a key's own order puts first, if it is another than
-// the one chosen: routers that decide alone tend to send the key there.
+// likelyHolder is the engine that a key's own order puts first beside the one chosen:
+// homes and routers that decide alone tend to send the key there.
 func (p *Pool) likelyHolder(key ident.ChatKey, chosen int) ident.TargetHash {
+	preference := p.preference(key)
 	var best ranked
 	for i, e := range p.engines {
-		best = best.better(ranked{index: i, set: true, score: ident.Mix(uint64(key), uint64(e.Hash))})
+		r := ranked{index: i, set: true, score: ident.Mix(uint64(key), uint64(e.Hash)), shard: preference[ShardOf(e.Hash, p.shards)]}
+		if i != chosen && r.preferred(best) {
+			best = r
+		}
 	}
-	if best.index == chosen {
+	if !best.set {
 		return 0
 	}
 	return p.engines[best.index].Hash
 }
 
+// preference gives each shard its place in a key's order.
+func (p *Pool) preference(key ident.ChatKey) []int {
+	var order [MaxShards]ident.Shard
+	n := p.Order(key, order[:])
+	out := make([]int, p.shards)
+	for i := range out {
+		out[i] = p.shards
+	}
+	for i, shard := range order[:n] {
+		out[shard] = i
+	}
+	return out
+}
+
 // Local decides without a home, from estimates alone: the first engine under the
 // bound in the key's own order, or the least loaded of all.
 func (p *Pool) Local(req Request, routers int) Decision {
@@ -155,6 +182,7 @@
 		return Decision{Result: Empty}
 	}
 	limit := p.bound.limit(float64(total+req.Work), usable)
+	preference := p.preference(req.Key)
 	var first, least ranked
 	for i, e := range p.engines {
 		if e.Leaving || avoided(req.Avoid, e.Hash) {
@@ -166,9 +194,10 @@
 		}
 		r := ranked{
 			index: i, set: true, load: load, near: e.Zone == req.Zone, score: ident.Mix(uint64(req.Key), uint64(e.Hash)),
+			shard: preference[ShardOf(e.Hash, p.shards)],
 		}
 		least = least.better(r)
-		if float64(load) < limit && (!first.set || r.score > first.score) {
+		if float64(load) < limit && r.preferred(first) {
 			first = r
 		}
 	}
