Homes remember four places of a subject

Change: four places a subject, all of them in handovers; holders are chosen among engines that answer.

--- a/internal/rule/place/export.go
+++ b/internal/rule/place/export.go
@@ -42,7 +42,7 @@
 // chatsOf lists the chats whose last place is an engine, the most recent first.
 func (h *Home) chatsOf(engine ident.TargetHash) []ChatPlace {
 	var chats []ChatPlace
-	for _, p := range h.Places(h.places.len()) {
+	for _, p := range h.latest() {
 		if p.Engine == engine {
 			chats = append(chats, p)
 		}
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -209,45 +209,46 @@
 	if result != Placed {
 		// Another shard that takes the request can have the prefix copied.
 		at, _ := h.places.get(req.Key)
-		return Decision{Result: result, Holder: h.holder(req.Key, at, 0)}
+		return Decision{Result: result, Holder: h.holder(req.Key, at, 0, req.Avoid)}
 	}
 	e := &h.engines[i]
 	h.hold(Permit{Edge: req.Edge, ID: req.Permit, Engine: e.Hash, Work: req.Work})
 	at, _ := h.places.get(req.Key)
 	next := at.moved(spot{engine: e.Hash, incarnation: e.Incarnation}, now.Unix())
 	h.places.put(req.Key, next)
-	if next.last != at.last {
+	if next.last() != at.last() {
 		h.note(req.Key, next)
 	}
 	d := Decision{Result: Placed, Engine: e.Hash, Warm: warm}
 	if !warm {
-		d.Holder = h.holder(req.Key, at, e.Hash)
+		d.Holder = h.holder(req.Key, at, e.Hash, req.Avoid)
 	}
 	return d
 }
 
 // holder returns an engine at which a chat ran and that is still there, other than one.
 // For a chat that is not remembered it is the first of the chat's own order.
-func (h *Home) holder(key ident.ChatKey, at chatPlace, other ident.TargetHash) ident.TargetHash {
-	if at == (chatPlace{}) && h.bound.Steady > 0 {
-		return h.likely(key, other)
-	}
-	for _, s := range [2]spot{at.last, at.before} {
+func (h *Home) holder(key ident.ChatKey, at chatPlace, other ident.TargetHash, avoid []ident.TargetHash) ident.TargetHash {
+	for _, s := range at.at {
 		i, known := h.index[s.engine]
-		if known && s.engine != other && h.engines[i].present && h.engines[i].Incarnation == s.incarnation {
+		if known && s.engine != other && !avoided(avoid, s.engine) && h.engines[i].present && h.engines[i].Incarnation == s.incarnation {
 			return s.engine
 		}
 	}
+	if h.bound.Steady > 0 {
+		return h.likely(key, other, avoid)
+	}
 	return 0
 }
 
 // likely returns the first engine of a chat's own order, other than one.
-func (h *Home) likely(key ident.ChatKey, other ident.TargetHash) ident.TargetHash {
+func (h *Home) likely(key ident.ChatKey, other ident.TargetHash, avoid []ident.TargetHash) ident.TargetHash {
 	var best ranked
 	for i := range h.engines {
 		e := &h.engines[i]
-		if e.present && e.Hash != other {
-			best = best.better(ranked{index: i, set: true, score: ident.Mix(uint64(key), uint64(e.Hash))})
+		r := ranked{index: i, set: true, score: ident.Mix(uint64(key), uint64(e.Hash))}
+		if e.present && e.Hash != other && !avoided(avoid, e.Hash) && r.preferred(best) {
+			best = r
 		}
 	}
 	if !best.set {
@@ -261,7 +262,7 @@
 func (h *Home) choose(now time.Time, req Request) (int, Result, bool) {
 	limit := h.limit(now, req.Work)
 	if at, ok := h.places.get(req.Key); ok {
-		for _, s := range [2]spot{at.last, at.before} {
+		for _, s := range at.at {
 			i, known := h.index[s.engine]
 			if known && h.engines[i].Incarnation == s.incarnation && h.admits(now, i, req, limit) == Placed {
 				return i, Placed, true
--- a/internal/rule/place/memory.go
+++ b/internal/rule/place/memory.go
@@ -1,15 +1,25 @@
 package place
 
-import "valescale/internal/plat/ident"
+import (
+	"slices"
 
-// chatPlace is where a chat ran last, and where before that: when the last engine
-// is full or gone, the one before may still have the chat's prefix.
+	"valescale/internal/plat/ident"
+)
+
+// spots is how many engines are remembered for one chat. Prefixes that many requests
+// share lie on four or five engines after a day with failures.
+const spots = 4
+
+// chatPlace is where a chat ran, the last engine first: when that is full or gone,
+// those before may still have the chat's prefix.
 type chatPlace struct {
-	seen   int64
-	last   spot
-	before spot
+	seen int64
+	at   [spots]spot
 }
 
+// last is where the chat ran last.
+func (p chatPlace) last() spot { return p.at[0] }
+
 // spot is one incarnation of an engine.
 type spot struct {
 	incarnation ident.Incarnation
@@ -19,21 +29,29 @@
 // moved returns the place after the chat ran at a spot.
 func (p chatPlace) moved(to spot, seen int64) chatPlace {
 	p.seen = seen
-	if p.last == to {
-		return p
+	next := [spots]spot{to}
+	n := 1
+	for _, s := range p.at {
+		if s != to && s != (spot{}) && n < spots {
+			next[n] = s
+			n++
+		}
 	}
-	p.last, p.before = to, p.last
+	p.at = next
 	return p
 }
 
 // without returns the place after an engine dropped the chat's prefix.
 func (p chatPlace) without(engine ident.TargetHash) chatPlace {
-	if p.last.engine == engine {
-		p.last, p.before = p.before, spot{}
-	}
-	if p.before.engine == engine {
-		p.before = spot{}
+	var left [spots]spot
+	n := 0
+	for _, s := range p.at {
+		if s.engine != engine && s != (spot{}) {
+			left[n] = s
+			n++
+		}
 	}
+	p.at = left
 	return p
 }
 
@@ -85,15 +103,33 @@
 	SeenUnix    int64
 }
 
-// Places lists up to limit remembered places, the young ones first.
+// Places lists up to limit remembered places, those of the young chats first and those
+// of one chat in the order in which it came to them.
 func (h *Home) Places(limit int) []ChatPlace {
 	out := make([]ChatPlace, 0, min(limit, h.places.len()))
 	for _, generation := range []map[ident.ChatKey]chatPlace{h.places.young, h.places.old} {
 		for key, p := range generation {
-			if len(out) == limit {
-				return out
+			for _, s := range slices.Backward(p.at[:]) {
+				if s == (spot{}) {
+					continue
+				}
+				if len(out) == limit {
+					return out
+				}
+				out = append(out, ChatPlace{Key: key, Engine: s.engine, Incarnation: s.incarnation, SeenUnix: p.seen})
 			}
-			out = append(out, ChatPlace{Key: key, Engine: p.last.engine, Incarnation: p.last.incarnation, SeenUnix: p.seen})
+		}
+	}
+	return out
+}
+
+// latest lists the last places of all remembered chats.
+func (h *Home) latest() []ChatPlace {
+	out := make([]ChatPlace, 0, h.places.len())
+	for _, generation := range []map[ident.ChatKey]chatPlace{h.places.young, h.places.old} {
+		for key, p := range generation {
+			s := p.last()
+			out = append(out, ChatPlace{Key: key, Engine: s.engine, Incarnation: s.incarnation, SeenUnix: p.seen})
 		}
 	}
 	return out
@@ -140,7 +176,7 @@
 		h.moves = h.moves[:copy(h.moves, h.moves[maxMoves/2:])]
 	}
 	h.moves = append(h.moves, ChatPlace{
-		Key: key, Engine: at.last.engine, Incarnation: at.last.incarnation, SeenUnix: at.seen,
+		Key: key, Engine: at.last().engine, Incarnation: at.last().incarnation, SeenUnix: at.seen,
 	})
 }
 
@@ -151,7 +187,7 @@
 		return
 	}
 	left := p.without(engine)
-	if left.last == (spot{}) {
+	if left.last() == (spot{}) {
 		h.places.remove(key)
 		return
 	}
--- a/internal/rule/place/pool.go
+++ b/internal/rule/place/pool.go
@@ -138,12 +138,12 @@
 
 // likelyHolder is the engine that a key's own order puts first beside the one chosen:
 // homes and routers that decide alone tend to send the key there.
-func (p *Pool) likelyHolder(key ident.ChatKey, chosen int) ident.TargetHash {
-	preference := p.preference(key)
+func (p *Pool) likelyHolder(req Request, chosen int) ident.TargetHash {
+	preference := p.preference(req.Key)
 	var best ranked
 	for i, e := range p.engines {
-		r := ranked{index: i, set: true, score: ident.Mix(uint64(key), uint64(e.Hash)), shard: preference[ShardOf(e.Hash, p.shards)]}
-		if i != chosen && r.preferred(best) {
+		r := ranked{index: i, set: true, score: ident.Mix(uint64(req.Key), uint64(e.Hash)), shard: preference[ShardOf(e.Hash, p.shards)]}
+		if i != chosen && !avoided(req.Avoid, e.Hash) && r.preferred(best) {
 			best = r
 		}
 	}
@@ -203,7 +203,7 @@
 	}
 	switch {
 	case first.set:
-		return Decision{Result: Placed, Engine: p.engines[first.index].Hash, Holder: p.likelyHolder(req.Key, first.index)}
+		return Decision{Result: Placed, Engine: p.engines[first.index].Hash, Holder: p.likelyHolder(req, first.index)}
 	case least.set:
 		return Decision{Result: Placed, Engine: p.engines[least.index].Hash}
 	default:
