--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -94,6 +94,15 @@
 	return nil
 }
 
+// CallerAddr is where callers connect.
+func (n *Node) CallerAddr() string { return n.listeners.callers.Addr().String() }
+
+// ReadyAddr is where the platform asks whether this router wants requests.
+func (n *Node) ReadyAddr() string { return n.listeners.ready.Addr().String() }
+
+// PeerAddr is where other routers connect and metrics are read.
+func (n *Node) PeerAddr() string { return n.listeners.peers.Addr().String() }
+
 const (
 	// permitTimeout is how long a call to a home may take before the next in line is
 	// asked: many round trips between availability zones, since a home that has just
@@ -115,7 +124,7 @@
 	n.roles = feed.NewRoles()
 	n.state = newState(n.Rows, n.Logger)
 	n.self = peer.Member{
-		ID: s.ID, Addr: n.listeners.peers.Addr().String(), Zone: s.Zone, Region: s.Region, Incarnation: n.incarnation(now),
+		ID: s.ID, Addr: n.PeerAddr(), Zone: s.Zone, Region: s.Region, Incarnation: n.incarnation(now),
 	}
 	clients, closeClients := peer.NewClients(nil, n.meter)
 	limits := peer.DefaultLimits
--- a/internal/oper/node/readers.go
+++ b/internal/oper/node/readers.go
@@ -73,7 +73,7 @@
 // peerRows reads tables from other routers.
 type peerRows struct{ node *Node }
 
-// Others lists the readers of the other zones, then those of this one.
+// Others lists a router of each zone: its reader, or the next after this one.
 func (p peerRows) Others() []ident.Router {
 	n := p.node
 	zones := map[ident.Zone]bool{}
@@ -84,9 +84,11 @@
 	})
 	var out []ident.Router
 	for zone := range zones {
-		order := n.zoneOrder(zone)
-		if len(order) > 0 && order[0] != n.self.ID {
-			out = append(out, order[0])
+		for _, r := range n.zoneOrder(zone) {
+			if r != n.self.ID {
+				out = append(out, r)
+				break
+			}
 		}
 	}
 	slices.Sort(out)
