Only targets that cannot be reached are no holders

Change: a breaker remembers whether its target could not be reached; only those are left out, by homes too; a holder is named whenever the engine is not the last one.

--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -63,6 +63,8 @@
 	Deadline time.Time
 	// Avoid are targets that have just failed this request.
 	Avoid []ident.TargetHash
+	// lost are targets that this router cannot reach.
+	lost []ident.TargetHash
 }
 
 // Router finds targets.
@@ -190,6 +192,7 @@
 		return nil, fault.Newf(op, NoTarget, "service %s", ask.Service)
 	}
 	ask.Avoid = r.withBlocked(p, ask.Avoid)
+	ask.lost = r.lost(p)
 	if p.Service.Balance == policy.Local {
 		return r.local(p, ask)
 	}
@@ -331,6 +334,7 @@
 	request := home.Ask{
 		Request: place.Request{
 			Edge: r.self.ID, Permit: permit, Key: ask.Key, Work: ask.Work, Zone: r.self.Zone, Must: step.Must, Avoid: ask.Avoid,
+			Lost: ask.lost,
 		},
 		Shard:     id,
 		Workspace: ask.Workspace,
@@ -408,7 +412,7 @@
 	const op = "route.Acquire"
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	request := place.Request{Key: ask.Key, Work: ask.Work, Zone: r.self.Zone, Avoid: ask.Avoid}
+	request := place.Request{Key: ask.Key, Work: ask.Work, Zone: r.self.Zone, Avoid: ask.Avoid, Lost: ask.lost}
 	d := p.picture.Local(request, len(r.assigned.Routers()))
 	target, known := p.Targets[d.Engine]
 	switch {
@@ -436,12 +440,25 @@
 	if !ok {
 		return nil
 	}
-	if b, known := r.breakers[hash]; known && b.State() != retry.Closed {
+	if b, known := r.breakers[hash]; known && b.Tripped() {
 		return nil
 	}
 	return &t
 }
 
+// lost lists the targets of a pool that cannot be reached.
+func (r *Router) lost(p *pool) []ident.TargetHash {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []ident.TargetHash
+	for hash, b := range r.breakers {
+		if _, ours := p.Targets[hash]; ours && b.Tripped() {
+			out = append(out, hash)
+		}
+	}
+	return out
+}
+
 // withBlocked adds the targets whose breakers are open to those to avoid.
 func (r *Router) withBlocked(p *pool, avoid []ident.TargetHash) []ident.TargetHash {
 	r.mu.Lock()
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -79,8 +79,10 @@
 	// Over takes engines that seem to be full, up to twice their slots: counts may be too
 	// high for a while after homes have moved, and engines queue a few requests themselves.
 	Over bool
-	// Avoid are engines that have just failed this request.
+	// Avoid are engines that have just failed this request or fail many.
 	Avoid []ident.TargetHash
+	// Lost are engines that cannot be reached: nothing can be copied from them.
+	Lost []ident.TargetHash
 }
 
 // Decision is the answer to a Request.
@@ -89,8 +91,8 @@
 	Engine ident.TargetHash
 	// Warm means that the chat ran on this incarnation of the engine before.
 	Warm bool
-	// Holder is where a chat that is not warm ran last, zero if nowhere: its cached
-	// prefix can be taken from there.
+	// Holder is where a chat ran last if that is another engine, zero if nowhere: its
+	// cached prefix can be taken from there.
 	Holder ident.TargetHash
 }
 
@@ -209,7 +211,7 @@
 	if result != Placed {
 		// Another shard that takes the request can have the prefix copied.
 		at, _ := h.places.get(req.Key)
-		return Decision{Result: result, Holder: h.holder(req.Key, at, 0, req.Avoid)}
+		return Decision{Result: result, Holder: h.holder(req.Key, at, 0, req.Lost)}
 	}
 	e := &h.engines[i]
 	h.hold(Permit{Edge: req.Edge, ID: req.Permit, Engine: e.Hash, Work: req.Work})
@@ -220,34 +222,35 @@
 		h.note(req.Key, next)
 	}
 	d := Decision{Result: Placed, Engine: e.Hash, Warm: warm}
-	if !warm {
-		d.Holder = h.holder(req.Key, at, e.Hash, req.Avoid)
+	if e.Hash != at.last().engine {
+		// An engine where it ran earlier may have dropped the prefix meanwhile.
+		d.Holder = h.holder(req.Key, at, e.Hash, req.Lost)
 	}
 	return d
 }
 
 // holder returns an engine at which a chat ran and that is still there, other than one.
 // For a chat that is not remembered it is the first of the chat's own order.
-func (h *Home) holder(key ident.ChatKey, at chatPlace, other ident.TargetHash, avoid []ident.TargetHash) ident.TargetHash {
+func (h *Home) holder(key ident.ChatKey, at chatPlace, other ident.TargetHash, lost []ident.TargetHash) ident.TargetHash {
 	for _, s := range at.at {
 		i, known := h.index[s.engine]
-		if known && s.engine != other && !avoided(avoid, s.engine) && h.engines[i].present && h.engines[i].Incarnation == s.incarnation {
+		if known && s.engine != other && !avoided(lost, s.engine) && h.engines[i].present && h.engines[i].Incarnation == s.incarnation {
 			return s.engine
 		}
 	}
 	if h.bound.Steady > 0 {
-		return h.likely(key, other, avoid)
+		return h.likely(key, other, lost)
 	}
 	return 0
 }
 
 // likely returns the first engine of a chat's own order, other than one.
-func (h *Home) likely(key ident.ChatKey, other ident.TargetHash, avoid []ident.TargetHash) ident.TargetHash {
+func (h *Home) likely(key ident.ChatKey, other ident.TargetHash, lost []ident.TargetHash) ident.TargetHash {
 	var best ranked
 	for i := range h.engines {
 		e := &h.engines[i]
 		r := ranked{index: i, set: true, score: ident.Mix(uint64(key), uint64(e.Hash))}
-		if e.present && e.Hash != other && !avoided(avoid, e.Hash) && r.preferred(best) {
+		if e.present && e.Hash != other && !avoided(lost, e.Hash) && r.preferred(best) {
 			best = r
 		}
 	}
--- a/internal/rule/place/pool.go
+++ b/internal/rule/place/pool.go
@@ -143,7 +143,7 @@
 	var best ranked
 	for i, e := range p.engines {
 		r := ranked{index: i, set: true, score: ident.Mix(uint64(req.Key), uint64(e.Hash)), shard: preference[ShardOf(e.Hash, p.shards)]}
-		if i != chosen && !avoided(req.Avoid, e.Hash) && r.preferred(best) {
+		if i != chosen && !avoided(req.Lost, e.Hash) && r.preferred(best) {
 			best = r
 		}
 	}
--- a/internal/rule/retry/breaker.go
+++ b/internal/rule/retry/breaker.go
@@ -23,6 +23,8 @@
 	until    time.Time
 	pause    time.Duration
 	trial    bool
+	// tripped is set while the breaker is not closed because the target could not be reached.
+	tripped bool
 }
 
 const (
@@ -70,8 +72,12 @@
 		pause = min(2*b.pause, breakerMaxPause)
 	}
 	b.open(now, pause)
+	b.tripped = true
 }
 
+// Tripped reports whether the target could not be reached last.
+func (b *Breaker) Tripped() bool { return b.tripped }
+
 // Blocked reports whether Allow would refuse, without starting a trial.
 func (b *Breaker) Blocked(now time.Time) bool {
 	return (b.state == Open && now.Before(b.until)) || (b.state == HalfOpen && b.trial)
--- a/internal/share/home/server.go
+++ b/internal/share/home/server.go
@@ -72,10 +72,6 @@
 
 // encodeAsk returns the wire form of a request, with permits counted from a base on.
 func encodeAsk(a Ask, released []uint64, base uint64) *peerpb.PlaceRequest {
-	avoid := make([]uint32, 0, len(a.Avoid))
-	for _, e := range a.Avoid {
-		avoid = append(avoid, uint32(e))
-	}
 	return &peerpb.PlaceRequest{
 		Permit:    a.Permit - base,
 		Pool:      uint32(a.Shard.Pool.Hash()),
@@ -88,11 +84,28 @@
 		Must:      a.Must,
 		Released:  shift(released, -base),
 		Weight:    int32(a.Weight),
-		Avoid:     avoid,
+		Avoid:     encodeHashes(a.Avoid),
+		Lost:      encodeHashes(a.Lost),
 		Sums:      encodeSums(a.Sums),
 	}
 }
 
+func encodeHashes(hashes []ident.TargetHash) []uint32 {
+	out := make([]uint32, 0, len(hashes))
+	for _, h := range hashes {
+		out = append(out, uint32(h))
+	}
+	return out
+}
+
+func decodeHashes(in []uint32) []ident.TargetHash {
+	var out []ident.TargetHash
+	for _, h := range in {
+		out = append(out, ident.TargetHash(h))
+	}
+	return out
+}
+
 func encodeSums(sums []place.Sum) []*peerpb.Sum {
 	out := make([]*peerpb.Sum, 0, len(sums))
 	for _, s := range sums {
@@ -113,17 +126,14 @@
 
 // decodeAsk reads a request but for what its link says of the edge.
 func decodeAsk(m *peerpb.PlaceRequest) Ask {
-	var avoid []ident.TargetHash
-	for _, e := range m.GetAvoid() {
-		avoid = append(avoid, ident.TargetHash(e))
-	}
 	return Ask{
 		Request: place.Request{
 			Permit: m.GetPermit(),
 			Key:    ident.ChatKey(m.GetKey()),
 			Work:   ident.Work(max(m.GetWork(), 1)),
 			Must:   m.GetMust(),
-			Avoid:  avoid,
+			Avoid:  decodeHashes(m.GetAvoid()),
+			Lost:   decodeHashes(m.GetLost()),
 		},
 		Shard:     place.ShardID{Shard: ident.Shard(m.GetShard())},
 		Workspace: ident.Workspace(m.GetWorkspace()),
