--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -359,6 +359,7 @@
 		r.failures = 0
 	} else if ctx.Err() == nil {
 		r.failures++
+		r.tryAt = r.clock().Add(cutRetry)
 	}
 	if err != nil {
 		// The permit may have been given; say that it is not used, to that home too if
--- a/internal/edge/route/router_test.go
+++ b/internal/edge/route/router_test.go
@@ -317,3 +317,29 @@
 		t.Errorf("%d of 10 admitted without a home, want this router's third of 10 a second", got)
 	}
 }
+
+// A router that no home answers decides alone at once, and asks again now and then.
+func TestCutOffRouterDoesNotWaitForHomes(t *testing.T) {
+	f, r, _ := newFleet()
+	for _, name := range routers {
+		f.down[name] = true
+	}
+	for key := range ident.ChatKey(10) {
+		acquire(t, r, key).Release()
+	}
+	asked := len(f.asked)
+	if asked > 4 {
+		t.Errorf("%d homes were asked in vain for 10 requests, want at most 4", asked)
+	}
+	for _, name := range routers {
+		f.down[name] = false
+	}
+	f.now = f.now.Add(5 * time.Second)
+	fallbacks := r.Stats().Fallback
+	for key := range ident.ChatKey(10) {
+		acquire(t, r, key).Release()
+	}
+	if got := r.Stats().Fallback - fallbacks; got != 0 {
+		t.Errorf("%d of 10 requests were placed alone although homes answer again", got)
+	}
+}
