--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -20,6 +20,7 @@
 	// ended is set when the caller has got its final answer, or as much as there will be.
 	ended  bool
 	reason Reason
+	// status is the target's, or zero without an answer.
 	status int
 	// step is how far an attempt without an answer got.
 	step retry.Step
@@ -35,11 +36,16 @@
 	freshOnce = 500 * time.Millisecond
 	// freshSafe is that time for requests that may be sent again.
 	freshSafe = 3 * time.Second
-	// answerMargin is kept of a target's time for passing its answer on.
+	// answerMargin is kept of a target's time for passing its answer on: a round trip is
+	// a few milliseconds.
 	answerMargin = 20 * time.Millisecond
 	// wholeAnswer is the largest body that is read to its end before the caller gets
-	// any of it, in bytes. A longer one is passed on as it comes.
+	// any of it, in bytes, so that its loss can still be mended elsewhere. A longer one is
+	// passed on as it comes, which bounds memory.
 	wholeAnswer = 256 << 10
+	// heldUp is how late a timer may fire before this router counts as held up itself:
+	// frozen, or short of processor time.
+	heldUp = 100 * time.Millisecond
 )
 
 // attempt sends the request to one target and passes the answer on.
@@ -85,10 +91,6 @@
 	}
 }
 
-// heldUp is how late a timer may fire before this router counts as held up itself:
-// frozen, or short of processor time.
-const heldUp = 100 * time.Millisecond
-
 // mayRepeat reports whether another attempt at the request is allowed by its route.
 func (j *job) mayRepeat() bool {
 	return j.route.Repeat == retry.Safe && j.ran < j.route.Attempts
@@ -144,7 +146,8 @@
 	}
 }
 
-// pass gives an answer to the caller.
+// pass gives an answer to the caller: events as they come, and anything else that is
+// short only once it is whole.
 func (h *Handler) pass(w http.ResponseWriter, j *job, answer *relay.Answer, patience *patience) result {
 	if j.route.Stream && answer.Status < http.StatusMultipleChoices {
 		return h.passEvents(w, j, answer, patience)
@@ -161,10 +164,8 @@
 		return h.passLong(w, j, answer, body)
 	}
 	j.first = h.Clock().Sub(j.arrived)
-	header := h.head(w, j, answer)
-	if length := strconv.Itoa(len(body)); answer.Length != 0 || len(body) > 0 || header.Get("Content-Length") == "" {
-		header.Set("Content-Length", length)
-	}
+	header := h.head(w, answer)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(answer.Status)
 	// A caller that has gone needs no answer.
 	_, _ = w.Write(body)
@@ -173,7 +174,7 @@
 
 // passLong passes on an answer that is too long to be kept whole.
 func (h *Handler) passLong(w http.ResponseWriter, j *job, answer *relay.Answer, begun []byte) result {
-	header := h.head(w, j, answer)
+	header := h.head(w, answer)
 	if answer.Length >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
@@ -190,8 +191,8 @@
 	return result{ended: true, reason: Served, status: answer.Status}
 }
 
-// head copies an answer's headers to the caller.
-func (h *Handler) head(w http.ResponseWriter, _ *job, answer *relay.Answer) http.Header {
+// head copies an answer's headers to the caller, without its length.
+func (h *Handler) head(w http.ResponseWriter, answer *relay.Answer) http.Header {
 	header := w.Header()
 	for name, values := range relay.EndToEnd(answer.Header) {
 		header[name] = values
--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -10,11 +10,13 @@
 	"valescale/internal/rule/retry"
 )
 
-// eventBuffer is how much of a stream is read at once, in bytes.
-const eventBuffer = 4 << 10
-
-// maxEvent bounds one event, in bytes.
-const maxEvent = 1 << 20
+const (
+	// eventBuffer is how much of a stream is read at once, in bytes: as much as a
+	// connection's buffer holds.
+	eventBuffer = 4 << 10
+	// maxEvent bounds one event, in bytes, and with it what one stream keeps in memory.
+	maxEvent = 1 << 20
+)
 
 // passEvents passes on the events of a stream as they come, whole ones only, so that
 // the stream can go on elsewhere if this target stops in the middle of one.
@@ -47,7 +49,8 @@
 	}
 }
 
-// passOn writes whole events and reports whether the caller is still there.
+// passOn writes whole events and reports whether the caller is still there. Of a stream
+// that goes on at another target it leaves out what the caller has.
 func (h *Handler) passOn(w http.ResponseWriter, control *http.ResponseController, j *job, answer *relay.Answer, events []byte) bool {
 	if j.started && j.sends > 1 {
 		events = after(events, j.last)
@@ -67,18 +70,19 @@
 	return control.Flush() == nil
 }
 
-// begin writes the head of the first target's answer, once.
+// begin writes the head of the first target's answer, once. It names no length, since
+// another target may write the rest.
 func (h *Handler) begin(w http.ResponseWriter, j *job, answer *relay.Answer) {
 	if j.started {
 		return
 	}
 	j.started = true
 	j.first = h.Clock().Sub(j.arrived)
-	header := h.head(w, j, answer)
-	header.Del("Content-Length")
+	h.head(w, answer)
 	w.WriteHeader(answer.Status)
 }
 
+// eventEnds are the empty lines that end an event.
 var eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
 
 // wholeEvents is the length of the whole events at the beginning of some bytes.
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -20,8 +19,11 @@
 
 // Finder finds targets.
 type Finder interface {
+	// Acquire waits for a target; its placement must be released.
 	Acquire(ctx context.Context, ask route.Ask) (*route.Placement, error)
+	// Report notes whether a target answered a request as it should.
 	Report(target ident.TargetHash, ok bool)
+	// Cancelled notes that a request ended without telling anything of its target.
 	Cancelled(target ident.TargetHash)
 	// Heard notes that bytes of an answer came from a target.
 	Heard(target ident.TargetHash)
@@ -34,6 +36,7 @@
 
 // Sender makes attempts.
 type Sender interface {
+	// Send makes one attempt and returns once the answer's head is there.
 	Send(ctx context.Context, e relay.Exchange) (*relay.Answer, error)
 }
 
@@ -47,6 +50,7 @@
 
 // Observer is told of each request's end.
 type Observer interface {
+	// Ended is called once a request.
 	Ended(e End)
 }
 
@@ -56,8 +60,10 @@
 	Service   ident.Service
 	Workspace ident.Workspace
 	Reason    Reason
-	Status    int
-	Sends     int
+	// Status is what the caller got, or zero without an answer.
+	Status int
+	// Sends counts the attempts that reached a target.
+	Sends int
 	// Found is until a target was found, First until the answer's first byte, Whole
 	// until the end; zero if it did not come to that.
 	Found time.Duration
@@ -99,10 +105,13 @@
 	h.serve(ctx, w, j)
 }
 
-// accept finds the request's route and workspace.
+// accept finds the request's route, workspace and service. With a problem the job holds
+// what was found before it.
 func (h *Handler) accept(r *http.Request) (*job, *problem) {
-	j := &job{arrived: h.Clock(), call: h.Dialect.Read(r.Header), method: r.Method, path: r.RequestURI, host: r.Host}
-	j.header = r.Header
+	j := &job{
+		arrived: h.Clock(), call: h.Dialect.Read(r.Header),
+		method: r.Method, path: r.RequestURI, host: r.Host, header: r.Header,
+	}
 	table := h.table(r.Context())
 	if table == nil {
 		return j, refusal(NoConfig, 0)
@@ -133,6 +142,8 @@
 	// startWait is how long a request waits for a router that has just started to learn
 	// the configuration, which takes it a few round trips to the store.
 	startWait = 250 * time.Millisecond
+	// startLook is the pause between two looks for the configuration: a fiftieth of the
+	// wait, so that looking adds next to nothing to it.
 	startLook = 5 * time.Millisecond
 )
 
@@ -160,43 +171,6 @@
 	return &problem{status: status, reason: reason}
 }
 
-// readBody reads the request's body within its limits.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, j *job) *problem {
-	if r.Body == http.NoBody {
-		return nil
-	}
-	if r.ContentLength > j.bodyLimit {
-		return &problem{status: http.StatusRequestEntityTooLarge, reason: TooLarge}
-	}
-	control := http.NewResponseController(w)
-	// Neither call fails on a connection of this server.
-	_ = control.SetReadDeadline(j.limit)
-	body, err := readAll(http.MaxBytesReader(w, r.Body, j.bodyLimit), r.ContentLength)
-	_ = control.SetReadDeadline(time.Time{})
-	var large *http.MaxBytesError
-	switch {
-	case err == nil:
-		j.body = body
-		return nil
-	case errors.As(err, &large):
-		return &problem{status: http.StatusRequestEntityTooLarge, reason: TooLarge}
-	case r.Context().Err() != nil || !h.Clock().Before(j.limit):
-		return &problem{status: http.StatusRequestTimeout, reason: SlowCaller}
-	default:
-		return &problem{status: http.StatusBadRequest, reason: BadRequest}
-	}
-}
-
-// readAll reads a body whose length may be known.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
 // answer ends a request with an answer of the router's own.
 func (h *Handler) answer(w http.ResponseWriter, j *job, p *problem) {
 	p.write(w)
@@ -281,14 +255,17 @@
 	noBudget   follow = "no_budget"
 )
 
-// maxRefused is how many targets may refuse one request: after a crash of many, their
-// addresses can belong to others before the store's rows say so.
-const maxRefused = 3
-
-// maxFree is how many attempts that reached no target one request may make: with that
-// many targets unreachable the fault is more likely the router's own link.
-const maxFree = 4
+const (
+	// maxRefused is how many targets may refuse one request: after a crash of many, their
+	// addresses can belong to others before the store's rows say so.
+	maxRefused = 3
+	// maxFree is how many attempts that reached no target one request may make: with that
+	// many targets unreachable the fault is more likely the router's own link.
+	maxFree = 4
+)
 
+// mayFollow checks an attempt's end against the route's terms and the retry budget, of
+// which it uses one unless the attempt has paid.
 func (h *Handler) mayFollow(ctx context.Context, j *job, last result) follow {
 	if ctx.Err() != nil {
 		return noTime
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -30,19 +30,23 @@
 	arrived   time.Time
 	// limit is when the final answer is due.
 	limit time.Time
+	// avoid are the targets of earlier attempts.
 	avoid []ident.TargetHash
 	// sends counts the attempts that reached a target, ran those that it may have
 	// worked on, free those that reached none.
-	sends   int
-	ran     int
-	free    int
+	sends int
+	ran   int
+	free  int
+	// outcome is what is known of the attempts so far taken together.
 	outcome retry.Outcome
 	// started is set once a part of an answer has gone to the caller.
 	started bool
 	// placed is the latest placement, nil before the first.
 	placed *route.Placement
 	// last is the id of the last event that the caller has got.
-	last  EventID
+	last EventID
+	// found and first are the times until a target was found and until the answer's
+	// first byte, zero before that.
 	found time.Duration
 	first time.Duration
 }
@@ -58,7 +62,8 @@
 	return ident.NewChatKey("", shared.ID)
 }
 
-// ranks is the number of ranks that priorities tell apart for routes, and for workspaces.
+// ranks is the number of ranks that priorities tell apart for routes, and for workspaces;
+// lower urgency than that counts as the last.
 const ranks = 16
 
 // priority joins the ranks of workspace and route into one number, higher first.
--- a/internal/edge/entry/patience.go
+++ b/internal/edge/entry/patience.go
@@ -17,7 +17,8 @@
 // target could still do the work, and tells of the silence when none could.
 type patience struct {
 	cancel context.CancelCauseFunc
-	timer  *time.Timer
+	// timer ends the attempt; nil waits for ever.
+	timer *time.Timer
 	// watch tells of a silence, silence is how long that is, since when it began.
 	watch   *time.Timer
 	silence time.Duration
@@ -56,7 +57,7 @@
 	}
 }
 
-// stop frees the timer and ends what still runs.
+// stop frees the timers and the context.
 func (p *patience) stop() {
 	if p.timer != nil {
 		p.timer.Stop()
--- a/internal/edge/entry/problem.go
+++ b/internal/edge/entry/problem.go
@@ -13,27 +13,42 @@
 	"valescale/internal/rule/retry"
 )
 
-// Reason names why a request got no answer of a target, for logs, metrics and callers' programs.
+// Reason names how a request or an attempt ended, for logs, metrics and callers' programs.
 type Reason string
 
-// The reasons.
 const (
-	NoConfig    Reason = "no_configuration"
-	NoRoute     Reason = "no_route"
-	BadKey      Reason = "unknown_key"
-	BadRequest  Reason = "bad_request"
-	TooLarge    Reason = "too_large"
-	SlowCaller  Reason = "slow_caller"
-	CallerGone  Reason = "caller_gone"
-	NoTarget    Reason = "no_target"
-	Overloaded  Reason = "overloaded"
-	Refused     Reason = "target_refused"
+	// NoConfig means that this router does not know a configuration yet.
+	NoConfig Reason = "no_configuration"
+	// NoRoute means that no route has the request's host and path.
+	NoRoute Reason = "no_route"
+	// BadKey means that no workspace has the request's API key.
+	BadKey Reason = "unknown_key"
+	// BadRequest means that the request's body could not be read.
+	BadRequest Reason = "bad_request"
+	// TooLarge means that the request's body exceeds the configured limit.
+	TooLarge Reason = "too_large"
+	// SlowCaller means that the request's body did not come in time.
+	SlowCaller Reason = "slow_caller"
+	// CallerGone means that the caller left before the end of its answer.
+	CallerGone Reason = "caller_gone"
+	// NoTarget means that the service has no target.
+	NoTarget Reason = "no_target"
+	// Overloaded means that no target took the request in time.
+	Overloaded Reason = "overloaded"
+	// Refused means that a target said that it did not run the request.
+	Refused Reason = "target_refused"
+	// Unreachable means that no byte of the request reached a target.
 	Unreachable Reason = "target_unreachable"
-	Lost        Reason = "answer_lost"
-	Failed      Reason = "target_failed"
-	TimedOut    Reason = "timed_out"
-	CutOff      Reason = "answer_cut_off"
-	Served      Reason = "served"
+	// Lost means that a target's answer did not come, or not whole.
+	Lost Reason = "answer_lost"
+	// Failed means that a target answered with a failure of its own.
+	Failed Reason = "target_failed"
+	// TimedOut means that the request's time was over while it may have run.
+	TimedOut Reason = "timed_out"
+	// CutOff means that an answer ended after a part of it had gone to the caller.
+	CutOff Reason = "answer_cut_off"
+	// Served means that a target's whole answer was passed on.
+	Served Reason = "served"
 )
 
 // problem is a final answer of the router's own.
@@ -44,12 +59,13 @@
 	again time.Duration
 }
 
+// problemBody is what the caller's program reads of a problem.
 type problemBody struct {
 	Error   Reason        `json:"error"`
 	Outcome retry.Outcome `json:"outcome"`
 }
 
-// outcome is what a status promises.
+// outcome is what a status promises: only a gateway's two leave open whether the request ran.
 func (p *problem) outcome() retry.Outcome {
 	switch p.status {
 	case http.StatusBadGateway, http.StatusGatewayTimeout:
@@ -59,6 +75,7 @@
 	}
 }
 
+// write sends the problem as the whole answer.
 func (p *problem) write(w http.ResponseWriter) {
 	body, err := json.Marshal(problemBody{Error: p.reason, Outcome: p.outcome()})
 	if err != nil {
@@ -80,6 +97,7 @@
 // long enough for the routers to notice a lost target, a small part of any deadline.
 const comeBack = 200 * time.Millisecond
 
+// refusal says that the request did not run and when to come back.
 func refusal(reason Reason, again time.Duration) *problem {
 	return &problem{status: http.StatusServiceUnavailable, reason: reason, again: max(again, comeBack)}
 }
