feed: the copy of one table in a file of its own

Change: replica and its limits moved to replica.go; follows says which pages can be taken in, counting lists the rows that count, by cmp.Compare; comments on what is told to whom under which lock.

--- a/internal/share/feed/follow.go
+++ b/internal/share/feed/follow.go
@@ -19,7 +19,7 @@
 	Changes(ctx context.Context, name table.Name, after table.Version, wait time.Duration) (table.Page, error)
 }
 
-// Pace is how often the store and other routers are called.
+// Pace is how often the store and other routers are called, and how long they may take.
 type Pace struct {
 	// Wait is how long the store may hold a call until something changes. A connection
 	// that has died without a word is noticed only after it.
@@ -57,7 +57,8 @@
 	rng    *rand.Rand
 	// broken is set when the next call must read the whole table.
 	broken bool
-	pause  time.Duration
+	// pause is that after the latest failure, zero after a success.
+	pause time.Duration
 }
 
 // NewFollower returns a follower of a table that the board holds.
@@ -109,6 +110,8 @@
 	return nil
 }
 
+// readAll reads the whole table. A store that was set back answers with an older state,
+// which is left alone until it has caught up.
 func (f *Follower) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.pace.Wait)
 	defer cancel()
@@ -127,6 +130,7 @@
 	return nil
 }
 
+// lost notes a failed call and logs the first in a row.
 func (f *Follower) lost(ctx context.Context, err error) {
 	if f.pause == 0 && ctx.Err() == nil {
 		_ = level.Warn(f.logger).Log("msg", "dependency lost", "dependency", "store", "table", f.name, "err", err)
@@ -134,6 +138,7 @@
 	f.roles.storeFailed(f.name, true)
 }
 
+// regained notes a call that was answered and logs the first after failures.
 func (f *Follower) regained() {
 	if f.pause > 0 {
 		version, _ := f.board.Version(f.name)
@@ -150,6 +155,7 @@
 	return f.pause/2 + time.Duration(f.rng.Int64N(int64(f.pause/2)+1))
 }
 
+// sleep waits until the time is over or the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/share/feed/pull.go
+++ b/internal/share/feed/pull.go
@@ -60,13 +60,17 @@
 	// avoided are the routers that failed, until when they are not asked.
 	avoided map[ident.Router]time.Time
 	// next is which of the others is asked instead.
-	next   int
+	next int
+	// failed is set while the latest call failed, so that an outage is logged once.
 	failed bool
 }
 
 // NewPuller returns a puller of some tables of a board.
 func NewPuller(board *Board, peers Peers, names []table.Name, pace Pace, roles *Roles, logger log.Logger, clock ident.Clock) *Puller {
-	return &Puller{board: board, peers: peers, names: names, pace: pace, roles: roles, logger: logger, clock: clock, avoided: map[ident.Router]time.Time{}}
+	return &Puller{
+		board: board, peers: peers, names: names, pace: pace, roles: roles, logger: logger, clock: clock,
+		avoided: map[ident.Router]time.Time{},
+	}
 }
 
 // Run reads from others until the context ends.
--- /dev/null
+++ b/internal/share/feed/replica.go
@@ -0,0 +1,172 @@
+package feed
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"valescale/internal/plat/table"
+)
+
+// replica is the copy of one table.
+type replica struct {
+	rows map[table.Key]table.Row
+	// deleted are rows that went, for those who ask what changed.
+	deleted map[table.Key]deletion
+	// floor is the version from which on all changes are known.
+	floor table.Version
+	// version is how far the copy goes; without known there is no copy yet.
+	version table.Version
+	known   bool
+	// confirmed is when the store last said that there is nothing later.
+	confirmed time.Time
+	// regained is when the store was first heard again after an outage.
+	regained time.Time
+	// lapsed are rows that went with an outage and still count for a while.
+	lapsed map[table.Key]lapse
+	// changed is told of all rows that count after each change; it may be nil.
+	changed func([]table.Row)
+}
+
+// deletion is when a row went.
+type deletion struct {
+	version table.Version
+	at      time.Time
+}
+
+// lapse is a row that went with an outage, until when it still counts.
+type lapse struct {
+	row   table.Row
+	until time.Time
+}
+
+const (
+	// LapseGrace is how long after the store's return a row that went meanwhile still
+	// counts. The platform has live targets write theirs again within about two seconds.
+	LapseGrace = 2200 * time.Millisecond
+	// outage is the shortest silence of the store after which rows can have gone because
+	// of it: a target's row goes after three missed heartbeats of about a second.
+	outage = 2500 * time.Millisecond
+	// keepDeleted is how long deletions are remembered: longer than anybody who asks
+	// what changed can have been away without asking for the whole table.
+	keepDeleted = time.Minute
+)
+
+// follows reports whether a page can be taken in: it is no older than the copy, and it
+// is whole or leaves no gap after a version of the copy.
+func (r *replica) follows(after table.Version, page table.Page) bool {
+	if r.known && page.Version < r.version {
+		return false
+	}
+	return page.Whole || (r.known && after <= r.version)
+}
+
+// counting lists the rows that count, those that lapsed among them, by key.
+func (r *replica) counting() []table.Row {
+	rows := slices.Collect(maps.Values(r.rows))
+	for _, l := range r.lapsed {
+		rows = append(rows, l.row)
+	}
+	slices.SortFunc(rows, func(a, b table.Row) int { return cmp.Compare(a.Key, b.Key) })
+	return rows
+}
+
+// newest is the version of the latest change of a row.
+func (r *replica) newest() table.Version {
+	latest := table.Version(0)
+	for _, row := range r.rows {
+		latest = max(latest, row.Version)
+	}
+	for _, d := range r.deleted {
+		latest = max(latest, d.version)
+	}
+	return latest
+}
+
+// confirm notes when the store said that there is nothing later.
+func (r *replica) confirm(at time.Time) {
+	if r.known && at.Sub(r.confirmed) >= outage {
+		r.regained = at
+	}
+	if at.After(r.confirmed) {
+		r.confirmed = at
+	}
+}
+
+// replace makes the copy what a whole page says, and reports whether rows changed.
+func (r *replica) replace(now time.Time, page table.Page) bool {
+	fresh := make(map[table.Key]bool, len(page.Rows))
+	changed := false
+	for _, row := range page.Rows {
+		fresh[row.Key] = true
+		changed = r.put(row) || changed
+	}
+	for key := range r.rows {
+		if !fresh[key] {
+			r.remove(now, key, page.Version)
+			changed = true
+		}
+	}
+	if !r.known {
+		r.floor = page.Version
+	}
+	return changed
+}
+
+// apply takes in changes, and reports whether rows changed.
+func (r *replica) apply(now time.Time, page table.Page) bool {
+	changed := false
+	for _, row := range page.Rows {
+		if !row.Deleted {
+			changed = r.put(row) || changed
+			continue
+		}
+		if known, ok := r.rows[row.Key]; ok && known.Version < row.Version {
+			r.remove(now, row.Key, row.Version)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// put takes in a row unless the copy has it or a later state of it.
+func (r *replica) put(row table.Row) bool {
+	if known, ok := r.rows[row.Key]; ok && known.Version >= row.Version {
+		return false
+	}
+	if gone, ok := r.deleted[row.Key]; ok && gone.version >= row.Version {
+		return false
+	}
+	delete(r.deleted, row.Key)
+	delete(r.lapsed, row.Key)
+	r.rows[row.Key] = row
+	return true
+}
+
+// remove takes a row out; it still counts for a while if it may have gone only because
+// the store was away.
+func (r *replica) remove(now time.Time, key table.Key, version table.Version) {
+	if until := r.regained.Add(LapseGrace); !r.regained.IsZero() && now.Before(until) {
+		r.lapsed[key] = lapse{row: r.rows[key], until: until}
+	}
+	delete(r.rows, key)
+	r.deleted[key] = deletion{version: version, at: now}
+}
+
+// sweep drops what is over and reports whether a row that counted went.
+func (r *replica) sweep(now time.Time) (changed bool) {
+	for key, l := range r.lapsed {
+		if !now.Before(l.until) {
+			delete(r.lapsed, key)
+			changed = true
+		}
+	}
+	for key, d := range r.deleted {
+		if now.Sub(d.at) > keepDeleted {
+			delete(r.deleted, key)
+			r.floor = max(r.floor, d.version)
+		}
+	}
+	return changed
+}
--- a/internal/share/feed/roles.go
+++ b/internal/share/feed/roles.go
@@ -23,7 +23,8 @@
 	// failing are the tables for which the store does not answer.
 	failing map[table.Name]bool
 	// orphan is set while no other router answers.
-	orphan  bool
+	orphan bool
+	// changed is closed and made anew whenever what a router is to read may differ.
 	changed chan struct{}
 }
 
@@ -57,6 +58,7 @@
 	r.changed = make(chan struct{})
 }
 
+// storeFailed notes whether the store answers for a table.
 func (r *Roles) storeFailed(name table.Name, failed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -67,6 +69,7 @@
 	r.signal()
 }
 
+// peersFailed notes whether other routers answer.
 func (r *Roles) peersFailed(failed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -96,9 +99,10 @@
 // awaitStore waits until this router is to read the store; false means that the context ended.
 func (r *Roles) awaitStore(ctx context.Context) bool { return r.await(ctx, r.wantsStore) }
 
-// awaitPeers waits until this router is to read from others.
+// awaitPeers waits until this router is to read from others; false means that the context ended.
 func (r *Roles) awaitPeers(ctx context.Context) bool { return r.await(ctx, r.wantsPeers) }
 
+// await waits until a role is wanted; wanted is called with the lock held.
 func (r *Roles) await(ctx context.Context, wanted func() bool) bool {
 	for ctx.Err() == nil {
 		r.mu.Lock()
