mesh: calls to other routers in a file of their own, unused names gone

Change: settle, handOff, publish and Refresh moved to settle.go; the unused ones went, the two became follow and publish; comments on what guards what and on two intervals.

--- a/internal/oper/daemon/pools.go
+++ b/internal/oper/daemon/pools.go
@@ -21,7 +21,7 @@
 	force := d.keeper.InForce()
 	return mesh.Wanted{
 		Revision: force.Revision, Services: slices.Collect(maps.Values(force.Set.Services)), Reports: d.reports.version(),
-		Install: func(*mesh.Set) {
+		Install: func() {
 			d.force.Store(&force)
 			d.acknowledge(force.Revision)
 		},
--- a/internal/oper/mesh/loop.go
+++ b/internal/oper/mesh/loop.go
@@ -12,9 +12,11 @@
 	refreshEvery = time.Second
 	// refreshSoon lets changes of the view that come together be followed together.
 	refreshSoon = 2 * time.Millisecond
-	// reconcileEvery is how often homes with a wrong count are told the right one.
+	// reconcileEvery is how often homes with a wrong count are told the right one, a
+	// quarter of the time for which a home counts the permits of a router it does not hear.
 	reconcileEvery = 500 * time.Millisecond
-	// publishEvery is how often the routers next in line are told of counts that changed.
+	// publishEvery is how often the routers next in line are told of counts that changed:
+	// as old as that may be what a router knows that takes over from a lost home.
 	publishEvery = time.Second
 	// publishSoon lets counts that jump together be published together.
 	publishSoon = 10 * time.Millisecond
@@ -24,10 +26,10 @@
 func (m *Mesh) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { Follow(ctx, m.dirty, refreshSoon, refreshEvery, m.updated) })
-	wg.Go(func() { Follow(ctx, m.unsettled, 0, refreshEvery, m.settle) })
+	wg.Go(func() { follow(ctx, m.dirty, refreshSoon, refreshEvery, m.updated) })
+	wg.Go(func() { follow(ctx, m.unsettled, 0, refreshEvery, m.settle) })
 	wg.Go(func() { Every(ctx, reconcileEvery, m.reconcile) })
-	wg.Go(func() { Follow(ctx, m.Homes.Urgent(), publishSoon, publishEvery, m.Publish) })
+	wg.Go(func() { follow(ctx, m.Homes.Urgent(), publishSoon, publishEvery, m.publish) })
 }
 
 // reconcile keeps homes' counts of permits and what routers hold the same.
@@ -59,9 +61,9 @@
 	}
 }
 
-// Follow calls work when signalled, a short while later so that signals that come
+// follow calls work when signalled, a short while later so that signals that come
 // together are followed once, and at intervals even without a signal.
-func Follow(ctx context.Context, signal <-chan struct{}, soon, interval time.Duration, work func(context.Context)) {
+func follow(ctx context.Context, signal <-chan struct{}, soon, interval time.Duration, work func(context.Context)) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
--- a/internal/oper/mesh/mesh.go
+++ b/internal/oper/mesh/mesh.go
@@ -1,12 +1,10 @@
 package mesh
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"valescale/internal/edge/route"
 	"valescale/internal/plat/ident"
@@ -23,7 +21,7 @@
 	// Reports grows with each change of what Slots returns.
 	Reports uint64
 	// Install is called once the pools are in place; it may be nil.
-	Install func(*Set)
+	Install func()
 }
 
 // Capacity is what is known of one target's capacity.
@@ -36,6 +34,7 @@
 
 // Parts are what a mesh works with.
 type Parts struct {
+	// Self is this router.
 	Self   peer.Member
 	Node   *peer.Node
 	Homes  *home.Homes
@@ -52,8 +51,7 @@
 
 // Set is what membership and configuration give together.
 type Set struct {
-	Revision ident.Revision
-	Pools    []route.Pool
+	Pools []route.Pool
 	// Live assigns homes among the live routers of the region, Known among all that
 	// are remembered and do not leave.
 	Live  *place.Assignment
@@ -63,9 +61,11 @@
 // Mesh keeps pools and homes up to date.
 type Mesh struct {
 	Parts
-	set   atomic.Pointer[Set]
+	set atomic.Pointer[Set]
+	// dirty asks for pools and homes to be brought up to date.
 	dirty chan struct{}
-	// refreshing keeps an older look at membership and configuration from replacing a later one.
+	// refreshing keeps an older look at membership and configuration from replacing a
+	// later one; refreshed is the latest.
 	refreshing sync.Mutex
 	refreshed  inputs
 	// moved are permits whose home has changed and that the new one is to be told of.
@@ -84,7 +84,7 @@
 	return m
 }
 
-// Set returns the present pools and homes.
+// Set returns the present pools and homes; they are never changed, only replaced.
 func (m *Mesh) Set() *Set { return m.set.Load() }
 
 // MarkDirty asks for pools and homes to be brought up to date.
@@ -95,10 +95,8 @@
 	}
 }
 
-// Dirty is signalled by MarkDirty.
-func (m *Mesh) Dirty() <-chan struct{} { return m.dirty }
-
-// permitBits leaves room for a million permits for each millisecond of a process's life.
+// permitBits leaves room for a million permits for each millisecond of a process's life:
+// incarnations are milliseconds of the clock.
 const permitBits = 20
 
 // FirstPermit is above all permits that earlier incarnations of a router asked for.
@@ -120,12 +118,6 @@
 	below map[ident.Router]uint64
 }
 
-// Refresh brings pools, homes and permits up to date with membership and configuration.
-func (m *Mesh) Refresh(ctx context.Context) {
-	m.Update()
-	m.settle(ctx)
-}
-
 // Update brings pools and homes up to date without a call to another router.
 func (m *Mesh) Update() {
 	m.refreshing.Lock()
@@ -137,7 +129,7 @@
 		return
 	}
 	m.refreshed = seen
-	next := &Set{Revision: wanted.Revision}
+	next := &Set{}
 	var seenRouters routers
 	m.Node.Read(func(v *peer.View) {
 		next.Pools = m.pools(wanted.Services, v)
@@ -153,7 +145,7 @@
 	m.moved = append(m.moved, m.Router.Set(next.Pools, next.Live)...)
 	m.set.Store(next)
 	if wanted.Install != nil {
-		wanted.Install(next)
+		wanted.Install()
 	}
 	m.Homes.Doubt(seenRouters.doubted)
 	for id, below := range seenRouters.below {
@@ -161,18 +153,6 @@
 	}
 }
 
-// settle tells homes what has moved to them. It waits for routers that may not answer.
-func (m *Mesh) settle(ctx context.Context) {
-	m.settling.Lock()
-	defer m.settling.Unlock()
-	m.refreshing.Lock()
-	moved := m.moved
-	m.moved = nil
-	m.refreshing.Unlock()
-	m.Router.Move(ctx, moved)
-	m.handOff(ctx, m.Set().Live)
-}
-
 // sighting is a router's state as seen at one moment.
 type sighting struct {
 	incarnation ident.Incarnation
@@ -236,6 +216,7 @@
 	return out
 }
 
+// pool joins a service with its targets of one region.
 func (m *Mesh) pool(service policy.Service, region ident.Region, targets []peer.Target) route.Pool {
 	p := route.Pool{
 		Name: ident.NewPool(service.Name, region), Region: region, Service: service,
@@ -257,34 +238,7 @@
 	return p
 }
 
-// handOff passes on the shards that another router is home of now.
-func (m *Mesh) handOff(ctx context.Context, live *place.Assignment) {
-	for _, p := range m.Homes.Misplaced(live.Home) {
-		if err := m.Remote.Handoff(ctx, p); err != nil {
-			_ = level.Warn(m.Logger).Log("msg", "handoff failed", "pool", p.ID.Pool, "shard", p.ID.Shard, "to", p.To, "err", err)
-			continue
-		}
-		m.Homes.Moved(p.ID)
-	}
-}
-
-// Publish tells the routers next in line what this router's homes count. Routers that
-// are thought dead are told too: if they are not, they may well believe to be home
-// themselves.
-func (m *Mesh) Publish(ctx context.Context) {
-	set := m.Set()
-	for _, p := range m.Homes.Publications(set.Live, set.Known) {
-		for _, to := range p.To {
-			m.Remote.Publish(to, p.Digest)
-		}
-		if p.Whole != nil {
-			// If it does not arrive, the standby learns the places as chats return.
-			_ = m.Remote.Handoff(ctx, *p.Whole)
-		}
-	}
-}
-
-// Target finds a target by its id.
+// Target finds a target of any pool by its id.
 func (m *Mesh) Target(id ident.Target) (route.Target, bool) {
 	for _, p := range m.Set().Pools {
 		if t, ok := p.Targets[id.Hash()]; ok && t.ID == id {
