relay: one loop for picking idle connections, a field that nobody read gone

Cause: take joined the choice under the lock with calls of itself; Answer.Reused and what kept it up had no reader; stop and last did not say what they stop or are last of; a buffer's size had no name. Change: pick chooses under the lock and take tests what it chose; unwatch and closing for the two; encodeHead with headSize and hasBody; comments on fields and limits.

--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -37,15 +37,18 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1.
 	Length int64
-	// Reused says that the connection had carried another request before.
-	Reused bool
 	body   io.ReadCloser
 	conn   *conn
 	conns  *Conns
-	stop   func() bool
-	sent   <-chan error
-	whole  bool
-	last   bool
+	// unwatch ends the watch on the context and reports whether it had not closed the
+	// connection by then.
+	unwatch func() bool
+	// sent tells when all of the request is written.
+	sent <-chan error
+	// whole is set once the body was read to its end.
+	whole bool
+	// closing says that the target closes the connection after this answer.
+	closing bool
 }
 
 // conn is one connection to a target.
@@ -54,11 +57,11 @@
 	addr   string
 	reader *bufio.Reader
 	source *boundedReader
+	// header is the largest header of an answer, in bytes.
 	header int64
 	// since is when the connection became idle, expires until when it may be used again.
 	since   time.Time
 	expires time.Time
-	used    bool
 }
 
 // boundedReader ends a connection that sends more than it may.
@@ -67,6 +70,7 @@
 	left int64
 }
 
+// errHeaderTooLarge ends the reading of an answer's head.
 var errHeaderTooLarge = errors.New("the answer's header is too large")
 
 // Read reads at most what is left.
@@ -85,6 +89,7 @@
 // readBuffer holds a header and the first events, in bytes.
 const readBuffer = 4 << 10
 
+// newConn returns a connection whose answers have headers of at most some bytes.
 func newConn(addr string, raw net.Conn, header int64) *conn {
 	source := &boundedReader{Conn: raw, left: header}
 	return &conn{Conn: raw, addr: addr, source: source, reader: bufio.NewReaderSize(source, readBuffer), header: header}
@@ -101,18 +106,16 @@
 			return nil, err
 		}
 	}
-	reused := cn.used
-	cn.used = true
-	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	unwatch := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	sent, err := cn.write(e)
 	if err != nil {
-		stop()
+		unwatch()
 		_ = cn.Close()
 		return nil, failed(op, Broken, stepOfWrite(err), err)
 	}
 	resp, err := cn.readOwn(e)
 	if err != nil {
-		stop()
+		unwatch()
 		_ = cn.Close()
 		if ctx.Err() != nil {
 			err = ctx.Err()
@@ -120,8 +123,8 @@
 		return nil, failed(op, kindOfRead(err), retry.Sending, err)
 	}
 	return &Answer{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Reused: reused, body: resp.Body,
-		conn: cn, conns: c, stop: stop, sent: sent, last: resp.Close,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body,
+		conn: cn, conns: c, unwatch: unwatch, sent: sent, closing: resp.Close,
 	}, nil
 }
 
@@ -131,6 +134,7 @@
 // Unwrap returns the cause.
 func (n nothingWritten) Unwrap() error { return n.error }
 
+// stepOfWrite is how far an attempt got whose request could not be written.
 func stepOfWrite(err error) retry.Step {
 	var n nothingWritten
 	if errors.As(err, &n) {
@@ -139,8 +143,10 @@
 	return retry.Sending
 }
 
+// errCrossed ends an attempt that got only answers to earlier requests.
 var errCrossed = errors.New("only answers to other requests came")
 
+// kindOfRead is why no head of an answer was read.
 func kindOfRead(err error) Kind {
 	if errors.Is(err, errCrossed) {
 		return Crossed
@@ -149,12 +155,13 @@
 }
 
 // inline is the largest request that is written before the answer is awaited, in
-// bytes. A target may answer before it has read a longer one.
+// bytes: it fits into a new connection's send buffer, so that the write does not wait
+// for the target. A target may answer before it has read a longer one.
 const inline = 8 << 10
 
 // write sends a request; sent tells when all of it is written.
 func (c *conn) write(e Exchange) (sent <-chan error, err error) {
-	head := appendHead(e)
+	head := encodeHead(e)
 	done := make(chan error, 1)
 	if len(head)+len(e.Body) <= inline {
 		n, err := c.Conn.Write(append(head, e.Body...))
@@ -172,10 +179,14 @@
 	return done, nil
 }
 
-// appendHead writes the request line and the header.
-func appendHead(e Exchange) []byte {
+// headSize is what a request's line and header usually fit in, in bytes.
+const headSize = 1 << 10
+
+// encodeHead returns the request line and the header. It names the body's length, and
+// that of an empty body if requests of the method have one.
+func encodeHead(e Exchange) []byte {
 	var b bytes.Buffer
-	b.Grow(1024)
+	b.Grow(headSize)
 	b.WriteString(e.Method)
 	b.WriteByte(' ')
 	b.WriteString(e.Path)
@@ -184,7 +195,7 @@
 	b.WriteString("\r\n")
 	// A buffer takes every write.
 	_ = e.Header.Write(&b)
-	if len(e.Body) > 0 || e.Method == http.MethodPost || e.Method == http.MethodPut || e.Method == http.MethodPatch {
+	if len(e.Body) > 0 || hasBody(e.Method) {
 		b.WriteString("Content-Length: ")
 		b.WriteString(strconv.Itoa(len(e.Body)))
 		b.WriteString("\r\n")
@@ -193,8 +204,14 @@
 	return b.Bytes()
 }
 
+// hasBody reports whether requests of a method have a body, if only an empty one.
+func hasBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
 const (
-	// maxForeign is how many answers to earlier requests are skipped on a connection.
+	// maxForeign is how many answers to earlier requests are skipped on a connection: a
+	// late and a surplus one.
 	maxForeign = 2
 	// maxForeignBody bounds the body of an answer that is skipped, in bytes.
 	maxForeignBody = 1 << 20
@@ -246,16 +263,17 @@
 // Close ends the attempt. The connection is used again only after a whole answer and
 // a whole request, without a byte to spare.
 func (a *Answer) Close() {
-	running := a.stop()
-	if !running || !a.reusable() {
+	open := a.unwatch()
+	if !open || !a.reusable() {
 		_ = a.conn.Close()
 		return
 	}
 	a.conns.keep(a.conn, a.Header, time.Now())
 }
 
+// reusable reports whether nothing of this exchange is left on the connection.
 func (a *Answer) reusable() bool {
-	if !a.whole || a.last || a.conn.reader.Buffered() > 0 {
+	if !a.whole || a.closing || a.conn.reader.Buffered() > 0 {
 		return false
 	}
 	select {
--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -36,10 +36,12 @@
 type Conns struct {
 	limits ConnLimits
 	dialer net.Dialer
-	mu     sync.Mutex
+	dialed atomic.Uint64
+
+	mu sync.Mutex
+	// idle are the connections without a request by address, the latest used last.
 	idle   map[string][]*conn
 	closed bool
-	dialed atomic.Uint64
 }
 
 // NewConns returns connections and the function that closes the idle ones for good.
@@ -77,32 +79,35 @@
 
 // take returns an idle connection that was used within fresh, the latest first, or nil.
 func (c *Conns) take(addr string, now time.Time, fresh time.Duration) *conn {
+	for {
+		found, expired := c.pick(addr, now, fresh)
+		closeAll(expired)
+		if found == nil || found.quiet() {
+			return found
+		}
+		_ = found.Close()
+	}
+}
+
+// pick takes the latest idle connection out, or nil, and those that it found expired.
+func (c *Conns) pick(addr string, now time.Time, fresh time.Duration) (found *conn, expired []*conn) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	list := c.idle[addr]
-	var found *conn
-	var old []*conn
 	for len(list) > 0 && found == nil {
 		last := list[len(list)-1]
-		list = list[:len(list)-1]
 		if now.After(last.expires) {
-			old = append(old, last)
-			continue
-		}
-		if now.Sub(last.since) > fresh {
+			expired = append(expired, last)
+		} else if now.Sub(last.since) <= fresh {
+			found = last
+		} else {
 			// The others have been idle for longer still.
-			list = append(list, last)
 			break
 		}
-		found = last
+		list = list[:len(list)-1]
 	}
 	c.put(addr, list)
-	c.mu.Unlock()
-	closeAll(old)
-	if found != nil && !found.quiet() {
-		_ = found.Close()
-		return c.take(addr, now, fresh)
-	}
-	return found
+	return found, expired
 }
 
 // put replaces an address's idle connections; the caller holds the lock.
