--- a/internal/rule/match/config.go
+++ b/internal/rule/match/config.go
@@ -43,6 +43,7 @@
 	Public bool
 	// Sticky routes prefer the target that has a prompt's shared part cached.
 	Sticky bool
+	// Shares are the services that requests go to, one at least.
 	Shares []Share
 }
 
--- a/internal/rule/match/table.go
+++ b/internal/rule/match/table.go
@@ -14,10 +14,10 @@
 type Table struct {
 	Revision ident.Revision
 	Limits   Limits
-	Services map[ident.Service]Service
-	keyed    bool
-	routes   map[address]*Route
-	keys     map[string]*Workspace
+	// keyed says that requests need an API key except on public routes.
+	keyed  bool
+	routes map[address]*Route
+	keys   map[string]*Workspace
 }
 
 // address is where a route is looked up.
@@ -32,14 +32,10 @@
 	t := &Table{
 		Revision: c.Revision,
 		Limits:   c.Limits,
-		Services: make(map[ident.Service]Service, len(c.Services)),
 		keyed:    c.Keyed,
 		routes:   make(map[address]*Route, len(c.Routes)),
 		keys:     map[string]*Workspace{},
 	}
-	for _, s := range c.Services {
-		t.Services[s.Name] = s
-	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		if err := r.check(); err != nil {
@@ -56,6 +52,7 @@
 	return t, nil
 }
 
+// check reports what contradicts the route's own terms.
 func (r *Route) check() error {
 	const op = "match.Compile"
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
@@ -123,13 +120,3 @@
 	}
 	return best
 }
-
-// Allows reports whether the route may send requests to a service.
-func (r *Route) Allows(service ident.Service) bool {
-	for _, s := range r.Shares {
-		if s.Service == service {
-			return true
-		}
-	}
-	return false
-}
