node, telem: build and Run in steps, one log for servers' complaints, listeners' failures are logged

Cause: build made every part in one function; the adapter for HTTP servers' complaints and the yes-or-no figure stood twice, in node and in daemon; node had a sleep that only called mesh.Sleep; what a listener failed with was dropped; decodeRouter gave an error of another package's kind; one timeout borrowed the name of a pause. Change: buildPeers, buildMesh, buildEntry and work; telem.NewServerLog and telem.Flag for both daemons; a log line for a failed listener; node.BadRow; listTimeout; observe for what was written twice; histogram bounds and batches with names and reasons; comments.

--- a/internal/oper/daemon/keys.go
+++ b/internal/oper/daemon/keys.go
@@ -4,15 +4,11 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	stdlog "log"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"valescale/internal/oper/conf"
@@ -164,17 +160,4 @@
 	})
 }
 
-// quiet turns the HTTP server's own complaints into debug lines.
-func quiet(logger log.Logger) *stdlog.Logger {
-	return stdlog.New(debugWriter{logger}, "", 0)
-}
-
-type debugWriter struct{ logger log.Logger }
-
-// Write logs one line.
-func (w debugWriter) Write(p []byte) (int, error) {
-	_ = level.Debug(w.logger).Log("msg", strings.TrimSpace(string(p)))
-	return len(p), nil
-}
-
 var _ peerpb.PeerServiceHandler = (*peerService)(nil)
--- a/internal/oper/daemon/serve.go
+++ b/internal/oper/daemon/serve.go
@@ -155,7 +155,7 @@
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    d.settings.Limits.Header,
-		ErrorLog:          quiet(d.logger),
+		ErrorLog:          telem.NewServerLog(d.logger),
 	}, nil
 }
 
@@ -172,7 +172,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler: trimReply(checkPeer(tls != nil, mux)), TLSConfig: tls, ReadHeaderTimeout: headerTime,
-		Protocols: protocols, ErrorLog: quiet(d.logger),
+		Protocols: protocols, ErrorLog: telem.NewServerLog(d.logger),
 	}, nil
 }
 
@@ -202,7 +202,7 @@
 		_ = level.Error(d.logger).Log("msg", "admin serves nothing", "err", err)
 		return &http.Server{Handler: http.NotFoundHandler()}
 	}
-	return &http.Server{Handler: mux, TLSConfig: config, ReadHeaderTimeout: headerTime, ErrorLog: quiet(d.logger)}
+	return &http.Server{Handler: mux, TLSConfig: config, ReadHeaderTimeout: headerTime, ErrorLog: telem.NewServerLog(d.logger)}
 }
 
 // peerService answers other routers.
@@ -276,16 +276,10 @@
 
 // gauges are what metrics read of this router.
 func (d *Daemon) gauges() telem.Gauges {
-	one := func(b bool) float64 {
-		if b {
-			return 1
-		}
-		return 0
-	}
 	return telem.Gauges{
 		Revision: func() float64 { return float64(d.Revision()) },
-		StoreUp:  func() float64 { return one(d.table.Up()) },
-		Ready:    func() float64 { return one(d.Ready()) },
+		StoreUp:  func() float64 { return telem.Flag(d.table.Up()) },
+		Ready:    func() float64 { return telem.Flag(d.Ready()) },
 		Routers: func() float64 {
 			n := 0
 			d.node.Read(func(v *peer.View) { n = len(v.Routers("")) })
--- a/internal/oper/node/figures.go
+++ b/internal/oper/node/figures.go
@@ -4,12 +4,6 @@
 
 // readings are the figures that metrics read of this router.
 func (n *Node) readings() []telem.Reading {
-	one := func(b bool) float64 {
-		if b {
-			return 1
-		}
-		return 0
-	}
 	return []telem.Reading{
 		{Name: "valescale_revision", Help: "Configuration revision in force.", Read: func() float64 {
 			if t := n.Table(); t != nil {
@@ -17,8 +11,8 @@
 			}
 			return 0
 		}},
-		{Name: "valescale_fresh", Help: "Whether the store confirmed the configuration a moment ago.", Read: func() float64 { return one(n.Fresh()) }},
-		{Name: "valescale_ready", Help: "Whether this router wants requests.", Read: func() float64 { return one(n.ready.Load() && !n.draining.Load()) }},
+		{Name: "valescale_fresh", Help: "Whether the store confirmed the configuration a moment ago.", Read: func() float64 { return telem.Flag(n.Fresh()) }},
+		{Name: "valescale_ready", Help: "Whether this router wants requests.", Read: func() float64 { return telem.Flag(n.ready.Load() && !n.draining.Load()) }},
 		{Name: "valescale_routers", Help: "Live routers known.", Read: func() float64 { return float64(len(n.mesh.Set().Live.Routers())) }},
 		{Name: "valescale_permits", Help: "Permits held by this router's homes.", Read: func() float64 {
 			permits, _ := n.homes.InFlight()
--- a/internal/oper/node/members.go
+++ b/internal/oper/node/members.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"valescale/internal/oper/mesh"
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 	"valescale/internal/plat/table"
@@ -25,6 +26,7 @@
 	Incarnation ident.Incarnation `json:"incarnation"`
 }
 
+// encodeRouter is the writing of a router's row.
 func encodeRouter(m peer.Member) table.Put {
 	value, err := json.Marshal(routerRow{Addr: m.Addr, Zone: m.Zone, Region: m.Region, Incarnation: m.Incarnation})
 	if err != nil {
@@ -34,31 +36,34 @@
 	return table.Put{Table: routerTable, Key: table.Key(m.ID), Value: value}
 }
 
+// decodeRouter reads a router's row.
 func decodeRouter(row table.Row) (peer.Member, error) {
 	var r routerRow
 	if err := json.Unmarshal(row.Value, &r); err != nil {
-		return peer.Member{}, fault.New("node.decodeRouter", table.Refused, err)
+		return peer.Member{}, fault.New("node.decodeRouter", BadRow, err)
 	}
 	return peer.Member{ID: ident.Router(row.Key), Addr: r.Addr, Zone: r.Zone, Region: r.Region, Incarnation: r.Incarnation}, nil
 }
 
 // followTables connects the copies of the store's tables with what is made of them.
 func (n *Node) followTables() {
-	observe := func() {
-		list := n.state.boxes()
-		n.peers.Do(func(v *peer.View) { v.ObserveList(n.Clock(), list) })
-	}
 	n.board.Follow(n.Rows.ConfigTable(), func(rows []table.Row) {
 		n.state.setConfig(rows)
 		n.mesh.MarkDirty()
 	})
 	n.board.Follow(n.Rows.TargetTable(), func(rows []table.Row) {
 		n.state.setTargets(rows)
-		observe()
+		n.observe()
 		n.mesh.MarkDirty()
 	})
 }
 
+// observe tells membership which routers and targets the store's rows name.
+func (n *Node) observe() {
+	list := n.state.boxes()
+	n.peers.Do(func(v *peer.View) { v.ObserveList(n.Clock(), list) })
+}
+
 // tables are the tables that routers follow.
 func (n *Node) tables() []table.Name { return []table.Name{n.Rows.ConfigTable(), n.Rows.TargetTable()} }
 
@@ -75,6 +80,8 @@
 	// knows no other, listEvery that of readers later on: gossip tells the rest.
 	listPause = time.Second
 	listEvery = 15 * time.Second
+	// listTimeout bounds the reading of the routers' rows.
+	listTimeout = time.Second
 )
 
 // announce writes this router's row until the store has taken it, then reads the
@@ -86,18 +93,17 @@
 			break
 		}
 		_ = level.Warn(n.Logger).Log("msg", "could not announce this router", "err", err)
-		sleep(ctx, announcePause)
+		mesh.Sleep(ctx, announcePause)
 	}
 	for ctx.Err() == nil {
-		reader, _ := n.roles.Reader()
-		if reader {
+		if reader, _ := n.roles.Reader(); reader {
 			n.listRouters(ctx)
 		}
+		pause := listEvery
 		if n.alone() {
-			sleep(ctx, listPause)
-			continue
+			pause = listPause
 		}
-		sleep(ctx, listEvery)
+		mesh.Sleep(ctx, pause)
 	}
 }
 
@@ -110,7 +116,7 @@
 
 // listRouters reads the routers' rows.
 func (n *Node) listRouters(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, listPause)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	page, err := n.Store.All(ctx, routerTable)
 	if err != nil {
@@ -118,8 +124,7 @@
 		return
 	}
 	n.state.setRouters(page.Rows)
-	list := n.state.boxes()
-	n.peers.Do(func(v *peer.View) { v.ObserveList(n.Clock(), list) })
+	n.observe()
 	n.peers.Tell(ctx)
 }
 
--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-
 	"sync/atomic"
 	"time"
 
@@ -14,7 +13,6 @@
 	"valescale/internal/edge/route"
 	"valescale/internal/oper/mesh"
 	"valescale/internal/oper/telem"
-	"valescale/internal/plat/boxes"
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/place"
@@ -28,26 +26,33 @@
 type Node struct {
 	Parts
 	settings atomic.Pointer[Settings]
-	board    *feed.Board
-	state    *state
-	roles    *feed.Roles
-	self     peer.Member
-	peers    *peer.Node
-	homes    *home.Homes
-	mesh     *mesh.Mesh
-	router   *route.Router
-	conns    *relay.Conns
-	budget   *budget
-	handler  *entry.Handler
-	metrics  *telem.Routed
-	meter    *peer.Meter
+	// board holds copies of the store's tables, state what they say, roles from where
+	// they are read.
+	board   *feed.Board
+	state   *state
+	roles   *feed.Roles
+	self    peer.Member
+	peers   *peer.Node
+	homes   *home.Homes
+	mesh    *mesh.Mesh
+	router  *route.Router
+	conns   *relay.Conns
+	budget  *budget
+	handler *entry.Handler
+	metrics *telem.Routed
+	// meter counts what goes to and from other routers.
+	meter *peer.Meter
+	// ready is set once configuration and targets are known, draining once this router
+	// is to stop.
 	ready    atomic.Bool
 	draining atomic.Bool
 
 	listeners listeners
-	cleanups  []func()
+	// cleanups free what New made, the latest first.
+	cleanups []func()
 }
 
+// listeners are the open addresses of Settings.
 type listeners struct {
 	callers net.Listener
 	ready   net.Listener
@@ -67,6 +72,7 @@
 	return n, n.close, nil
 }
 
+// close frees what New made.
 func (n *Node) close() {
 	for i := len(n.cleanups) - 1; i >= 0; i-- {
 		n.cleanups[i]()
@@ -74,6 +80,7 @@
 	n.cleanups = nil
 }
 
+// listen opens the addresses.
 func (n *Node) listen() error {
 	s := n.settings.Load()
 	for _, at := range []struct {
@@ -119,14 +126,23 @@
 // build makes the parts and connects them.
 func (n *Node) build() {
 	s := n.settings.Load()
-	now := n.Clock()
 	n.board = feed.NewBoard(n.Clock)
 	n.roles = feed.NewRoles()
 	n.state = newState(n.Rows, n.Logger)
+	n.buildPeers(s)
+	n.buildMesh(s)
+	n.followTables()
+	n.buildEntry(s)
+}
+
+// buildPeers makes what knows the other routers.
+func (n *Node) buildPeers(s *Settings) {
+	now := n.Clock()
 	n.self = peer.Member{
 		ID: s.ID, Addr: n.PeerAddr(), Zone: s.Zone, Region: s.Region, Incarnation: n.incarnation(now),
 	}
 	clients, closeClients := peer.NewClients(nil, n.meter)
+	n.cleanups = append(n.cleanups, closeClients)
 	limits := peer.DefaultLimits
 	// The store's rows are whole and in order; one reading without a row is enough.
 	limits.MissingLists = 1
@@ -135,25 +151,33 @@
 	pace := peer.DefaultPace
 	pace.Gossip = gossipEvery
 	n.peers = peer.NewNode(view, clients, n.state, pace, n.otherSeeds(s.Seeds), seed, n.Clock)
+}
+
+// buildMesh makes what counts, places and shares requests with the other routers.
+func (n *Node) buildMesh(s *Settings) {
 	n.homes = home.New(s.ID, home.DefaultLimits, n.Clock, noRate)
 	first := mesh.FirstPermit(n.self.Incarnation)
 	remote, closeLinks := home.NewRemote(home.Edge{ID: s.ID, Zone: s.Zone, Base: first}, n.homes, n.peers, permitTimeout)
+	n.cleanups = append(n.cleanups, closeLinks)
 	n.router = route.New(route.Self{ID: s.ID, Zone: s.Zone, Region: s.Region, FirstPermit: first}, remote, n.Clock)
 	n.mesh = mesh.New(mesh.Parts{
 		Self: n.self, Node: n.peers, Homes: n.homes, Remote: remote, Router: n.router, Logger: n.Logger,
 		Wanted: n.state.wanted, Capacity: n.state.capacity, Bound: n.bound,
 	})
 	n.peers.SetHooks(peer.Hooks{Changed: n.membersChanged})
-	n.followTables()
+}
+
+// buildEntry makes what serves callers.
+func (n *Node) buildEntry(s *Settings) {
 	conns, closeConns := relay.NewConns(relay.DefaultConnLimits)
 	n.conns = conns
+	n.cleanups = append(n.cleanups, closeConns)
 	n.budget = newBudget(s.Retries, n.fleet, n.Clock)
 	n.metrics = telem.NewRouted(n.readings())
 	n.handler = entry.New(entry.Parts{
 		Dialect: n.Dialect, Rules: n, Finder: n.router, Sender: conns, Budget: n.budget, Observer: n.metrics,
 		Logger: n.Logger, Clock: n.Clock,
 	})
-	n.cleanups = append(n.cleanups, closeClients, closeLinks, closeConns)
 }
 
 // noRate says that workspaces have no rates here.
@@ -205,12 +229,10 @@
 		return mine
 	}
 	for _, row := range page.Rows {
+		// A row that cannot be read tells of no earlier process.
 		if earlier, err := decodeRouter(row); err == nil && earlier.ID == n.settings.Load().ID {
 			return max(mine, earlier.Incarnation+1)
 		}
 	}
 	return mine
 }
-
-// List returns the routers and targets as the store's rows say.
-func (s *state) List(context.Context) ([]boxes.Box, error) { return s.boxes(), nil }
--- a/internal/oper/node/readers.go
+++ b/internal/oper/node/readers.go
@@ -40,6 +40,7 @@
 	n.setRole(false, zone[(rank-1)/childrenPerReader])
 }
 
+// setRole takes a role on and logs it if it is another.
 func (n *Node) setRole(reader bool, parent ident.Router) {
 	if was, from := n.roles.Reader(); was != reader || from != parent {
 		_ = level.Info(n.Logger).Log("msg", "source of the store's rows", "store", reader, "router_asked", parent)
@@ -117,7 +118,8 @@
 	return out, nil
 }
 
-// maxRowsWait bounds how long another router's call is held.
+// maxRowsWait bounds how long another router's call is held, whatever it asks for; its
+// own waits are a fraction of a second.
 const maxRowsWait = 2 * time.Second
 
 // Rows tells another router what changed in this one's copies.
@@ -126,6 +128,7 @@
 	for _, s := range req.Msg.GetTables() {
 		version := table.Version(s.GetVersion())
 		if !s.GetKnown() {
+			// Whoever has no copy need not wait for a change.
 			version = 0
 		}
 		after[table.Name(s.GetTable())] = version
@@ -141,6 +144,7 @@
 	return connect.NewResponse(reply), nil
 }
 
+// encodePage is a page as routers send it to each other.
 func encodePage(name string, page table.Page) *peerpb.TablePage {
 	out := &peerpb.TablePage{Table: name, Version: int64(page.Version), Whole: page.Whole, AgeMs: page.Age.Milliseconds()}
 	for _, row := range page.Rows {
@@ -151,6 +155,7 @@
 	return out
 }
 
+// decodePage is a page from another router.
 func decodePage(in *peerpb.TablePage) table.Page {
 	out := table.Page{
 		Version: table.Version(in.GetVersion()), Whole: in.GetWhole(), Age: time.Duration(in.GetAgeMs()) * time.Millisecond,
--- a/internal/oper/node/serve.go
+++ b/internal/oper/node/serve.go
@@ -2,21 +2,20 @@
 
 import (
 	"context"
-	stdlog "log"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
 
 	"valescale/internal/oper/mesh"
+	"valescale/internal/oper/telem"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/match"
 	"valescale/internal/share/feed"
@@ -38,9 +37,11 @@
 	freshFor = 2 * time.Second
 	// leaveRounds is how many times a leaving router tells its peers.
 	leaveRounds = 2
-	// sweepEvery is how often rows that lapsed with the store are looked at.
+	// sweepEvery is how often rows that lapsed with the store are looked at, a small part
+	// of the seconds for which they count.
 	sweepEvery = 200 * time.Millisecond
-	// readyPause is the pause between two looks whether this router can serve.
+	// readyPause is the pause between two looks whether this router can serve, next to
+	// nothing beside the round trips that it takes.
 	readyPause = 20 * time.Millisecond
 )
 
@@ -76,36 +77,42 @@
 	defer wg.Wait()
 	defer stop()
 	_ = level.Info(n.Logger).Log("msg", "start", "callers", n.listeners.callers.Addr(), "peers", n.self.Addr, "zone", n.self.Zone, "incarnation", n.self.Incarnation)
-	callers := n.callerServer()
-	peers := n.peerServer()
-	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTime, ErrorLog: quiet(n.Logger)}
-	serve(&wg, ready, n.listeners.ready)
-	serve(&wg, peers, n.meter.Listener(n.listeners.peers))
-	serve(&wg, callers, n.listeners.callers)
-	for _, name := range n.tables() {
-		wg.Go(func() { n.follower(name).Run(background) })
-	}
-	wg.Go(func() { n.puller().Run(background) })
-	wg.Go(func() { mesh.Every(background, sweepEvery, func(context.Context) { n.board.Sweep() }) })
-	wg.Go(func() { n.announce(background) })
-	wg.Go(func() { n.peers.Run(background) })
-	wg.Go(func() { n.mesh.Run(background) })
-	wg.Go(func() { n.becomeReady(background) })
+	callers, peers, ready := n.callerServer(), n.peerServer(), n.readyServer()
+	n.serve(&wg, ready, n.listeners.ready)
+	n.serve(&wg, peers, n.meter.Listener(n.listeners.peers))
+	n.serve(&wg, callers, n.listeners.callers)
+	n.work(background, &wg)
 	wg.Go(func() { n.reloadOn(background, reload) })
 	<-ctx.Done()
 	n.drain(callers)
 	stop()
+	// The process ends: a listener that cannot be closed goes with it.
 	_ = peers.Close()
 	_ = ready.Close()
 	_ = level.Info(n.Logger).Log("msg", "stop")
 }
 
-// serve runs a server until it is closed.
-func serve(wg *sync.WaitGroup, s *http.Server, l net.Listener) {
-	wg.Go(func() { _ = s.Serve(l) })
+// work starts what goes on beside the servers until the context ends.
+func (n *Node) work(ctx context.Context, wg *sync.WaitGroup) {
+	for _, name := range n.tables() {
+		wg.Go(func() { n.follower(name).Run(ctx) })
+	}
+	wg.Go(func() { n.puller().Run(ctx) })
+	wg.Go(func() { mesh.Every(ctx, sweepEvery, func(context.Context) { n.board.Sweep() }) })
+	wg.Go(func() { n.announce(ctx) })
+	wg.Go(func() { n.peers.Run(ctx) })
+	wg.Go(func() { n.mesh.Run(ctx) })
+	wg.Go(func() { n.becomeReady(ctx) })
 }
 
-func sleep(ctx context.Context, d time.Duration) { mesh.Sleep(ctx, d) }
+// serve runs a server until it is closed.
+func (n *Node) serve(wg *sync.WaitGroup, s *http.Server, l net.Listener) {
+	wg.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			_ = level.Error(n.Logger).Log("msg", "a listener has failed", "addr", l.Addr(), "err", err)
+		}
+	})
+}
 
 // becomeReady waits until configuration and targets are known.
 func (n *Node) becomeReady(ctx context.Context) {
@@ -117,7 +124,7 @@
 			_ = level.Info(n.Logger).Log("msg", "ready", "revision", n.Table().Revision)
 			return
 		}
-		sleep(ctx, readyPause)
+		mesh.Sleep(ctx, readyPause)
 	}
 }
 
@@ -133,6 +140,8 @@
 	}
 }
 
+// reload takes in what of the settings may change while the router runs: the allowance
+// of retries, the load factor and the grace. The rest counts from the next start on.
 func (n *Node) reload() {
 	fresh, err := n.Reload()
 	if err != nil {
@@ -159,23 +168,24 @@
 	}
 	n.mesh.Refresh(ctx)
 	n.withdraw(ctx)
-	sleep(ctx, drainDelay-n.Clock().Sub(began))
+	mesh.Sleep(ctx, drainDelay-n.Clock().Sub(began))
 	if err := callers.Shutdown(ctx); err != nil {
 		_ = level.Error(n.Logger).Log("msg", "stopped with requests in flight", "err", err)
 	}
 }
 
-// readyHandler answers the platform's question whether this router wants requests.
-func (n *Node) readyHandler() http.Handler {
+// readyServer answers the platform's question whether this router wants requests.
+func (n *Node) readyServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.settings.Load().ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !n.ready.Load() || n.draining.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return mux
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTime, ErrorLog: telem.NewServerLog(n.Logger)}
 }
 
+// callerServer serves callers. A draining router asks them to connect elsewhere.
 func (n *Node) callerServer() *http.Server {
 	idle := newIdle(n.idleTime)
 	return &http.Server{
@@ -185,7 +195,7 @@
 			}
 			n.handler.ServeHTTP(w, r)
 		}),
-		ReadHeaderTimeout: headerTime, ConnState: idle.changed, ErrorLog: quiet(n.Logger),
+		ReadHeaderTimeout: headerTime, ConnState: idle.changed, ErrorLog: telem.NewServerLog(n.Logger),
 	}
 }
 
@@ -217,6 +227,7 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, nil)
 }
 
+// peerServer answers other routers and shows the metrics.
 func (n *Node) peerServer() *http.Server {
 	mux := http.NewServeMux()
 	anyone := func(context.Context) ident.Router { return "" }
@@ -225,18 +236,5 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTime, Protocols: protocols, ErrorLog: quiet(n.Logger)}
-}
-
-// quiet turns an HTTP server's own complaints into debug lines.
-func quiet(logger log.Logger) *stdlog.Logger {
-	return stdlog.New(debugWriter{logger}, "", 0)
-}
-
-type debugWriter struct{ logger log.Logger }
-
-// Write logs one line.
-func (w debugWriter) Write(p []byte) (int, error) {
-	_ = level.Debug(w.logger).Log("msg", strings.TrimSpace(string(p)))
-	return len(p), nil
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTime, Protocols: protocols, ErrorLog: telem.NewServerLog(n.Logger)}
 }
--- a/internal/oper/node/settings.go
+++ b/internal/oper/node/settings.go
@@ -19,8 +19,12 @@
 // Kind tells this package's errors apart.
 type Kind string
 
-// Listen means that an address cannot be listened on.
-const Listen Kind = "listen"
+const (
+	// Listen means that an address cannot be listened on.
+	Listen Kind = "listen"
+	// BadRow means that a router's row of the store does not hold what it should.
+	BadRow Kind = "bad_row"
+)
 
 // Error is this package's error type.
 type Error = fault.Error[Kind]
@@ -32,10 +36,11 @@
 	Region ident.Region
 	// Callers, Ready and Peers are the addresses for callers, for the question whether
 	// this router wants requests, and for other routers and metrics.
-	Callers   string
-	Ready     string
+	Callers string
+	Ready   string
+	Peers   string
+	// ReadyPath is the path of that question.
 	ReadyPath string
-	Peers     string
 	// Seeds are addresses of other routers to try while none is known.
 	Seeds []string
 	// Retries is what the whole fleet may send again for each service.
@@ -64,7 +69,9 @@
 
 // Rows decodes what the platform writes into its store.
 type Rows interface {
+	// ConfigTable is the table that holds the configuration.
 	ConfigTable() table.Name
+	// TargetTable is the table in which targets announce themselves.
 	TargetTable() table.Name
 	// Config decodes the configuration; found is false while there is none.
 	Config(rows []table.Row) (c match.Config, found bool, err error)
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -29,8 +30,9 @@
 	services []match.Service
 	targets  []boxes.Box
 	routers  []boxes.Box
-	slots    map[ident.Target]int
-	counts   map[ident.Service]int
+	// slots are how many requests targets run at once, counts how many targets services have.
+	slots  map[ident.Target]int
+	counts map[ident.Service]int
 	// turns counts the changes that pools are made from.
 	turns uint64
 }
@@ -39,7 +41,8 @@
 	return &state{rows: rows, logger: logger, slots: map[ident.Target]int{}, counts: map[ident.Service]int{}}
 }
 
-// setConfig puts a configuration in force.
+// setConfig puts a configuration in force. One that cannot be read, contradicts itself
+// or is no later than the one in force changes nothing.
 func (s *state) setConfig(rows []table.Row) {
 	config, found, err := s.rows.Config(rows)
 	if err != nil {
@@ -96,7 +99,7 @@
 	s.turns++
 }
 
-// logTargets logs which targets came, went or changed.
+// logTargets logs which targets came, went or changed; the caller holds the lock.
 func (s *state) logTargets(targets []Target, version table.Version) {
 	before := map[string]boxes.Box{}
 	for _, b := range s.targets {
@@ -132,12 +135,16 @@
 	s.routers = routers
 }
 
+// boxes lists the routers and targets as the store's rows say.
 func (s *state) boxes() []boxes.Box {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Concat(s.routers, s.targets)
 }
 
+// List is boxes in the form that membership reads now and then.
+func (s *state) List(context.Context) ([]boxes.Box, error) { return s.boxes(), nil }
+
 // plainSlots is how many requests a plain target may have for each of its slots. A
 // request counts while its permit and its return travel too, 15 to 20 ms beside the 60 of
 // the work itself: with one a slot a third of the slots stood idle while callers waited.
--- a/internal/oper/telem/routed.go
+++ b/internal/oper/telem/routed.go
@@ -26,14 +26,32 @@
 	Help string
 	// Counts says that the figure only grows.
 	Counts bool
-	Read   func() float64
+	// Read returns the figure as it is now.
+	Read func() float64
 }
 
+// Flag is the value of a figure that says yes or no.
+func Flag(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+const (
+	// leastBucket is the first bound of the histograms of times, in seconds, and
+	// bucketFactor that from one bound to the next: 15 bounds reach from a millisecond,
+	// less than a round trip between availability zones, to 16 seconds.
+	leastBucket  = 0.001
+	bucketFactor = 2
+	buckets      = 15
+)
+
 // NewRouted returns metrics with some figures read from elsewhere.
 func NewRouted(readings []Reading) *Routed {
 	histogram := func(name, help string) *prometheus.HistogramVec {
 		return prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.001, 2, 15),
+			Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(leastBucket, bucketFactor, buckets),
 		}, []string{"service"})
 	}
 	m := &Routed{
@@ -50,15 +68,19 @@
 	}
 	m.registry.MustRegister(m.requests, m.sends, m.found, m.first, m.whole)
 	for _, r := range readings {
-		if r.Counts {
-			m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: r.Name, Help: r.Help}, r.Read))
-			continue
-		}
-		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: r.Name, Help: r.Help}, r.Read))
+		m.registry.MustRegister(r.collector())
 	}
 	return m
 }
 
+// collector is the reading as the registry takes it.
+func (r Reading) collector() prometheus.Collector {
+	if r.Counts {
+		return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: r.Name, Help: r.Help}, r.Read)
+	}
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: r.Name, Help: r.Help}, r.Read)
+}
+
 // Ended counts one request's end.
 func (m *Routed) Ended(e entry.End) {
 	service := string(e.Service)
--- a/internal/oper/telem/writer.go
+++ b/internal/oper/telem/writer.go
@@ -32,8 +32,9 @@
 	lines  chan []byte
 	done   chan struct{}
 
-	mu      sync.Mutex
-	closed  bool
+	mu     sync.Mutex
+	closed bool
+	// tokens are the lines that may be written now, as of filled.
 	tokens  float64
 	filled  time.Time
 	dropped uint64
@@ -85,6 +86,7 @@
 	return true
 }
 
+// close writes what waits and ends the writer; later lines count as left out.
 func (w *Writer) close() {
 	w.mu.Lock()
 	if !w.closed {
@@ -95,23 +97,16 @@
 	<-w.done
 }
 
-// maxBatch bounds one write to the output, in bytes.
+// maxBatch is the size from which a write to the output takes no more lines, in bytes:
+// some hundred lines, so that a busy router makes few system calls for its log.
 const maxBatch = 32 << 10
 
+// run writes lines until the writer is closed and nothing waits.
 func (w *Writer) run() {
 	defer close(w.done)
 	told := uint64(0)
 	for line := range w.lines {
-		batch := line
-		for more := true; more && len(batch) < maxBatch; {
-			select {
-			case next, ok := <-w.lines:
-				batch = append(batch, next...)
-				more = ok
-			default:
-				more = false
-			}
-		}
+		batch := w.gather(line)
 		if dropped := w.Dropped(); dropped > told {
 			batch = fmt.Appendf(batch, `{"level":"warn","msg":"log lines left out","lines":%d}`+"\n", dropped-told)
 			told = dropped
@@ -120,3 +115,19 @@
 		_, _ = w.out.Write(batch)
 	}
 }
+
+// gather adds the lines that wait already to a first one.
+func (w *Writer) gather(batch []byte) []byte {
+	for len(batch) < maxBatch {
+		select {
+		case line, ok := <-w.lines:
+			if !ok {
+				return batch
+			}
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
