entry, node: the end of a request and the figures in steps, an unused clock gone

Cause: Handler.ended built the end, told the observer and the log in one; figures stood in nested literals; the budget's clock had no reader; log lines of 150 columns; some functions and constants still stood without a word, and entry's header promised a time to come back with each refusal. Change: end and logEnd; gauge and counter for figures; the clock went; lines broken and comments added or mended.

--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -87,7 +87,8 @@
 		return
 	}
 	if h.Finder.Silent(placement.Hash, since) {
-		_ = level.Info(h.Logger).Log("msg", "target is silent", "request", j.call.ID, "target", placement.Target.ID, "silence_ms", j.silence().Milliseconds())
+		_ = level.Info(h.Logger).Log("msg", "target is silent", "request", j.call.ID,
+			"target", placement.Target.ID, "silence_ms", j.silence().Milliseconds())
 	}
 }
 
--- a/internal/edge/entry/doc.go
+++ b/internal/edge/entry/doc.go
@@ -3,6 +3,6 @@
 // often and for how long.
 //
 // Each request ends in one of four ways: the target's whole answer, an answer that is
-// visibly cut off, a refusal that says "not run" and when to come back, or an error
-// that leaves open whether the request ran.
+// visibly cut off, a refusal that says "not run", and when to come back if that can
+// help, or an error that leaves open whether the request ran.
 package entry
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -248,11 +248,16 @@
 type follow string
 
 const (
-	followed   follow = "again"
-	noTime     follow = "no_time"
+	// followed means that another attempt follows.
+	followed follow = "again"
+	// noTime means that the request's time is over, or its caller gone.
+	noTime follow = "no_time"
+	// mayHaveRun means that the request may have run and must not run twice.
 	mayHaveRun follow = "may_have_run"
+	// noAttempts means that the request has had as many attempts as it may.
 	noAttempts follow = "no_attempts"
-	noBudget   follow = "no_budget"
+	// noBudget means that the fleet's retries are used up.
+	noBudget follow = "no_budget"
 )
 
 const (
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -97,17 +97,26 @@
 
 // ended tells the observer and the log of a request's end.
 func (h *Handler) ended(j *job, reason Reason, status int) {
-	e := End{
-		Service: j.service, Reason: reason, Status: status, Sends: j.sends,
-		Found: j.found, First: j.first, Whole: h.Clock().Sub(j.arrived),
-	}
+	e := j.end(h.Clock())
+	e.Reason, e.Status = reason, status
+	h.Observer.Ended(e)
+	h.logEnd(j, e)
+}
+
+// end is the job's end at some time, without reason and status.
+func (j *job) end(now time.Time) End {
+	e := End{Service: j.service, Sends: j.sends, Found: j.found, First: j.first, Whole: now.Sub(j.arrived)}
 	if j.route != nil {
 		e.Route = j.route.Name
 	}
 	if j.workspace != nil {
 		e.Workspace = j.workspace.Name
 	}
-	h.Observer.Ended(e)
+	return e
+}
+
+// logEnd tells the log of a request's end.
+func (h *Handler) logEnd(j *job, e End) {
 	var target, holder ident.Target
 	var home ident.Router
 	warm := false
@@ -118,7 +127,7 @@
 		}
 	}
 	_ = level.Info(h.Logger).Log("msg", "request", "request", j.call.ID, "route", e.Route, "workspace", e.Workspace,
-		"service", e.Service, "revision", j.revision, "reason", reason, "status", status, "sends", j.sends, "outcome", j.outcome,
+		"service", e.Service, "revision", j.revision, "reason", e.Reason, "status", e.Status, "sends", e.Sends, "outcome", j.outcome,
 		"target", target, "key", strconv.FormatUint(uint64(j.key), 16), "warm", warm, "holder", holder, "home", home,
 		"found_ms", e.Found.Milliseconds(), "first_ms", e.First.Milliseconds(), "whole_ms", e.Whole.Milliseconds())
 }
--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -53,6 +53,7 @@
 // Dialed is the number of connections made so far.
 func (c *Conns) Dialed() uint64 { return c.dialed.Load() }
 
+// close closes the idle connections; those in use follow as their answers are closed.
 func (c *Conns) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -71,6 +72,7 @@
 	delete(c.idle, addr)
 }
 
+// closeAll closes connections. One that cannot be closed is closed already.
 func closeAll(list []*conn) {
 	for _, cn := range list {
 		_ = cn.Close()
--- a/internal/oper/node/budget.go
+++ b/internal/oper/node/budget.go
@@ -10,18 +10,20 @@
 
 // budget keeps this router's part of the fleet's retries, by service.
 type budget struct {
+	// fleet is how many routers share the allowance.
+	fleet func() int
+
 	mu      sync.Mutex
 	allowed retry.Allowance
-	// fleet is how many routers share the allowance.
-	fleet   func() int
-	clock   ident.Clock
 	windows map[ident.Service]*retry.Window
 }
 
-func newBudget(allowed retry.Allowance, fleet func() int, clock ident.Clock) *budget {
-	return &budget{allowed: allowed, fleet: fleet, clock: clock, windows: map[ident.Service]*retry.Window{}}
+// newBudget returns a budget of which nothing is used.
+func newBudget(allowed retry.Allowance, fleet func() int) *budget {
+	return &budget{allowed: allowed, fleet: fleet, windows: map[ident.Service]*retry.Window{}}
 }
 
+// window returns a service's window; the caller holds the lock.
 func (b *budget) window(service ident.Service, now time.Time) *retry.Window {
 	w, ok := b.windows[service]
 	if !ok {
--- a/internal/oper/node/figures.go
+++ b/internal/oper/node/figures.go
@@ -4,31 +4,40 @@
 
 // readings are the figures that metrics read of this router.
 func (n *Node) readings() []telem.Reading {
+	gauge := func(name, help string, read func() float64) telem.Reading {
+		return telem.Reading{Name: name, Help: help, Read: read}
+	}
+	counter := func(name, help string, read func() float64) telem.Reading {
+		return telem.Reading{Name: name, Help: help, Counts: true, Read: read}
+	}
 	return []telem.Reading{
-		{Name: "valescale_revision", Help: "Configuration revision in force.", Read: func() float64 {
-			if t := n.Table(); t != nil {
-				return float64(t.Revision)
-			}
-			return 0
-		}},
-		{Name: "valescale_fresh", Help: "Whether the store confirmed the configuration a moment ago.", Read: func() float64 { return telem.Flag(n.Fresh()) }},
-		{Name: "valescale_ready", Help: "Whether this router wants requests.", Read: func() float64 { return telem.Flag(n.ready.Load() && !n.draining.Load()) }},
-		{Name: "valescale_routers", Help: "Live routers known.", Read: func() float64 { return float64(len(n.mesh.Set().Live.Routers())) }},
-		{Name: "valescale_permits", Help: "Permits held by this router's homes.", Read: func() float64 {
-			permits, _ := n.homes.InFlight()
-			return float64(permits)
-		}},
-		{Name: "valescale_load_ratio", Help: "Highest load over mean of the targets that this router is home of.", Read: n.homes.LoadRatio},
-		{Name: "valescale_target_dials_total", Help: "Connections made to targets.", Counts: true, Read: func() float64 { return float64(n.conns.Dialed()) }},
-		{Name: "valescale_store_calls_total", Help: "Calls to the store.", Counts: true, Read: func() float64 {
-			made, _ := n.Store.Calls()
-			return float64(made)
-		}},
-		{Name: "valescale_store_failures_total", Help: "Calls to the store that failed.", Counts: true, Read: func() float64 {
-			_, failed := n.Store.Calls()
-			return float64(failed)
-		}},
-		{Name: "valescale_permit_asks_total", Help: "Requests for permits.", Counts: true, Read: func() float64 { return float64(n.router.Stats().Asked) }},
-		{Name: "valescale_fallback_placements_total", Help: "Placements made without the home.", Counts: true, Read: func() float64 { return float64(n.router.Stats().Fallback) }},
+		gauge("valescale_revision", "Configuration revision in force.", n.revision),
+		gauge("valescale_fresh", "Whether the store confirmed the configuration a moment ago.",
+			func() float64 { return telem.Flag(n.Fresh()) }),
+		gauge("valescale_ready", "Whether this router wants requests.",
+			func() float64 { return telem.Flag(n.ready.Load() && !n.draining.Load()) }),
+		gauge("valescale_routers", "Live routers known.",
+			func() float64 { return float64(len(n.mesh.Set().Live.Routers())) }),
+		gauge("valescale_permits", "Permits held by this router's homes.",
+			func() float64 { permits, _ := n.homes.InFlight(); return float64(permits) }),
+		gauge("valescale_load_ratio", "Highest load over mean of the targets that this router is home of.", n.homes.LoadRatio),
+		counter("valescale_target_dials_total", "Connections made to targets.",
+			func() float64 { return float64(n.conns.Dialed()) }),
+		counter("valescale_store_calls_total", "Calls to the store.",
+			func() float64 { made, _ := n.Store.Calls(); return float64(made) }),
+		counter("valescale_store_failures_total", "Calls to the store that failed.",
+			func() float64 { _, failed := n.Store.Calls(); return float64(failed) }),
+		counter("valescale_permit_asks_total", "Requests for permits.",
+			func() float64 { return float64(n.router.Stats().Asked) }),
+		counter("valescale_fallback_placements_total", "Placements made without the home.",
+			func() float64 { return float64(n.router.Stats().Fallback) }),
+	}
+}
+
+// revision is the configuration revision in force, or zero without one.
+func (n *Node) revision() float64 {
+	if t := n.Table(); t != nil {
+		return float64(t.Revision)
 	}
+	return 0
 }
--- a/internal/oper/node/idle.go
+++ b/internal/oper/node/idle.go
@@ -10,11 +10,15 @@
 // idle closes callers' connections that have had no request for a time that the
 // configuration may change while they are open, which the server's own limit cannot.
 type idle struct {
-	limit  func() time.Duration
-	mu     sync.Mutex
+	// limit is asked as a connection becomes idle.
+	limit func() time.Duration
+
+	mu sync.Mutex
+	// timers are those of the connections that are idle now.
 	timers map[net.Conn]*time.Timer
 }
 
+// newIdle returns one without connections.
 func newIdle(limit func() time.Duration) *idle {
 	return &idle{limit: limit, timers: map[net.Conn]*time.Timer{}}
 }
@@ -28,6 +32,7 @@
 		delete(i.timers, c)
 	}
 	if state == http.StateIdle {
+		// A connection that cannot be closed is closed already.
 		i.timers[c] = time.AfterFunc(i.limit(), func() { _ = c.Close() })
 	}
 }
--- a/internal/oper/node/members.go
+++ b/internal/oper/node/members.go
@@ -77,8 +77,9 @@
 	// announcePause is the pause between two tries to write this router's row.
 	announcePause = 500 * time.Millisecond
 	// listPause is the pause between two readings of the routers' rows while this router
-	// knows no other, listEvery that of readers later on: gossip tells the rest.
+	// knows no other.
 	listPause = time.Second
+	// listEvery is that pause later on: gossip tells the rest.
 	listEvery = 15 * time.Second
 	// listTimeout bounds the reading of the routers' rows.
 	listTimeout = time.Second
--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -172,7 +172,7 @@
 	conns, closeConns := relay.NewConns(relay.DefaultConnLimits)
 	n.conns = conns
 	n.cleanups = append(n.cleanups, closeConns)
-	n.budget = newBudget(s.Retries, n.fleet, n.Clock)
+	n.budget = newBudget(s.Retries, n.fleet)
 	n.metrics = telem.NewRouted(n.readings())
 	n.handler = entry.New(entry.Parts{
 		Dialect: n.Dialect, Rules: n, Finder: n.router, Sender: conns, Budget: n.budget, Observer: n.metrics,
--- a/internal/oper/node/serve.go
+++ b/internal/oper/node/serve.go
@@ -76,7 +76,8 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
-	_ = level.Info(n.Logger).Log("msg", "start", "callers", n.listeners.callers.Addr(), "peers", n.self.Addr, "zone", n.self.Zone, "incarnation", n.self.Incarnation)
+	_ = level.Info(n.Logger).Log("msg", "start", "callers", n.listeners.callers.Addr(), "peers", n.self.Addr,
+		"zone", n.self.Zone, "incarnation", n.self.Incarnation)
 	callers, peers, ready := n.callerServer(), n.peerServer(), n.readyServer()
 	n.serve(&wg, ready, n.listeners.ready)
 	n.serve(&wg, peers, n.meter.Listener(n.listeners.peers))
@@ -152,7 +153,8 @@
 	n.settings.Store(&fresh)
 	n.budget.allow(fresh.Retries)
 	n.mesh.MarkDirty()
-	_ = level.Info(n.Logger).Log("msg", "reload", "retry_ratio", fresh.Retries.Ratio, "retry_extra", fresh.Retries.Extra, "load_factor", fresh.LoadFactor)
+	_ = level.Info(n.Logger).Log("msg", "reload", "retry_ratio", fresh.Retries.Ratio,
+		"retry_extra", fresh.Retries.Extra, "load_factor", fresh.LoadFactor)
 }
 
 // drain stops taking requests without cutting any off.
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -37,6 +37,7 @@
 	turns uint64
 }
 
+// newState returns the state without rows.
 func newState(rows Rows, logger log.Logger) *state {
 	return &state{rows: rows, logger: logger, slots: map[ident.Target]int{}, counts: map[ident.Service]int{}}
 }
@@ -67,7 +68,8 @@
 	}
 	s.mu.Unlock()
 	s.rules.Store(compiled)
-	_ = level.Info(s.logger).Log("msg", "configuration in force", "revision", config.Revision, "routes", compiled.Routes(), "version", newest(rows))
+	_ = level.Info(s.logger).Log("msg", "configuration in force", "revision", config.Revision,
+		"routes", compiled.Routes(), "version", newest(rows))
 }
 
 // newest is the version of the latest row.
@@ -107,7 +109,8 @@
 	}
 	for _, t := range targets {
 		if old, known := before[t.ID]; !known || old != t.Box {
-			_ = level.Info(s.logger).Log("msg", "target", "target", t.ID, "state", t.State, "addr", t.Addr, "service", t.Service, "zone", t.Zone, "version", version)
+			_ = level.Info(s.logger).Log("msg", "target", "target", t.ID, "state", t.State, "addr", t.Addr,
+				"service", t.Service, "zone", t.Zone, "version", version)
 		}
 		delete(before, t.ID)
 	}
--- a/internal/oper/telem/routed.go
+++ b/internal/oper/telem/routed.go
@@ -39,12 +39,13 @@
 }
 
 const (
-	// leastBucket is the first bound of the histograms of times, in seconds, and
-	// bucketFactor that from one bound to the next: 15 bounds reach from a millisecond,
-	// less than a round trip between availability zones, to 16 seconds.
-	leastBucket  = 0.001
+	// leastBucket is the first bound of the histograms of times, in seconds: less than a
+	// round trip between availability zones.
+	leastBucket = 0.001
+	// bucketFactor is the ratio of two bounds that follow each other.
 	bucketFactor = 2
-	buckets      = 15
+	// buckets is the number of bounds; with these the last is 16 seconds.
+	buckets = 15
 )
 
 // NewRouted returns metrics with some figures read from elsewhere.
