--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -51,7 +51,7 @@
 // attempt sends the request to one target and passes the answer on.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, j *job, placement *route.Placement) result {
 	began := h.Clock()
-	ctx, patience := newPatience(ctx, j.patience(), j.silence(), func(since time.Time) { h.silent(j, placement, since) })
+	ctx, patience := newPatience(ctx, h.Clock, j.patience(), j.silence(), func(since time.Time) { h.silent(j, placement, since) })
 	defer patience.stop()
 	answer, err := h.Sender.Send(ctx, h.exchange(j, placement))
 	if err != nil {
@@ -166,7 +166,11 @@
 	}
 	j.first = h.Clock().Sub(j.arrived)
 	header := h.head(w, answer)
-	header.Set("Content-Length", strconv.Itoa(len(body)))
+	length := int64(len(body))
+	if j.method == http.MethodHead && answer.Length > 0 {
+		length = answer.Length
+	}
+	header.Set("Content-Length", strconv.FormatInt(length, 10))
 	w.WriteHeader(answer.Status)
 	// A caller that has gone needs no answer.
 	_, _ = w.Write(body)
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -296,3 +296,34 @@
 		t.Error("the target still works a second after its caller has left")
 	}
 }
+
+// A stream whose route names no pause between events is not taken for silent.
+func TestStreamWithoutAGapObjective(t *testing.T) {
+	one, two := newTarget(t, events(1, 5, 5)), newTarget(t, events(1, 5, 5))
+	s := newSetup(t, aRoute(func(r *match.Route) {
+		r.Stream, r.Resumable, r.Repeat, r.Attempts, r.GapObjective = true, true, retry.Safe, 2, 0
+	}), one, two)
+	answer, _ := s.call(t, "POST", "/", "x")
+	if diff := cmp.Diff(got{Status: 200, Body: pieces(1, 5)}, answer); diff != "" {
+		t.Error(diff)
+	}
+	if two.count() != 0 {
+		t.Error("a second target worked on a stream that was fine")
+	}
+}
+
+// The answer to HEAD has the length that the target names, and no body.
+func TestHead(t *testing.T) {
+	to := newTarget(t, func(w *bufio.Writer, r *http.Request) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 42\r\n\r\n", r.Header.Get("Id"))
+		return true
+	})
+	s := newSetup(t, aRoute(nil), to)
+	answer, header := s.call(t, "HEAD", "/", "")
+	if diff := cmp.Diff(got{Status: 200}, answer); diff != "" {
+		t.Error(diff)
+	}
+	if header.Get("Content-Length") != "42" {
+		t.Errorf("Content-Length is %q, want 42", header.Get("Content-Length"))
+	}
+}
--- a/internal/edge/entry/patience.go
+++ b/internal/edge/entry/patience.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"valescale/internal/plat/ident"
 	"valescale/internal/rule/retry"
 )
 
@@ -23,13 +24,14 @@
 	watch   *time.Timer
 	silence time.Duration
 	since   atomic.Pointer[time.Time]
+	clock   ident.Clock
 }
 
 // newPatience returns a context that ends after a limit without a byte; zero waits for
 // ever. After a silence, tell is called with its beginning.
-func newPatience(ctx context.Context, limit, silence time.Duration, tell func(since time.Time)) (context.Context, *patience) {
+func newPatience(ctx context.Context, clock ident.Clock, limit, silence time.Duration, tell func(since time.Time)) (context.Context, *patience) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	p := &patience{cancel: cancel, silence: silence}
+	p := &patience{cancel: cancel, clock: clock, silence: silence}
 	p.begin()
 	if limit > 0 {
 		p.timer = time.AfterFunc(limit, func() { cancel(errSilent) })
@@ -42,14 +44,18 @@
 
 // begin notes the beginning of a silence.
 func (p *patience) begin() {
-	now := time.Now()
+	now := p.clock()
 	p.since.Store(&now)
 }
 
-// heard starts the silence anew, with a limit if there was one.
+// heard starts the silence anew, with a limit if there was one; zero lifts it.
 func (p *patience) heard(limit time.Duration) {
-	if p.timer != nil {
+	switch {
+	case p.timer == nil:
+	case limit > 0:
 		p.timer.Reset(limit)
+	default:
+		p.timer.Stop()
 	}
 	if p.watch != nil {
 		p.begin()
--- a/internal/edge/entry/types.go
+++ b/internal/edge/entry/types.go
@@ -16,8 +16,7 @@
 
 // Part is one part of a prompt that several requests may share.
 type Part struct {
-	ID     string
-	Tokens int
+	ID string
 }
 
 // Call is what a caller's headers say of a request.
@@ -29,9 +28,6 @@
 	Key string
 	// Parts are the prompt's parts in order; the last one is the request's own.
 	Parts []Part
-	// PromptTokens and AnswerTokens are the size of the prompt and the most that may be answered.
-	PromptTokens int
-	AnswerTokens int
 }
 
 // Order is what a target is told beside the caller's request.
@@ -53,8 +49,6 @@
 	NotRun bool
 	// Elsewhere says that another target has the address now.
 	Elsewhere bool
-	// Leaving says that the target closes its connections.
-	Leaving bool
 }
 
 // Dialect reads and writes the headers of the protocol that callers and targets speak.
--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -64,12 +64,23 @@
 	}
 }
 
-// Forget closes the idle connections to an address, whose target is gone.
-func (c *Conns) Forget(addr string) {
+// Sweep closes the connections that may not be used again.
+func (c *Conns) Sweep(now time.Time) {
+	var expired []*conn
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	closeAll(c.idle[addr])
-	delete(c.idle, addr)
+	for addr, list := range c.idle {
+		left := list[:0]
+		for _, cn := range list {
+			if now.After(cn.expires) {
+				expired = append(expired, cn)
+				continue
+			}
+			left = append(left, cn)
+		}
+		c.put(addr, left)
+	}
+	c.mu.Unlock()
+	closeAll(expired)
 }
 
 // closeAll closes connections. One that cannot be closed is closed already.
--- /dev/null
+++ b/internal/edge/relay/conns_test.go
@@ -0,0 +1,55 @@
+package relay
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// idleConns returns connections of which one is idle at each of some times.
+func idleConns(t *testing.T, at ...time.Time) *Conns {
+	t.Helper()
+	c, closeConns := NewConns(DefaultConnLimits)
+	t.Cleanup(closeConns)
+	for _, since := range at {
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = far.Close() })
+		c.keep(newConn("a", near, DefaultConnLimits.Header), http.Header{}, since)
+	}
+	return c
+}
+
+func (c *Conns) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.idle["a"])
+}
+
+// Expired connections go even if nobody asks for their target again.
+func TestExpiredConnectionsAreSwept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := idleConns(t, now, now.Add(time.Second), now.Add(5*time.Second))
+	c.Sweep(now.Add(DefaultConnLimits.Idle + 2*time.Second))
+	if got := c.count(); got != 1 {
+		t.Errorf("%d idle connections are left, want the one that has not expired", got)
+	}
+}
+
+func TestKeepAliveHeader(t *testing.T) {
+	for _, c := range []struct {
+		header string
+		want   time.Duration
+		ok     bool
+	}{
+		{"timeout=5", 5 * time.Second, true},
+		{"max=3, Timeout=0", 0, true},
+		{"timeout=x", 0, false},
+		{"", 0, false},
+	} {
+		got, ok := keepAlive(http.Header{"Keep-Alive": {c.header}})
+		if got != c.want || ok != c.ok {
+			t.Errorf("%q: %s, %v", c.header, got, ok)
+		}
+	}
+}
--- a/internal/oper/node/members.go
+++ b/internal/oper/node/members.go
@@ -60,8 +60,14 @@
 
 // observe tells membership which routers and targets the store's rows name.
 func (n *Node) observe() {
-	list := n.state.boxes()
-	n.peers.Do(func(v *peer.View) { v.ObserveList(n.Clock(), list) })
+	list, whole := n.state.boxes()
+	n.peers.Do(func(v *peer.View) {
+		if whole {
+			v.ObserveList(n.Clock(), list)
+			return
+		}
+		v.ObserveRouters(n.Clock(), list)
+	})
 }
 
 // tables are the tables that routers follow.
--- a/internal/oper/node/serve.go
+++ b/internal/oper/node/serve.go
@@ -40,6 +40,11 @@
 	// sweepEvery is how often rows that lapsed with the store are looked at, a small part
 	// of the seconds for which they count.
 	sweepEvery = 200 * time.Millisecond
+	// connsEvery is how often expired connections to targets are closed, about as long
+	// as they are kept.
+	connsEvery = 5 * time.Second
+	// maxHeader bounds a request's header, in bytes: four times what configurations allow.
+	maxHeader = 64 << 10
 	// readyPause is the pause between two looks whether this router can serve, next to
 	// nothing beside the round trips that it takes.
 	readyPause = 20 * time.Millisecond
@@ -100,6 +105,7 @@
 	}
 	wg.Go(func() { n.puller().Run(ctx) })
 	wg.Go(func() { mesh.Every(ctx, sweepEvery, func(context.Context) { n.board.Sweep() }) })
+	wg.Go(func() { mesh.Every(ctx, connsEvery, func(context.Context) { n.conns.Sweep(n.Clock()) }) })
 	wg.Go(func() { n.announce(ctx) })
 	wg.Go(func() { n.peers.Run(ctx) })
 	wg.Go(func() { n.mesh.Run(ctx) })
@@ -197,7 +203,7 @@
 			}
 			n.handler.ServeHTTP(w, r)
 		}),
-		ReadHeaderTimeout: headerTime, ConnState: idle.changed, ErrorLog: telem.NewServerLog(n.Logger),
+		ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader, ConnState: idle.changed, ErrorLog: telem.NewServerLog(n.Logger),
 	}
 }
 
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -11,6 +11,7 @@
 
 	"valescale/internal/oper/mesh"
 	"valescale/internal/plat/boxes"
+	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 	"valescale/internal/plat/table"
 	"valescale/internal/rule/match"
@@ -33,6 +34,8 @@
 	// slots are how many requests targets run at once, counts how many targets services have.
 	slots  map[ident.Target]int
 	counts map[ident.Service]int
+	// listed is set once the targets' rows have been read.
+	listed bool
 	// turns counts the changes that pools are made from.
 	turns uint64
 }
@@ -90,6 +93,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.logTargets(targets, newest(rows))
+	s.listed = true
 	s.targets = s.targets[:0:0]
 	clear(s.slots)
 	clear(s.counts)
@@ -138,15 +142,22 @@
 	s.routers = routers
 }
 
-// boxes lists the routers and targets as the store's rows say.
-func (s *state) boxes() []boxes.Box {
+// boxes lists the routers and targets as the store's rows say; whole is unset while the
+// targets' rows have not been read.
+func (s *state) boxes() (list []boxes.Box, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Concat(s.routers, s.targets)
+	return slices.Concat(s.routers, s.targets), s.listed
 }
 
 // List is boxes in the form that membership reads now and then.
-func (s *state) List(context.Context) ([]boxes.Box, error) { return s.boxes(), nil }
+func (s *state) List(context.Context) ([]boxes.Box, error) {
+	list, whole := s.boxes()
+	if !whole {
+		return nil, fault.Newf("node.List", Unread, "the targets' rows have not been read yet")
+	}
+	return list, nil
+}
 
 // plainSlots is how many requests a plain target may have for each of its slots. A
 // request counts while its permit and its return travel too, 15 to 20 ms beside the 60 of
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -156,6 +156,9 @@
 	}
 }
 
+// SetBound changes the bound; the size of the memory of places stays.
+func (h *Home) SetBound(bound Bound) { h.bound = bound }
+
 // SetEngines replaces the shard's engines; weights are the numbers of usable
 // engines of all the pool's shards.
 func (h *Home) SetEngines(engines []Engine, weights []int) {
--- a/internal/share/feed/board_test.go
+++ b/internal/share/feed/board_test.go
@@ -121,3 +121,18 @@
 		t.Error(diff)
 	}
 }
+
+// A copy that was ahead of one that was read whole anew hears of rows that came and went
+// meanwhile.
+func TestCopyOfACopyThatWasReadWhole(t *testing.T) {
+	b, _, _ := board()
+	c, _, keys := board()
+	b.Take(name, 0, whole(5, row("a", 3)))
+	c.Take(name, 0, whole(7, row("a", 3), row("b", 7)))
+	b.Take(name, 0, whole(9, row("a", 3)))
+	page, _ := b.Since(name, 7, true)
+	c.Take(name, 7, page)
+	if diff := cmp.Diff([]table.Key{"a"}, *keys); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/share/feed/pull.go
+++ b/internal/share/feed/pull.go
@@ -121,6 +121,7 @@
 			_ = level.Info(p.logger).Log("msg", "dependency regained", "dependency", "router", "router_asked", from)
 		}
 		p.failed = false
+		delete(p.avoided, from)
 		p.roles.peersFailed(false)
 		return
 	}
--- a/internal/share/feed/replica.go
+++ b/internal/share/feed/replica.go
@@ -108,9 +108,8 @@
 			changed = true
 		}
 	}
-	if !r.known {
-		r.floor = page.Version
-	}
+	// What came and went since the copy's earlier version is not known.
+	r.floor = page.Version
 	return changed
 }
 
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -146,6 +146,8 @@
 	h.pools[name] = &poolInfo{pool: pool, bound: bound}
 	for id, s := range h.shards {
 		if id.Pool == name {
+			// A home made before its pool was known has the default bound.
+			s.home.SetBound(bound)
 			s.home.SetEngines(pool.ShardEngines(id.Shard), pool.Weights())
 			h.dispatch(s)
 		}
@@ -313,7 +315,7 @@
 }
 
 // permitLease is how long a home counts the permits of an edge that it does not hear
-// of. An edge that holds some speaks at least each second; see route.Reconcile.
+// of. An edge that holds some speaks at least each half second; see route.Reconcile.
 const permitLease = 2 * time.Second
 
 // Lapse drops the permits of edges that have not spoken for a lease.
--- a/internal/share/home/homes_test.go
+++ b/internal/share/home/homes_test.go
@@ -109,3 +109,25 @@
 		t.Errorf("got %+v, want a warm place", a)
 	}
 }
+
+// A home that hears of permits before it knows its pool keeps to the pool's bound later.
+func TestBoundThatIsKnownLate(t *testing.T) {
+	now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+	h := home.New("router-a", home.DefaultLimits, func() time.Time { return now }, func(ident.Workspace) (policy.Workspace, bool) {
+		return policy.Workspace{}, false
+	})
+	h.Sync(id, "router-b", nil, 0, "")
+	bound := place.BoundOf(2)
+	bound.Extra = 3 * ident.OneRequest
+	one := place.Engine{ID: "engine-1", Hash: ident.Target("engine-1").Hash(), Incarnation: 1}
+	two := place.Engine{ID: "engine-2", Hash: ident.Target("engine-2").Hash(), Incarnation: 1}
+	h.SetPool(pool, 1, bound, []place.Engine{one, two})
+	for permit := range uint64(4) {
+		ask := home.Ask{Shard: id, Request: place.Request{Edge: "router-b", Permit: permit + 1, Key: 7, Work: ident.OneRequest}}
+		h.Place(t.Context(), ask, nil)
+	}
+	most := max(h.RequestsAt(pool, one.Hash), h.RequestsAt(pool, two.Hash))
+	if diff := cmp.Diff(4, most); diff != "" {
+		t.Errorf("requests of one chat at one engine: %s", diff)
+	}
+}
--- a/internal/share/peer/target.go
+++ b/internal/share/peer/target.go
@@ -79,6 +79,15 @@
 	v.listed = true
 }
 
+// ObserveRouters takes in the routers of a list that says nothing of targets.
+func (v *View) ObserveRouters(now time.Time, list []boxes.Box) {
+	for _, b := range list {
+		if b.Role == boxes.RouterRole {
+			v.observeRouter(now, b)
+		}
+	}
+}
+
 // observeRouter learns of a router that no peer has told of yet. The list lags, so
 // it never overrules what the router or its peers say.
 func (v *View) observeRouter(now time.Time, b boxes.Box) {
--- a/internal/share/peer/view_test.go
+++ b/internal/share/peer/view_test.go
@@ -350,3 +350,16 @@
 		t.Error(diff)
 	}
 }
+
+// Routers that are known before the first targets do not make those targets newcomers,
+// which get a small share at first.
+func TestFirstTargetsAreNoNewcomers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := peer.NewView(now, peer.Member{ID: "self", Region: "co"}, peer.DefaultLimits)
+	v.ObserveRouters(now, []boxes.Box{{ID: "other", Role: boxes.RouterRole, Region: "co", State: boxes.Live}})
+	v.ObserveList(now.Add(time.Second), []boxes.Box{{ID: "t", Role: boxes.TargetRole, Service: "s", Region: "co", State: boxes.Live, Incarnation: 1}})
+	targets := v.Targets("s", "co")
+	if len(targets) != 1 || !targets[0].Joined.IsZero() {
+		t.Errorf("got %+v, want a target that has been there all along", targets)
+	}
+}
