A fault soak of our own; route and place in smaller files

Change: cmd/soak plays seeded faults (connections late, silent, deaf, reset; the store refusing and forgetting; configurations and targets that change; kill, stop, pause, wake, reload) and checks from callers' and targets' side; bench/soak carries out its orders on processes of its own.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: all build test lint spec generate demo docs figures schedules fuzz
+.PHONY: soak all build test lint spec generate demo docs figures schedules fuzz
 
 all: build lint test
 
@@ -48,3 +48,7 @@
 	go test -run xxx -fuzz '^FuzzOpen$$' -fuzztime 30s ./internal/edge/relay
 	go test -run xxx -fuzz '^FuzzParse$$' -fuzztime 30s ./internal/oper/conf
 	go test -run xxx -fuzz '^FuzzCompile$$' -fuzztime 30s ./internal/rule/policy
+
+# Random faults against routers as processes of their own, fifty seeds.
+soak:
+	bench/soak $$(seq 1 50)
--- /dev/null
+++ b/cmd/soak/schedule.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"valescale/platform/fake"
+)
+
+const (
+	// backTime bounds the end of routers that drain, their grace being 8 s, and the start
+	// of new ones.
+	backTime = 15 * time.Second
+	// settleTime is how long after the routers are back all must be served again.
+	settleTime = 4 * time.Second
+	// signalTime is how long signals of the last faults may still be on their way: one
+	// that a paused router got is delivered when it wakes.
+	signalTime = time.Second
+	// startPause is the pause between two orders to start what has ended.
+	startPause = 500 * time.Millisecond
+	// startTime bounds the first start of the routers.
+	startTime = 10 * time.Second
+	// finalSends is how many requests each router must serve at the end.
+	finalSends = 20
+)
+
+// run starts the routers, plays faults, heals all and checks; it returns how many
+// promises broke.
+func (w *world) run() int {
+	for _, r := range w.routers {
+		order("start", r)
+	}
+	if !w.allReady(startTime) {
+		w.ledger.report("not all routers were ready within %s", startTime)
+	}
+	for i := range w.Callers {
+		c := w.newCaller(i)
+		w.callers.Go(c.run)
+	}
+	for end := time.Now().Add(w.For); time.Now().Before(end); {
+		w.fault()
+		time.Sleep(time.Duration(100+w.rng.IntN(500)) * time.Millisecond)
+	}
+	w.heal()
+	time.Sleep(signalTime)
+	if !w.allBack(backTime) {
+		w.ledger.report("not all routers are ready %s after the last fault", backTime)
+	}
+	time.Sleep(settleTime)
+	close(w.stop)
+	w.callers.Wait()
+	w.checkEnd()
+	broken, sent, served := w.ledger.settle()
+	for _, b := range broken {
+		fmt.Println("BROKEN", b)
+	}
+	fmt.Printf("seed %d: %d requests, %d served\n", w.Seed, sent, served)
+	passed := 1
+	if len(broken) > 0 {
+		passed = 0
+	}
+	fmt.Printf("%d passed, %d failed\n", passed, len(broken))
+	return len(broken)
+}
+
+// fault plays one random fault.
+func (w *world) fault() {
+	r := w.routers[w.rng.IntN(len(w.routers))]
+	t := w.targets[w.rng.IntN(len(w.targets))]
+	mode := fake.Mode(w.rng.IntN(int(fake.Resetting) + 1))
+	switch w.rng.IntN(12) {
+	case 0:
+		order("kill", r)
+	case 1:
+		order("term", r)
+	case 2:
+		order("pause", r)
+	case 3:
+		order("wake", r)
+	case 4, 5:
+		order("start", r)
+	case 6:
+		order("reload", r)
+	case 7:
+		t.faults.Set(mode)
+	case 8:
+		w.storeAt.Set(mode)
+	case 9:
+		w.store.Fail([]int{0, 0, http.StatusServiceUnavailable, http.StatusTooManyRequests}[w.rng.IntN(4)])
+		w.store.ForgetHistory()
+	case 10:
+		w.configure()
+	case 11:
+		w.changeTarget(t)
+	}
+}
+
+// changeTarget has a target drain, leave without a word, or come back.
+func (w *world) changeTarget(t *target) {
+	switch w.rng.IntN(3) {
+	case 0:
+		w.announce(t, "draining")
+	case 1:
+		fake.Withdraw(w.store, t.id)
+	default:
+		w.announce(t, "ready")
+	}
+}
+
+// allBack starts the routers that have ended until all are ready.
+func (w *world) allBack(within time.Duration) bool {
+	for deadline := time.Now().Add(within); time.Now().Before(deadline); {
+		for _, r := range w.routers {
+			order("start", r)
+		}
+		if w.allReady(startPause) {
+			return true
+		}
+	}
+	return false
+}
+
+// heal ends all faults and starts what does not run.
+func (w *world) heal() {
+	w.store.Fail(0)
+	w.storeAt.Set(fake.Sound)
+	for _, t := range w.targets {
+		t.faults.Set(fake.Sound)
+		w.announce(t, "ready")
+	}
+	w.configure()
+	for _, r := range w.routers {
+		order("wake", r)
+		order("start", r)
+	}
+}
+
+// checkEnd checks that all routers are ready, serve, and have the last configuration in force.
+func (w *world) checkEnd() {
+	c := w.newCaller(w.Callers)
+	for _, r := range w.routers {
+		served := 0
+		for range finalSends {
+			if c.send(r, w.extraRoute(w.extra)) == http.StatusOK {
+				served++
+			}
+		}
+		if served < finalSends*3/4 {
+			w.ledger.report("%s serves %d of %d requests after the last fault", r.name, served, finalSends)
+		}
+		if status := c.send(r, w.extraRoute(w.extra-1)); status != http.StatusNotFound {
+			w.ledger.report("%s answers %d on a route that is gone", r.name, status)
+		}
+	}
+}
+
+// allReady waits until all routers want requests.
+func (w *world) allReady(within time.Duration) bool {
+	client := &http.Client{Timeout: time.Second}
+	deadline := time.Now().Add(within)
+	for _, r := range w.routers {
+		for !ready(client, r) {
+			if time.Now().After(deadline) {
+				return false
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return true
+}
+
+func ready(client *http.Client, r *router) bool {
+	resp, err := client.Get("http://" + r.ready + fake.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/cmd/soak/world.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"valescale/platform/fake"
+)
+
+// world is the store, the targets, the routers and the callers of one run.
+type world struct {
+	options
+	rng     *rand.Rand
+	store   *fake.Store
+	storeAt *fake.Faults
+	routers []*router
+	targets []*target
+	ledger  *ledger
+	// version is the latest configuration's, extra the number of the route that only it has.
+	version int
+	extra   int
+	stop    chan struct{}
+	callers sync.WaitGroup
+	servers []*http.Server
+}
+
+// router is one router as the soak sees it.
+type router struct {
+	name    string
+	callers string
+	ready   string
+}
+
+// target is one stand-in target behind connections that can be harmed.
+type target struct {
+	id      string
+	service string
+	addr    string
+	faults  *fake.Faults
+}
+
+// Services and paths of the configuration.
+const (
+	plainService  = "plain"
+	engineService = "engine"
+	oncePath      = "/once/"
+	safePath      = "/safe/"
+	streamPath    = "/stream/"
+	resumePath    = "/resume/"
+	extraPath     = "/extra/"
+)
+
+func newWorld(o options) (*world, func(), error) {
+	w := &world{
+		options: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: fake.NewStore(), ledger: newLedger(), stop: make(chan struct{}),
+	}
+	var err error
+	if w.storeAt, err = w.serve(w.store); err != nil {
+		return nil, nil, err
+	}
+	for i := range 2 * o.Targets {
+		if err := w.addTarget(i); err != nil {
+			return nil, nil, err
+		}
+	}
+	w.configure()
+	if err := w.writeSettings(); err != nil {
+		return nil, nil, err
+	}
+	return w, w.close, nil
+}
+
+func (w *world) close() {
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+}
+
+// serve serves on a port of the kernel's choice, behind connections that can be harmed.
+func (w *world) serve(h http.Handler) (*fake.Faults, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	faults := fake.NewFaults(l)
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	w.servers = append(w.servers, server)
+	go func() { _ = server.Serve(faults) }()
+	return faults, nil
+}
+
+func (w *world) addTarget(i int) error {
+	t := &target{id: fmt.Sprintf("i-%d", i), service: plainService}
+	if i%2 == 1 {
+		t.service = engineService
+	}
+	work := w.newWork(t, uint64(i))
+	faults, err := w.serve(&fake.Target{ID: t.id, Work: work.serve})
+	if err != nil {
+		return err
+	}
+	t.faults, t.addr = faults, faults.Addr().String()
+	w.targets = append(w.targets, t)
+	w.announce(t, "ready")
+	return nil
+}
+
+func (w *world) announce(t *target, state string) {
+	fake.Announce(w.store, t.id, t.service, t.addr, "a", state, 16)
+}
+
+// configure writes the next configuration: the fixed routes and one that only it has.
+func (w *world) configure() {
+	w.version += 1 + w.rng.IntN(3)
+	w.extra++
+	fake.Configure(w.store, w.version, []fake.Route{
+		{Prefix: oncePath, Type: "mutating", Service: plainService, Attempts: 1},
+		{Prefix: safePath, Type: "idempotent", Service: plainService, Attempts: 2},
+		{Prefix: streamPath, Type: "stream", Service: engineService, Attempts: 1},
+		{Prefix: resumePath, Type: "stream", Service: engineService, Attempts: 2, Resumable: true},
+		{Prefix: w.extraRoute(w.extra), Type: "idempotent", Service: plainService, Attempts: 2},
+	})
+}
+
+func (w *world) extraRoute(n int) string { return fmt.Sprint(extraPath, n, "/") }
+
+// writeSettings writes a settings file for each router and finds free ports for them.
+func (w *world) writeSettings() error {
+	var ports []string
+	for range 3 * w.Routers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		ports = append(ports, l.Addr().String())
+		// The port stays free long enough on a machine that is not full.
+		defer func() { _ = l.Close() }()
+	}
+	seeds := []string{ports[2], ports[5]}
+	for i := range w.Routers {
+		own := ports[3*i : 3*i+3]
+		r := &router{name: fmt.Sprint("r", i), callers: own[0], ready: own[1]}
+		zone := string(rune('a' + i%2))
+		text := fake.Settings(r.name, zone, own[0], own[1], own[2], w.storeAt.Addr().String(), seeds)
+		if err := os.WriteFile(filepath.Join(w.Dir, r.name+".conf"), []byte(text), 0o600); err != nil {
+			return errors.WithStack(err)
+		}
+		w.routers = append(w.routers, r)
+	}
+	return nil
+}
+
+// order tells bench/soak what to do with a router's process.
+func order(verb string, r *router) { fmt.Println(verb, r.name) }
--- /dev/null
+++ b/internal/edge/route/ask.go
@@ -0,0 +1,218 @@
+package route
+
+import (
+	"context"
+	"time"
+
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/share/home"
+)
+
+// saturatedFor is how long a pool without free engines is not asked around.
+const saturatedFor = 200 * time.Millisecond
+
+// askAround asks the shards for a permit; again is set when a home moved meanwhile.
+func (r *Router) askAround(ctx context.Context, p *pool, ask Ask) (placement *Placement, again bool, err error) {
+	r.mu.Lock()
+	search := p.picture.NewSearch(ask.Key, r.clock().Before(p.saturated))
+	cut := r.cutOff()
+	r.mu.Unlock()
+	if cut {
+		return r.withoutHome(ctx, p, ask, nil)
+	}
+	passed := false
+	var holder ident.TargetHash
+	for {
+		r.mu.Lock()
+		step, ok := search.Next(r.clock(), p.picture)
+		r.mu.Unlock()
+		if !ok {
+			return nil, false, fault.New("route.Acquire", NoTarget, nil)
+		}
+		a, placement, err := r.ask(ctx, p, step, ask)
+		if err != nil && !passed && ctx.Err() == nil {
+			// The next in line knows what the silent home counted a second ago.
+			passed = true
+			a, placement, err = r.ask(ctx, p, step, ask)
+		}
+		switch {
+		case err != nil:
+			return r.withoutHome(ctx, p, ask, err)
+		case placement != nil:
+			if placement.Holder == nil && !placement.Warm {
+				r.mu.Lock()
+				placement.Holder = r.holder(p, holder)
+				r.mu.Unlock()
+			}
+			return placement, false, nil
+		case a.Result == home.Moved:
+			return nil, true, nil
+		case step.Must:
+			return nil, false, r.giveUp(ctx, p, step.Shard, a)
+		}
+		if holder == 0 {
+			// The shard that the chat prefers is full; its engine may still be copied from.
+			holder = a.Holder
+		}
+	}
+}
+
+const (
+	// cutAfter is how many calls in a row may fail, whatever home was asked, before this
+	// router counts as cut off from the others: two homes and their next in line.
+	cutAfter = 4
+	// cutRetry is how often a router that is cut off asks a home all the same.
+	cutRetry = 300 * time.Millisecond
+)
+
+// cutOff reports whether to decide alone without asking; the caller holds the lock.
+func (r *Router) cutOff() bool {
+	if r.failures < cutAfter {
+		return false
+	}
+	now := r.clock()
+	if now.Before(r.tryAt) {
+		return true
+	}
+	r.tryAt = now.Add(cutRetry)
+	return false
+}
+
+// giveUp turns the last home's answer into an error.
+func (r *Router) giveUp(ctx context.Context, p *pool, shard ident.Shard, a home.Answer) error {
+	const op = "route.Acquire"
+	r.mu.Lock()
+	p.saturated = r.clock().Add(saturatedFor)
+	asked := r.homeOf(place.ShardID{Pool: p.Name, Shard: shard})
+	r.mu.Unlock()
+	later := RetryAfter{Wait: a.RetryAfter, Home: asked, Work: a.Work, Held: a.Held}
+	switch {
+	case a.Result == home.Empty:
+		return fault.New(op, NoTarget, later)
+	case a.Result == home.Shed:
+		return fault.New(op, Shed, later)
+	case ctx.Err() != nil:
+		return fault.New(op, Gone, ctx.Err())
+	default:
+		return fault.New(op, TimedOut, later)
+	}
+}
+
+// withoutHome decides alone after a home did not answer.
+func (r *Router) withoutHome(ctx context.Context, p *pool, ask Ask, cause error) (*Placement, bool, error) {
+	if ctx.Err() != nil {
+		return nil, false, fault.New("route.Acquire", Gone, cause)
+	}
+	placement, err := r.local(p, ask)
+	return placement, false, err
+}
+
+// ask asks one home for a permit.
+func (r *Router) ask(ctx context.Context, p *pool, step place.Step, ask Ask) (home.Answer, *Placement, error) {
+	id := place.ShardID{Pool: p.Name, Shard: step.Shard}
+	now := r.clock()
+	to, request, released := r.prepare(p, id, step, ask, now)
+	a, err := r.homes.Place(ctx, to, request, released)
+	if err == nil && a.Result == home.Empty && r.hasEngines(p, step.Shard) {
+		// A router that has just started is home already and knows no engines yet.
+		err = fault.New("route.Acquire", NoTarget, nil)
+	}
+	if err != nil && ctx.Err() == nil {
+		r.passOver(ctx, to)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.unanswered(ctx, id, to, request.Permit, released)
+		return a, nil, err
+	}
+	r.failures = 0
+	p.noteSums(r.clock(), step.Shard, a)
+	if a.Result != home.Placed {
+		if a.Result != home.Moved && a.Result != home.Empty {
+			r.watchDrift(id, a.Held)
+		}
+		return a, nil, nil
+	}
+	r.spoken[id] = now
+	return r.placed(p, id, to, request, a)
+}
+
+// prepare makes the request for a permit, with the permits that go back on the way.
+func (r *Router) prepare(p *pool, id place.ShardID, step place.Step, ask Ask, now time.Time) (to ident.Router, request home.Ask, released []uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.permit++
+	to = r.homeOf(id)
+	released = r.pending[id]
+	delete(r.pending, id)
+	r.stats.Asked++
+	request = home.Ask{
+		Request: place.Request{
+			Edge: r.self.ID, Permit: r.permit, Key: ask.Key, Work: ask.Work, Zone: r.self.Zone, Must: step.Must,
+			Avoid: ask.Avoid, Lost: ask.lost,
+		},
+		Shard:     id,
+		Workspace: ask.Workspace,
+		Weight:    ask.Weight,
+		Priority:  ask.Priority,
+		Sums:      p.picture.SumsFor(now, step.Shard, nil),
+	}
+	if step.Must {
+		r.stats.Must++
+		request.Wait = max(ask.Deadline.Sub(now), 0)
+	}
+	return to, request, released
+}
+
+// unanswered notes that a home did not answer; the caller holds the lock.
+func (r *Router) unanswered(ctx context.Context, id place.ShardID, asked ident.Router, permit uint64, released []uint64) {
+	if ctx.Err() == nil {
+		r.failures++
+		r.tryAt = r.clock().Add(cutRetry)
+	}
+	// The permit may have been given; say that it is not used, to that home too if
+	// another one is asked from now on.
+	r.giveBack(id, append(released, permit)...)
+	if asked != r.homeOf(id) {
+		r.owe(id, asked)
+		r.self.AfterFunc(0, func() { r.payOwed(context.Background()) })
+	}
+}
+
+// noteSums keeps the shards' work that came with an answer.
+func (p *pool) noteSums(now time.Time, shard ident.Shard, a home.Answer) {
+	p.picture.NoteSum(now, place.Sum{Shard: shard, Work: a.Work})
+	for _, sum := range a.Sums {
+		p.picture.NoteSum(now, sum)
+	}
+}
+
+// placed makes a placement of a permit; the caller holds the lock.
+func (r *Router) placed(p *pool, id place.ShardID, to ident.Router, request home.Ask, a home.Answer) (home.Answer, *Placement, error) {
+	target, ok := p.Targets[a.Engine]
+	if !ok {
+		// The home knows an engine that this router does not know yet.
+		r.giveBack(id, request.Permit)
+		return home.Answer{Result: home.Full}, nil, nil
+	}
+	r.granted[id] = to
+	placement := r.hold(p, id, place.Permit{Edge: r.self.ID, ID: request.Permit, Engine: a.Engine, Work: request.Work}, target)
+	placement.Home = to
+	placement.Holder = r.holder(p, a.Holder)
+	placement.Warm = a.Warm
+	if a.Warm {
+		r.stats.Warm++
+	}
+	r.watchDrift(id, a.Held)
+	return a, placement, nil
+}
+
+// hasEngines reports whether this router knows usable engines of a shard.
+func (r *Router) hasEngines(p *pool, shard ident.Shard) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return p.picture.Weights()[shard] > 0
+}
--- /dev/null
+++ b/internal/edge/route/choose.go
@@ -0,0 +1,85 @@
+package route
+
+import (
+	"time"
+
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
+)
+
+// local decides from this router's own counts alone.
+func (r *Router) local(p *pool, ask Ask) (*Placement, error) {
+	const op = "route.Acquire"
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	request := place.Request{Key: ask.Key, Work: ask.Work, Zone: r.self.Zone, Avoid: ask.Avoid, Lost: ask.lost}
+	d := p.picture.Local(request, len(r.assigned.Routers()))
+	target, known := p.Targets[d.Engine]
+	switch {
+	case d.Result == place.Empty:
+		return nil, fault.New(op, NoTarget, nil)
+	case d.Result != place.Placed || !known:
+		return nil, fault.New(op, TimedOut, RetryAfter{Wait: time.Second})
+	}
+	r.permit++
+	permit := place.Permit{Edge: r.self.ID, ID: r.permit, Engine: d.Engine, Work: ask.Work}
+	if p.Service.Balance == policy.Local {
+		return r.hold(p, place.ShardID{}, permit, target), nil
+	}
+	r.stats.Fallback++
+	id := place.ShardID{Pool: p.Name, Shard: place.ShardOf(d.Engine, p.picture.Shards())}
+	placement := r.hold(p, id, permit, target)
+	placement.Holder = r.holder(p, d.Holder)
+	return placement, nil
+}
+
+// holder returns a target of the pool from which a prompt can be copied, or nil: an
+// engine would wait in vain for one that does not answer. The caller holds the lock.
+func (r *Router) holder(p *pool, hash ident.TargetHash) *Target {
+	t, ok := p.Targets[hash]
+	if !ok {
+		return nil
+	}
+	if b, known := r.breakers[hash]; known && b.Tripped() {
+		return nil
+	}
+	return &t
+}
+
+// lost lists the targets of a pool that cannot be reached.
+func (r *Router) lost(p *pool) []ident.TargetHash {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []ident.TargetHash
+	for hash, b := range r.breakers {
+		if _, ours := p.Targets[hash]; ours && b.Tripped() {
+			out = append(out, hash)
+		}
+	}
+	return out
+}
+
+// withBlocked adds the targets whose breakers are open to those to avoid.
+func (r *Router) withBlocked(p *pool, avoid []ident.TargetHash) []ident.TargetHash {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock()
+	if len(avoid) >= p.picture.Usable() {
+		// Each has failed this request once; another try is all that is left.
+		avoid = nil
+	}
+	blocked := 0
+	for hash := range p.Targets {
+		if b, ok := r.breakers[hash]; ok && b.Blocked(now) {
+			avoid = append(avoid, hash)
+			blocked++
+		}
+	}
+	if blocked >= p.picture.Usable() {
+		// With every breaker open, trying is better than refusing everything.
+		return avoid[:len(avoid)-blocked]
+	}
+	return avoid
+}
--- /dev/null
+++ b/internal/rule/place/choose.go
@@ -0,0 +1,199 @@
+package place
+
+import (
+	"time"
+
+	"valescale/internal/plat/ident"
+)
+
+// holder returns an engine at which a chat ran and that is still there, other than one.
+// For a chat that is not remembered it is the first of the chat's own order.
+func (h *Home) holder(key ident.ChatKey, at chatPlace, other ident.TargetHash, lost []ident.TargetHash) ident.TargetHash {
+	for _, s := range at.at {
+		i, known := h.index[s.engine]
+		if known && s.engine != other && !avoided(lost, s.engine) && h.engines[i].present && h.engines[i].Incarnation == s.incarnation {
+			return s.engine
+		}
+	}
+	if h.bound.Steady > 0 {
+		return h.likely(key, other, lost)
+	}
+	return 0
+}
+
+// likely returns the first engine of a chat's own order, other than one.
+func (h *Home) likely(key ident.ChatKey, other ident.TargetHash, lost []ident.TargetHash) ident.TargetHash {
+	var best ranked
+	for i := range h.engines {
+		e := &h.engines[i]
+		r := ranked{index: i, set: true, score: ident.Mix(uint64(key), uint64(e.Hash))}
+		if e.present && e.Hash != other && !avoided(lost, e.Hash) && r.preferred(best) {
+			best = r
+		}
+	}
+	if !best.set {
+		return 0
+	}
+	return h.engines[best.index].Hash
+}
+
+// choose picks the chat's last engine while it is under the limit, else the one
+// before, else the least loaded.
+func (h *Home) choose(now time.Time, req Request) (int, Result, bool) {
+	limit := h.limit(now, req.Work)
+	if at, ok := h.places.get(req.Key); ok {
+		for _, s := range at.at {
+			i, known := h.index[s.engine]
+			if known && h.engines[i].Incarnation == s.incarnation && h.admits(now, i, req, limit) == Placed {
+				return i, Placed, true
+			}
+		}
+	}
+	var best, first ranked
+	steady := h.steadyLimit(now)
+	outcome := Empty
+	for i := range h.engines {
+		if !h.engines[i].usable() || avoided(req.Avoid, h.engines[i].Hash) {
+			continue
+		}
+		verdict := h.admits(now, i, req, limit)
+		if verdict != Placed {
+			outcome = worse(outcome, verdict)
+			continue
+		}
+		r := h.rank(i, req)
+		best = best.better(r)
+		if float64(r.load) < steady && r.preferred(first) {
+			first = r
+		}
+	}
+	switch {
+	case first.set:
+		return first.index, Placed, false
+	case best.set:
+		return best.index, Placed, false
+	default:
+		return 0, outcome, false
+	}
+}
+
+// steadyLimit is the load under which an engine takes the chats that prefer it.
+func (h *Home) steadyLimit(now time.Time) float64 {
+	if h.bound.Steady <= 0 {
+		return 0
+	}
+	return h.bound.Steady*float64(h.Total(now))/float64(max(h.poolEngines, 1)) + float64(h.bound.Extra)
+}
+
+// rank says how well an engine suits a chat that is nowhere yet: the least loaded
+// first, among equals the near ones, and among those in an order of the chat's own,
+// so that a home which has lost its memory tends to choose the same again.
+func (h *Home) rank(i int, req Request) ranked {
+	e := &h.engines[i]
+	return ranked{
+		index: i, set: true, load: e.load(), near: e.Zone == req.Zone,
+		score: ident.Mix(uint64(req.Key), uint64(e.Hash)),
+	}
+}
+
+type ranked struct {
+	index int
+	set   bool
+	load  ident.Work
+	near  bool
+	score uint64
+	// shard is the place of the engine's shard in the key's order.
+	shard int
+}
+
+// preferred reports whether an engine comes before another in a key's own order.
+func (r ranked) preferred(other ranked) bool {
+	switch {
+	case !other.set:
+		return true
+	case r.shard != other.shard:
+		return r.shard < other.shard
+	default:
+		return r.score > other.score
+	}
+}
+
+// better returns the one of two that suits better; one that is not set never does.
+func (r ranked) better(other ranked) ranked {
+	switch {
+	case !r.set:
+		return other
+	case r.load != other.load:
+		if other.load < r.load {
+			return other
+		}
+	case r.near != other.near:
+		if other.near {
+			return other
+		}
+	case other.score > r.score:
+		return other
+	}
+	return r
+}
+
+// worse keeps the finding that leaves the caller more hope elsewhere.
+func worse(old, found Result) Result {
+	if old == Full || found == Full {
+		return Full
+	}
+	return found
+}
+
+func avoided(avoid []ident.TargetHash, engine ident.TargetHash) bool {
+	for _, a := range avoid {
+		if a == engine {
+			return true
+		}
+	}
+	return false
+}
+
+// admits says whether one engine may take the request's work now.
+func (h *Home) admits(now time.Time, i int, req Request, limit float64) Result {
+	e := &h.engines[i]
+	if !e.usable() || avoided(req.Avoid, e.Hash) {
+		return Empty
+	}
+	load := e.load()
+	slots := e.Slots
+	if req.Over {
+		slots *= 2
+	}
+	if slots > 0 && load+req.Work > slots && load > 0 {
+		return Busy
+	}
+	if req.Must || req.Over {
+		return Placed
+	}
+	if float64(load) >= limit*h.ramp(now, e) {
+		return Full
+	}
+	return Placed
+}
+
+// limit is the load that an engine must be below to take more work: the bound's
+// factor times the pool's mean with the new work counted.
+func (h *Home) limit(now time.Time, work ident.Work) float64 {
+	return h.bound.limit((1-returning)*float64(h.Total(now)+work), h.poolEngines)
+}
+
+// returning is the share of the permits whose requests are thought to have ended
+// already, while the permits are on their way back.
+const returning = 0.03
+
+// minRamp is the share that an engine has as it joins.
+const minRamp = 0.1
+
+func (h *Home) ramp(now time.Time, e *engineLoad) float64 {
+	if e.Joined.IsZero() || h.bound.Ramp <= 0 {
+		return 1
+	}
+	share := float64(now.Sub(e.Joined)) / float64(h.bound.Ramp)
+	return min(max(share, minRamp), 1)
+}
