--- /dev/null
+++ b/internal/oper/node/node_test.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/retry"
+)
+
+func TestShardsFor(t *testing.T) {
+	for targets, want := range map[int]int{0: 1, 4: 1, 32: 1, 33: 2, 64: 2, 90: 4, 3100: 64} {
+		if got := shardsFor(targets); got != want {
+			t.Errorf("%d targets: %d shards, want %d", targets, got, want)
+		}
+	}
+}
+
+// A connection's idle time follows the configuration while the connection is open.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	limit := time.Hour
+	i := newIdle(func() time.Duration { return limit })
+	near, far := net.Pipe()
+	defer far.Close()
+	i.changed(near, http.StateIdle)
+	i.changed(near, http.StateActive)
+	if len(i.timers) != 0 {
+		t.Error("a busy connection still has a timer")
+	}
+	limit = time.Millisecond
+	i.changed(near, http.StateIdle)
+	if err := far.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := far.Read(make([]byte, 1)); err == nil || isTimeout(err) {
+		t.Errorf("the idle connection is still open: %v", err)
+	}
+}
+
+func isTimeout(err error) bool {
+	timeout, ok := err.(net.Error)
+	return ok && timeout.Timeout()
+}
+
+// Services have budgets of their own, and a new allowance starts anew.
+func TestBudgets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newBudget(retry.Allowance{Ratio: 1, Span: 10 * time.Second}, func() int { return 8 })
+	b.Request("a", now)
+	if b.Retry("b", now) {
+		t.Error("a retry is given for another service's request")
+	}
+	if !b.Retry("a", now) || b.Retry("a", now) {
+		t.Error("one request does not give one retry")
+	}
+	b.allow(retry.Allowance{Ratio: 0, Extra: 0, Span: 10 * time.Second})
+	b.Request("a", now)
+	if b.Retry(ident.Service("a"), now) {
+		t.Error("a retry is given after the allowance was taken away")
+	}
+}
