Holders are named only to engines that can copy

Cause: the reading found that a service's word whether its engines can copy cached prompts was decoded and not used. Change: entry names a holder only if they can. Test: entry TestHolderNeedsEnginesThatCopy.

--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -127,7 +127,7 @@
 func (h *Handler) exchange(j *job, placement *route.Placement) relay.Exchange {
 	header := relay.EndToEnd(j.header)
 	holder := ""
-	if placement.Holder != nil {
+	if placement.Holder != nil && j.copies {
 		holder = placement.Holder.Addr
 	}
 	h.Dialect.Write(header, j.call, Order{
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"valescale/internal/edge/route"
 	"valescale/internal/rule/match"
 	"valescale/internal/rule/retry"
 )
@@ -327,3 +328,29 @@
 		t.Errorf("Content-Length is %q, want 42", header.Get("Content-Length"))
 	}
 }
+
+// Only engines that can copy cached prompts are told from where.
+func TestHolderNeedsEnginesThatCopy(t *testing.T) {
+	for _, copies := range []bool{true, false} {
+		to := newTarget(t, answer(200, "", "fine"))
+		table, err := match.Compile(match.Config{
+			Routes: []match.Route{aRoute(nil)}, Limits: match.Limits{BodyBytes: 1 << 20},
+			Services: []match.Service{{Name: "s", Copies: copies}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := newSetupWith(t, rules{table: table, fresh: true}, to)
+		s.finder.holder = &route.Target{ID: "other", Addr: "10.0.0.9:8"}
+		if answer, _ := s.call(t, "POST", "/", "x"); answer.Status != http.StatusOK {
+			t.Fatalf("status %d", answer.Status)
+		}
+		want := ""
+		if copies {
+			want = "10.0.0.9:8"
+		}
+		if diff := cmp.Diff(want, to.runs[0].Get("Holder")); diff != "" {
+			t.Errorf("engines that copy: %v: %s", copies, diff)
+		}
+	}
+}
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -135,6 +135,7 @@
 	}
 	j.key = j.placeKey()
 	j.service = found.ServiceOf(j.key)
+	j.copies = table.Copies(j.service)
 	return j, nil
 }
 
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -26,8 +26,10 @@
 	route     *match.Route
 	workspace *match.Workspace
 	service   ident.Service
-	key       ident.ChatKey
-	arrived   time.Time
+	// copies says that the service's engines can take cached prompts from each other.
+	copies  bool
+	key     ident.ChatKey
+	arrived time.Time
 	// limit is when the final answer is due.
 	limit time.Time
 	// avoid are the targets of earlier attempts.
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -34,6 +34,7 @@
 	h.Del("Key")
 	h.Set("Target", string(o.Target))
 	h.Set("Workspace", string(o.Workspace))
+	h.Set("Holder", o.Holder)
 	if o.After != "" {
 		h.Set("After", string(o.After))
 	}
@@ -59,6 +60,8 @@
 	mu      sync.Mutex
 	targets []route.Target
 	reports []string
+	// holder is named with each placement.
+	holder *route.Target
 }
 
 func (f *finder) Acquire(_ context.Context, ask route.Ask) (*route.Placement, error) {
@@ -68,7 +71,7 @@
 			avoided = avoided || a == t.ID.Hash()
 		}
 		if !avoided {
-			return &route.Placement{Target: t, Hash: t.ID.Hash()}, nil
+			return &route.Placement{Target: t, Hash: t.ID.Hash(), Holder: f.holder}, nil
 		}
 	}
 	return nil, fault.New("test", route.NoTarget, nil)
