entry: give the place back when a long answer is cut off

Cause: found by reading. An answer above 256 KiB is passed on as it comes; when its target broke off, passLong panicked to close the caller's connection, past the release of the placement and past the target's breaker. The router went on speaking for the permit, so the home counted it for ever, and a probe of a half-open breaker never ended.

Change: passLong returns how the answer ended, as the other ways do, and serve aborts the connection as its last step, in the one place that finish uses too. A caller that has gone is told from a target that broke off, so that the target isn't blamed for it; before, both were logged as an answer cut off.

Conclusion: mended.

--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -76,7 +77,7 @@
 	}
 	got := h.pass(w, j, answer, patience)
 	got.took = h.Clock().Sub(began)
-	h.judge(ctx, placement, got.ended && got.status < http.StatusInternalServerError)
+	h.judge(ctx, placement, got.ended && got.reason != CutOff && got.status < http.StatusInternalServerError)
 	return got
 }
 
@@ -186,16 +187,31 @@
 	j.started = true
 	j.first = h.Clock().Sub(j.arrived)
 	w.WriteHeader(answer.Status)
-	if _, err := w.Write(begun); err != nil {
-		return result{ended: true, reason: CallerGone, status: answer.Status}
-	}
-	if _, err := io.Copy(w, answer); err != nil {
-		h.ended(j, CutOff, answer.Status)
-		panic(http.ErrAbortHandler)
+	caller := &noting{to: w}
+	_, err := io.Copy(caller, io.MultiReader(bytes.NewReader(begun), answer))
+	switch {
+	case caller.failed:
+		return result{ended: true, reason: CallerGone, status: answer.Status, err: err}
+	case err != nil:
+		return result{ended: true, reason: CutOff, status: answer.Status, err: err}
 	}
 	return result{ended: true, reason: Served, status: answer.Status}
 }
 
+// noting notes whether writing failed, which tells a caller that has gone from a target
+// that breaks off.
+type noting struct {
+	to     io.Writer
+	failed bool
+}
+
+// Write implements io.Writer.
+func (n *noting) Write(p []byte) (int, error) {
+	written, err := n.to.Write(p)
+	n.failed = n.failed || err != nil
+	return written, err
+}
+
 // head copies an answer's headers to the caller, without its length.
 func (h *Handler) head(w http.ResponseWriter, answer *relay.Answer) http.Header {
 	header := w.Header()
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -194,6 +194,7 @@
 		placement.Release()
 		if result.ended {
 			h.ended(j, result.reason, result.status)
+			abortCutOff(result.reason)
 			return
 		}
 		if !h.again(ctx, j, placement, result) {
@@ -231,11 +232,20 @@
 func (h *Handler) finish(w http.ResponseWriter, j *job, p *problem) {
 	if j.started {
 		h.ended(j, CutOff, 0)
-		panic(http.ErrAbortHandler)
+		abortCutOff(CutOff)
+		return
 	}
 	h.answer(w, j, p)
 }
 
+// abortCutOff closes the caller's connection under an answer that was cut off. It comes
+// last: it does not return, and by then the place at the target must be given back.
+func abortCutOff(reason Reason) {
+	if reason == CutOff {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // again decides whether another attempt follows one that brought no answer.
 func (h *Handler) again(ctx context.Context, j *job, placement *route.Placement, last result) bool {
 	j.avoid = append(j.avoid, placement.Hash)
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -62,9 +62,14 @@
 	reports []string
 	// holder is named with each placement.
 	holder *route.Target
+	// acquire gives the placements instead if it is set.
+	acquire func(context.Context, route.Ask) (*route.Placement, error)
 }
 
-func (f *finder) Acquire(_ context.Context, ask route.Ask) (*route.Placement, error) {
+func (f *finder) Acquire(ctx context.Context, ask route.Ask) (*route.Placement, error) {
+	if f.acquire != nil {
+		return f.acquire(ctx, ask)
+	}
 	for _, t := range f.targets {
 		avoided := false
 		for _, a := range ask.Avoid {
