route: find blocked and lost targets in one pass

Cause: found by reading. Each request took the lock twice, once to go through the pool's targets for open breakers and once through the breakers of all pools, which are never dropped, for tripped ones.

Change: one pass over the pool's targets gives both lists.

Conclusion: same lists, half the work for each request.

--- a/internal/edge/route/choose.go
+++ b/internal/edge/route/choose.go
@@ -48,21 +48,9 @@
 	return &t
 }
 
-// lost lists the targets of a pool that cannot be reached.
-func (r *Router) lost(p *pool) []ident.TargetHash {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []ident.TargetHash
-	for hash, b := range r.breakers {
-		if _, ours := p.Targets[hash]; ours && b.Tripped() {
-			out = append(out, hash)
-		}
-	}
-	return out
-}
-
-// withBlocked adds the targets whose breakers are open to those to avoid.
-func (r *Router) withBlocked(p *pool, avoid []ident.TargetHash) []ident.TargetHash {
+// troubled adds the targets whose breakers are open to those to avoid, and lists those
+// that cannot be reached.
+func (r *Router) troubled(p *pool, avoid []ident.TargetHash) (avoided, lost []ident.TargetHash) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock()
@@ -72,14 +60,21 @@
 	}
 	blocked := 0
 	for hash := range p.Targets {
-		if b, ok := r.breakers[hash]; ok && b.Blocked(now) {
+		b, ok := r.breakers[hash]
+		if !ok {
+			continue
+		}
+		if b.Tripped() {
+			lost = append(lost, hash)
+		}
+		if b.Blocked(now) {
 			avoid = append(avoid, hash)
 			blocked++
 		}
 	}
 	if blocked >= p.picture.Usable() {
 		// With every breaker open, trying is better than refusing everything.
-		return avoid[:len(avoid)-blocked]
+		return avoid[:len(avoid)-blocked], lost
 	}
-	return avoid
+	return avoid, lost
 }
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -191,8 +191,7 @@
 	if p == nil {
 		return nil, fault.Newf(op, NoTarget, "service %s", ask.Service)
 	}
-	ask.Avoid = r.withBlocked(p, ask.Avoid)
-	ask.lost = r.lost(p)
+	ask.Avoid, ask.lost = r.troubled(p, ask.Avoid)
 	if p.Service.Balance == policy.Local {
 		return r.local(p, ask)
 	}
