--- /dev/null
+++ b/cmd/router/main.go
@@ -0,0 +1,12 @@
+// Command router runs a router on the users' platform.
+package main
+
+import (
+	"os"
+
+	"valescale/platform"
+)
+
+func main() {
+	os.Exit(platform.Main())
+}
--- /dev/null
+++ b/internal/edge/entry/attempt.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"valescale/internal/edge/relay"
+	"valescale/internal/edge/route"
+	"valescale/internal/rule/retry"
+)
+
+// result is the end of one attempt.
+type result struct {
+	// ended is set when the caller has got its final answer, or as much as there will be.
+	ended  bool
+	reason Reason
+	status int
+	// step is how far an attempt without an answer got.
+	step retry.Step
+	err  error
+	took time.Duration
+}
+
+const (
+	// freshOnce is how long a connection may have been idle for a request that must not
+	// be sent twice: a target that forgets idle connections does so after seconds.
+	freshOnce = 500 * time.Millisecond
+	// freshSafe is that time for requests that may be sent again.
+	freshSafe = 3 * time.Second
+	// answerMargin is kept of a target's time for passing its answer on.
+	answerMargin = 20 * time.Millisecond
+	// wholeAnswer is the largest body that is read to its end before the caller gets
+	// any of it, in bytes. A longer one is passed on as it comes.
+	wholeAnswer = 256 << 10
+)
+
+// attempt sends the request to one target and passes the answer on.
+func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, j *job, placement *route.Placement) result {
+	began := h.Clock()
+	ctx, patience := newPatience(ctx, j.patience())
+	defer patience.stop()
+	answer, err := h.Sender.Send(ctx, h.exchange(j, placement))
+	if err != nil {
+		return h.failed(ctx, j, placement, began, err)
+	}
+	defer answer.Close()
+	j.sends++
+	reply := h.Dialect.Reply(answer.Status, answer.Header)
+	if reply.NotRun {
+		h.Finder.Report(placement.Hash, !reply.Elsewhere)
+		return result{step: retry.Refused, reason: Refused, status: answer.Status, took: h.Clock().Sub(began)}
+	}
+	j.ran++
+	if answer.Status >= http.StatusInternalServerError && j.mayRepeat() {
+		h.Finder.Report(placement.Hash, false)
+		return result{step: retry.Answering, reason: Lost, status: answer.Status, took: h.Clock().Sub(began)}
+	}
+	got := h.pass(w, j, answer, patience)
+	got.took = h.Clock().Sub(began)
+	h.judge(ctx, placement, got.ended && got.status < http.StatusInternalServerError)
+	return got
+}
+
+// mayRepeat reports whether another attempt at the request is allowed by its route.
+func (j *job) mayRepeat() bool {
+	return j.route.Repeat == retry.Safe && j.ran < j.route.Attempts
+}
+
+// judge tells the finder how a target did; a caller that left says nothing of it.
+func (h *Handler) judge(ctx context.Context, placement *route.Placement, ok bool) {
+	if !ok && errors.Is(context.Cause(ctx), context.Canceled) {
+		h.Finder.Cancelled(placement.Hash)
+		return
+	}
+	h.Finder.Report(placement.Hash, ok)
+}
+
+// failed is the end of an attempt without an answer's head.
+func (h *Handler) failed(ctx context.Context, j *job, placement *route.Placement, began time.Time, err error) result {
+	step := relay.StepOf(err)
+	reason := Unreachable
+	if !retry.Free(step) {
+		j.sends++
+		j.ran++
+		reason = Lost
+	}
+	h.judge(ctx, placement, false)
+	return result{step: step, reason: reason, err: err, took: h.Clock().Sub(began)}
+}
+
+// exchange is what the target gets.
+func (h *Handler) exchange(j *job, placement *route.Placement) relay.Exchange {
+	header := relay.EndToEnd(j.header)
+	h.Dialect.Write(header, j.call, Order{
+		Left:      j.limit.Sub(h.Clock()) - answerMargin,
+		Target:    placement.Target.ID,
+		Workspace: j.workspace.Name,
+		After:     j.last,
+	})
+	fresh := freshOnce
+	if j.route.Repeat == retry.Safe {
+		fresh = freshSafe
+	}
+	return relay.Exchange{
+		Addr: placement.Target.Addr, Method: j.method, Path: j.path, Host: j.host, Header: header, Body: j.body, Fresh: fresh,
+		Owns: func(got http.Header) bool { return h.Dialect.Owns(got, j.call) },
+	}
+}
+
+// pass gives an answer to the caller.
+func (h *Handler) pass(w http.ResponseWriter, j *job, answer *relay.Answer, patience *patience) result {
+	if j.route.Stream && answer.Status < http.StatusMultipleChoices {
+		return h.passEvents(w, j, answer, patience)
+	}
+	if j.started {
+		// The caller has a part of a stream; this answer cannot continue it.
+		return result{step: retry.Answering, reason: Lost, status: answer.Status}
+	}
+	body, err := io.ReadAll(io.LimitReader(answer, wholeAnswer))
+	if err != nil {
+		return result{step: retry.Answering, reason: Lost, status: answer.Status, err: err}
+	}
+	if len(body) == wholeAnswer {
+		return h.passLong(w, j, answer, body)
+	}
+	j.first = h.Clock().Sub(j.arrived)
+	header := h.head(w, j, answer)
+	if length := strconv.Itoa(len(body)); answer.Length != 0 || len(body) > 0 || header.Get("Content-Length") == "" {
+		header.Set("Content-Length", length)
+	}
+	w.WriteHeader(answer.Status)
+	// A caller that has gone needs no answer.
+	_, _ = w.Write(body)
+	return result{ended: true, reason: Served, status: answer.Status}
+}
+
+// passLong passes on an answer that is too long to be kept whole.
+func (h *Handler) passLong(w http.ResponseWriter, j *job, answer *relay.Answer, begun []byte) result {
+	header := h.head(w, j, answer)
+	if answer.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	j.started = true
+	j.first = h.Clock().Sub(j.arrived)
+	w.WriteHeader(answer.Status)
+	if _, err := w.Write(begun); err != nil {
+		return result{ended: true, reason: CallerGone, status: answer.Status}
+	}
+	if _, err := io.Copy(w, answer); err != nil {
+		h.ended(j, CutOff, answer.Status)
+		panic(http.ErrAbortHandler)
+	}
+	return result{ended: true, reason: Served, status: answer.Status}
+}
+
+// head copies an answer's headers to the caller.
+func (h *Handler) head(w http.ResponseWriter, _ *job, answer *relay.Answer) http.Header {
+	header := w.Header()
+	for name, values := range relay.EndToEnd(answer.Header) {
+		header[name] = values
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		// The server would guess one.
+		header["Content-Type"] = nil
+	}
+	return header
+}
--- /dev/null
+++ b/internal/edge/entry/events.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+
+	"valescale/internal/edge/relay"
+	"valescale/internal/rule/retry"
+)
+
+// eventBuffer is how much of a stream is read at once, in bytes.
+const eventBuffer = 4 << 10
+
+// maxEvent bounds one event, in bytes.
+const maxEvent = 1 << 20
+
+// passEvents passes on the events of a stream as they come, whole ones only, so that
+// the stream can go on elsewhere if this target stops in the middle of one.
+func (h *Handler) passEvents(w http.ResponseWriter, j *job, answer *relay.Answer, patience *patience) result {
+	control := http.NewResponseController(w)
+	var pending []byte
+	buffer := make([]byte, eventBuffer)
+	for {
+		n, err := answer.Read(buffer)
+		pending = append(pending, buffer[:n]...)
+		end := wholeEvents(pending)
+		if err == io.EOF {
+			end = len(pending)
+		}
+		if end > 0 {
+			patience.heard(j.gap())
+			if !h.passOn(w, control, j, answer, pending[:end]) {
+				return result{ended: true, reason: CallerGone, status: answer.Status}
+			}
+			pending = append(pending[:0], pending[end:]...)
+		}
+		switch {
+		case err == io.EOF:
+			h.begin(w, j, answer)
+			return result{ended: true, reason: Served, status: answer.Status}
+		case err != nil || len(pending) > maxEvent:
+			return result{step: retry.Answering, reason: Lost, status: answer.Status, err: err}
+		}
+	}
+}
+
+// passOn writes whole events and reports whether the caller is still there.
+func (h *Handler) passOn(w http.ResponseWriter, control *http.ResponseController, j *job, answer *relay.Answer, events []byte) bool {
+	if j.started && j.sends > 1 {
+		events = after(events, j.last)
+	}
+	h.begin(w, j, answer)
+	if len(events) == 0 {
+		return true
+	}
+	if j.route.Resumable {
+		if id, ok := lastID(events); ok {
+			j.last = id
+		}
+	}
+	if _, err := w.Write(events); err != nil {
+		return false
+	}
+	return control.Flush() == nil
+}
+
+// begin writes the head of the first target's answer, once.
+func (h *Handler) begin(w http.ResponseWriter, j *job, answer *relay.Answer) {
+	if j.started {
+		return
+	}
+	j.started = true
+	j.first = h.Clock().Sub(j.arrived)
+	header := h.head(w, j, answer)
+	header.Del("Content-Length")
+	w.WriteHeader(answer.Status)
+}
+
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
+
+// wholeEvents is the length of the whole events at the beginning of some bytes.
+func wholeEvents(b []byte) int {
+	end := 0
+	for _, mark := range eventEnds {
+		if i := bytes.LastIndex(b, mark); i >= 0 {
+			end = max(end, i+len(mark))
+		}
+	}
+	return end
+}
+
+// idOf returns the id of the event that begins some bytes.
+func idOf(event []byte) (EventID, bool) {
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return EventID(bytes.TrimSpace(value)), true
+		}
+	}
+	return "", false
+}
+
+// lastID returns the id of the last event that has one.
+func lastID(events []byte) (id EventID, found bool) {
+	for event := range each(events) {
+		if got, ok := idOf(event); ok {
+			id, found = got, true
+		}
+	}
+	return id, found
+}
+
+// after returns the events that follow one by number; events without a number stay.
+func after(events []byte, last EventID) []byte {
+	had, err := strconv.ParseInt(string(last), 10, 64)
+	if err != nil {
+		return events
+	}
+	var out []byte
+	for event := range each(events) {
+		id, ok := idOf(event)
+		number, err := strconv.ParseInt(string(id), 10, 64)
+		if ok && err == nil && number <= had {
+			continue
+		}
+		out = append(out, event...)
+	}
+	return out
+}
+
+// each yields events one by one, each with the empty line that ends it.
+func each(events []byte) func(yield func([]byte) bool) {
+	return func(yield func([]byte) bool) {
+		for len(events) > 0 {
+			end := len(events)
+			for _, mark := range eventEnds {
+				if i := bytes.Index(events, mark); i >= 0 {
+					end = min(end, i+len(mark))
+				}
+			}
+			if !yield(events[:end]) {
+				return
+			}
+			events = events[end:]
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/entry/handler.go
@@ -0,0 +1,277 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	"valescale/internal/edge/relay"
+	"valescale/internal/edge/route"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/match"
+	"valescale/internal/rule/retry"
+)
+
+// Finder finds targets.
+type Finder interface {
+	Acquire(ctx context.Context, ask route.Ask) (*route.Placement, error)
+	Report(target ident.TargetHash, ok bool)
+	Cancelled(target ident.TargetHash)
+}
+
+// Sender makes attempts.
+type Sender interface {
+	Send(ctx context.Context, e relay.Exchange) (*relay.Answer, error)
+}
+
+// Budget limits how many requests are sent more than once.
+type Budget interface {
+	// Request notes a caller's request to a service.
+	Request(service ident.Service, now time.Time)
+	// Retry uses one of the service's retries if there is one.
+	Retry(service ident.Service, now time.Time) bool
+}
+
+// Observer is told of each request's end.
+type Observer interface {
+	Ended(e End)
+}
+
+// End is one request's end.
+type End struct {
+	Route     match.RouteName
+	Service   ident.Service
+	Workspace ident.Workspace
+	Reason    Reason
+	Status    int
+	Sends     int
+	// Found is until a target was found, First until the answer's first byte, Whole
+	// until the end; zero if it did not come to that.
+	Found time.Duration
+	First time.Duration
+	Whole time.Duration
+}
+
+// Parts are what a handler works with.
+type Parts struct {
+	Dialect  Dialect
+	Rules    Rules
+	Finder   Finder
+	Sender   Sender
+	Budget   Budget
+	Observer Observer
+	Logger   log.Logger
+	Clock    ident.Clock
+}
+
+// Handler serves callers.
+type Handler struct{ Parts }
+
+// New returns a handler.
+func New(parts Parts) *Handler { return &Handler{Parts: parts} }
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	j, p := h.accept(r)
+	if p == nil {
+		p = h.readBody(w, r, j)
+	}
+	if p != nil {
+		h.answer(w, j, p)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), j.limit)
+	defer cancel()
+	h.Budget.Request(j.service, j.arrived)
+	h.serve(ctx, w, j)
+}
+
+// accept finds the request's route and workspace.
+func (h *Handler) accept(r *http.Request) (*job, *problem) {
+	j := &job{arrived: h.Clock(), call: h.Dialect.Read(r.Header), method: r.Method, path: r.RequestURI, host: r.Host}
+	j.header = r.Header
+	table := h.Rules.Table()
+	if table == nil {
+		return j, refusal(NoConfig, 0)
+	}
+	j.revision = table.Revision
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	found, err := table.Route(r.Host, path)
+	if err != nil {
+		return j, h.unknown(http.StatusNotFound, NoRoute)
+	}
+	j.route = found
+	workspace, err := table.Workspace(found, j.call.Key)
+	if err != nil {
+		return j, h.unknown(http.StatusUnauthorized, BadKey)
+	}
+	j.workspace = workspace
+	j.bodyLimit = table.Limits.BodyBytes
+	j.limit = j.arrived.Add(found.Timeout)
+	if wait := j.call.Wait; wait > 0 && wait < found.Timeout {
+		j.limit = j.arrived.Add(wait)
+	}
+	j.key = j.placeKey()
+	j.service = found.ServiceOf(j.key)
+	return j, nil
+}
+
+// unknown is the answer to a request that the configuration does not know: final if
+// the configuration is fresh, else to be tried again.
+func (h *Handler) unknown(status int, reason Reason) *problem {
+	if !h.Rules.Fresh() {
+		return refusal(reason, 0)
+	}
+	return &problem{status: status, reason: reason}
+}
+
+// readBody reads the request's body within its limits.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, j *job) *problem {
+	if r.Body == http.NoBody {
+		return nil
+	}
+	if r.ContentLength > j.bodyLimit {
+		return &problem{status: http.StatusRequestEntityTooLarge, reason: TooLarge}
+	}
+	control := http.NewResponseController(w)
+	// Neither call fails on a connection of this server.
+	_ = control.SetReadDeadline(j.limit)
+	body, err := readAll(http.MaxBytesReader(w, r.Body, j.bodyLimit), r.ContentLength)
+	_ = control.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		j.body = body
+		return nil
+	case errors.As(err, &large):
+		return &problem{status: http.StatusRequestEntityTooLarge, reason: TooLarge}
+	case r.Context().Err() != nil || !h.Clock().Before(j.limit):
+		return &problem{status: http.StatusRequestTimeout, reason: SlowCaller}
+	default:
+		return &problem{status: http.StatusBadRequest, reason: BadRequest}
+	}
+}
+
+// readAll reads a body whose length may be known.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+// answer ends a request with an answer of the router's own.
+func (h *Handler) answer(w http.ResponseWriter, j *job, p *problem) {
+	p.write(w)
+	h.ended(j, p.reason, p.status)
+}
+
+// serve makes attempts until one brings an answer or none may follow.
+func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, j *job) {
+	for {
+		placement, err := h.Finder.Acquire(ctx, j.ask())
+		if err != nil {
+			h.notPlaced(ctx, w, j, err)
+			return
+		}
+		if j.found == 0 {
+			j.found = h.Clock().Sub(j.arrived)
+		}
+		result := h.attempt(ctx, w, j, placement)
+		placement.Release()
+		if result.ended {
+			h.ended(j, result.reason, result.status)
+			return
+		}
+		if !h.again(ctx, j, placement, result) {
+			h.giveUp(ctx, w, j, result)
+			return
+		}
+	}
+}
+
+// notPlaced ends a request for which there is no target.
+func (h *Handler) notPlaced(ctx context.Context, w http.ResponseWriter, j *job, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		h.ended(j, CallerGone, 0)
+		return
+	}
+	p := fromFinder(err)
+	if j.outcome == retry.Unknown {
+		p = unanswered(j.outcome, p.reason, false)
+	}
+	h.finish(w, j, p)
+}
+
+// giveUp ends a request whose last attempt brought no answer.
+func (h *Handler) giveUp(ctx context.Context, w http.ResponseWriter, j *job, last result) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		h.ended(j, CallerGone, 0)
+		return
+	}
+	h.finish(w, j, unanswered(j.outcome, last.reason, ctx.Err() != nil))
+}
+
+// finish gives a final answer of the router's own, unless a part of a target's answer
+// has gone out: then only the connection's end can tell the caller.
+func (h *Handler) finish(w http.ResponseWriter, j *job, p *problem) {
+	if j.started {
+		h.ended(j, CutOff, 0)
+		panic(http.ErrAbortHandler)
+	}
+	h.answer(w, j, p)
+}
+
+// again decides whether another attempt follows one that brought no answer.
+func (h *Handler) again(ctx context.Context, j *job, placement *route.Placement, last result) bool {
+	j.avoid = append(j.avoid, placement.Hash)
+	j.outcome = retry.Worse(j.outcome, retry.OutcomeOf(last.step))
+	reason := h.mayFollow(ctx, j, last)
+	h.logAttempt(j, placement, last, reason)
+	return reason == followed
+}
+
+// follow says why another attempt follows or not.
+type follow string
+
+const (
+	followed   follow = "again"
+	noTime     follow = "no_time"
+	mayHaveRun follow = "may_have_run"
+	noAttempts follow = "no_attempts"
+	noBudget   follow = "no_budget"
+)
+
+// maxFree is how many attempts that reached no target one request may make: with that
+// many targets unreachable the fault is more likely the router's own link.
+const maxFree = 4
+
+func (h *Handler) mayFollow(ctx context.Context, j *job, last result) follow {
+	if ctx.Err() != nil {
+		return noTime
+	}
+	if retry.Free(last.step) {
+		j.free++
+		if j.free > maxFree {
+			return noAttempts
+		}
+		return followed
+	}
+	switch {
+	case last.step != retry.Refused && j.route.Repeat != retry.Safe:
+		return mayHaveRun
+	case j.ran >= j.route.Attempts || j.sends > j.route.Attempts:
+		return noAttempts
+	case !h.Budget.Retry(j.service, h.Clock()):
+		return noBudget
+	default:
+		return followed
+	}
+}
--- /dev/null
+++ b/internal/edge/entry/job.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/edge/route"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/match"
+	"valescale/internal/rule/retry"
+)
+
+// job is one request on its way.
+type job struct {
+	call      Call
+	method    string
+	path      string
+	host      string
+	header    http.Header
+	body      []byte
+	bodyLimit int64
+	revision  ident.Revision
+	route     *match.Route
+	workspace *match.Workspace
+	service   ident.Service
+	key       ident.ChatKey
+	arrived   time.Time
+	// limit is when the final answer is due.
+	limit time.Time
+	avoid []ident.TargetHash
+	// sends counts the attempts that reached a target, ran those that it may have
+	// worked on, free those that reached none.
+	sends   int
+	ran     int
+	free    int
+	outcome retry.Outcome
+	// started is set once a part of an answer has gone to the caller.
+	started bool
+	// last is the id of the last event that the caller has got.
+	last  EventID
+	found time.Duration
+	first time.Duration
+}
+
+// placeKey is what requests that should meet at one target have in common: the last
+// part of the prompt that is shared with others.
+func (j *job) placeKey() ident.ChatKey {
+	parts := j.call.Parts
+	if !j.route.Sticky || len(parts) == 0 {
+		return ident.NewChatKey(j.workspace.Name, string(j.call.ID))
+	}
+	shared := parts[max(len(parts)-2, 0)]
+	return ident.NewChatKey("", shared.ID)
+}
+
+// ranks is the number of ranks that priorities tell apart for routes, and for workspaces.
+const ranks = 16
+
+// priority joins the ranks of workspace and route into one number, higher first.
+func (j *job) priority() int {
+	level := func(rank int) int { return ranks - 1 - min(max(rank, 0), ranks-1) }
+	return level(j.workspace.Rank)*ranks + level(j.route.Rank)
+}
+
+// waitShare is the part of its time that a request may wait for a target: what is
+// left must do for the answer.
+const waitShare = 0.5
+
+// ask is what the job needs of the finder.
+func (j *job) ask() route.Ask {
+	wait := time.Duration(float64(j.limit.Sub(j.arrived)) * waitShare)
+	return route.Ask{
+		Service:   j.service,
+		Workspace: j.workspace.Name,
+		Weight:    1,
+		Priority:  j.priority(),
+		Key:       j.key,
+		Work:      ident.OneRequest,
+		Deadline:  j.arrived.Add(wait),
+		Avoid:     j.avoid,
+	}
+}
+
+// ended tells the observer and the log of a request's end.
+func (h *Handler) ended(j *job, reason Reason, status int) {
+	e := End{
+		Service: j.service, Reason: reason, Status: status, Sends: j.sends,
+		Found: j.found, First: j.first, Whole: h.Clock().Sub(j.arrived),
+	}
+	if j.route != nil {
+		e.Route = j.route.Name
+	}
+	if j.workspace != nil {
+		e.Workspace = j.workspace.Name
+	}
+	h.Observer.Ended(e)
+	_ = level.Info(h.Logger).Log("msg", "request", "request", j.call.ID, "route", e.Route, "workspace", e.Workspace,
+		"service", e.Service, "revision", j.revision, "reason", reason, "status", status, "sends", j.sends, "outcome", j.outcome,
+		"found_ms", e.Found.Milliseconds(), "first_ms", e.First.Milliseconds(), "whole_ms", e.Whole.Milliseconds())
+}
+
+// logAttempt tells the log of an attempt that brought no answer and what follows.
+func (h *Handler) logAttempt(j *job, placement *route.Placement, last result, next follow) {
+	_ = level.Info(h.Logger).Log("msg", "attempt failed", "request", j.call.ID, "service", j.service, "target", placement.Target.ID,
+		"addr", placement.Target.Addr, "step", last.step, "status", last.status, "reason", last.reason, "err", last.err,
+		"took_ms", last.took.Milliseconds(), "sends", j.sends, "next", next)
+}
--- /dev/null
+++ b/internal/edge/relay/conns.go
@@ -0,0 +1,188 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"valescale/internal/rule/retry"
+)
+
+// ConnLimits bound connections to targets.
+type ConnLimits struct {
+	// Dial bounds the making of a connection.
+	Dial time.Duration
+	// Idle is how long a connection without requests is kept when its target names no time.
+	Idle time.Duration
+	// PerTarget is how many idle connections one target gets at most.
+	PerTarget int
+	// Header is the largest header of an answer, in bytes.
+	Header int64
+}
+
+// DefaultConnLimits suit targets that are a few milliseconds away: a connection that
+// is not there after a quarter of a second will not be in time for an interactive request.
+var DefaultConnLimits = ConnLimits{Dial: 250 * time.Millisecond, Idle: 4 * time.Second, PerTarget: 16, Header: 64 << 10}
+
+// Conns makes attempts over connections of its own. Unlike the standard transport it
+// never sends a request twice by itself, and it tells by each answer's header whether
+// the answer belongs to the request, so that late and surplus answers are skipped.
+type Conns struct {
+	limits ConnLimits
+	dialer net.Dialer
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	closed bool
+	dialed atomic.Uint64
+}
+
+// NewConns returns connections and the function that closes the idle ones for good.
+func NewConns(limits ConnLimits) (*Conns, func()) {
+	c := &Conns{limits: limits, dialer: net.Dialer{Timeout: limits.Dial, KeepAlive: -1}, idle: map[string][]*conn{}}
+	return c, c.close
+}
+
+// Dialed is the number of connections made so far.
+func (c *Conns) Dialed() uint64 { return c.dialed.Load() }
+
+func (c *Conns) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for addr, list := range c.idle {
+		closeAll(list)
+		delete(c.idle, addr)
+	}
+}
+
+// Forget closes the idle connections to an address, whose target is gone.
+func (c *Conns) Forget(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	closeAll(c.idle[addr])
+	delete(c.idle, addr)
+}
+
+func closeAll(list []*conn) {
+	for _, cn := range list {
+		_ = cn.Close()
+	}
+}
+
+// take returns an idle connection that was used within fresh, the latest first, or nil.
+func (c *Conns) take(addr string, now time.Time, fresh time.Duration) *conn {
+	c.mu.Lock()
+	list := c.idle[addr]
+	var found *conn
+	var old []*conn
+	for len(list) > 0 && found == nil {
+		last := list[len(list)-1]
+		list = list[:len(list)-1]
+		if now.After(last.expires) {
+			old = append(old, last)
+			continue
+		}
+		if now.Sub(last.since) > fresh {
+			// The others have been idle for longer still.
+			list = append(list, last)
+			break
+		}
+		found = last
+	}
+	c.put(addr, list)
+	c.mu.Unlock()
+	closeAll(old)
+	if found != nil && !found.quiet() {
+		_ = found.Close()
+		return c.take(addr, now, fresh)
+	}
+	return found
+}
+
+// put replaces an address's idle connections; the caller holds the lock.
+func (c *Conns) put(addr string, list []*conn) {
+	if len(list) == 0 {
+		delete(c.idle, addr)
+		return
+	}
+	c.idle[addr] = list
+}
+
+// keep makes a connection idle until its target's own limit, or closes it.
+func (c *Conns) keep(cn *conn, header http.Header, now time.Time) {
+	idle := c.limits.Idle
+	if told, ok := keepAlive(header); ok {
+		idle = min(idle, told-keepAliveMargin)
+	}
+	cn.since = now
+	cn.expires = now.Add(idle)
+	c.mu.Lock()
+	list := c.idle[cn.addr]
+	if c.closed || idle <= 0 || len(list) >= c.limits.PerTarget {
+		c.mu.Unlock()
+		_ = cn.Close()
+		return
+	}
+	c.idle[cn.addr] = append(list, cn)
+	c.mu.Unlock()
+}
+
+// keepAliveMargin is how long before its target would close it a connection is given
+// up: a request must not cross the close. A round trip is a few milliseconds.
+const keepAliveMargin = 300 * time.Millisecond
+
+// keepAlive reads how long a target keeps an idle connection.
+func keepAlive(header http.Header) (time.Duration, bool) {
+	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		if err == nil && seconds >= 0 {
+			return time.Duration(seconds) * time.Second, true
+		}
+	}
+	return 0, false
+}
+
+// dial makes a connection.
+func (c *Conns) dial(ctx context.Context, addr string) (*conn, error) {
+	const op = "relay.Dial"
+	raw, err := c.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, failed(op, Connect, retry.Dialing, err)
+	}
+	c.dialed.Add(1)
+	return newConn(addr, raw, c.limits.Header), nil
+}
+
+// quiet reports whether an idle connection is still open and holds no unread bytes:
+// bytes that came without a request belong to none.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -115,18 +116,30 @@
 // hopHeaders belong to one connection and are not passed on.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 }
 
 // callerHeaders are for the router and must not reach a target.
 var callerHeaders = []string{"Authorization", "Cookie", "Last-Event-Id", engine.AttemptHeader, engine.CacheHeader, engine.FenceHeader}
 
-// CleanRequest removes what must not reach a target.
-func CleanRequest(h http.Header) http.Header {
+// EndToEnd copies headers without those that belong to one connection: the known ones
+// and those that the Connection header names.
+func EndToEnd(h http.Header) http.Header {
 	out := h.Clone()
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
-		out.Del(name)
+		delete(out, name)
 	}
+	return out
+}
+
+// CleanRequest removes what must not reach a target.
+func CleanRequest(h http.Header) http.Header {
+	out := EndToEnd(h)
 	for _, name := range callerHeaders {
 		out.Del(name)
 	}
@@ -135,10 +148,7 @@
 
 // CleanReply removes what must not reach a caller.
 func CleanReply(h http.Header) http.Header {
-	out := h.Clone()
-	for _, name := range hopHeaders {
-		out.Del(name)
-	}
+	out := EndToEnd(h)
 	for _, name := range []string{engine.AttemptHeader, engine.LeavingHeader, engine.StreamHeader} {
 		out.Del(name)
 	}
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 	"valescale/internal/edge/route"
 	"valescale/internal/oper/admin"
 	"valescale/internal/oper/conf"
+	"valescale/internal/oper/mesh"
 	"valescale/internal/oper/telem"
 	"valescale/internal/plat/boxes"
 	"valescale/internal/plat/engine"
@@ -70,16 +70,13 @@
 	meter   *peer.Meter
 	outside *peer.Meter
 	reports *reports
-	pools   atomic.Pointer[poolSet]
-	dirty   chan struct{}
-	// refreshing keeps an older look at view and configuration from replacing a later one.
-	refreshing sync.Mutex
-	// refreshed is what pools and homes were made from last.
-	refreshed inputs
-	ready     atomic.Bool
-	leaving   atomic.Bool
-	killed    atomic.Bool
-	servers   []*http.Server
+	mesh    *mesh.Mesh
+	// force is the configuration that callers are served by.
+	force   atomic.Pointer[config.InForce]
+	ready   atomic.Bool
+	leaving atomic.Bool
+	killed  atomic.Bool
+	servers []*http.Server
 	// stopBackground ends what Run started beside the servers.
 	stopBackground context.CancelFunc
 	listeners      listeners
@@ -98,7 +95,7 @@
 func New(settings conf.Settings, logger log.Logger, clock ident.Clock) (*Daemon, func(), error) {
 	d := &Daemon{
 		settings: settings, logger: logger, clock: clock,
-		meter: &peer.Meter{}, outside: &peer.Meter{}, reports: newReports(), dirty: make(chan struct{}, 1),
+		meter: &peer.Meter{}, outside: &peer.Meter{}, reports: newReports(),
 	}
 	if err := d.listen(); err != nil {
 		d.close()
@@ -159,7 +156,7 @@
 
 // Leaving reports whether this router knows that a target is leaving.
 func (d *Daemon) Leaving(id ident.Target) bool {
-	for _, p := range d.pools.Load().pools {
+	for _, p := range d.mesh.Set().Pools {
 		for _, e := range p.Engines {
 			if e.ID == id {
 				return e.Leaving
@@ -179,7 +176,7 @@
 }
 
 // InForce is the configuration that callers are served by.
-func (d *Daemon) InForce() config.InForce { return d.pools.Load().force }
+func (d *Daemon) InForce() config.InForce { return *d.force.Load() }
 
 // Revision is the configuration revision in force.
 func (d *Daemon) Revision() ident.Revision { return d.InForce().Revision }
@@ -196,11 +193,6 @@
 // Stats returns how targets were found.
 func (d *Daemon) Stats() route.Stats { return d.router.Stats() }
 
-// permitBits leaves room for a million permits for each millisecond of a process's life.
-const permitBits = 20
-
-func firstPermit(incarnation ident.Incarnation) uint64 { return uint64(incarnation) << permitBits }
-
 // build makes the parts and connects them.
 func (d *Daemon) build() error {
 	s := d.settings
@@ -227,7 +219,8 @@
 	d.node = peer.NewNode(view, clients, list, pace, s.Router.Seeds, seed, d.clock)
 
 	d.keeper = config.NewKeeper(d.installed)
-	d.pools.Store(&poolSet{force: d.keeper.InForce(), live: place.Assign(nil, nil), known: place.Assign(nil, nil)})
+	force := d.keeper.InForce()
+	d.force.Store(&force)
 	d.recorder = config.NewRecorder(d.table, d.keeper, d.clock)
 	d.follower = config.NewFollower(d.keeper, d.recorder, fetcher{d.node}, s.Pace.Head, seed)
 
@@ -235,14 +228,19 @@
 	d.homes = home.New(s.Router.ID, limits, d.clock, d.workspace)
 	var closeLinks func()
 	d.remote, closeLinks = home.NewRemote(home.Edge{
-		ID: s.Router.ID, Zone: s.Router.Zone, Base: firstPermit(incarnation),
+		ID: s.Router.ID, Zone: s.Router.Zone, Base: mesh.FirstPermit(incarnation),
 	}, d.homes, d.node, s.Pace.Permit)
 	d.cleanups = append(d.cleanups, closeLinks)
 	d.router = route.New(route.Self{
-		ID: s.Router.ID, Zone: s.Router.Zone, Region: s.Router.Region, FirstPermit: firstPermit(incarnation),
+		ID: s.Router.ID, Zone: s.Router.Zone, Region: s.Router.Region, FirstPermit: mesh.FirstPermit(incarnation),
 	}, d.remote, d.clock)
+	d.mesh = mesh.New(mesh.Parts{
+		Self: d.self, Node: d.node, Homes: d.homes, Remote: d.remote, Router: d.router, Logger: d.logger,
+		Wanted: d.wanted, Capacity: d.capacity,
+		Bound: func(s policy.Service) place.Bound { return place.BoundOf(s.Bound) },
+	})
 	d.node.SetHooks(peer.Hooks{
-		Changed: d.markDirty,
+		Changed: d.mesh.MarkDirty,
 		Head:    d.heard,
 	})
 	return d.buildEdge(objects, platform, incarnation)
@@ -315,7 +313,7 @@
 }
 
 // installed follows a change of the configuration.
-func (d *Daemon) installed(config.InForce) { d.markDirty() }
+func (d *Daemon) installed(config.InForce) { d.mesh.MarkDirty() }
 
 // heard follows a router that told of a later revision.
 func (d *Daemon) heard(_ ident.Revision, from ident.Router) {
@@ -328,23 +326,8 @@
 	}()
 }
 
-// markDirty asks for pools and homes to be brought up to date.
-func (d *Daemon) markDirty() {
-	select {
-	case d.dirty <- struct{}{}:
-	default:
-	}
-}
-
 // Target finds a target by its id.
-func (d *Daemon) Target(id ident.Target) (route.Target, bool) {
-	for _, p := range d.pools.Load().pools {
-		if t, ok := p.Targets[id.Hash()]; ok && t.ID == id {
-			return t, true
-		}
-	}
-	return route.Target{}, false
-}
+func (d *Daemon) Target(id ident.Target) (route.Target, bool) { return d.mesh.Target(id) }
 
 // MarkLeaving notes that an incarnation of a target is leaving, and tells the peers.
 func (d *Daemon) MarkLeaving(id ident.Target, incarnation ident.Incarnation) {
--- a/internal/oper/daemon/pools.go
+++ b/internal/oper/daemon/pools.go
@@ -2,140 +2,36 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/go-kit/log/level"
 
-	"valescale/internal/edge/route"
+	"valescale/internal/oper/mesh"
 	"valescale/internal/plat/engine"
 	"valescale/internal/plat/ident"
-	"valescale/internal/rule/place"
 	"valescale/internal/rule/policy"
-	"valescale/internal/share/config"
 	"valescale/internal/share/peer"
 )
 
-// poolSet is what the view and the configuration give together. Callers are served
-// by the configuration in it, so that a service is never in force without its pools.
-type poolSet struct {
-	force config.InForce
-	pools []route.Pool
-	// live assigns homes among the live routers of the region, known among all that
-	// are remembered and do not leave.
-	live  *place.Assignment
-	known *place.Assignment
-}
-
-// shardsOf lists the shards of a region's pools.
-func shardsOf(pools []route.Pool, region ident.Region) []place.ShardID {
-	var out []place.ShardID
-	for _, p := range pools {
-		if p.Region != region || p.Service.Balance != policy.Exact {
-			continue
-		}
-		for s := range p.Service.Shards {
-			out = append(out, place.ShardID{Pool: p.Name, Shard: ident.Shard(s)})
-		}
-	}
-	return out
-}
-
-// makePools joins the services of the configuration with the targets of the view.
-func makePools(force config.InForce, v *peer.View, seen *reports) []route.Pool {
-	var out []route.Pool
-	for name, service := range force.Set.Services {
-		for _, region := range v.Regions(name) {
-			out = append(out, makePool(service, region, v.Targets(name, region), seen))
-		}
-	}
-	return out
-}
-
-func makePool(service policy.Service, region ident.Region, targets []peer.Target, seen *reports) route.Pool {
-	p := route.Pool{
-		Name: ident.NewPool(service.Name, region), Region: region, Service: service,
-		Targets: map[ident.TargetHash]route.Target{},
-	}
-	for _, t := range targets {
-		hash := t.ID.Hash()
-		report := seen.of(t.ID)
-		slots := service.Slots
-		if slots == 0 {
-			slots = report.Slots
-		}
-		p.Engines = append(p.Engines, place.Engine{
-			ID: t.ID, Hash: hash, Zone: t.Zone, Incarnation: t.Incarnation, Joined: t.Joined,
-			Slots: ident.Work(slots) * ident.OneRequest, Leaving: t.Leaving || report.silent(),
-		})
-		p.Targets[hash] = route.Target{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Incarnation: t.Incarnation}
+// wanted is what the configuration in force wants of the mesh. Callers are served by
+// it once its pools are there, so that a service is never in force without them.
+func (d *Daemon) wanted() mesh.Wanted {
+	force := d.keeper.InForce()
+	return mesh.Wanted{
+		Revision: force.Revision, Services: slices.Collect(maps.Values(force.Set.Services)), Reports: d.reports.version(),
+		Install: func(*mesh.Set) {
+			d.force.Store(&force)
+			d.acknowledge(force.Revision)
+		},
 	}
-	return p
 }
 
-// inputs are what pools and homes are made from, by the counts of their changes.
-type inputs struct {
-	view     uint64
-	revision ident.Revision
-	reports  uint64
-}
-
-// inputs returns the present counts.
-func (d *Daemon) inputs() inputs {
-	in := inputs{revision: d.keeper.InForce().Revision, reports: d.reports.version()}
-	d.node.Read(func(v *peer.View) { in.view = v.Version() })
-	return in
-}
-
-// refresh brings pools, homes and permits up to date with the view and the configuration.
-func (d *Daemon) refresh(ctx context.Context) {
-	d.refreshing.Lock()
-	defer d.refreshing.Unlock()
-	seen := d.inputs()
-	if seen == d.refreshed {
-		// Only a handoff that failed is left to be tried again.
-		d.handOff(ctx, d.pools.Load().live)
-		return
-	}
-	d.refreshed = seen
-	force := d.keeper.InForce()
-	next := &poolSet{force: force}
-	gone := map[ident.Router]uint64{}
-	var live, known, doubted []ident.Router
-	d.node.Read(func(v *peer.View) {
-		next.pools = makePools(force, v, d.reports)
-		live = v.Routers(d.self.Region)
-		for _, m := range v.Members() {
-			if m.Region == d.self.Region && m.State != peer.Leaving {
-				known = append(known, m.ID)
-			}
-			if m.State == peer.Suspect {
-				doubted = append(doubted, m.ID)
-			}
-			if m.State == peer.Dead {
-				gone[m.ID] = ^uint64(0)
-				continue
-			}
-			gone[m.ID] = firstPermit(m.Incarnation)
-		}
-	})
-	shards := shardsOf(next.pools, d.self.Region)
-	next.live, next.known = place.Assign(shards, live), place.Assign(shards, known)
-	for _, p := range next.pools {
-		if p.Region == d.self.Region {
-			d.homes.SetPool(p.Name, p.Service.Shards, place.BoundOf(p.Service.Bound), p.Engines)
-		}
-	}
-	moved := d.router.Set(next.pools, next.live)
-	d.pools.Store(next)
-	d.acknowledge(force.Revision)
-	d.router.Move(ctx, moved)
-	d.homes.Doubt(doubted)
-	for id, below := range gone {
-		if id != d.self.ID {
-			d.homes.Forget(id, below)
-		}
-	}
-	d.handOff(ctx, next.live)
+// capacity is what an engine's report says of it.
+func (d *Daemon) capacity(_ policy.Service, t peer.Target) mesh.Capacity {
+	report := d.reports.of(t.ID)
+	return mesh.Capacity{Slots: report.Slots, Silent: report.silent()}
 }
 
 // acknowledge says that callers are served by a revision from now on.
@@ -151,34 +47,6 @@
 	}
 }
 
-// handOff passes on the shards that another router is home of now.
-func (d *Daemon) handOff(ctx context.Context, live *place.Assignment) {
-	transfers := d.homes.Misplaced(live.Home)
-	for _, p := range transfers {
-		if err := d.remote.Handoff(ctx, p); err != nil {
-			_ = level.Warn(d.logger).Log("msg", "handoff failed", "pool", p.ID.Pool, "shard", p.ID.Shard, "to", p.To, "err", err)
-			continue
-		}
-		d.homes.Moved(p.ID)
-	}
-}
-
-// publish tells the routers next in line what this router's homes count. Routers
-// that are thought dead are told too: if they are not, they may well believe to be
-// home themselves.
-func (d *Daemon) publish(ctx context.Context) {
-	set := d.pools.Load()
-	for _, p := range d.homes.Publications(set.live, set.known) {
-		for _, to := range p.To {
-			d.remote.Publish(to, p.Digest)
-		}
-		if p.Whole != nil {
-			// If it does not arrive, the standby learns the places as chats return.
-			_ = d.remote.Handoff(ctx, *p.Whole)
-		}
-	}
-}
-
 // silentAfter is how many reports in a row an engine may miss before it gets no new work.
 const silentAfter = 3
 
--- a/internal/oper/daemon/probe.go
+++ b/internal/oper/daemon/probe.go
@@ -21,20 +21,20 @@
 func (d *Daemon) probe(ctx context.Context) {
 	var wg sync.WaitGroup
 	gate := make(chan struct{}, probeAtOnce)
-	set := d.pools.Load()
-	for _, p := range set.pools {
+	set, force := d.mesh.Set(), d.InForce()
+	for _, p := range set.Pools {
 		if p.Region != d.self.Region || p.Service.Kind != policy.EngineTargets {
 			continue
 		}
 		for _, e := range p.Engines {
 			id := place.ShardID{Pool: p.Name, Shard: place.ShardOf(e.Hash, p.Service.Shards)}
-			if set.live.Home(id) != d.self.ID {
+			if set.Live.Home(id) != d.self.ID {
 				continue
 			}
 			gate <- struct{}{}
 			wg.Go(func() {
 				defer func() { <-gate }()
-				d.readReport(ctx, id, p.Targets[e.Hash], set.force.Revision, p.Service)
+				d.readReport(ctx, id, p.Targets[e.Hash], force.Revision, p.Service)
 			})
 		}
 	}
@@ -51,12 +51,12 @@
 	if err != nil {
 		if ctx.Err() == nil && d.reports.missed(t.ID) {
 			_ = level.Warn(d.logger).Log("msg", "engine does not report", "target", t.ID, "err", err)
-			d.markDirty()
+			d.mesh.MarkDirty()
 		}
 		return
 	}
 	if d.reports.got(t.ID, fresh) {
-		d.markDirty()
+		d.mesh.MarkDirty()
 	}
 	d.homes.Evicted(id, t.ID.Hash(), fresh.Evicted)
 	if fresh.Leaving {
@@ -91,7 +91,7 @@
 		return
 	}
 	for _, e := range d.homes.PlanExport(id, t.ID.Hash()) {
-		to, ok := d.targetAt(id.Pool, e.To)
+		to, ok := d.mesh.TargetAt(id.Pool, e.To)
 		if !ok {
 			continue
 		}
@@ -104,14 +104,3 @@
 		_ = level.Info(d.logger).Log("msg", "exported chats", "target", t.ID, "to", to.ID, "chats", len(e.Keys))
 	}
 }
-
-// targetAt finds a target of a pool by its hash.
-func (d *Daemon) targetAt(pool ident.Pool, hash ident.TargetHash) (route.Target, bool) {
-	for _, p := range d.pools.Load().pools {
-		if p.Name == pool {
-			t, ok := p.Targets[hash]
-			return t, ok
-		}
-	}
-	return route.Target{}, false
-}
--- a/internal/oper/daemon/serve.go
+++ b/internal/oper/daemon/serve.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"valescale/internal/oper/admin"
+	"valescale/internal/oper/mesh"
 	"valescale/internal/oper/telem"
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
@@ -25,14 +26,7 @@
 	idleTime   = 2 * time.Minute
 	// leaveRounds is how many times a leaving router tells its peers.
 	leaveRounds = 3
-	refreshTime = time.Second
-	// refreshSoon lets changes of the view that come together be followed together.
-	refreshSoon = 2 * time.Millisecond
 	copyPause   = 200 * time.Millisecond
-	// publishEvery is how often the routers next in line are told of counts that changed.
-	publishEvery = time.Second
-	// publishSoon lets counts that jump together be published together.
-	publishSoon = 10 * time.Millisecond
 )
 
 // Run serves until the context ends and then drains: the router says that it is
@@ -58,10 +52,9 @@
 	serve(&wg, operators, d.listeners.admin)
 	wg.Go(func() { d.node.Run(background) })
 	wg.Go(func() { d.follower.Run(background) })
-	wg.Go(func() { follow(background, d.dirty, refreshSoon, refreshTime, d.refresh) })
-	wg.Go(func() { every(background, d.settings.Pace.Report, d.probe) })
-	wg.Go(func() { follow(background, d.homes.Urgent(), publishSoon, publishEvery, d.publish) })
-	wg.Go(func() { every(background, d.settings.Pace.Lease/leaseSteps, d.sweep) })
+	wg.Go(func() { d.mesh.Run(background) })
+	wg.Go(func() { mesh.Every(background, d.settings.Pace.Report, d.probe) })
+	wg.Go(func() { mesh.Every(background, d.settings.Pace.Lease/leaseSteps, d.sweep) })
 	wg.Go(func() { d.becomeReady(background) })
 	serve(&wg, callers, d.listeners.callers)
 	_ = level.Info(d.logger).Log("msg", "listening", "callers", d.CallerAddr(), "peers", d.PeerAddr(), "admin", d.AdminAddr())
@@ -86,38 +79,6 @@
 	})
 }
 
-// every calls work at intervals until the context ends.
-func every(ctx context.Context, interval time.Duration, work func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			work(ctx)
-		}
-	}
-}
-
-// follow calls work when signalled, a short while later so that signals that come
-// together are followed once, and at intervals even without a signal, so that what
-// failed is tried again.
-func follow(ctx context.Context, signal <-chan struct{}, soon, interval time.Duration, work func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signal:
-			sleep(ctx, soon)
-		case <-ticker.C:
-		}
-		work(ctx)
-	}
-}
-
 // becomeReady waits until the configuration is known: from the store, or, while
 // that is down, from a ready router that has heard of this one first.
 func (d *Daemon) becomeReady(ctx context.Context) {
@@ -127,21 +88,12 @@
 			d.copyConfig(ctx)
 		}
 		if d.follower.Seen() {
-			d.refresh(ctx)
+			d.mesh.Refresh(ctx)
 			d.ready.Store(!d.leaving.Load())
 			_ = level.Info(d.logger).Log("msg", "ready", "revision", d.Revision())
 			return
 		}
-		sleep(ctx, copyPause)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		mesh.Sleep(ctx, copyPause)
 	}
 }
 
@@ -181,12 +133,12 @@
 	for range leaveRounds {
 		d.node.Tell(ctx)
 	}
-	d.refresh(ctx)
-	sleep(ctx, d.settings.Limits.DrainDelay)
+	d.mesh.Refresh(ctx)
+	mesh.Sleep(ctx, d.settings.Limits.DrainDelay)
 	if err := callers.Shutdown(ctx); err != nil {
 		_ = level.Error(d.logger).Log("msg", "stopped with requests in flight", "err", err)
 	}
-	d.refresh(ctx)
+	d.mesh.Refresh(ctx)
 	d.stopClaim(ctx)
 	_ = d.sweeping.Release(ctx)
 	d.node.Tell(ctx)
@@ -351,7 +303,7 @@
 // status is what operators see of this router.
 func (d *Daemon) status() admin.Status {
 	out := admin.Status{Ready: d.Ready(), StoreUp: d.table.Up()}
-	for _, p := range d.pools.Load().pools {
+	for _, p := range d.mesh.Set().Pools {
 		for _, e := range p.Engines {
 			state := "live"
 			if e.Leaving {
--- /dev/null
+++ b/internal/oper/mesh/loop.go
@@ -0,0 +1,68 @@
+package mesh
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// refreshEvery is how often pools and homes are looked at without a signal, so that
+	// what failed is tried again.
+	refreshEvery = time.Second
+	// refreshSoon lets changes of the view that come together be followed together.
+	refreshSoon = 2 * time.Millisecond
+	// publishEvery is how often the routers next in line are told of counts that changed.
+	publishEvery = time.Second
+	// publishSoon lets counts that jump together be published together.
+	publishSoon = 10 * time.Millisecond
+)
+
+// Run keeps pools and homes up to date until the context ends.
+func (m *Mesh) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { Follow(ctx, m.dirty, refreshSoon, refreshEvery, m.Refresh) })
+	wg.Go(func() { Follow(ctx, m.Homes.Urgent(), publishSoon, publishEvery, m.Publish) })
+}
+
+// Every calls work at intervals until the context ends.
+func Every(ctx context.Context, interval time.Duration, work func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			work(ctx)
+		}
+	}
+}
+
+// Follow calls work when signalled, a short while later so that signals that come
+// together are followed once, and at intervals even without a signal.
+func Follow(ctx context.Context, signal <-chan struct{}, soon, interval time.Duration, work func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signal:
+			Sleep(ctx, soon)
+		case <-ticker.C:
+		}
+		work(ctx)
+	}
+}
+
+// Sleep waits until the time is over or the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/oper/mesh/mesh.go
@@ -0,0 +1,268 @@
+package mesh
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/edge/route"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
+	"valescale/internal/share/home"
+	"valescale/internal/share/peer"
+)
+
+// Wanted is what the configuration wants, as one consistent state.
+type Wanted struct {
+	Revision ident.Revision
+	Services []policy.Service
+	// Reports grows with each change of what Slots returns.
+	Reports uint64
+	// Install is called once the pools are in place; it may be nil.
+	Install func(*Set)
+}
+
+// Capacity is what is known of one target's capacity.
+type Capacity struct {
+	// Slots is how many requests it runs at once; zero means no limit.
+	Slots int
+	// Silent targets get no new work.
+	Silent bool
+}
+
+// Parts are what a mesh works with.
+type Parts struct {
+	Self   peer.Member
+	Node   *peer.Node
+	Homes  *home.Homes
+	Remote *home.Remote
+	Router *route.Router
+	Logger log.Logger
+	// Wanted returns what the configuration wants now.
+	Wanted func() Wanted
+	// Capacity returns what is known of a target beside its service's document.
+	Capacity func(policy.Service, peer.Target) Capacity
+	// Bound returns a service's bound.
+	Bound func(policy.Service) place.Bound
+}
+
+// Set is what membership and configuration give together.
+type Set struct {
+	Revision ident.Revision
+	Pools    []route.Pool
+	// Live assigns homes among the live routers of the region, Known among all that
+	// are remembered and do not leave.
+	Live  *place.Assignment
+	Known *place.Assignment
+}
+
+// Mesh keeps pools and homes up to date.
+type Mesh struct {
+	Parts
+	set   atomic.Pointer[Set]
+	dirty chan struct{}
+	// refreshing keeps an older look at membership and configuration from replacing a later one.
+	refreshing sync.Mutex
+	refreshed  inputs
+}
+
+// New returns a mesh without pools.
+func New(parts Parts) *Mesh {
+	m := &Mesh{Parts: parts, dirty: make(chan struct{}, 1)}
+	m.set.Store(&Set{Live: place.Assign(nil, nil), Known: place.Assign(nil, nil)})
+	return m
+}
+
+// Set returns the present pools and homes.
+func (m *Mesh) Set() *Set { return m.set.Load() }
+
+// MarkDirty asks for pools and homes to be brought up to date.
+func (m *Mesh) MarkDirty() {
+	select {
+	case m.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// Dirty is signalled by MarkDirty.
+func (m *Mesh) Dirty() <-chan struct{} { return m.dirty }
+
+// permitBits leaves room for a million permits for each millisecond of a process's life.
+const permitBits = 20
+
+// FirstPermit is above all permits that earlier incarnations of a router asked for.
+func FirstPermit(incarnation ident.Incarnation) uint64 { return uint64(incarnation) << permitBits }
+
+// inputs are what pools and homes are made from, by the counts of their changes.
+type inputs struct {
+	view     uint64
+	revision ident.Revision
+	reports  uint64
+}
+
+// routers are the routers of a region by what is thought of them.
+type routers struct {
+	live    []ident.Router
+	known   []ident.Router
+	doubted []ident.Router
+	// below is the first permit of each router that may still be held.
+	below map[ident.Router]uint64
+}
+
+// Refresh brings pools, homes and permits up to date with membership and configuration.
+func (m *Mesh) Refresh(ctx context.Context) {
+	m.refreshing.Lock()
+	defer m.refreshing.Unlock()
+	wanted := m.Wanted()
+	seen := inputs{revision: wanted.Revision, reports: wanted.Reports}
+	m.Node.Read(func(v *peer.View) { seen.view = v.Version() })
+	if seen == m.refreshed {
+		// Only a handoff that failed is left to be tried again.
+		m.handOff(ctx, m.Set().Live)
+		return
+	}
+	m.refreshed = seen
+	next := &Set{Revision: wanted.Revision}
+	var seenRouters routers
+	m.Node.Read(func(v *peer.View) {
+		next.Pools = m.pools(wanted.Services, v)
+		seenRouters = m.routers(v)
+	})
+	shards := m.shards(next.Pools)
+	next.Live, next.Known = place.Assign(shards, seenRouters.live), place.Assign(shards, seenRouters.known)
+	for _, p := range next.Pools {
+		if p.Region == m.Self.Region {
+			m.Homes.SetPool(p.Name, p.Service.Shards, m.Bound(p.Service), p.Engines)
+		}
+	}
+	moved := m.Router.Set(next.Pools, next.Live)
+	m.set.Store(next)
+	if wanted.Install != nil {
+		wanted.Install(next)
+	}
+	m.Router.Move(ctx, moved)
+	m.Homes.Doubt(seenRouters.doubted)
+	for id, below := range seenRouters.below {
+		m.Homes.Forget(id, below)
+	}
+	m.handOff(ctx, next.Live)
+}
+
+// routers sorts the routers of the view.
+func (m *Mesh) routers(v *peer.View) routers {
+	out := routers{live: v.Routers(m.Self.Region), below: map[ident.Router]uint64{}}
+	for _, r := range v.Members() {
+		if r.Region == m.Self.Region && r.State != peer.Leaving {
+			out.known = append(out.known, r.ID)
+		}
+		if r.State == peer.Suspect {
+			out.doubted = append(out.doubted, r.ID)
+		}
+		switch {
+		case r.ID == m.Self.ID:
+		case r.State == peer.Dead:
+			out.below[r.ID] = ^uint64(0)
+		default:
+			out.below[r.ID] = FirstPermit(r.Incarnation)
+		}
+	}
+	return out
+}
+
+// shards lists the shards of the region's pools that have homes.
+func (m *Mesh) shards(pools []route.Pool) []place.ShardID {
+	var out []place.ShardID
+	for _, p := range pools {
+		if p.Region != m.Self.Region || p.Service.Balance != policy.Exact {
+			continue
+		}
+		for s := range p.Service.Shards {
+			out = append(out, place.ShardID{Pool: p.Name, Shard: ident.Shard(s)})
+		}
+	}
+	return out
+}
+
+// pools joins the services of the configuration with the targets of the view.
+func (m *Mesh) pools(services []policy.Service, v *peer.View) []route.Pool {
+	var out []route.Pool
+	for _, service := range services {
+		for _, region := range v.Regions(service.Name) {
+			out = append(out, m.pool(service, region, v.Targets(service.Name, region)))
+		}
+	}
+	return out
+}
+
+func (m *Mesh) pool(service policy.Service, region ident.Region, targets []peer.Target) route.Pool {
+	p := route.Pool{
+		Name: ident.NewPool(service.Name, region), Region: region, Service: service,
+		Targets: map[ident.TargetHash]route.Target{},
+	}
+	for _, t := range targets {
+		hash := t.ID.Hash()
+		capacity := m.Capacity(service, t)
+		slots := service.Slots
+		if slots == 0 {
+			slots = capacity.Slots
+		}
+		p.Engines = append(p.Engines, place.Engine{
+			ID: t.ID, Hash: hash, Zone: t.Zone, Incarnation: t.Incarnation, Joined: t.Joined,
+			Slots: ident.Work(slots) * ident.OneRequest, Leaving: t.Leaving || capacity.Silent,
+		})
+		p.Targets[hash] = route.Target{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Incarnation: t.Incarnation}
+	}
+	return p
+}
+
+// handOff passes on the shards that another router is home of now.
+func (m *Mesh) handOff(ctx context.Context, live *place.Assignment) {
+	for _, p := range m.Homes.Misplaced(live.Home) {
+		if err := m.Remote.Handoff(ctx, p); err != nil {
+			_ = level.Warn(m.Logger).Log("msg", "handoff failed", "pool", p.ID.Pool, "shard", p.ID.Shard, "to", p.To, "err", err)
+			continue
+		}
+		m.Homes.Moved(p.ID)
+	}
+}
+
+// Publish tells the routers next in line what this router's homes count. Routers that
+// are thought dead are told too: if they are not, they may well believe to be home
+// themselves.
+func (m *Mesh) Publish(ctx context.Context) {
+	set := m.Set()
+	for _, p := range m.Homes.Publications(set.Live, set.Known) {
+		for _, to := range p.To {
+			m.Remote.Publish(to, p.Digest)
+		}
+		if p.Whole != nil {
+			// If it does not arrive, the standby learns the places as chats return.
+			_ = m.Remote.Handoff(ctx, *p.Whole)
+		}
+	}
+}
+
+// Target finds a target by its id.
+func (m *Mesh) Target(id ident.Target) (route.Target, bool) {
+	for _, p := range m.Set().Pools {
+		if t, ok := p.Targets[id.Hash()]; ok && t.ID == id {
+			return t, true
+		}
+	}
+	return route.Target{}, false
+}
+
+// TargetAt finds a target of a pool by its hash.
+func (m *Mesh) TargetAt(pool ident.Pool, hash ident.TargetHash) (route.Target, bool) {
+	for _, p := range m.Set().Pools {
+		if p.Name == pool {
+			t, ok := p.Targets[hash]
+			return t, ok
+		}
+	}
+	return route.Target{}, false
+}
--- /dev/null
+++ b/internal/oper/node/idle.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// idle closes callers' connections that have had no request for a time that the
+// configuration may change while they are open, which the server's own limit cannot.
+type idle struct {
+	limit  func() time.Duration
+	mu     sync.Mutex
+	timers map[net.Conn]*time.Timer
+}
+
+func newIdle(limit func() time.Duration) *idle {
+	return &idle{limit: limit, timers: map[net.Conn]*time.Timer{}}
+}
+
+// changed follows a connection's state.
+func (i *idle) changed(c net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if timer, ok := i.timers[c]; ok {
+		timer.Stop()
+		delete(i.timers, c)
+	}
+	if state == http.StateIdle {
+		i.timers[c] = time.AfterFunc(i.limit(), func() { _ = c.Close() })
+	}
+}
--- /dev/null
+++ b/internal/oper/node/node.go
@@ -0,0 +1,194 @@
+package node
+
+import (
+	"context"
+	"net"
+
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/edge/entry"
+	"valescale/internal/edge/relay"
+	"valescale/internal/edge/route"
+	"valescale/internal/oper/mesh"
+	"valescale/internal/oper/telem"
+	"valescale/internal/plat/boxes"
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
+	"valescale/internal/share/feed"
+	"valescale/internal/share/home"
+	"valescale/internal/share/peer"
+)
+
+// Node is one router process.
+type Node struct {
+	Parts
+	settings atomic.Pointer[Settings]
+	board    *feed.Board
+	state    *state
+	self     peer.Member
+	peers    *peer.Node
+	homes    *home.Homes
+	mesh     *mesh.Mesh
+	router   *route.Router
+	conns    *relay.Conns
+	budget   *budget
+	handler  *entry.Handler
+	metrics  *telem.Routed
+	meter    *peer.Meter
+	ready    atomic.Bool
+	draining atomic.Bool
+
+	listeners listeners
+	cleanups  []func()
+}
+
+type listeners struct {
+	callers net.Listener
+	ready   net.Listener
+	peers   net.Listener
+}
+
+// New returns a router that listens but serves nobody until it runs, and the function
+// that frees what it holds.
+func New(settings Settings, parts Parts) (*Node, func(), error) {
+	n := &Node{Parts: parts, meter: &peer.Meter{}}
+	n.settings.Store(&settings)
+	if err := n.listen(); err != nil {
+		n.close()
+		return nil, nil, err
+	}
+	n.build()
+	return n, n.close, nil
+}
+
+func (n *Node) close() {
+	for i := len(n.cleanups) - 1; i >= 0; i-- {
+		n.cleanups[i]()
+	}
+	n.cleanups = nil
+}
+
+func (n *Node) listen() error {
+	s := n.settings.Load()
+	for _, at := range []struct {
+		addr string
+		into *net.Listener
+	}{
+		{s.Callers, &n.listeners.callers},
+		{s.Ready, &n.listeners.ready},
+		{s.Peers, &n.listeners.peers},
+	} {
+		l, err := net.Listen("tcp", at.addr)
+		if err != nil {
+			return fault.New("node.New", Listen, err)
+		}
+		n.cleanups = append(n.cleanups, func() { _ = l.Close() })
+		*at.into = l
+	}
+	return nil
+}
+
+const (
+	// permitTimeout is how long a call to a home may take before the next in line is
+	// asked: several round trips between availability zones, a small part of the
+	// objectives, which begin at some hundred milliseconds.
+	permitTimeout = 60 * time.Millisecond
+	// incarnationWait bounds the reading of this router's own row at the start.
+	incarnationWait = 400 * time.Millisecond
+)
+
+// build makes the parts and connects them.
+func (n *Node) build() {
+	s := n.settings.Load()
+	now := n.Clock()
+	n.board = feed.NewBoard(n.Clock)
+	n.state = newState(n.Rows, n.Logger)
+	n.self = peer.Member{
+		ID: s.ID, Addr: n.listeners.peers.Addr().String(), Zone: s.Zone, Region: s.Region, Incarnation: n.incarnation(now),
+	}
+	clients, closeClients := peer.NewClients(nil, n.meter)
+	limits := peer.DefaultLimits
+	// The store's rows are whole and in order; one reading without a row is enough.
+	limits.MissingLists = 1
+	view := peer.NewView(now, n.self, limits)
+	seed := uint64(s.ID.Hash())<<32 | uint64(n.self.Incarnation)&0xffffffff
+	n.peers = peer.NewNode(view, clients, n.state, peer.DefaultPace, n.otherSeeds(s.Seeds), seed, n.Clock)
+	n.homes = home.New(s.ID, home.DefaultLimits, n.Clock, noRate)
+	first := mesh.FirstPermit(n.self.Incarnation)
+	remote, closeLinks := home.NewRemote(home.Edge{ID: s.ID, Zone: s.Zone, Base: first}, n.homes, n.peers, permitTimeout)
+	n.router = route.New(route.Self{ID: s.ID, Zone: s.Zone, Region: s.Region, FirstPermit: first}, remote, n.Clock)
+	n.mesh = mesh.New(mesh.Parts{
+		Self: n.self, Node: n.peers, Homes: n.homes, Remote: remote, Router: n.router, Logger: n.Logger,
+		Wanted: n.state.wanted, Capacity: n.state.capacity, Bound: n.bound,
+	})
+	n.peers.SetHooks(peer.Hooks{Changed: n.mesh.MarkDirty})
+	n.followTables()
+	conns, closeConns := relay.NewConns(relay.DefaultConnLimits)
+	n.conns = conns
+	n.budget = newBudget(s.Retries, n.fleet, n.Clock)
+	n.metrics = telem.NewRouted(n.readings())
+	n.handler = entry.New(entry.Parts{
+		Dialect: n.Dialect, Rules: n, Finder: n.router, Sender: conns, Budget: n.budget, Observer: n.metrics,
+		Logger: n.Logger, Clock: n.Clock,
+	})
+	n.cleanups = append(n.cleanups, closeClients, closeLinks, closeConns)
+}
+
+// noRate says that workspaces have no rates here.
+func noRate(ident.Workspace) (policy.Workspace, bool) { return policy.Workspace{}, false }
+
+// otherSeeds leaves out this router's own address.
+func (n *Node) otherSeeds(seeds []string) []string {
+	var out []string
+	for _, addr := range seeds {
+		if addr != n.self.Addr {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+const (
+	// boundShare is the part of the load factor that homes hand out. Requests that have
+	// just ended still count at a home for a moment and make its mean too high.
+	boundShare = 0.9
+	// boundExtra is added to the bound: with a small mean, whole requests are coarse.
+	boundExtra = ident.OneRequest
+)
+
+// bound is the load bound of a service's targets.
+func (n *Node) bound(policy.Service) place.Bound {
+	b := place.BoundOf(n.settings.Load().LoadFactor * boundShare)
+	b.Extra = boundExtra
+	return b
+}
+
+// fleet is how many routers there may be.
+func (n *Node) fleet() int { return len(n.mesh.Set().Known.Routers()) }
+
+// incarnation is above that of this router's earlier processes: the time, or one more
+// than the row says, should the clock have been set back.
+func (n *Node) incarnation(now time.Time) ident.Incarnation {
+	ctx, cancel := context.WithTimeout(context.Background(), incarnationWait)
+	defer cancel()
+	mine := ident.Incarnation(now.UnixMilli())
+	page, err := n.Store.All(ctx, routerTable)
+	if err != nil {
+		_ = level.Warn(n.Logger).Log("msg", "routers cannot be read at the start", "err", err)
+		return mine
+	}
+	for _, row := range page.Rows {
+		if earlier, err := decodeRouter(row); err == nil && earlier.ID == n.settings.Load().ID {
+			return max(mine, earlier.Incarnation+1)
+		}
+	}
+	return mine
+}
+
+// List returns the routers and targets as the store's rows say.
+func (s *state) List(context.Context) ([]boxes.Box, error) { return s.boxes(), nil }
--- /dev/null
+++ b/internal/oper/node/serve.go
@@ -0,0 +1,231 @@
+package node
+
+import (
+	"context"
+	stdlog "log"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/oper/mesh"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/match"
+	"valescale/internal/share/home"
+	"valescale/internal/share/peer"
+	"valescale/internal/share/peerpb"
+)
+
+const (
+	// headerTime bounds the sending of a request's header; configurations allow seconds.
+	headerTime = 10 * time.Second
+	// drainDelay is how long a stopping router still takes new connections: the
+	// platform asks each second whether it is ready and stops sending after two noes.
+	drainDelay = 2500 * time.Millisecond
+	// graceMargin is kept of the grace for the last steps of a stop.
+	graceMargin = 400 * time.Millisecond
+	// freshFor is how old the store's word may be for a configuration to count as
+	// fresh: a call to the store waits for up to one and a half seconds.
+	freshFor = 2 * time.Second
+	// leaveRounds is how many times a leaving router tells its peers.
+	leaveRounds = 2
+	// readyPause is the pause between two looks whether this router can serve.
+	readyPause = 20 * time.Millisecond
+)
+
+// Table returns the configuration in force, or nil while none is known.
+func (n *Node) Table() *match.Table { return n.state.rules.Load() }
+
+// Fresh reports whether the store confirmed the configuration a moment ago.
+func (n *Node) Fresh() bool {
+	age, known := n.board.Age(n.Rows.ConfigTable())
+	return known && age <= freshFor
+}
+
+// RunUntilSignal serves until the process is told to stop, reloads when told to, and drains.
+func (n *Node) RunUntilSignal() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	n.Run(ctx, hup)
+}
+
+// Run serves until the context ends and then drains: the router says that it is
+// leaving, takes new requests for a while longer, and waits for those in flight.
+func (n *Node) Run(ctx context.Context, reload <-chan os.Signal) {
+	background, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	_ = level.Info(n.Logger).Log("msg", "start", "callers", n.listeners.callers.Addr(), "peers", n.self.Addr, "zone", n.self.Zone, "incarnation", n.self.Incarnation)
+	callers := n.callerServer()
+	peers := n.peerServer()
+	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTime, ErrorLog: quiet(n.Logger)}
+	serve(&wg, ready, n.listeners.ready)
+	serve(&wg, peers, n.meter.Listener(n.listeners.peers))
+	serve(&wg, callers, n.listeners.callers)
+	wg.Go(func() { n.follower(n.Rows.ConfigTable()).Run(background) })
+	wg.Go(func() { n.follower(n.Rows.TargetTable()).Run(background) })
+	wg.Go(func() { n.follower(routerTable).Run(background) })
+	wg.Go(func() { n.announce(background) })
+	wg.Go(func() { n.peers.Run(background) })
+	wg.Go(func() { n.mesh.Run(background) })
+	wg.Go(func() { n.becomeReady(background) })
+	wg.Go(func() { n.reloadOn(background, reload) })
+	<-ctx.Done()
+	n.drain(callers)
+	stop()
+	_ = peers.Close()
+	_ = ready.Close()
+	_ = level.Info(n.Logger).Log("msg", "stop")
+}
+
+// serve runs a server until it is closed.
+func serve(wg *sync.WaitGroup, s *http.Server, l net.Listener) {
+	wg.Go(func() { _ = s.Serve(l) })
+}
+
+func sleep(ctx context.Context, d time.Duration) { mesh.Sleep(ctx, d) }
+
+// becomeReady waits until configuration and targets are known.
+func (n *Node) becomeReady(ctx context.Context) {
+	for ctx.Err() == nil {
+		_, targets := n.board.Version(n.Rows.TargetTable())
+		if n.Table() != nil && targets {
+			n.mesh.Refresh(ctx)
+			n.ready.Store(true)
+			_ = level.Info(n.Logger).Log("msg", "ready", "revision", n.Table().Revision)
+			return
+		}
+		sleep(ctx, readyPause)
+	}
+}
+
+// reloadOn reads the settings again when told to.
+func (n *Node) reloadOn(ctx context.Context, reload <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+			n.reload()
+		}
+	}
+}
+
+func (n *Node) reload() {
+	fresh, err := n.Reload()
+	if err != nil {
+		_ = level.Error(n.Logger).Log("msg", "settings cannot be reloaded, the earlier ones stay", "err", err)
+		return
+	}
+	fresh.ReadyPath = n.settings.Load().ReadyPath
+	n.settings.Store(&fresh)
+	n.budget.allow(fresh.Retries)
+	n.mesh.MarkDirty()
+	_ = level.Info(n.Logger).Log("msg", "reload", "retry_ratio", fresh.Retries.Ratio, "retry_extra", fresh.Retries.Extra, "load_factor", fresh.LoadFactor)
+}
+
+// drain stops taking requests without cutting any off.
+func (n *Node) drain(callers *http.Server) {
+	began := n.Clock()
+	n.draining.Store(true)
+	_ = level.Info(n.Logger).Log("msg", "draining")
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Load().Grace-graceMargin)
+	defer cancel()
+	n.peers.Do(func(v *peer.View) { v.Leave(n.Clock()) })
+	for range leaveRounds {
+		n.peers.Tell(ctx)
+	}
+	n.mesh.Refresh(ctx)
+	n.withdraw(ctx)
+	sleep(ctx, drainDelay-n.Clock().Sub(began))
+	if err := callers.Shutdown(ctx); err != nil {
+		_ = level.Error(n.Logger).Log("msg", "stopped with requests in flight", "err", err)
+	}
+}
+
+// readyHandler answers the platform's question whether this router wants requests.
+func (n *Node) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+n.settings.Load().ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.ready.Load() || n.draining.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (n *Node) callerServer() *http.Server {
+	idle := newIdle(n.idleTime)
+	return &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if n.draining.Load() {
+				w.Header().Set("Connection", "close")
+			}
+			n.handler.ServeHTTP(w, r)
+		}),
+		ReadHeaderTimeout: headerTime, ConnState: idle.changed, ErrorLog: quiet(n.Logger),
+	}
+}
+
+// idleTime is how long a caller's connection may stay without a request.
+func (n *Node) idleTime() time.Duration {
+	if t := n.Table(); t != nil && t.Limits.IdleTime > 0 {
+		return t.Limits.IdleTime
+	}
+	return defaultIdle
+}
+
+// defaultIdle counts while no configuration is known.
+const defaultIdle = time.Minute
+
+// peerService answers other routers.
+type peerService struct {
+	*home.Server
+	peers *peer.Node
+}
+
+// Gossip exchanges digests.
+func (p *peerService) Gossip(_ context.Context, req *connect.Request[peerpb.Digest]) (*connect.Response[peerpb.Digest], error) {
+	return connect.NewResponse(peer.Encode(p.peers.Answer(peer.Decode(req.Msg)))), nil
+}
+
+// Fetch is not offered: the configuration comes from the store.
+func (p *peerService) Fetch(context.Context, *connect.Request[peerpb.FetchRequest]) (*connect.Response[peerpb.FetchReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, nil)
+}
+
+func (n *Node) peerServer() *http.Server {
+	mux := http.NewServeMux()
+	anyone := func(context.Context) ident.Router { return "" }
+	mux.Handle(peerpb.NewPeerServiceHandler(&peerService{Server: home.NewServer(n.homes, anyone), peers: n.peers}))
+	mux.Handle("GET /metrics", n.metrics.Handler())
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTime, Protocols: protocols, ErrorLog: quiet(n.Logger)}
+}
+
+// quiet turns an HTTP server's own complaints into debug lines.
+func quiet(logger log.Logger) *stdlog.Logger {
+	return stdlog.New(debugWriter{logger}, "", 0)
+}
+
+type debugWriter struct{ logger log.Logger }
+
+// Write logs one line.
+func (w debugWriter) Write(p []byte) (int, error) {
+	_ = level.Debug(w.logger).Log("msg", strings.TrimSpace(string(p)))
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/oper/node/settings.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"valescale/internal/edge/entry"
+	"valescale/internal/plat/boxes"
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/plat/table"
+	"valescale/internal/rule/match"
+	"valescale/internal/rule/retry"
+	"valescale/internal/share/feed"
+)
+
+// Kind tells this package's errors apart.
+type Kind string
+
+// Listen means that an address cannot be listened on.
+const Listen Kind = "listen"
+
+// Error is this package's error type.
+type Error = fault.Error[Kind]
+
+// Settings are a router's settings.
+type Settings struct {
+	ID     ident.Router
+	Zone   ident.Zone
+	Region ident.Region
+	// Callers, Ready and Peers are the addresses for callers, for the question whether
+	// this router wants requests, and for other routers and metrics.
+	Callers   string
+	Ready     string
+	ReadyPath string
+	Peers     string
+	// Seeds are addresses of other routers to try while none is known.
+	Seeds []string
+	// Retries is what the whole fleet may send again for each service.
+	Retries retry.Allowance
+	// Grace is the time from the signal to stop until the process is ended.
+	Grace time.Duration
+	// LoadFactor is the multiple of the mean load that no target may exceed.
+	LoadFactor float64
+}
+
+// Target is one target as it announces itself.
+type Target struct {
+	boxes.Box
+	// Slots is how many requests it runs at once.
+	Slots int
+}
+
+// Store is what a router needs of the platform's store.
+type Store interface {
+	feed.Source
+	// Commit applies a transaction.
+	Commit(ctx context.Context, txn table.Txn) error
+	// Calls is the number of calls made so far and how many of them failed.
+	Calls() (made, failed uint64)
+}
+
+// Rows decodes what the platform writes into its store.
+type Rows interface {
+	ConfigTable() table.Name
+	TargetTable() table.Name
+	// Config decodes the configuration; found is false while there is none.
+	Config(rows []table.Row) (c match.Config, found bool, err error)
+	// Targets decodes the targets and reports the rows that cannot be read.
+	Targets(rows []table.Row) (targets []Target, bad []error)
+}
+
+// Parts are what a router works with.
+type Parts struct {
+	Dialect entry.Dialect
+	Store   Store
+	Rows    Rows
+	Logger  log.Logger
+	Clock   ident.Clock
+	// Reload reads the settings again.
+	Reload func() (Settings, error)
+}
--- /dev/null
+++ b/internal/oper/node/state.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/oper/mesh"
+	"valescale/internal/plat/boxes"
+	"valescale/internal/plat/ident"
+	"valescale/internal/plat/table"
+	"valescale/internal/rule/match"
+	"valescale/internal/rule/policy"
+	"valescale/internal/share/peer"
+)
+
+// state is what the store's rows say, decoded.
+type state struct {
+	rows   Rows
+	logger log.Logger
+	// rules is the configuration in force; it never goes back to a lower revision.
+	rules atomic.Pointer[match.Table]
+
+	mu       sync.Mutex
+	services []match.Service
+	targets  []boxes.Box
+	routers  []boxes.Box
+	slots    map[ident.Target]int
+	counts   map[ident.Service]int
+	// turns counts the changes that pools are made from.
+	turns uint64
+}
+
+func newState(rows Rows, logger log.Logger) *state {
+	return &state{rows: rows, logger: logger, slots: map[ident.Target]int{}, counts: map[ident.Service]int{}}
+}
+
+// setConfig puts a configuration in force.
+func (s *state) setConfig(rows []table.Row) {
+	config, found, err := s.rows.Config(rows)
+	if err != nil {
+		_ = level.Error(s.logger).Log("msg", "the configuration cannot be read", "err", err)
+		return
+	}
+	if !found {
+		return
+	}
+	if old := s.rules.Load(); old != nil && config.Revision <= old.Revision {
+		return
+	}
+	compiled, err := match.Compile(config)
+	if err != nil {
+		_ = level.Error(s.logger).Log("msg", "the configuration cannot be put in force", "revision", config.Revision, "err", err)
+		return
+	}
+	s.mu.Lock()
+	if !slices.Equal(s.services, config.Services) {
+		s.services = config.Services
+		s.turns++
+	}
+	s.mu.Unlock()
+	s.rules.Store(compiled)
+	_ = level.Info(s.logger).Log("msg", "configuration in force", "revision", config.Revision, "routes", compiled.Routes(), "version", newest(rows))
+}
+
+// newest is the version of the latest row.
+func newest(rows []table.Row) table.Version {
+	latest := table.Version(0)
+	for _, row := range rows {
+		latest = max(latest, row.Version)
+	}
+	return latest
+}
+
+// setTargets takes in the targets.
+func (s *state) setTargets(rows []table.Row) {
+	targets, bad := s.rows.Targets(rows)
+	for _, err := range bad {
+		_ = level.Error(s.logger).Log("msg", "a target's row cannot be read", "err", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.logTargets(targets, newest(rows))
+	s.targets = s.targets[:0:0]
+	clear(s.slots)
+	clear(s.counts)
+	for _, t := range targets {
+		s.targets = append(s.targets, t.Box)
+		s.slots[ident.Target(t.ID)] = t.Slots
+		s.counts[t.Service]++
+	}
+	s.turns++
+}
+
+// logTargets logs which targets came, went or changed.
+func (s *state) logTargets(targets []Target, version table.Version) {
+	before := map[string]boxes.Box{}
+	for _, b := range s.targets {
+		before[b.ID] = b
+	}
+	for _, t := range targets {
+		if old, known := before[t.ID]; !known || old != t.Box {
+			_ = level.Info(s.logger).Log("msg", "target", "target", t.ID, "state", t.State, "addr", t.Addr, "service", t.Service, "zone", t.Zone, "version", version)
+		}
+		delete(before, t.ID)
+	}
+	for id := range before {
+		_ = level.Info(s.logger).Log("msg", "target", "target", id, "state", "gone", "version", version)
+	}
+}
+
+// setRouters takes in the other routers.
+func (s *state) setRouters(rows []table.Row) {
+	var routers []boxes.Box
+	for _, row := range rows {
+		member, err := decodeRouter(row)
+		if err != nil {
+			_ = level.Error(s.logger).Log("msg", "a router's row cannot be read", "key", row.Key, "err", err)
+			continue
+		}
+		routers = append(routers, boxes.Box{
+			ID: string(member.ID), Role: boxes.RouterRole, Addr: member.Addr, Zone: member.Zone, Region: member.Region,
+			State: boxes.Live, Incarnation: member.Incarnation,
+		})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routers = routers
+}
+
+func (s *state) boxes() []boxes.Box {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Concat(s.routers, s.targets)
+}
+
+// capacity is what a target says of itself.
+func (s *state) capacity(_ policy.Service, t peer.Target) mesh.Capacity {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return mesh.Capacity{Slots: s.slots[t.ID]}
+}
+
+// wanted is what the configuration wants of the mesh.
+func (s *state) wanted() mesh.Wanted {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := mesh.Wanted{Reports: s.turns}
+	for _, service := range s.services {
+		w.Services = append(w.Services, s.service(service))
+	}
+	return w
+}
+
+// service is a service in the form that placement uses; the caller holds the lock.
+func (s *state) service(from match.Service) policy.Service {
+	kind := policy.PlainTargets
+	if from.Engine {
+		kind = policy.EngineTargets
+	}
+	return policy.Service{Name: from.Name, Kind: kind, Balance: policy.Exact, Shards: shardsFor(s.counts[from.Name])}
+}
+
+// targetsPerShard is about how many targets one home counts. At 8 to 10 one request
+// settles a placement; see docs/DESIGN-placement.md.
+const targetsPerShard = 10
+
+// shardsFor is the number of shards of a pool, a power of two, so that it seldom
+// changes as targets come and go.
+func shardsFor(targets int) int {
+	shards := 1
+	for shards*targetsPerShard*3/2 < targets && shards < place64 {
+		shards *= 2
+	}
+	return shards
+}
+
+// place64 is the most shards that a pool can have.
+const place64 = 64
--- a/internal/plat/table/error.go
+++ b/internal/plat/table/error.go
@@ -16,6 +16,8 @@
 	Unavailable Kind = "unavailable"
 	// Unknown means that the answer was lost; the write may have taken effect.
 	Unknown Kind = "unknown"
+	// Compacted means that the history of changes asked for is gone.
+	Compacted Kind = "compacted"
 	// Refused means that the service will not take this request, however often it is sent.
 	Refused Kind = "refused"
 )
--- a/internal/plat/table/row.go
+++ b/internal/plat/table/row.go
@@ -18,6 +18,15 @@
 	Key     Key     `json:"key"`
 	Version Version `json:"version"`
 	Value   []byte  `json:"value"`
+	// Deleted rows are told of only as changes.
+	Deleted bool `json:"deleted,omitempty"`
+}
+
+// Page is the whole of a table or what changed in it.
+type Page struct {
+	Rows []Row
+	// Version is the store's version that the page leads up to.
+	Version Version
 }
 
 // Check demands that a row has a version at the commit.
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -10,6 +10,8 @@
 type Bound struct {
 	// Factor is the multiple of the mean, above one.
 	Factor float64
+	// Extra is work that is added to that multiple.
+	Extra ident.Work
 	// Ramp is how long a joined engine takes to reach its full share.
 	Ramp time.Duration
 	// DigestLife is how long a digest counts after it was received.
@@ -18,6 +20,11 @@
 	Places int
 }
 
+// limit is the load that an engine must be below, given the work on all engines.
+func (b Bound) limit(total float64, engines int) float64 {
+	return b.Factor*total/float64(max(engines, 1)) + float64(b.Extra)
+}
+
 // BoundOf returns the default bound with a service's own multiple of the mean.
 func BoundOf(factor float64) Bound {
 	b := DefaultBound
@@ -308,7 +315,7 @@
 // limit is the load that an engine must be below to take more work: the bound's
 // factor times the pool's mean with the new work counted.
 func (h *Home) limit(now time.Time, work ident.Work) float64 {
-	return h.bound.Factor * (1 - returning) * float64(h.Total(now)+work) / float64(max(h.poolEngines, 1))
+	return h.bound.limit((1-returning)*float64(h.Total(now)+work), h.poolEngines)
 }
 
 // returning is the share of the permits whose requests are thought to have ended
--- a/internal/rule/place/pool.go
+++ b/internal/rule/place/pool.go
@@ -141,7 +141,7 @@
 	if usable == 0 {
 		return Decision{Result: Empty}
 	}
-	limit := p.bound.Factor * float64(total+req.Work) / float64(usable)
+	limit := p.bound.limit(float64(total+req.Work), usable)
 	var first, least ranked
 	for i, e := range p.engines {
 		if e.Leaving || avoided(req.Avoid, e.Hash) {
--- /dev/null
+++ b/internal/rule/retry/window_test.go
@@ -0,0 +1,85 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestWindowsKeepTheFleetsAllowance presses several routers that restart now and then
+// and checks every span of the sum.
+func TestWindowsKeepTheFleetsAllowance(t *testing.T) {
+	allowance := Allowance{Ratio: 0.2, Extra: 56, Span: 10 * time.Second}
+	const routers = 8
+	rng := rand.New(rand.NewPCG(1, 2))
+	start := time.Unix(1000, 0)
+	windows := make([]*Window, routers)
+	for i := range windows {
+		windows[i] = NewWindow(start, allowance)
+	}
+	type event struct {
+		at    time.Time
+		retry bool
+	}
+	var events []event
+	for tick := range 6000 {
+		now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
+		for i := range windows {
+			if rng.IntN(4) == 0 {
+				windows[i].Request(now)
+				events = append(events, event{now, false})
+			}
+			if windows[i].Retry(now, routers) {
+				events = append(events, event{now, true})
+			}
+			if rng.IntN(3000) == 0 {
+				windows[i] = NewWindow(now, allowance)
+			}
+		}
+	}
+	from, requests, retries, worst := 0, 0, 0, 0.0
+	for _, e := range events {
+		for events[from].at.Before(e.at.Add(-allowance.Span)) {
+			if events[from].retry {
+				retries--
+			} else {
+				requests--
+			}
+			from++
+		}
+		if e.retry {
+			retries++
+		} else {
+			requests++
+		}
+		worst = max(worst, float64(retries)-allowance.Ratio*float64(requests))
+	}
+	if worst > allowance.Extra {
+		t.Errorf("%.1f retries above the ratio in one span, want at most %.0f", worst, allowance.Extra)
+	}
+	if worst < allowance.Extra/4 {
+		t.Errorf("only %.1f retries above the ratio are ever given out of %.0f", worst, allowance.Extra)
+	}
+}
+
+func TestWindowForgetsOldSteps(t *testing.T) {
+	allowance := Allowance{Ratio: 1, Extra: 0, Span: 10 * time.Second}
+	now := time.Unix(1000, 0)
+	w := NewWindow(now, allowance)
+	for range 3 {
+		w.Request(now)
+	}
+	for i := range 3 {
+		if !w.Retry(now, 1) {
+			t.Fatalf("retry %d of 3 is refused", i+1)
+		}
+	}
+	if w.Retry(now, 1) {
+		t.Error("a fourth retry is given for three requests")
+	}
+	later := now.Add(time.Hour)
+	w.Request(later)
+	if !w.Retry(later, 1) {
+		t.Error("a retry is refused although the earlier ones are long past")
+	}
+}
--- a/internal/share/peer/target.go
+++ b/internal/share/peer/target.go
@@ -44,9 +44,6 @@
 }
 
 const (
-	// missingLists is how many lists in a row must lack a target before it is gone;
-	// one list may be late or cut short.
-	missingLists = 2
 	// flapMemory is how long a return counts against a target.
 	flapMemory = time.Minute
 	// maxFlapDelay bounds how much longer a flapping target's slow start gets.
@@ -74,7 +71,7 @@
 			continue
 		}
 		t.missing++
-		if t.missing >= missingLists && !t.gone {
+		if t.missing >= v.limits.MissingLists && !t.gone {
 			t.gone = true
 			v.version++
 		}
--- a/internal/share/peer/view.go
+++ b/internal/share/peer/view.go
@@ -18,6 +18,9 @@
 	SuspectFor time.Duration
 	// DeadFor is how long a dead router is remembered, so that old news cannot revive it.
 	DeadFor time.Duration
+	// MissingLists is how many lists in a row must lack a target before it is gone; one
+	// list may be late or cut short.
+	MissingLists int
 	// MarkFor is how long the mark of a target that is gone is remembered.
 	MarkFor time.Duration
 }
@@ -30,6 +33,8 @@
 	SuspectFor: 3 * time.Second,
 	DeadFor:    10 * time.Minute,
 	MarkFor:    time.Hour,
+
+	MissingLists: 2,
 }
 
 // View is one router's knowledge of routers and targets. It is not safe
