--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -184,6 +184,7 @@
 		if j.found == 0 {
 			j.found = h.Clock().Sub(j.arrived)
 		}
+		j.placed = placement
 		result := h.attempt(ctx, w, j, placement)
 		placement.Release()
 		if result.ended {
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -38,6 +39,8 @@
 	outcome retry.Outcome
 	// started is set once a part of an answer has gone to the caller.
 	started bool
+	// placed is the latest placement, nil before the first.
+	placed *route.Placement
 	// last is the id of the last event that the caller has got.
 	last  EventID
 	found time.Duration
@@ -96,8 +99,17 @@
 		e.Workspace = j.workspace.Name
 	}
 	h.Observer.Ended(e)
+	var target, holder ident.Target
+	warm := false
+	if j.placed != nil {
+		target, warm = j.placed.Target.ID, j.placed.Warm
+		if j.placed.Holder != nil {
+			holder = j.placed.Holder.ID
+		}
+	}
 	_ = level.Info(h.Logger).Log("msg", "request", "request", j.call.ID, "route", e.Route, "workspace", e.Workspace,
 		"service", e.Service, "revision", j.revision, "reason", reason, "status", status, "sends", j.sends, "outcome", j.outcome,
+		"target", target, "key", strconv.FormatUint(uint64(j.key), 16), "warm", warm, "holder", holder,
 		"found_ms", e.Found.Milliseconds(), "first_ms", e.First.Milliseconds(), "whole_ms", e.Whole.Milliseconds())
 }
 
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -13,6 +13,7 @@
 	"valescale/internal/plat/ident"
 	"valescale/internal/plat/table"
 	"valescale/internal/rule/match"
+	"valescale/internal/rule/place"
 	"valescale/internal/rule/policy"
 	"valescale/internal/share/peer"
 )
@@ -164,19 +165,18 @@
 	return policy.Service{Name: from.Name, Kind: kind, Balance: policy.Exact, Shards: shardsFor(s.counts[from.Name])}
 }
 
-// targetsPerShard is about how many targets one home counts. At 8 to 10 one request
-// settles a placement; see docs/DESIGN-placement.md.
-const targetsPerShard = 10
+// targetsPerShard is the most targets that one home counts. A subject that moves from
+// shard to shard leaves its cached prompt behind: with two shards of 9 that was the
+// largest part of what was read again. A home's work at 32 targets is a few hundred
+// permits a second, of about 0.1 ms each.
+const targetsPerShard = 32
 
 // shardsFor is the number of shards of a pool, a power of two, so that it seldom
 // changes as targets come and go.
 func shardsFor(targets int) int {
 	shards := 1
-	for shards*targetsPerShard*3/2 < targets && shards < place64 {
+	for shards*targetsPerShard < targets && shards < place.MaxShards {
 		shards *= 2
 	}
 	return shards
 }
-
-// place64 is the most shards that a pool can have.
-const place64 = 64
