Refused callers come back one after the other, as room does

Change: a home tells each refused caller a time of its own, as far apart as half of its room comes back (returns); routers spread what they refuse themselves over twice the latest time. Only the last shard that a request asks tells times.

--- a/internal/edge/route/throttle.go
+++ b/internal/edge/route/throttle.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -84,6 +85,14 @@
 	}
 }
 
+// spread is the latest refusal with a time to come back up to twice as late: a home tells
+// each caller a time of its own, and those refused here must not all return at one of them.
+func (t *throttle) spread() RetryAfter {
+	later := t.refusal
+	later.Wait += rand.N(later.Wait + 1)
+	return later
+}
+
 // throttleOf returns what is known of an ask's kind, made on first use; the caller holds
 // the lock.
 func (p *pool) throttleOf(ask Ask) *throttle {
@@ -108,7 +117,7 @@
 		return nil
 	}
 	r.stats.Throttled++
-	return fault.New("route.Acquire", Shed, t.refusal)
+	return fault.New("route.Acquire", Shed, t.spread())
 }
 
 // learn takes in how an ask ended. Whatever did not end in a home's refusal speaks for
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -54,11 +54,13 @@
 
 // shard is a shard of which this router is home.
 type shard struct {
-	home   *place.Home
-	queue  *quota.Queue
-	rate   releaseRate
-	sent   place.Digest
-	sentAt time.Time
+	home  *place.Home
+	queue *quota.Queue
+	rate  releaseRate
+	// returns are the times that refused callers were told.
+	returns returns
+	sent    place.Digest
+	sentAt  time.Time
 	// jumped is set when permits came or went other than one by one.
 	jumped bool
 	// standby is the router next in line that has all chat places.
--- a/internal/share/home/hopeless_test.go
+++ b/internal/share/home/hopeless_test.go
@@ -23,7 +23,7 @@
 	ask := func(priority int) (Answer, bool) {
 		permit++
 		a, w := h.placeOrQueue(Ask{
-			Request: place.Request{Edge: "edge", Permit: permit, Key: ident.ChatKey(permit), Work: ident.OneRequest},
+			Request: place.Request{Edge: "edge", Permit: permit, Key: ident.ChatKey(permit), Work: ident.OneRequest, Must: true},
 			Shard:   id, Priority: priority, Wait: 400 * time.Millisecond,
 		}, nil)
 		return a, w != nil
--- a/internal/share/home/place.go
+++ b/internal/share/home/place.go
@@ -48,22 +48,21 @@
 		}
 	}
 	if ask.Wait <= 0 {
-		return s.refusal(ask.Edge, Full, s.rate.after(s.queue.Len())), nil
+		return s.refusal(now, ask, Full), nil
 	}
-	if wait, hopeless := s.hopeless(ask); hopeless {
-		return s.refusal(ask.Edge, Shed, wait), nil
+	if s.hopeless(ask) {
+		return s.refusal(now, ask, Shed), nil
 	}
 	w := s.enqueue(now, ask)
 	h.dispatch(s)
 	return Answer{}, w
 }
 
-// hopeless reports whether a request would wait in vain, and when it may come back. A
-// refusal at once leaves its caller time for another try.
-func (s *shard) hopeless(ask Ask) (time.Duration, bool) {
-	ahead := s.queue.Ahead(ask.Priority)
-	wait, known := s.rate.wait(ahead)
-	return s.rate.after(ahead), known && wait > ask.Wait
+// hopeless reports whether a request would wait in vain. A refusal at once leaves its
+// caller time for another try.
+func (s *shard) hopeless(ask Ask) bool {
+	wait, known := s.rate.wait(s.queue.Ahead(ask.Priority))
+	return known && wait > ask.Wait
 }
 
 // enqueue has a request wait, and refuses another one for which no room is left.
@@ -78,9 +77,8 @@
 		Value:     w,
 	}
 	if shed := s.queue.Push(w.entry); shed != nil {
-		retryAfter := s.rate.after(s.queue.Len())
 		other := shed.Value.(*waiting)
-		other.answer <- s.refusal(other.ask.Edge, Shed, retryAfter)
+		other.answer <- s.refusal(now, other.ask, Shed)
 	}
 	return w
 }
@@ -121,12 +119,18 @@
 			return s.answer(h.clock(), w.ask.Edge, d)
 		}
 	}
-	return s.refusal(w.ask.Edge, TimedOut, s.rate.after(s.queue.Len()+1))
+	return s.refusal(h.clock(), w.ask, TimedOut)
 }
 
-// refusal is an answer without a permit.
-func (s *shard) refusal(edge ident.Router, result Result, retryAfter time.Duration) Answer {
-	return Answer{Result: result, RetryAfter: retryAfter, Held: s.home.Held(edge), Work: s.home.SureWork()}
+// refusal is an answer without a permit. Only the last shard that a request asks, on which
+// it must be placed, has its caller come back.
+func (s *shard) refusal(now time.Time, ask Ask, result Result) Answer {
+	a := Answer{Result: result, Held: s.home.Held(ask.Edge), Work: s.home.SureWork()}
+	if ask.Must {
+		queue, _ := s.rate.wait(s.queue.Len())
+		a.RetryAfter = s.returns.tell(now, s.rate.perSecond(), queue)
+	}
+	return a
 }
 
 // answer turns a placement's decision into what the edge is told.
@@ -150,7 +154,7 @@
 		next, late := s.queue.Pop(now)
 		for _, l := range late {
 			other := l.Value.(*waiting)
-			other.answer <- s.refusal(other.ask.Edge, TimedOut, s.rate.after(s.queue.Len()))
+			other.answer <- s.refusal(now, other.ask, TimedOut)
 		}
 		if next == nil {
 			return
--- a/internal/share/home/rate.go
+++ b/internal/share/home/rate.go
@@ -26,13 +26,6 @@
 	// rateHalfLife is after how long what was measured counts half: long enough for some
 	// ten requests at a small service, short enough to follow engines that slow down.
 	rateHalfLife = 500 * time.Millisecond
-	// minRetryAfter is the soonest that a caller is asked to come back: some round trips.
-	minRetryAfter = 200 * time.Millisecond
-	// maxRetryAfter is the latest: longer than callers wait for interactive answers.
-	maxRetryAfter = 30 * time.Second
-	// unknownRetryAfter is what a home says that has just started and knows no rate yet; by
-	// then it does.
-	unknownRetryAfter = time.Second
 )
 
 // note counts work that came back and what is in flight from now on.
@@ -61,15 +54,6 @@
 	return r.released / r.flown * float64(r.inFlight) / float64(ident.OneRequest)
 }
 
-// after is when callers are told to come back while some wait.
-func (r *releaseRate) after(waiting int) time.Duration {
-	wait, known := r.wait(waiting)
-	if !known {
-		return unknownRetryAfter
-	}
-	return min(max(wait, minRetryAfter), maxRetryAfter)
-}
-
 // wait is how long a newcomer waits behind some others, if that is known.
 func (r *releaseRate) wait(ahead int) (wait time.Duration, known bool) {
 	perSecond := r.perSecond()
--- a/internal/share/home/rate_test.go
+++ b/internal/share/home/rate_test.go
@@ -4,8 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"valescale/internal/plat/ident"
 )
 
@@ -25,21 +23,6 @@
 // intervals counts a little more just after than just before.
 func near(got, want time.Duration) bool { return (got - want).Abs() <= want/10 }
 
-// A home that has just started does not send callers away for half a minute, one that
-// knows how fast permits come back says how long the queue takes.
-func TestTimeToComeBack(t *testing.T) {
-	var r releaseRate
-	if diff := cmp.Diff(time.Second, r.after(40)); diff != "" {
-		t.Errorf("without a rate: %s", diff)
-	}
-	steadily(&r, time.Unix(1000, 0), 10, 10*ident.OneRequest)
-	for waiting, want := range map[int]time.Duration{0: minRetryAfter, 39: 4 * time.Second, 5000: maxRetryAfter} {
-		if got := r.after(waiting); !near(got, want) {
-			t.Errorf("%d waiting at 10 a second: %v, want %v", waiting, got, want)
-		}
-	}
-}
-
 // A shard that was idle a moment ago is not taken for slow: its rate follows the work in
 // flight, not the work that was asked of it.
 func TestRateOfAShardThatFillsUp(t *testing.T) {
