All routers agree on who is home: cores as precise as they travel

Cause: a router knew its own box as 0.4 cores and the others', through messages with single precision, as 0.4000000059. The logs showed it on a calm minute.

Change: Cores has the precision of the message.

--- a/internal/plat/ident/ident.go
+++ b/internal/plat/ident/ident.go
@@ -45,8 +45,9 @@
 // Shard numbers a part of a pool, from zero.
 type Shard uint32
 
-// Cores is how much processor time a box may use, in cores.
-type Cores float64
+// Cores is how much processor time a box may use, in cores. It is as precise as what
+// routers send each other, so that all compare the same numbers.
+type Cores float32
 
 // Work measures a request's load on an engine, in work units of one thousandth of a plain request.
 type Work int64
--- a/internal/rule/quota/queue.go
+++ b/internal/rule/quota/queue.go
@@ -36,8 +36,10 @@
 	perFlow int
 	virtual float64
 	seq     uint64
-	flows   map[ident.Workspace]*flow
-	heap    waiterHeap
+	// fairTurn says that the next turn goes by the fair order alone.
+	fairTurn bool
+	flows    map[ident.Workspace]*flow
+	heap     waiterHeap
 }
 
 // NewQueue returns a queue of at most limit waiters, of which one workspace may
@@ -49,16 +51,39 @@
 // Len is the number of waiters.
 func (q *Queue) Len() int { return len(q.heap) }
 
-// Ahead is how many waiters go before a newcomer of some priority, those of other
-// workspaces with the same priority included.
-func (q *Queue) Ahead(priority int) int {
-	ahead := 0
+// Ahead is how many waiters at most go before a newcomer.
+func (q *Queue) Ahead(newcomer *Waiter) int {
+	start := q.startOf(newcomer)
+	urgent, fair, either := 0, 0, 0
+	mixed := false
 	for _, w := range q.heap {
-		if w.Priority >= priority {
-			ahead++
+		mixed = mixed || w.Priority != newcomer.Priority
+		before := w.start <= start
+		first := w.Priority > newcomer.Priority || w.Priority == newcomer.Priority && before
+		if first {
+			urgent++
 		}
+		if before {
+			fair++
+		}
+		if first || before {
+			either++
+		}
+	}
+	if !mixed {
+		return either
+	}
+	// The newcomer is next once the turns of one kind have come to it, which takes twice as
+	// many turns, one of each kind.
+	return min(2*urgent, 2*fair+1)
+}
+
+// startOf is a newcomer's place in the fair order of workspaces.
+func (q *Queue) startOf(w *Waiter) float64 {
+	if f := q.flows[w.Workspace]; f != nil {
+		return max(q.virtual, f.finish)
 	}
-	return ahead
+	return q.virtual
 }
 
 // Push adds a waiter. It returns the waiter that is shed for it when the queue is
@@ -82,7 +107,7 @@
 	q.seq++
 	w.seq = q.seq
 	w.flow = f
-	w.start = max(q.virtual, f.finish)
+	w.start = q.startOf(w)
 	f.finish = w.start + float64(w.Work)/float64(max(w.Weight, 1))
 	f.waiting++
 	heap.Push(&q.heap, w)
@@ -104,7 +129,7 @@
 // returned as late.
 func (q *Queue) Pop(now time.Time) (next *Waiter, late []*Waiter) {
 	for len(q.heap) > 0 {
-		w := heap.Pop(&q.heap).(*Waiter)
+		w := heap.Remove(&q.heap, q.turn()).(*Waiter)
 		q.left(w)
 		if !w.Deadline.IsZero() && now.After(w.Deadline) {
 			late = append(late, w)
@@ -116,8 +141,29 @@
 	return nil, late
 }
 
-// Return puts a popped waiter back in its place, when no engine could take it after all.
+// turn returns the place in the heap of the waiter whose turn is next. Turns go by
+// priority and by the fair order of workspaces alone, one after the other: under lasting
+// overload the most urgent requests get at least half of the room and the others still
+// half of their part of what is asked for, so that none starve.
+func (q *Queue) turn() int {
+	byPriority := !q.fairTurn
+	q.fairTurn = byPriority
+	if byPriority {
+		return 0
+	}
+	next := 0
+	for i, w := range q.heap {
+		if first := q.heap[next]; w.start < first.start || w.start == first.start && w.seq < first.seq {
+			next = i
+		}
+	}
+	return next
+}
+
+// Return puts a popped waiter back in its place, when no engine could take it after all,
+// and gives the turn back.
 func (q *Queue) Return(w *Waiter) {
+	q.fairTurn = !q.fairTurn
 	f := q.flows[w.Workspace]
 	if f == nil {
 		f = &flow{finish: w.start + float64(w.Work)/float64(max(w.Weight, 1))}
--- a/internal/rule/quota/quota_test.go
+++ b/internal/rule/quota/quota_test.go
@@ -182,3 +182,44 @@
 		t.Error(diff)
 	}
 }
+
+// Under lasting overload urgent requests go first, and those that are less urgent still get
+// a part of what they ask for.
+func TestLessUrgentRequestsDoNotStarve(t *testing.T) {
+	q := quota.NewQueue(1000, 1000)
+	for range 100 {
+		q.Push(waiter("a", 1, 9))
+		q.Push(waiter("b", 1, 1))
+	}
+	got := map[ident.Workspace]int{}
+	for range 80 {
+		w, _ := q.Pop(start)
+		// No room after all: the next try finds the same turn.
+		q.Return(w)
+		w, _ = q.Pop(start)
+		got[w.Workspace]++
+		q.Push(waiter(string(w.Workspace), 1, w.Priority))
+	}
+	if got["a"] < 40 || got["b"] < 15 {
+		t.Errorf("of 80 turns the urgent got %d, the others %d", got["a"], got["b"])
+	}
+}
+
+// What is ahead of a newcomer bounds the turns until its own.
+func TestAhead(t *testing.T) {
+	for _, newcomer := range []*quota.Waiter{waiter("quiet", 1, 5), waiter("surge", 1, 9), waiter("surge", 1, 1)} {
+		q := quota.NewQueue(1000, 1000)
+		for i := range 60 {
+			q.Push(waiter("surge", 1, 1+4*(i%3)))
+		}
+		ahead := q.Ahead(newcomer)
+		q.Push(newcomer)
+		turns := 0
+		for next, _ := q.Pop(start); next != newcomer; next, _ = q.Pop(start) {
+			turns++
+		}
+		if turns > ahead {
+			t.Errorf("priority %d of %s: %d turns, at most %d were ahead", newcomer.Priority, newcomer.Workspace, turns, ahead)
+		}
+	}
+}
--- a/internal/share/home/place.go
+++ b/internal/share/home/place.go
@@ -61,21 +61,16 @@
 // hopeless reports whether a request would wait in vain. A refusal at once leaves its
 // caller time for another try.
 func (s *shard) hopeless(ask Ask) bool {
-	wait, known := s.rate.wait(s.queue.Ahead(ask.Priority))
+	wait, known := s.rate.wait(s.queue.Ahead(ask.waiter()))
 	return known && wait > ask.Wait
 }
 
 // enqueue has a request wait, and refuses another one for which no room is left.
 func (s *shard) enqueue(now time.Time, ask Ask) *waiting {
 	w := &waiting{ask: ask, shard: s, since: now, answer: make(chan Answer, 1)}
-	w.entry = &quota.Waiter{
-		Workspace: ask.Workspace,
-		Priority:  ask.Priority,
-		Weight:    ask.Weight,
-		Work:      ask.Work,
-		Deadline:  now.Add(ask.Wait),
-		Value:     w,
-	}
+	w.entry = ask.waiter()
+	w.entry.Deadline = now.Add(ask.Wait)
+	w.entry.Value = w
 	if shed := s.queue.Push(w.entry); shed != nil {
 		other := shed.Value.(*waiting)
 		other.answer <- s.refusal(now, other.ask, Shed)
@@ -83,6 +78,11 @@
 	return w
 }
 
+// waiter is the ask as a queue sees it.
+func (a *Ask) waiter() *quota.Waiter {
+	return &quota.Waiter{Workspace: a.Workspace, Priority: a.Priority, Weight: a.Weight, Work: a.Work}
+}
+
 // await waits for a queued request's answer as long as the request can wait.
 func (h *Homes) await(ctx context.Context, w *waiting) Answer {
 	timer := time.NewTimer(w.ask.Wait)
