Starting while the store is away: tables from any router that has them

Nothing was served for 4 s. A request that met such a router waited 250 ms for its refusal.

Change: the others are asked once the store has had 100 ms; a router that knows nothing is left for the next at once; all live routers are asked, then the leaving ones; whoever has no copy takes an old one once fresh ones have had 400 ms, and goes on looking. Versions still only grow, and what may have changed since is refused, not denied (503, not 404). Requests are held for a configuration only within 250 ms of the router's start.

--- a/internal/edge/entry/accept.go
+++ b/internal/edge/entry/accept.go
@@ -56,20 +56,20 @@
 }
 
 const (
-	// startWait is how long a request waits for a router that has just started to learn
-	// the configuration, which takes it a few round trips to the store.
+	// startWait is how long after its start a router holds requests until it has learnt the
+	// configuration, which takes it some 20 to 60 ms. A router that knows none by then may
+	// not for seconds, and refuses at once: its callers reach others meanwhile.
 	startWait = 250 * time.Millisecond
 	// startLook is the pause between two looks for the configuration: a fiftieth of the
 	// wait, so that looking adds next to nothing to it.
 	startLook = 5 * time.Millisecond
 )
 
-// table returns the configuration, waiting a little for the first one.
+// table returns the configuration, waiting a little for it while the router starts.
 func (h *Handler) table(ctx context.Context) *match.Table {
-	ctx, cancel := context.WithTimeout(ctx, startWait)
-	defer cancel()
 	for {
-		if table := h.Rules.Table(); table != nil || ctx.Err() != nil {
+		table := h.Rules.Table()
+		if table != nil || ctx.Err() != nil || !h.Clock().Before(h.started.Add(startWait)) {
 			return table
 		}
 		pause.For(ctx, startLook)
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -377,3 +377,18 @@
 		t.Errorf("runs: %s", diff)
 	}
 }
+
+// A router that has known no configuration since its start a while ago refuses at once:
+// it cannot say when it will know one.
+func TestNoConfigurationIsRefusedAtOnce(t *testing.T) {
+	s := newSetupWith(t, rules{})
+	s.handler.started = time.Now().Add(-startWait)
+	began := time.Now()
+	got, header := s.call(t, "GET", "/", "")
+	if took := time.Since(began); took > startWait/2 {
+		t.Errorf("refused after %v", took)
+	}
+	if got.Status != 503 || header.Get("Retry-After") == "" {
+		t.Errorf("got %+v with %v", got, header)
+	}
+}
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -84,11 +84,15 @@
 // Handler serves callers.
 type Handler struct {
 	Parts
+	// started is when the handler was made.
+	started  time.Time
 	expected *expectations
 }
 
 // New returns a handler.
-func New(parts Parts) *Handler { return &Handler{Parts: parts, expected: newExpectations()} }
+func New(parts Parts) *Handler {
+	return &Handler{Parts: parts, started: parts.Clock(), expected: newExpectations()}
+}
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/oper/node/peers.go
+++ b/internal/oper/node/peers.go
@@ -67,26 +67,32 @@
 // peerRows reads tables from other routers.
 type peerRows struct{ node *Node }
 
-// Others lists a router of each zone: its reader, or the next after this one.
+// Others lists the other routers that may answer: first one of each zone, its reader or
+// the next after this one, then the other live ones, then those that are leaving. When a
+// fleet is rolled, only the latter may know anything.
 func (p peerRows) Others() []ident.Router {
 	n := p.node
 	zones := map[ident.Zone]bool{}
+	var leaving []ident.Router
 	n.peers.Read(func(v *peer.View) {
 		for _, m := range v.Members() {
 			zones[m.Zone] = true
+			if m.State == peer.Leaving && m.ID != n.self.ID {
+				leaving = append(leaving, m.ID)
+			}
 		}
 	})
-	var out []ident.Router
+	var readers, rest []ident.Router
 	for zone := range zones {
-		for _, r := range n.zoneOrder(zone) {
-			if r != n.self.ID {
-				out = append(out, r)
-				break
-			}
+		order := slices.DeleteFunc(n.zoneOrder(zone), func(r ident.Router) bool { return r == n.self.ID })
+		if len(order) > 0 {
+			readers = append(readers, order[0])
+			rest = append(rest, order[1:]...)
 		}
 	}
-	slices.Sort(out)
-	return out
+	slices.Sort(readers)
+	slices.Sort(rest)
+	return slices.Concat(readers, rest, leaving)
 }
 
 // Rows returns what changed after the given states, after at most wait.
--- a/internal/oper/node/start.go
+++ b/internal/oper/node/start.go
@@ -79,11 +79,18 @@
 // nothing beside the round trips that it takes.
 const readyPause = 20 * time.Millisecond
 
-// becomeReady waits until configuration and targets are known, and reads the store too
-// once the readers have had their head start.
+// storeTime is how long a router that starts leaves the store to answer before it asks the
+// other routers too: several times what the store takes. A store that is silent would
+// otherwise be waited for until the call times out, while those that know everything stop.
+const storeTime = 100 * time.Millisecond
+
+// becomeReady waits until configuration and targets are known. It reads the store too once
+// the readers have had their head start, and from others once the store has had its time.
 func (n *Node) becomeReady(ctx context.Context) {
 	defer n.roles.Press(false)
+	defer n.roles.Starve(false)
 	alone := n.Clock().Add(n.headStart())
+	starving := n.Clock().Add(storeTime)
 	for ctx.Err() == nil {
 		if n.informed() {
 			n.mesh.Update()
@@ -94,6 +101,9 @@
 		if n.Clock().After(alone) {
 			n.roles.Press(true)
 		}
+		if n.Clock().After(starving) {
+			n.roles.Starve(true)
+		}
 		pause.For(ctx, readyPause)
 	}
 }
--- a/internal/share/feed/pace.go
+++ b/internal/share/feed/pace.go
@@ -19,6 +19,8 @@
 	Most  time.Duration
 	// PeerWait is how long another router may hold a call.
 	PeerWait time.Duration
+	// PeerFirst is how long another router may hold a call while this one has no copy yet.
+	PeerFirst time.Duration
 	// PeerWhole is how long another router's answer may take while a table is not known.
 	PeerWhole time.Duration
 	// Old is how old another router's news may be.
@@ -34,5 +36,5 @@
 var DefaultPace = Pace{
 	Wait: time.Second, Whole: 10 * time.Second, Slack: 300 * time.Millisecond,
 	Gather: 150 * time.Millisecond, Least: 50 * time.Millisecond, Most: 500 * time.Millisecond,
-	PeerWait: 400 * time.Millisecond, PeerWhole: 2 * time.Second, Old: 1400 * time.Millisecond,
+	PeerWait: 400 * time.Millisecond, PeerFirst: 100 * time.Millisecond, PeerWhole: 2 * time.Second, Old: 1400 * time.Millisecond,
 }
--- a/internal/share/feed/pull.go
+++ b/internal/share/feed/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -49,15 +50,16 @@
 	next int
 	// failed is set while the latest call failed, so that an outage is logged once.
 	failed bool
-	// until is how long another router may know nothing yet: all may have just started.
-	until time.Time
+	// started is when this puller was made. Another router may know nothing yet for a
+	// while after it: all may have just started.
+	started time.Time
 }
 
 // NewPuller returns a puller of some tables of a board.
 func NewPuller(board *Board, peers Peers, names []table.Name, pace Pace, roles *Roles, logger log.Logger, clock ident.Clock) *Puller {
 	return &Puller{
 		board: board, peers: peers, names: names, pace: pace, roles: roles, logger: logger, clock: clock,
-		avoided: map[ident.Router]time.Time{}, until: clock().Add(pace.Old),
+		avoided: map[ident.Router]time.Time{}, started: clock(),
 	}
 }
 
@@ -104,7 +106,11 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if fault.KindOf[Kind](err) == Empty && p.clock().Before(p.until) {
+	if fault.KindOf[Kind](err) == Empty && p.clock().Before(p.started.Add(p.pace.Old)) {
+		// It has just started too. Another one may know more; the two must not wait for
+		// each other.
+		p.next++
+		p.avoided[from] = p.clock().Add(p.pace.PeerFirst)
 		return
 	}
 	if err != nil {
@@ -141,7 +147,7 @@
 	have := p.have()
 	ctx, cancel := context.WithTimeout(ctx, p.limit(have))
 	defer cancel()
-	replies, err := p.peers.Rows(ctx, from, have, p.pace.PeerWait)
+	replies, err := p.peers.Rows(ctx, from, have, p.wait(have))
 	if err != nil {
 		return err
 	}
@@ -149,16 +155,42 @@
 	for _, s := range have {
 		after[s.Table] = s.Version
 	}
+	var stale error
 	for _, reply := range replies {
 		if reply.Page.Age > p.pace.Old {
-			return fault.Newf(op, Stale, "%s has table %s of %s ago", from, reply.Table, reply.Page.Age)
+			stale = fault.Newf(op, Stale, "%s has table %s of %s ago", from, reply.Table, reply.Page.Age)
+			if !p.bearsOld(reply.Table) {
+				continue
+			}
 		}
 		p.board.Take(reply.Table, after[reply.Table], reply.Page)
 	}
 	if len(replies) < len(p.names) {
 		return fault.Newf(op, Empty, "%s has %d of %d tables", from, len(replies), len(p.names))
 	}
-	return nil
+	return stale
+}
+
+// bearsOld reports whether to take an old copy of a table. Whoever has one keeps to it;
+// whoever has none serves nobody without, and while the store is away there is no other:
+// it is taken once the routers that may have a fresh one have had their time.
+func (p *Puller) bearsOld(name table.Name) bool {
+	_, known := p.board.Version(name)
+	return !known && !p.clock().Before(p.started.Add(p.pace.PeerWait))
+}
+
+// wait is how long another router may hold a call: shorter while a table is not known,
+// since the next one may know it.
+func (p *Puller) wait(have []State) time.Duration {
+	if unknown(have) {
+		return p.pace.PeerFirst
+	}
+	return p.pace.PeerWait
+}
+
+// unknown reports whether there is no copy of a table yet.
+func unknown(have []State) bool {
+	return slices.ContainsFunc(have, func(s State) bool { return !s.Known })
 }
 
 // have is how far the copies of this router go.
@@ -173,10 +205,8 @@
 
 // limit is how long a call may take: longer while a table is to come whole.
 func (p *Puller) limit(have []State) time.Duration {
-	for _, s := range have {
-		if !s.Known {
-			return p.pace.PeerWhole
-		}
+	if unknown(have) {
+		return p.pace.PeerWhole
 	}
 	return p.pace.PeerWait + p.pace.Slack
 }
--- a/internal/share/feed/roles.go
+++ b/internal/share/feed/roles.go
@@ -24,6 +24,8 @@
 	failing map[table.Name]bool
 	// pressed is set while this router cannot serve for want of a first copy.
 	pressed bool
+	// starving is set while the store has not given a first copy in the time that it takes.
+	starving bool
 	// orphan is set while no other router answers.
 	orphan bool
 	// changed is closed and made anew whenever what a router is to read may differ.
@@ -63,6 +65,9 @@
 // Press has a router that is to read from another read the store as well, or no longer.
 func (r *Roles) Press(pressed bool) { r.set(&r.pressed, pressed) }
 
+// Starve has a router that is to read the store ask the others as well, or no longer.
+func (r *Roles) Starve(starving bool) { r.set(&r.starving, starving) }
+
 // peersFailed notes whether other routers answer.
 func (r *Roles) peersFailed(failed bool) { r.set(&r.orphan, failed) }
 
@@ -93,7 +98,7 @@
 
 // wantsPeers reports whether this router is to read from another now; the caller holds the lock.
 func (r *Roles) wantsPeers() bool {
-	if !r.reader && r.parent != "" {
+	if r.starving || !r.reader && r.parent != "" {
 		return true
 	}
 	for _, failing := range r.failing {
