Connections that fall silent are given up at the first call without an answer

Cause: all calls to a router share one connection, whose own check found silence only after 15 s and 2 s more; until then gossip, rows and permits there all ran out of time. Idle connections to a target that had fallen silent together cost a request each.

Change: a connection on which something was sent 0.8 s ago or more and nothing came is closed once a call there has run out of time, or two requests for permits; idle connections to a target go when one request there has had no byte for 0.5 s.

--- a/cmd/measure/control.go
+++ b/cmd/measure/control.go
@@ -280,6 +280,8 @@
 type oneClient struct{ client peerpb.PeerServiceClient }
 
 // Client returns the client.
+func (oneClient) Unanswered(ident.Router) {}
+
 func (o oneClient) Client(ident.Router) (peerpb.PeerServiceClient, error) { return o.client, nil }
 
 // linkServer is the part of a router that links go to.
--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -120,11 +120,13 @@
 		_ = cn.Close()
 		return nil, failed(op, Broken, stepOfWrite(err), err)
 	}
+	asked := time.Now()
 	resp, err := cn.readOwn(e)
 	if err != nil {
 		unwatch()
 		_ = cn.Close()
 		if ctx.Err() != nil {
+			c.distrust(e.Addr, time.Since(asked))
 			err = ctx.Err()
 		}
 		return nil, failed(op, kindOfRead(err), retry.Sending, err)
--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -89,6 +89,24 @@
 	}
 }
 
+// silentAfter is after how long without a byte of an answer the idle connections to its
+// target are not used again: several times what a target takes to its first byte.
+const silentAfter = 500 * time.Millisecond
+
+// distrust closes the idle connections to an address where a request was not answered for a
+// while. Connections may fall silent for good without a reset, all of a target's at once,
+// and each would cost a request to find out.
+func (c *Conns) distrust(addr string, silence time.Duration) {
+	if silence < silentAfter {
+		return
+	}
+	c.mu.Lock()
+	list := c.idle[addr]
+	delete(c.idle, addr)
+	c.mu.Unlock()
+	closeAll(list)
+}
+
 // take returns an idle connection that was used within fresh, the latest first, or nil.
 func (c *Conns) take(addr string, now time.Time, fresh time.Duration) *conn {
 	for {
--- /dev/null
+++ b/internal/edge/relay/silent_test.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// When the connections to a target fall silent, one request finds out for all of them.
+func TestIdleConnectionsThatFallSilent(t *testing.T) {
+	var silent atomic.Bool
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answerUntil(c, &silent, silent.Load())
+		}
+	}()
+	conns, closeConns := NewConns(DefaultConnLimits)
+	t.Cleanup(closeConns)
+	send := func(limit time.Duration) (*Answer, error) {
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		t.Cleanup(cancel)
+		return conns.Send(ctx, Exchange{
+			Addr: l.Addr().String(), Method: "GET", Path: "/", Host: "h", Header: http.Header{},
+			Owns: func(http.Header) bool { return true }, Fresh: time.Minute,
+		})
+	}
+	var open []*Answer
+	for range 3 {
+		a, err := send(time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, a)
+		open = append(open, a)
+	}
+	for _, a := range open {
+		a.Close()
+	}
+	silent.Store(true)
+	if _, err := send(silentAfter + 50*time.Millisecond); err == nil {
+		t.Error("a request over a silent connection was answered")
+	}
+	a, err := send(time.Second)
+	if err != nil {
+		t.Fatalf("the request after one that was not answered: %v", err)
+	}
+	a.Close()
+}
+
+// answerUntil answers requests on a connection; one that was open before falls silent.
+func answerUntil(c net.Conn, silent *atomic.Bool, born bool) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		if silent.Load() != born {
+			_, _ = io.Copy(io.Discard, reader)
+			return
+		}
+		if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+			return
+		}
+	}
+}
--- a/internal/share/home/remote.go
+++ b/internal/share/home/remote.go
@@ -31,6 +31,8 @@
 // Clients gives the client of a router.
 type Clients interface {
 	Client(id ident.Router) (peerpb.PeerServiceClient, error)
+	// Unanswered tells of requests to a router that were not answered in time.
+	Unanswered(id ident.Router)
 }
 
 // Remote asks homes wherever they are, without a call if it is here.
@@ -63,6 +65,7 @@
 	a, err := l.place(limited, ask, released)
 	if err != nil && ctx.Err() == nil && l.miss() {
 		r.links.drop(home)
+		r.clients.Unanswered(home)
 	}
 	return a, err
 }
--- a/internal/share/peer/client.go
+++ b/internal/share/peer/client.go
@@ -16,6 +16,7 @@
 // Clients holds one connect client an address over shared HTTP/2 connections.
 type Clients struct {
 	http   *http.Client
+	open   *openConns
 	scheme string
 	mu     sync.Mutex
 	known  map[string]peerpb.PeerServiceClient
@@ -40,6 +41,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	protocols := &http.Protocols{}
 	scheme := "http"
+	open := &openConns{conns: map[string]map[*openConn]bool{}}
 	if config != nil {
 		protocols.SetHTTP2(true)
 		scheme = "https"
@@ -55,12 +57,13 @@
 			if err != nil {
 				return nil, err
 			}
-			return meter.Conn(c), nil
+			return open.add(addr, meter.Conn(c)), nil
 		},
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 	clients := &Clients{
-		http:   &http.Client{Transport: transport},
+		http:   &http.Client{Transport: &silenceWatch{next: transport, open: open}},
+		open:   open,
 		scheme: scheme,
 		known:  map[string]peerpb.PeerServiceClient{},
 	}
@@ -79,6 +82,10 @@
 	return client
 }
 
+// Unanswered tells of requests to an address that were not answered in time: connections
+// there that have fallen silent are closed.
+func (c *Clients) Unanswered(addr string) { c.open.closeSilent(addr) }
+
 // trimHeaders takes out of each call, streams aside, the headers that routers have no use for.
 type trimHeaders struct{}
 
--- a/internal/share/peer/node.go
+++ b/internal/share/peer/node.go
@@ -18,6 +18,8 @@
 // Dialer gives the client of the router at an address.
 type Dialer interface {
 	At(addr string) peerpb.PeerServiceClient
+	// Unanswered tells of requests to an address that were not answered in time.
+	Unanswered(addr string)
 }
 
 // Lister reads the platform's list of boxes.
@@ -208,6 +210,16 @@
 	return n.outgoing(d.From, whole)
 }
 
+// Unanswered tells of requests to a router that were not answered in time.
+func (n *Node) Unanswered(id ident.Router) {
+	n.mu.Lock()
+	m, ok := n.view.Member(id)
+	n.mu.Unlock()
+	if ok {
+		n.dial.Unanswered(m.Addr)
+	}
+}
+
 // Client returns the client of a router.
 func (n *Node) Client(id ident.Router) (peerpb.PeerServiceClient, error) {
 	n.mu.Lock()
