valescale explain: what became of requests, from logs

Change: the command reads the JSON lines of any number of routers, from files or standard input, and prints one request's story across routers, or what was lost by cause, route, workspace, router, target and second, as text or JSON, with a plot.

--- a/internal/oper/cmds/main.go
+++ b/internal/oper/cmds/main.go
@@ -66,6 +66,7 @@
 		{"audit", "List who changed what", "Lists who changed each document from what to what, the latest first.", &auditCommand{remote: remote{console: c}}},
 		{"status", "Show a router's state", "Shows a router's state and what it knows of the others.", &statusCommand{remote: remote{console: c}}},
 		{"shadow", "Compare a candidate policy", "Runs candidate documents beside those in force and counts decisions that differ.", &shadowCommand{remote: remote{console: c}}},
+		{"explain", "Tell what became of requests", "Reads the JSON lines of any number of routers and tells one request's story, or what was lost and why.", &explainCommand{console: c}},
 		{"claim", "Look at or give back a claim", "Shows the claim of a request that may not be repeated, or gives it back.", &claimCommand{remote: remote{console: c}}},
 		{"token", "Make a token", "Makes a random token and prints it with its hash.", &tokenCommand{console: c}},
 		{"settings", "Describe the settings", "Prints every setting of serve with its default.", &settingsCommand{console: c}},
