Fewer system calls for each caller's connection; lines left out told once a second

Cause: callers that repeat at once make thousands of connections; each cost four system calls for keep-alive probes that the servers' own time-outs make needless, and a pressed log told of left-out lines with every batch, hundreds of lines a second.

Change: as the title says; what was not told is told at the end.

--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net"
 	"sync/atomic"
 
@@ -79,6 +80,11 @@
 	n.cleanups = nil
 }
 
+// listening accepts connections without the kernel's keep-alive probes: four system calls
+// less for each connection, of which callers that repeat at once make thousands. Time-outs
+// of the servers and of the routers' own links find connections that have died.
+var listening = net.ListenConfig{KeepAlive: -1}
+
 // listen opens the addresses.
 func (n *Node) listen() error {
 	s := n.settings.Load()
@@ -90,7 +96,7 @@
 		{s.Ready, &n.listeners.ready},
 		{s.Peers, &n.listeners.peers},
 	} {
-		l, err := net.Listen("tcp", at.addr)
+		l, err := listening.Listen(context.Background(), "tcp", at.addr)
 		if err != nil {
 			return fault.New("node.New", Listen, err)
 		}
--- a/internal/oper/telem/writer.go
+++ b/internal/oper/telem/writer.go
@@ -101,19 +101,32 @@
 // some hundred lines, so that a busy router makes few system calls for its log.
 const maxBatch = 32 << 10
 
+// tellEvery is how often at most it is told that lines were left out: once a second says as
+// much as once a batch, of which a pressed router writes hundreds.
+const tellEvery = time.Second
+
 // run writes lines until the writer is closed and nothing waits.
 func (w *Writer) run() {
 	defer close(w.done)
-	told := uint64(0)
+	var told uint64
+	var toldAt time.Time
 	for line := range w.lines {
 		batch := w.gather(line)
-		if dropped := w.Dropped(); dropped > told {
-			batch = fmt.Appendf(batch, `{"level":"warn","msg":"log lines left out","lines":%d}`+"\n", dropped-told)
-			told = dropped
+		if dropped := w.Dropped(); dropped > told && w.clock().Sub(toldAt) >= tellEvery {
+			batch = appendLeftOut(batch, dropped-told)
+			told, toldAt = dropped, w.clock()
 		}
 		// There is nobody to tell that logs cannot be written.
 		_, _ = w.out.Write(batch)
 	}
+	if dropped := w.Dropped(); dropped > told {
+		_, _ = w.out.Write(appendLeftOut(nil, dropped-told))
+	}
+}
+
+// appendLeftOut appends the line that tells how many lines were left out.
+func appendLeftOut(batch []byte, lines uint64) []byte {
+	return fmt.Appendf(batch, `{"level":"warn","msg":"log lines left out","lines":%d}`+"\n", lines)
 }
 
 // gather adds the lines that wait already to a first one.
