Places follow a pool that gets other shards

When 22 engines joined, the pool went from 4 to 8 shards: half of the engines and half of the subjects changed their shard, a home named no engine outside its shard, and new homes knew nothing.

Change: a home names an engine of another shard if the pool still has it; homes pass the places of subjects that prefer another shard to that shard's home. Test TestPlacesFollowAChangeOfShards; it fails with either half taken out.

--- a/internal/oper/mesh/settle.go
+++ b/internal/oper/mesh/settle.go
@@ -25,6 +25,21 @@
 	m.refreshing.Unlock()
 	m.Router.Move(ctx, moved)
 	m.handOff(ctx, m.Set().Live)
+	m.regroup(ctx, m.Set().Live)
+}
+
+// regroup passes on the chat places of pools that have other shards now.
+func (m *Mesh) regroup(ctx context.Context, live *place.Assignment) {
+	for _, p := range m.Homes.Regrouped() {
+		p.To = live.Home(p.ID)
+		if p.To == m.Self.ID {
+			m.Homes.Accept(p)
+			continue
+		}
+		if err := m.Remote.Handoff(ctx, p); err != nil {
+			_ = level.Warn(m.Logger).Log("msg", "places not passed on", "pool", p.ID.Pool, "shard", p.ID.Shard, "to", p.To, "err", err)
+		}
+	}
 }
 
 // handOff passes on the shards that another router is home of now.
--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -7,18 +7,27 @@
 	"valescale/internal/plat/ident"
 )
 
-// holder returns an engine at which a chat ran and that is still there, other than one.
-// For a chat that is not remembered it is where the edge sent it last, which may be an
-// engine of another shard, else the first of the chat's own order.
+// holder returns an engine at which a chat ran and that is still there, other than one. It
+// may belong to another shard by now: a pool that outgrows its shards deals out half of its
+// engines anew. For a chat that is not remembered it is where the edge sent it last, else the first of
+// the chat's own order, which shares at most the beginning of its prompt.
 func (h *Home) holder(req Request, at chatPlace, other ident.TargetHash) ident.TargetHash {
+	var elsewhere ident.TargetHash
 	for _, s := range at.at {
-		if s.engine == other || slices.Contains(req.Lost, s.engine) {
+		if s == (spot{}) || s.engine == other || slices.Contains(req.Lost, s.engine) {
 			continue
 		}
 		i, known := h.index[s.engine]
-		if known && h.engines[i].present && h.engines[i].Incarnation == s.incarnation {
+		here := known && h.engines[i].present
+		if here && h.engines[i].Incarnation == s.incarnation {
 			return s.engine
 		}
+		if !here && elsewhere == 0 && h.inPool(s) {
+			elsewhere = s.engine
+		}
+	}
+	if elsewhere != 0 {
+		return elsewhere
 	}
 	if req.Last != 0 && req.Last != other && !slices.Contains(req.Lost, req.Last) {
 		return req.Last
@@ -29,6 +38,15 @@
 	return 0
 }
 
+// inPool reports whether an engine at which a chat ran is still there, in whatever shard.
+func (h *Home) inPool(s spot) bool {
+	if h.pool == nil {
+		return false
+	}
+	e, known := h.pool.engine(s.engine)
+	return known && e.Incarnation == s.incarnation
+}
+
 // likely returns the first engine of a chat's own order, other than one.
 func (h *Home) likely(key ident.ChatKey, other ident.TargetHash, lost []ident.TargetHash) ident.TargetHash {
 	var best ranked
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -116,9 +116,11 @@
 
 // Home holds the counts and chat places of one shard.
 type Home struct {
-	id      ShardID
-	self    ident.Router
-	bound   Bound
+	id    ShardID
+	self  ident.Router
+	bound Bound
+	// pool are all the pool's engines; nil while they are not known.
+	pool    *Pool
 	engines []engineLoad
 	index   map[ident.TargetHash]int
 	permits map[permitKey]Permit
@@ -169,6 +171,13 @@
 // SetBound changes the bound; the size of the memory of places stays.
 func (h *Home) SetBound(bound Bound) { h.bound = bound }
 
+// SetPool replaces the pool, and with it the shard's engines. The pool must not be changed
+// afterwards.
+func (h *Home) SetPool(pool *Pool) {
+	h.pool = pool
+	h.SetEngines(pool.ShardEngines(h.id.Shard), pool.Weights())
+}
+
 // SetEngines replaces the shard's engines; weights are the numbers of usable
 // engines of all the pool's shards.
 func (h *Home) SetEngines(engines []Engine, weights []int) {
--- a/internal/rule/place/pool.go
+++ b/internal/rule/place/pool.go
@@ -120,6 +120,22 @@
 	return out
 }
 
+// engine returns one of the pool's engines.
+func (p *Pool) engine(hash ident.TargetHash) (Engine, bool) {
+	i, known := p.index[hash]
+	if !known {
+		return Engine{}, false
+	}
+	return p.engines[i], true
+}
+
+// First returns the shard that a key prefers.
+func (p *Pool) First(key ident.ChatKey) (ident.Shard, bool) {
+	var order [MaxShards]ident.Shard
+	n := p.Order(key, order[:])
+	return order[0], n > 0
+}
+
 // Engines returns the pool's engines; the caller must not change them.
 func (p *Pool) Engines() []Engine { return p.engines }
 
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -42,6 +42,8 @@
 	replicas map[place.ShardID]*place.Replica
 	// onBlocked is told of engines that get no new work for a while; it may be nil.
 	onBlocked func(Blocked)
+	// regrouped are chat places of shards that are not theirs any more.
+	regrouped []Transfer
 	// urgent is signalled when a shard's count jumped and others should know at once.
 	urgent chan struct{}
 }
@@ -92,12 +94,15 @@
 	pool := place.NewPool(name, shards, bound)
 	pool.SetEngines(engines)
 	h.names[name.Hash()] = name
+	if before := h.pools[name]; before != nil && before.pool.Shards() != shards {
+		h.regroup(name, pool)
+	}
 	h.pools[name] = &poolInfo{pool: pool, bound: bound}
 	for id, s := range h.shards {
 		if id.Pool == name {
 			// A home made before its pool was known has the default bound.
 			s.home.SetBound(bound)
-			s.home.SetEngines(pool.ShardEngines(id.Shard), pool.Weights())
+			s.home.SetPool(pool)
 			h.dispatch(s)
 		}
 	}
@@ -119,7 +124,7 @@
 		queue: quota.NewQueue(h.limits.Queue, h.limits.PerWorkspace),
 	}
 	if info != nil {
-		s.home.SetEngines(info.pool.ShardEngines(id.Shard), info.pool.Weights())
+		s.home.SetPool(info.pool)
 	}
 	h.mergeHeard(s, bound.DigestLife)
 	if replica, ok := h.replicas[id]; ok {
--- a/internal/share/home/move.go
+++ b/internal/share/home/move.go
@@ -36,6 +36,37 @@
 	return out
 }
 
+// regroup takes the chats that prefer another shard once their pool has other shards out of
+// the homes here, for the homes of those. Without their places they would be read again, or
+// copied from engines that share only the beginning of their prompts; the caller holds the
+// lock.
+func (h *Homes) regroup(name ident.Pool, pool *place.Pool) {
+	byShard := map[place.ShardID][]place.ChatPlace{}
+	for id, s := range h.shards {
+		if id.Pool != name {
+			continue
+		}
+		for _, p := range s.home.Places(maxTransferPlaces) {
+			if first, ok := pool.First(p.Key); ok && first != id.Shard {
+				to := place.ShardID{Pool: name, Shard: first}
+				byShard[to] = append(byShard[to], p)
+			}
+		}
+	}
+	for id, places := range byShard {
+		h.regrouped = append(h.regrouped, Transfer{ID: id, Places: places})
+	}
+}
+
+// Regrouped returns the chat places that are to go to the homes of other shards, once.
+func (h *Homes) Regrouped() []Transfer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := h.regrouped
+	h.regrouped = nil
+	return out
+}
+
 // Moved drops a shard after its transfer has arrived, and sends those who wait to
 // the new home. The last digest says that nothing is counted here any more.
 func (h *Homes) Moved(id place.ShardID) {
--- /dev/null
+++ b/internal/share/home/regroup_test.go
@@ -0,0 +1,68 @@
+package home_test
+
+import (
+	"fmt"
+	"testing"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/share/home"
+)
+
+// When a pool grows beyond its shards, its chats still find the engines that have their
+// prompts: half of the chats prefer another shard, and half of the engines belong to one.
+func TestPlacesFollowAChangeOfShards(t *testing.T) {
+	before, _, _ := newHomes()
+	after, _, _ := newHomes()
+	var engines []place.Engine
+	for i := range 8 {
+		id := ident.Target(fmt.Sprint("engine-", i))
+		engines = append(engines, place.Engine{ID: id, Hash: id.Hash(), Incarnation: 1})
+	}
+	before.SetPool(pool, 1, place.BoundOf(4), engines)
+	const chats = 200
+	ran := map[ident.ChatKey]ident.TargetHash{}
+	ask := func(h *home.Homes, shard ident.Shard, key ident.ChatKey, permit uint64) home.Answer {
+		return h.Place(t.Context(), home.Ask{
+			Shard:   place.ShardID{Pool: pool, Shard: shard},
+			Request: place.Request{Edge: "edge", Permit: permit, Key: key, Work: ident.OneRequest, Must: true},
+		}, nil)
+	}
+	var keys []ident.ChatKey
+	for i := range chats {
+		keys = append(keys, ident.NewChatKey("", fmt.Sprint(i)))
+	}
+	for i, key := range keys {
+		ran[key] = ask(before, 0, key, uint64(i)+1).Engine
+	}
+	const shards = 2
+	before.SetPool(pool, shards, place.BoundOf(4), engines)
+	after.SetPool(pool, shards, place.BoundOf(4), engines)
+	for _, transfer := range before.Regrouped() {
+		after.Accept(transfer)
+	}
+	grown := place.NewPool(pool, shards, place.BoundOf(4))
+	grown.SetEngines(engines)
+	lost, moved := 0, 0
+	for i, key := range keys {
+		first, _ := grown.First(key)
+		homes := before
+		if first != 0 {
+			moved++
+			homes = after
+		}
+		a := ask(homes, first, key, uint64(chats+i)+1)
+		if a.Engine != ran[key] && a.Holder != ran[key] {
+			lost++
+		}
+	}
+	if moved < chats/4 {
+		t.Errorf("only %d of %d chats prefer another shard", moved, chats)
+	}
+	if lost > 0 {
+		t.Errorf("%d of %d chats are neither placed where they ran nor copied from there", lost, chats)
+	}
+	if again := before.Regrouped(); len(again) > 0 {
+		t.Errorf("%d transfers are given out twice", len(again))
+	}
+}
