--- a/cmd/measure/control.go
+++ b/cmd/measure/control.go
@@ -279,9 +279,10 @@
 // oneClient gives the same client for every router.
 type oneClient struct{ client peerpb.PeerServiceClient }
 
-// Client returns the client.
+// Unanswered does nothing: its connection does not fall silent.
 func (oneClient) Unanswered(ident.Router) {}
 
+// Client returns the client.
 func (o oneClient) Client(ident.Router) (peerpb.PeerServiceClient, error) { return o.client, nil }
 
 // linkServer is the part of a router that links go to.
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -119,8 +119,7 @@
 // serve makes attempts until one brings an answer or none may follow.
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, j *job) {
 	for {
-		if callerLeft(ctx) {
-			h.ended(j, CallerGone, 0)
+		if h.left(ctx, j) {
 			return
 		}
 		placement, err := h.Finder.Acquire(ctx, j.ask(h.expected.of(j.route.Name)))
@@ -132,9 +131,8 @@
 			j.found = h.Clock().Sub(j.arrived)
 		}
 		j.placed = placement
-		if callerLeft(ctx) {
+		if h.left(ctx, j) {
 			placement.Release()
-			h.ended(j, CallerGone, 0)
 			return
 		}
 		began := h.Clock()
@@ -155,6 +153,15 @@
 	}
 }
 
+// left ends a request whose caller has left, and reports whether it has.
+func (h *Handler) left(ctx context.Context, j *job) bool {
+	if !callerLeft(ctx) {
+		return false
+	}
+	h.ended(j, CallerGone, 0)
+	return true
+}
+
 // notPlaced ends a request for which there is no target.
 func (h *Handler) notPlaced(ctx context.Context, w http.ResponseWriter, j *job, err error) {
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -83,9 +83,9 @@
 // target: what is left must do for the answer.
 const waitShare = 0.5
 
-// patience at targets aside, wait is how long the request may wait for a target: as long
-// as an answer can still come within its objective, given what is expected of the target.
-// Whoever waits longer is late in any case, and makes those late that come after.
+// wait is how long after its arrival the request may wait for a target: as long as an answer
+// can still come within its objective if the target takes to the first byte what is expected
+// of it. Whoever waits longer is late in any case, and makes those late that come after.
 func (j *job) wait(expected time.Duration) time.Duration {
 	if j.route.Objective <= 0 {
 		return time.Duration(float64(j.limit.Sub(j.arrived)) * waitShare)
--- a/internal/oper/node/figures.go
+++ b/internal/oper/node/figures.go
@@ -31,6 +31,8 @@
 			func() float64 { return float64(n.router.Stats().Asked) }),
 		counter("valescale_fallback_placements_total", "Placements made without the home.",
 			func() float64 { return float64(n.router.Stats().Fallback) }),
+		counter("valescale_throttled_requests_total", "Requests refused without asking a home that refuses most like them.",
+			func() float64 { return float64(n.router.Stats().Throttled) }),
 	}
 }
 
