A router that is held up itself blames no home

Change: an unanswered request for a permit whose end was noticed over 50 ms late counts neither against the home nor towards being cut off. Test TestRouterThatIsHeldUpBlamesNoHome; failed before.

--- a/internal/edge/route/ask.go
+++ b/internal/edge/route/ask.go
@@ -131,14 +131,15 @@
 		// A router that has just started is home already and knows no engines yet.
 		err = fault.New("route.Acquire", NoTarget, nil)
 	}
-	if err != nil && ctx.Err() == nil {
+	blamed := err != nil && ctx.Err() == nil && fault.KindOf[home.Kind](err) != home.HeldUp
+	if blamed {
 		r.passOver(ctx, to)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
 		r.failed[id] = append(request.Failed, r.failed[id]...)
-		r.unanswered(ctx, id, to, request.Permit, released)
+		r.unanswered(blamed, id, to, request.Permit, released)
 		return a, nil, err
 	}
 	r.failures = 0
@@ -190,9 +191,10 @@
 	}
 }
 
-// unanswered notes that a home did not answer; the caller holds the lock.
-func (r *Router) unanswered(ctx context.Context, id place.ShardID, asked ident.Router, permit uint64, released []uint64) {
-	if ctx.Err() == nil {
+// unanswered notes that a home did not answer, and whether that is the home's fault; the
+// caller holds the lock.
+func (r *Router) unanswered(blamed bool, id place.ShardID, asked ident.Router, permit uint64, released []uint64) {
+	if blamed {
 		r.failures++
 		r.tryAt = r.clock().Add(cutRetry)
 	}
--- a/internal/edge/route/router_test.go
+++ b/internal/edge/route/router_test.go
@@ -26,6 +26,8 @@
 	asked  []ident.Router
 	// loseAnswers has homes give permits whose answers do not arrive.
 	loseAnswers bool
+	// heldUp has the router notice too late whether its homes answered.
+	heldUp bool
 	// dropWithdrawals loses withdrawals.
 	dropWithdrawals bool
 	// dropReturns loses what is given back.
@@ -52,6 +54,9 @@
 		released = nil
 	}
 	a := h.Place(ctx, ask, released)
+	if f.heldUp {
+		return home.Answer{}, fault.New("test", home.HeldUp, nil)
+	}
 	if f.loseAnswers {
 		return home.Answer{}, fault.New("test", home.Unreachable, nil)
 	}
@@ -218,6 +223,22 @@
 	}
 }
 
+// A router that is held up itself, as when its box has no processor time left, keeps to its
+// homes: were each such router to take another, several would count one shard.
+func TestRouterThatIsHeldUpBlamesNoHome(t *testing.T) {
+	f, r, assigned := newFleet()
+	f.heldUp = true
+	for key := range ident.ChatKey(5) {
+		acquire(t, r, key).Release()
+	}
+	f.heldUp, f.asked = false, nil
+	f.run()
+	acquire(t, r, 9).Release()
+	if diff := cmp.Diff([]ident.Router{assigned.Home(id)}, f.asked); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Failures that a silent home did not hear of are told with the next request.
 func TestFailuresOutliveASilentHome(t *testing.T) {
 	f, r, assigned := newFleet()
--- a/internal/share/home/remote.go
+++ b/internal/share/home/remote.go
@@ -19,6 +19,9 @@
 const (
 	// Unreachable means that the home did not answer; it may have given the permit.
 	Unreachable Kind = "unreachable"
+	// HeldUp means that this router was held up itself, frozen or short of processor time, so
+	// that it cannot tell whether the home has answered.
+	HeldUp Kind = "held_up"
 	// Unknown means that membership does not know the home.
 	Unknown Kind = "unknown"
 	// Foreign means that a router speaks for another.
@@ -60,16 +63,29 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	limited, cancel := context.WithTimeout(ctx, r.timeout+ask.Wait)
+	began := time.Now()
+	limit := r.timeout + ask.Wait
+	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	a, err := l.place(limited, ask, released)
-	if err != nil && ctx.Err() == nil && l.miss() {
+	if err == nil || ctx.Err() != nil {
+		return a, err
+	}
+	if late := time.Since(began) - limit; late > heldUp {
+		return a, fault.New("home.Place", HeldUp, err)
+	}
+	if l.miss() {
 		r.links.drop(home)
 		r.clients.Unanswered(home)
 	}
 	return a, err
 }
 
+// heldUp is how late the end of a request's time may be noticed before this router counts
+// as held up itself. Routers that blamed homes for their own lack of processor time took
+// several for home of one shard, each for itself, for as long as they were pressed.
+const heldUp = 50 * time.Millisecond
+
 // Release gives permits back to a home.
 func (r *Remote) Release(_ context.Context, home ident.Router, id place.ShardID, released []uint64) error {
 	if home == r.self {
