The processes check reads addresses wherever they stand in a log line

Cause: log lines hold their fields in the order in which they are written since they are encoded as they come; the check took them to be sorted by name, and waited for an address that it could not read.

Change: one function finds an address by its name; what is checked is the same.

--- a/examples/processes.sh
+++ b/examples/processes.sh
@@ -77,12 +77,15 @@
   pid[$1]=$!
   pids+=($!)
   until_ok grep -q '"msg":"listening"' "$work/$1.log" || exit 1
-  callers[$1]=$(sed -n 's/.*"callers":"\([^"]*\)".*"msg":"listening".*/\1/p' "$work/$1.log" | head -1)
-  admin[$1]=$(sed -n 's/.*"admin":"\([^"]*\)".*"msg":"listening".*/\1/p' "$work/$1.log" | head -1)
+  callers[$1]=$(address "$1" callers)
+  admin[$1]=$(address "$1" admin)
 }
+# address ROUTER WHICH: prints one of a router's addresses from its log, wherever in the line
+# it stands.
+address() { grep '"msg":"listening"' "$work/$1.log" | sed -n "s/.*\"$2\":\"\([^\"]*\)\".*/\1/p" | head -1; }
 box() {
   local peers
-  peers=$(sed -n 's/.*"msg":"listening".*"peers":"\([^"]*\)".*/\1/p' "$work/$1.log" | head -1)
+  peers=$(address "$1" peers)
   printf '{"id":"%s","role":"router","addr":"%s","zone":"zone-a","region":"co-central","state":"live"}' "$1" "$peers"
 }
 list() {
