Logs tell what a placement was decided from, and how homes' counts were corrected

Cause: not found yet; today's lines could not tell the hypotheses of the load bound apart. Ruled out: nothing. No change of logic: a permit's answer carries the rule, the load counted on the engine and the mean (some bytes a permit); request lines show them.

--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -10,6 +10,7 @@
 	"valescale/internal/edge/route"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/match"
+	"valescale/internal/rule/place"
 	"valescale/internal/rule/retry"
 )
 
@@ -133,8 +134,10 @@
 func (h *Handler) logEnd(j *job, e End) {
 	var target, holder ident.Target
 	var home ident.Router
+	var basis place.Basis
 	warm := false
 	if j.placed != nil {
+		basis = j.placed.Basis
 		target, warm, home = j.placed.Target.ID, j.placed.Warm, j.placed.Home
 		if j.placed.Holder != nil {
 			holder = j.placed.Holder.ID
@@ -143,6 +146,7 @@
 	_ = level.Info(h.Logger).Log("msg", "request", "request", j.call.ID, "route", e.Route, "workspace", e.Workspace,
 		"service", e.Service, "revision", j.revision, "reason", e.Reason, "status", e.Status, "sends", e.Sends, "outcome", j.outcome,
 		"target", target, "key", strconv.FormatUint(uint64(j.key), 16), "warm", warm, "holder", holder, "home", home,
+		"rule", basis.Rule, "load", basis.Load.Requests(), "mean", basis.Mean.Requests(),
 		"found_ms", e.Found.Milliseconds(), "first_ms", e.First.Milliseconds(), "whole_ms", e.Whole.Milliseconds(),
 		"err", j.refused)
 }
--- a/internal/edge/route/ask.go
+++ b/internal/edge/route/ask.go
@@ -142,7 +142,7 @@
 		r.unanswered(blamed, id, to, request.Permit, released)
 		return a, nil, err
 	}
-	r.failures = 0
+	r.noteAnswer()
 	p.noteSums(r.clock(), step.Shard, a)
 	if a.Result != home.Placed {
 		if a.Result != home.Moved && a.Result != home.Empty {
@@ -195,8 +195,7 @@
 // caller holds the lock.
 func (r *Router) unanswered(blamed bool, id place.ShardID, asked ident.Router, permit uint64, released []uint64) {
 	if blamed {
-		r.failures++
-		r.tryAt = r.clock().Add(cutRetry)
+		r.noteFailure()
 	}
 	// The permit may have been given; say that it is not used, to that home too if
 	// another one is asked from now on.
@@ -228,6 +227,7 @@
 	placement.Home = to
 	placement.Holder = r.holder(p, a.Holder)
 	placement.Warm = a.Warm
+	placement.Basis = a.Basis
 	p.remember(request.Request, a.Engine)
 	if a.Warm {
 		r.stats.Warm++
--- a/internal/edge/route/choose.go
+++ b/internal/edge/route/choose.go
@@ -26,10 +26,13 @@
 	r.permit++
 	permit := place.Permit{Edge: r.self.ID, ID: r.permit, Engine: d.Engine, Work: ask.Work}
 	if p.Service.Balance == policy.Local {
-		return r.hold(p, place.ShardID{}, permit, target), nil
+		placement := r.hold(p, place.ShardID{}, permit, target)
+		placement.Basis = d.Basis
+		return placement, nil
 	}
 	r.stats.Fallback++
 	placement := r.hold(p, p.shardOf(d.Engine), permit, target)
+	placement.Basis = d.Basis
 	placement.Holder = r.holder(p, d.Holder)
 	placement.Warm = d.Warm
 	p.remember(request, d.Engine)
--- a/internal/edge/route/home.go
+++ b/internal/edge/route/home.go
@@ -42,6 +42,9 @@
 func (r *Router) passOver(ctx context.Context, home ident.Router) {
 	r.mu.Lock()
 	r.silent[home] = r.clock().Add(silentFor)
+	if r.watcher != nil {
+		r.watcher.PassedOver(home, silentFor)
+	}
 	moved := r.movedShards()
 	r.mu.Unlock()
 	r.Move(ctx, moved)
--- a/internal/edge/route/placement.go
+++ b/internal/edge/route/placement.go
@@ -18,7 +18,9 @@
 	// Holder is another target that has the chat's prefix cached, or nil.
 	Holder *Target
 	// Home is the router that gave the place, empty if this one decided alone.
-	Home    ident.Router
+	Home ident.Router
+	// Basis is what the place was decided from.
+	Basis   place.Basis
 	release func()
 	once    sync.Once
 }
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -106,6 +106,8 @@
 	failed  map[place.ShardID][]ident.TargetHash
 	allowed map[ident.Workspace]*quota.Allowance
 	stats   Stats
+	// watcher may be nil.
+	watcher Watcher
 }
 
 type pool struct {
--- /dev/null
+++ b/internal/oper/mesh/log.go
@@ -0,0 +1,47 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/share/home"
+	"valescale/internal/share/peer"
+)
+
+// watcher tells the log what the edge believes of homes.
+type watcher struct{ mesh *Mesh }
+
+// PassedOver implements route.Watcher.
+func (w watcher) PassedOver(home ident.Router, wait time.Duration) {
+	_ = level.Info(w.mesh.Logger).Log("msg", "home passed over", "home", home, "for_ms", wait.Milliseconds())
+}
+
+// CutOff implements route.Watcher.
+func (w watcher) CutOff(cut bool) {
+	if cut {
+		_ = level.Warn(w.mesh.Logger).Log("msg", "dependency lost", "dependency", "homes")
+		return
+	}
+	_ = level.Info(w.mesh.Logger).Log("msg", "dependency regained", "dependency", "homes")
+}
+
+// logState tells the log that another router's state or process has changed.
+func (m *Mesh) logState(r peer.Member, before sighting) {
+	_ = level.Info(m.Logger).Log("msg", "router", "id", r.ID, "state", r.State, "was", before.state,
+		"incarnation", r.Incarnation, "seq", r.Seq, "zone", r.Zone)
+}
+
+// logCorrections tells the log how homes here corrected their counts.
+func (m *Mesh) logCorrections() {
+	for _, c := range m.Homes.Corrections() {
+		m.logCorrection(c)
+	}
+}
+
+func (m *Mesh) logCorrection(c home.Correction) {
+	_ = level.Info(m.Logger).Log("msg", "permits corrected", "pool", c.Shard.Pool, "shard", c.Shard.Shard,
+		"listed", c.Listed, "taken", c.Taken, "withdrawn", c.Withdrawn, "lapsed", c.Lapsed, "forgotten", c.Forgotten,
+		"permits", c.Counted, "own", c.Own.Requests(), "foreign", c.Foreign.Requests(), "mean", c.Mean.Requests())
+}
--- a/internal/oper/mesh/loop.go
+++ b/internal/oper/mesh/loop.go
@@ -38,6 +38,7 @@
 func (m *Mesh) reconcile(ctx context.Context) {
 	m.Homes.Lapse()
 	m.Router.Reconcile(ctx)
+	m.logCorrections()
 }
 
 const (
--- a/internal/oper/mesh/mesh.go
+++ b/internal/oper/mesh/mesh.go
@@ -81,6 +81,9 @@
 func New(parts Parts) *Mesh {
 	m := &Mesh{Parts: parts, dirty: make(chan struct{}, 1), unsettled: make(chan struct{}, 1), known: map[ident.Router]sighting{}}
 	m.set.Store(&Set{Live: place.Assign(nil, nil), Known: place.Assign(nil, nil)})
+	if parts.Router != nil {
+		parts.Router.Watch(watcher{m})
+	}
 	return m
 }
 
@@ -174,7 +177,11 @@
 	before := m.known[r.ID]
 	now := sighting{incarnation: r.Incarnation, state: r.State}
 	m.known[r.ID] = now
-	if now != before && r.State == peer.Live {
+	if now == before {
+		return
+	}
+	m.logState(r, before)
+	if r.State == peer.Live {
 		m.Router.Returned(r.ID)
 	}
 }
--- a/internal/oper/mesh/settle.go
+++ b/internal/oper/mesh/settle.go
@@ -50,6 +50,8 @@
 			continue
 		}
 		m.Homes.Moved(p.ID)
+		_ = level.Info(m.Logger).Log("msg", "shard handed off", "pool", p.ID.Pool, "shard", p.ID.Shard, "to", p.To,
+			"permits", len(p.Permits), "places", len(p.Places))
 	}
 }
 
--- a/internal/plat/ident/ident.go
+++ b/internal/plat/ident/ident.go
@@ -52,6 +52,9 @@
 // Work measures a request's load on an engine, in work units of one thousandth of a plain request.
 type Work int64
 
+// Requests is the work in requests, as people count it.
+func (w Work) Requests() float64 { return float64(w) / float64(OneRequest) }
+
 // OneRequest is the work of a request of which nothing else is known.
 const OneRequest Work = 1000
 
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -99,6 +99,8 @@
 	// Holder is where a chat ran last if that is another engine, zero if nowhere: its
 	// cached prefix can be taken from there.
 	Holder ident.TargetHash
+	// Basis is what a placement was decided from.
+	Basis Basis
 }
 
 // engineLoad is an engine with the work that is counted on it.
@@ -243,10 +245,11 @@
 	e := &h.engines[i]
 	h.hold(Permit{Edge: req.Edge, ID: req.Permit, Engine: e.Hash, Work: req.Work})
 	h.health.sent(now, req.Zone, e.Hash)
+	d := Decision{Result: Placed, Engine: e.Hash, Basis: h.basis(req, h.Total(now), e)}
 	if req.Once {
-		return Decision{Result: Placed, Engine: e.Hash}
+		return d
 	}
-	d := Decision{Result: Placed, Engine: e.Hash, Warm: warm}
+	d.Warm = warm
 	if at := h.remember(now, req.Key, e); e.Hash != at.last().engine {
 		// An engine where it ran earlier may have dropped the prefix meanwhile.
 		d.Holder = h.holder(req, at, e.Hash)
@@ -270,6 +273,16 @@
 	return h.SureWork() + h.sums.total(now, h.bound.DigestLife, h.id.Shard)
 }
 
+// Counts are the work on the shard's engines that this home and others admitted, and the mean
+// work on the pool's engines.
+func (h *Home) Counts(now time.Time) (own, foreign, mean ident.Work) {
+	for i := range h.engines {
+		own += h.engines[i].own
+		foreign += h.engines[i].foreign
+	}
+	return own, foreign, h.Total(now) / ident.Work(max(h.poolEngines, 1))
+}
+
 // ID returns the shard that this home counts.
 func (h *Home) ID() ShardID { return h.id }
 
--- a/internal/rule/place/local.go
+++ b/internal/rule/place/local.go
@@ -15,6 +15,9 @@
 		return Decision{Result: Empty}
 	}
 	limit := p.bound.limit(float64(total+req.Work), usable)
+	basis := func(load ident.Work) Basis {
+		return Basis{Rule: Alone, Load: load + req.Work, Mean: (total + req.Work) / ident.Work(usable)}
+	}
 	preference := p.preference(req.Key)
 	var first, least ranked
 	for i := range p.engines {
@@ -30,7 +33,7 @@
 			continue
 		}
 		if e.Hash == req.Last {
-			return Decision{Result: Placed, Engine: e.Hash, Warm: true}
+			return Decision{Result: Placed, Engine: e.Hash, Warm: true, Basis: basis(load)}
 		}
 		if r.preferred(first) {
 			first = r
@@ -38,9 +41,11 @@
 	}
 	switch {
 	case first.set:
-		return Decision{Result: Placed, Engine: p.engines[first.index].Hash, Holder: p.localHolder(req, first.index)}
+		d := Decision{Result: Placed, Engine: p.engines[first.index].Hash, Basis: basis(first.load)}
+		d.Holder = p.localHolder(req, first.index)
+		return d
 	case least.set:
-		return Decision{Result: Placed, Engine: p.engines[least.index].Hash}
+		return Decision{Result: Placed, Engine: p.engines[least.index].Hash, Basis: basis(least.load)}
 	default:
 		return Decision{Result: Busy}
 	}
--- a/internal/rule/place/recall_test.go
+++ b/internal/rule/place/recall_test.go
@@ -88,7 +88,8 @@
 		p.SetEngines(before.Engines())
 		request := place.Request{Key: key, Work: ident.OneRequest, Last: p.Last(key)}
 		got := p.Local(request, routers)
-		if diff := cmp.Diff(place.Decision{Result: place.Placed, Engine: last, Warm: true}, got); diff != "" {
+		basis := place.Basis{Rule: place.Alone, Load: ident.OneRequest, Mean: ident.OneRequest / ident.Work(p.Usable())}
+		if diff := cmp.Diff(place.Decision{Result: place.Placed, Engine: last, Warm: true, Basis: basis}, got); diff != "" {
 			t.Errorf("last at engine %d: %s", i, diff)
 		}
 		p.Begin(last, ident.OneRequest)
--- a/internal/share/home/ask.go
+++ b/internal/share/home/ask.go
@@ -54,4 +54,6 @@
 	// Work is the shard's work after this answer, Sums some other shards'.
 	Work ident.Work
 	Sums []place.Sum
+	// Basis is what a placement was decided from.
+	Basis place.Basis
 }
--- a/internal/share/home/codec.go
+++ b/internal/share/home/codec.go
@@ -102,6 +102,9 @@
 		Held:         uint32(a.Held),
 		Work:         int64(a.Work),
 		Sums:         encodeSums(a.Sums),
+		Rule:         uint32(a.Basis.Rule),
+		Load:         int64(a.Basis.Load),
+		Mean:         int64(a.Basis.Mean),
 	}
 }
 
@@ -115,6 +118,7 @@
 		Held:       int(m.GetHeld()),
 		Work:       ident.Work(m.GetWork()),
 		Sums:       decodeSums(m.GetSums()),
+		Basis:      place.Basis{Rule: place.Rule(m.GetRule()), Load: ident.Work(m.GetLoad()), Mean: ident.Work(m.GetMean())},
 	}
 }
 
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -67,6 +67,8 @@
 	jumped bool
 	// standby is the router next in line that has all chat places.
 	standby ident.Router
+	// corrected are the corrections that nobody was told of yet.
+	corrected Correction
 }
 
 // New returns homes that hold nothing yet; rates gives a workspace's limits in force.
--- a/internal/share/home/move.go
+++ b/internal/share/home/move.go
@@ -107,7 +107,7 @@
 		return
 	}
 	s := h.at(p.ID)
-	s.home.Take(p.Permits)
+	s.corrected.Taken += s.changed(func() { s.home.Take(p.Permits) })
 	now := h.clock()
 	for _, permit := range p.Permits {
 		// Their edges have the time of a lease to speak for themselves.
--- a/internal/share/home/permits.go
+++ b/internal/share/home/permits.go
@@ -27,7 +27,8 @@
 	defer h.mu.Unlock()
 	now := h.clock()
 	for _, s := range h.shards {
-		if s.home.Lapse(now, permitLease) > 0 {
+		if lapsed := s.home.Lapse(now, permitLease); lapsed > 0 {
+			s.corrected.Lapsed += lapsed
 			h.hurry(s)
 			h.dispatch(s)
 		}
@@ -55,7 +56,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.at(id)
-	s.home.Sync(edge, held, upto, from)
+	s.corrected.Listed += s.changed(func() { s.home.Sync(edge, held, upto, from) })
 	s.home.Heard(h.clock(), edge)
 	h.hurry(s)
 	h.dispatch(s)
@@ -71,7 +72,7 @@
 	if !known {
 		return
 	}
-	s.home.Forget(edge, upto+1)
+	s.corrected.Withdrawn -= s.changed(func() { s.home.Forget(edge, upto+1) })
 	h.hurry(s)
 	h.dispatch(s)
 }
@@ -91,7 +92,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, s := range h.shards {
-		s.home.Forget(edge, below)
+		s.corrected.Forgotten -= s.changed(func() { s.home.Forget(edge, below) })
 		h.dispatch(s)
 	}
 }
--- a/internal/share/home/place.go
+++ b/internal/share/home/place.go
@@ -135,7 +135,7 @@
 
 // answer turns a placement's decision into what the edge is told.
 func (s *shard) answer(now time.Time, edge ident.Router, d place.Decision) Answer {
-	a := Answer{Engine: d.Engine, Warm: d.Warm, Holder: d.Holder, Held: s.home.Held(edge), Work: s.home.SureWork(), Sums: s.home.NextSums(now)}
+	a := Answer{Engine: d.Engine, Warm: d.Warm, Holder: d.Holder, Held: s.home.Held(edge), Work: s.home.SureWork(), Sums: s.home.NextSums(now), Basis: d.Basis}
 	switch d.Result {
 	case place.Placed:
 		a.Result = Placed
