--- /dev/null
+++ b/internal/edge/entry/exhausted_test.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"bufio"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// answerOnce answers a request and closes the connection.
+func answerOnce(w *bufio.Writer, r *http.Request) bool {
+	writeAnswer(w, r.Header.Get("Id"), http.StatusOK, "Connection: close\r\n", "ok")
+	return false
+}
+
+// withoutDescriptors has this process get no descriptor beyond those that it has open.
+func withoutDescriptors(t *testing.T) {
+	t.Helper()
+	var before syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
+			t.Error(err)
+		}
+	})
+	// The three below are taken by the standard streams; those above stay as they are.
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: 3, Max: before.Max}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Seen: a router that had as many connections as it may have open sent all its requests to two of
+// 18 engines, far above the bound. How: it could not open a socket, request after request.
+// Cause: each was taken for a target that cannot be reached, which then got no new work.
+// Proof: 419 attempts in a second ended with "too many open files", at all targets alike.
+func TestOwnLackOfDescriptorsBlamesNoTarget(t *testing.T) {
+	s := newSetup(t, aRoute(nil), newTarget(t, answerOnce), newTarget(t, answerOnce))
+	if answer, _ := s.call(t, "GET", "/", ""); answer.Status != http.StatusOK {
+		t.Fatalf("status %d with descriptors", answer.Status)
+	}
+	withoutDescriptors(t)
+	answer, header := s.call(t, "GET", "/", "")
+	if answer.Status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("got %d, want a refusal and a time to come back", answer.Status)
+	}
+	s.finder.mu.Lock()
+	defer s.finder.mu.Unlock()
+	if diff := cmp.Diff([]string{"ok true"}, s.finder.reports); diff != "" {
+		t.Error(diff)
+	}
+}
