Permits are counted where their edge asks: homes hand over places only, and each keeps to its share of the bound

Cause: a stand-in home handed its permits to the shard's home every second while edges still asked it, listed their permits there and gave them back there. The home counted them until their lease, which each hand-over renewed. The mean, and the bound with it, grew by 14 requests a second in a fleet of seven. Permits also stayed at the stand-in when an edge went back to the home by itself.

--- a/cmd/measure/homes.go
+++ b/cmd/measure/homes.go
@@ -229,7 +229,7 @@
 		h.count(home.HandoffSize(transfer))
 		if to := h.node(transfer.To); to != nil {
 			to.homes.Accept(transfer)
-			n.homes.Moved(transfer.ID)
+			n.homes.Moved(transfer.ID, transfer.To)
 		}
 	}
 }
--- a/internal/edge/route/ask.go
+++ b/internal/edge/route/ask.go
@@ -160,6 +160,10 @@
 	defer r.mu.Unlock()
 	r.permit++
 	to = r.homeOf(id)
+	if m, moved := r.follow(id, to); moved {
+		// A home that was passed over is asked again: it counts from now on what the stand-in did.
+		r.self.AfterFunc(0, func() { r.Move(context.Background(), []Move{m}) })
+	}
 	released = r.pending[id]
 	delete(r.pending, id)
 	failed := r.failed[id]
--- a/internal/edge/route/home.go
+++ b/internal/edge/route/home.go
@@ -59,19 +59,26 @@
 // movedShards lists the shards with permits here whose home has changed.
 func (r *Router) movedShards() []Move {
 	var out []Move
-	for id, permits := range r.held {
-		if len(permits) == 0 {
-			continue
-		}
-		if now := r.homeOf(id); now != r.granted[id] {
-			out = append(out, Move{id: id, old: r.granted[id]})
-			r.granted[id] = now
-			r.forgetHome(id)
+	for id := range r.held {
+		if m, moved := r.follow(id, r.homeOf(id)); moved {
+			out = append(out, m)
 		}
 	}
 	return out
 }
 
+// follow notes the home that counts the permits held in a shard from now on, and reports whether it
+// is another one, which must be told of them; the caller holds the lock.
+func (r *Router) follow(id place.ShardID, now ident.Router) (Move, bool) {
+	old := r.granted[id]
+	if len(r.held[id]) == 0 || now == old {
+		return Move{}, false
+	}
+	r.granted[id] = now
+	r.forgetHome(id)
+	return Move{id: id, old: old}, true
+}
+
 // forgetHome has the next request tell the shard's new home what the others said.
 func (r *Router) forgetHome(id place.ShardID) {
 	for _, pools := range r.pools {
--- a/internal/edge/route/placement.go
+++ b/internal/edge/route/placement.go
@@ -131,7 +131,9 @@
 		}
 	}
 	clear(r.believed)
+	moved := r.movedShards()
 	r.mu.Unlock()
+	r.Move(ctx, moved)
 	for _, id := range wrong {
 		r.sync(ctx, id, "")
 	}
--- a/internal/oper/mesh/settle.go
+++ b/internal/oper/mesh/settle.go
@@ -49,9 +49,9 @@
 			_ = level.Warn(m.Logger).Log("msg", "handoff failed", "pool", p.ID.Pool, "shard", p.ID.Shard, "to", p.To, "err", err)
 			continue
 		}
-		m.Homes.Moved(p.ID)
+		m.Homes.Moved(p.ID, p.To)
 		_ = level.Info(m.Logger).Log("msg", "shard handed off", "pool", p.ID.Pool, "shard", p.ID.Shard, "to", p.To,
-			"permits", len(p.Permits), "places", len(p.Places))
+			"places", len(p.Places))
 	}
 }
 
--- a/internal/rule/place/assign.go
+++ b/internal/rule/place/assign.go
@@ -160,15 +160,15 @@
 }
 
 // Standbys returns the routers that a shard's home tells its counts: the next in
-// line among the live, and whoever else would be home, or next, if all that are
-// known were live. The latter may well believe to be home.
+// line among the live, the one that is home if that is another, and whoever else would be home,
+// or next, if all that are known were live. The latter may well believe to be home.
 func Standbys(id ShardID, self ident.Router, live, known *Assignment) []ident.Router {
 	var out []ident.Router
 	other := known.Home(id)
 	if other == self {
 		other = known.Next(id, self)
 	}
-	for _, r := range []ident.Router{live.Next(id, self), other} {
+	for _, r := range []ident.Router{live.Next(id, self), live.Home(id), other} {
 		if r != "" && r != self && !slices.Contains(out, r) {
 			out = append(out, r)
 		}
--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -214,12 +214,25 @@
 	if req.Must || req.Over {
 		return Placed
 	}
-	if float64(load) >= limit*h.ramp(now, e) {
+	limit *= h.ramp(now, e)
+	if float64(load) >= limit || float64(e.own) >= limit*h.share() {
 		return Full
 	}
 	return Placed
 }
 
+// share is the part of the shard's work that this home admitted itself. While several
+// routers are home of a shard, each keeps to its share of the bound with what it admitted
+// itself: the sum keeps to the bound then, however old or doubled the others' counts are that it
+// knows. In a model of seven routers that disagree, 1 to 2 in 100 requests reached engines above
+// twice the mean without it, and 1 in 1,000 with it.
+func (h *Home) share() float64 {
+	if h.elsewhere <= 0 {
+		return 1
+	}
+	return float64(h.granted+ident.OneRequest) / float64(h.granted+h.elsewhere+ident.OneRequest)
+}
+
 // limit is the load that an engine must be below to take more work: the bound's
 // factor times the pool's mean with the new work counted.
 func (h *Home) limit(now time.Time, work ident.Work) float64 {
--- a/internal/rule/place/digest.go
+++ b/internal/rule/place/digest.go
@@ -188,8 +188,10 @@
 	for i := range h.engines {
 		h.engines[i].foreign = 0
 	}
+	h.elsewhere = 0
 	for _, f := range h.foreign {
 		for _, l := range f.digest.Loads {
+			h.elsewhere += l.Work
 			if i, ok := h.index[l.Engine]; ok {
 				h.engines[i].foreign += l.Work
 			}
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -126,13 +126,13 @@
 	engines []engineLoad
 	index   map[ident.TargetHash]int
 	permits map[permitKey]Permit
-	// granted is the work of all permits.
-	granted ident.Work
-	// held counts the permits of each edge; synced is how far its latest list reached.
+	// granted is the work of all permits, elsewhere the work of this shard that other homes published.
+	granted   ident.Work
+	elsewhere ident.Work
+	// held counts the permits of each edge.
 	held map[ident.Router]int
 	// doubted are edges that may be gone, whose requests may have ended.
 	doubted map[ident.Router]bool
-	synced  map[ident.Router]uint64
 	// heard is when each edge that holds permits was heard of last.
 	heard  map[ident.Router]time.Time
 	places memory[chatPlace]
@@ -161,7 +161,6 @@
 		permits: map[permitKey]Permit{},
 		held:    map[ident.Router]int{},
 		doubted: map[ident.Router]bool{},
-		synced:  map[ident.Router]uint64{},
 		heard:   map[ident.Router]time.Time{},
 		places:  newMemory[chatPlace](bound.Places),
 		foreign: map[ident.Router]foreign{},
--- a/internal/rule/place/permit.go
+++ b/internal/rule/place/permit.go
@@ -59,7 +59,6 @@
 // upto were asked for after the list was made and stay. Permits that another home
 // counted before no longer count as that home's.
 func (h *Home) Sync(edge ident.Router, held []Permit, upto uint64, from ident.Router) {
-	h.synced[edge] = max(h.synced[edge], upto)
 	h.claim(from, held)
 	for key := range h.permits {
 		if key.edge == edge && key.id <= upto {
@@ -94,16 +93,6 @@
 	h.recount()
 }
 
-// Take counts permits that another home has handed over. What an edge has said of
-// its permits itself goes first.
-func (h *Home) Take(permits []Permit) {
-	for _, p := range permits {
-		if p.ID > h.synced[p.Edge] {
-			h.hold(p)
-		}
-	}
-}
-
 // Forget drops the permits of an edge with ids below a limit: those of a process that is gone.
 func (h *Home) Forget(edge ident.Router, below uint64) {
 	for key := range h.permits {
@@ -162,15 +151,6 @@
 // Held is the number of permits that an edge holds here.
 func (h *Home) Held(edge ident.Router) int { return h.held[edge] }
 
-// Permits lists the permits held here.
-func (h *Home) Permits() []Permit {
-	out := make([]Permit, 0, len(h.permits))
-	for _, p := range h.permits {
-		out = append(out, p)
-	}
-	return out
-}
-
 // Len is the number of permits held here.
 func (h *Home) Len() int { return len(h.permits) }
 
--- a/internal/rule/place/takeover_test.go
+++ b/internal/rule/place/takeover_test.go
@@ -83,31 +83,35 @@
 	}
 }
 
-func TestHandedOverPermits(t *testing.T) {
+// A new home counts what its predecessor published until the edge speaks for itself, and
+// knows the chats' places.
+func TestHandedOverShard(t *testing.T) {
 	a, list := newHome(2)
 	for n := uint64(1); n <= 4; n++ {
 		a.Place(start, ask(n, ident.ChatKey(n)))
 	}
 	b := place.NewHome(id, "router-z", place.DefaultBound, 0)
 	b.SetEngines(list, []int{2})
-	// The edge has told the new home that only permit 4 is left, before the transfer comes.
-	b.Sync("router-b", []place.Permit{{Edge: "router-b", ID: 4, Engine: list[0].Hash, Work: ident.OneRequest}}, 4, "")
-	b.Take(a.Permits())
+	b.Merge(start, a.Digest())
+	b.Learn(a.Places(10))
+	if diff := cmp.Diff(a.Work(), b.Work()); diff != "" {
+		t.Error(diff)
+	}
+	// Only permit 4 is left.
+	b.Sync("router-b", []place.Permit{{Edge: "router-b", ID: 4, Engine: list[0].Hash, Work: ident.OneRequest}}, 4, "router-a")
+	a.Forget("router-b", 5)
+	b.Merge(start, a.Digest())
+	if diff := cmp.Diff(ident.OneRequest, b.Work()); diff != "" {
+		t.Error(diff)
+	}
 	if got := b.Held("router-b"); got != 1 {
 		t.Errorf("%d permits counted, want the edge's own word for 1", got)
 	}
-	c := place.NewHome(id, "router-y", place.DefaultBound, 0)
-	c.SetEngines(list, []int{2})
-	c.Take(a.Permits())
-	c.Learn(a.Places(10))
-	if got := c.Held("router-b"); got != 4 {
-		t.Errorf("%d permits counted, want 4", got)
-	}
-	if d := c.Place(start, ask(9, 1)); !d.Warm {
+	if d := b.Place(start, ask(9, 1)); !d.Warm {
 		t.Error("the new home does not know the chat's place")
 	}
-	c.Forget("router-b", 4)
-	if got := c.Held("router-b"); got != 2 {
-		t.Errorf("%d permits left of a process that is gone up to 4, want 2", got)
+	b.Forget("router-b", 9)
+	if got := b.Held("router-b"); got != 1 {
+		t.Errorf("%d permits after those of an earlier process went, want 1", got)
 	}
 }
--- a/internal/share/home/correct.go
+++ b/internal/share/home/correct.go
@@ -12,8 +12,6 @@
 	Shard place.ShardID
 	// Listed is what edges' own lists added less what they took off.
 	Listed int
-	// Taken are permits that another home handed over.
-	Taken int
 	// Withdrawn are permits that edges have counted elsewhere, Lapsed those of edges that did
 	// not speak, Forgotten those of edges that are gone.
 	Withdrawn int
@@ -29,7 +27,7 @@
 
 // happened reports whether anything was corrected.
 func (c *Correction) happened() bool {
-	return c.Listed != 0 || c.Taken != 0 || c.Withdrawn != 0 || c.Lapsed != 0 || c.Forgotten != 0
+	return c.Listed != 0 || c.Withdrawn != 0 || c.Lapsed != 0 || c.Forgotten != 0
 }
 
 // changed returns by how many permits a change alters a shard's count.
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -67,6 +67,8 @@
 	jumped bool
 	// standby is the router next in line that has all chat places.
 	standby ident.Router
+	// movedTo is the router that has the chat places as the shard's home, empty while this one is.
+	movedTo ident.Router
 	// corrected are the corrections that nobody was told of yet.
 	corrected Correction
 }
--- a/internal/share/home/homes_test.go
+++ b/internal/share/home/homes_test.go
@@ -98,12 +98,31 @@
 	}
 }
 
-// A home that has handed its shard over still knows the places if it is asked again.
-func TestPlacesStayAfterAHandover(t *testing.T) {
+// A home that has handed its shard over serves those who still ask there, passes the places on once,
+// and drops the shard when all permits have gone. It still knows the places if it is
+// asked again.
+func TestShardThatIsHandedOver(t *testing.T) {
 	h, _, _ := newHomes()
+	elsewhere := func(place.ShardID) ident.Router { return "router-c" }
 	ask := home.Ask{Shard: id, Request: place.Request{Edge: "router-b", Permit: 1, Key: 7, Work: ident.OneRequest}}
 	h.Place(t.Context(), ask, nil)
-	h.Moved(id)
+	handed := h.Misplaced(elsewhere)
+	if len(handed) != 1 || handed[0].To != "router-c" || len(handed[0].Places) != 1 {
+		t.Fatalf("got %+v, want one place for router-c", handed)
+	}
+	h.Moved(id, "router-c")
+	if again := h.Misplaced(elsewhere); len(again) != 0 {
+		t.Errorf("handed over again: %+v", again)
+	}
+	if permits, _ := h.InFlight(); permits != 1 {
+		t.Errorf("%d permits counted, want the one that the edge holds", permits)
+	}
+	h.Release(id, "router-b", []uint64{1})
+	h.Misplaced(elsewhere)
+	digests := h.Digests()
+	if len(digests) == 0 || len(digests[0].Loads) != 0 {
+		t.Errorf("got %+v, want a last word that nothing is counted", digests)
+	}
 	ask.Permit = 2
 	if a := h.Place(t.Context(), ask, nil); a.Result != home.Placed || !a.Warm {
 		t.Errorf("got %+v, want a warm place", a)
--- a/internal/share/home/move.go
+++ b/internal/share/home/move.go
@@ -8,12 +8,13 @@
 	"valescale/internal/rule/quota"
 )
 
-// Transfer is what a home hands to its successor.
+// Transfer is the chat places that a home passes on. Permits are told by the edges that hold them
+// and by nobody else: permits that homes handed over were counted twice as long as their edges
+// went on asking the earlier home, 14 more each second in a fleet of seven.
 type Transfer struct {
-	ID      place.ShardID
-	To      ident.Router
-	Permits []place.Permit
-	Places  []place.ChatPlace
+	ID     place.ShardID
+	To     ident.Router
+	Places []place.ChatPlace
 	// Replica transfers are for a router next in line; the sender stays home.
 	Replica bool
 }
@@ -21,17 +22,23 @@
 // maxTransferPlaces bounds the chat places in one transfer; the most recent go first.
 const maxTransferPlaces = 50_000
 
-// Misplaced returns transfers of the shards that another router is home of, as homeOf tells.
+// Misplaced returns the chat places of the shards that another router is home of, as homeOf
+// tells, once for each such router. A shard from which all permits have gone is dropped; until then
+// it serves the edges that still ask here, and its counts are published to its home.
 func (h *Homes) Misplaced(homeOf func(place.ShardID) ident.Router) []Transfer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []Transfer
 	for id, s := range h.shards {
 		to := homeOf(id)
-		if to == h.self || to == "" {
-			continue
+		switch {
+		case to == h.self || to == "":
+			s.movedTo = ""
+		case s.movedTo != to:
+			out = append(out, Transfer{ID: id, To: to, Places: s.home.Places(maxTransferPlaces)})
+		case s.home.Len() == 0 && s.queue.Len() == 0:
+			h.drop(id, s)
 		}
-		out = append(out, Transfer{ID: id, To: to, Permits: s.home.Permits(), Places: s.home.Places(maxTransferPlaces)})
 	}
 	return out
 }
@@ -67,15 +74,15 @@
 	return out
 }
 
-// Moved drops a shard after its transfer has arrived, and sends those who wait to
-// the new home. The last digest says that nothing is counted here any more.
-func (h *Homes) Moved(id place.ShardID) {
+// Moved notes that a shard's new home has its chat places, and sends those who wait there.
+func (h *Homes) Moved(id place.ShardID, to ident.Router) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s, ok := h.shards[id]
 	if !ok {
 		return
 	}
+	s.movedTo = to
 	for {
 		next, late := s.queue.Pop(time.Time{})
 		for _, w := range late {
@@ -86,14 +93,18 @@
 		}
 		next.Value.(*waiting).answer <- Answer{Result: Moved}
 	}
-	for _, p := range s.home.Permits() {
-		s.home.Release(p.Edge, p.ID)
-	}
+	// The new home knows of what is still counted here from the next digest alone.
+	h.hurry(s)
+}
+
+// drop forgets a shard that nobody asks for here any more. Its last digest says that nothing is
+// counted here; the caller holds the lock.
+func (h *Homes) drop(id place.ShardID, s *shard) {
 	last := s.home.Digest()
 	h.seq = max(h.seq, last.Seq)
 	h.lastDigests = append(h.lastDigests, last)
 	delete(h.shards, id)
-	// Some routers may take this one for home for a while longer.
+	// Some routers may take this one for home again.
 	h.keepPlaces(id, s.home.Places(maxTransferPlaces))
 	h.signal()
 }
@@ -106,16 +117,7 @@
 		h.keepPlaces(p.ID, p.Places)
 		return
 	}
-	s := h.at(p.ID)
-	s.corrected.Taken += s.changed(func() { s.home.Take(p.Permits) })
-	now := h.clock()
-	for _, permit := range p.Permits {
-		// Their edges have the time of a lease to speak for themselves.
-		s.home.Heard(now, permit.Edge)
-	}
-	s.home.Learn(p.Places)
-	h.hurry(s)
-	h.dispatch(s)
+	h.at(p.ID).home.Learn(p.Places)
 }
 
 // Grant hands out a workspace's tokens. A bucket that is new here starts with no
--- a/internal/share/home/remote.go
+++ b/internal/share/home/remote.go
@@ -157,12 +157,10 @@
 func HandoffSize(p Transfer) int { return proto.Size(encodeTransfer("", p)) }
 
 func encodeTransfer(from ident.Router, p Transfer) *peerpb.HandoffRequest {
-	request := &peerpb.HandoffRequest{
-		From: string(from), Pool: string(p.ID.Pool), Shard: uint32(p.ID.Shard), Permits: encodePermits(p.Permits),
+	return &peerpb.HandoffRequest{
+		From: string(from), Pool: string(p.ID.Pool), Shard: uint32(p.ID.Shard),
+		Places: encodePlaces(p.Places), Replica: p.Replica,
 	}
-	request.Places = encodePlaces(p.Places)
-	request.Replica = p.Replica
-	return request
 }
 
 // Grant asks a workspace's home for tokens; known is false when it has no limit.
--- a/internal/share/home/server.go
+++ b/internal/share/home/server.go
@@ -51,10 +51,9 @@
 	if err := s.checkEdge(ctx, ident.Router(m.GetFrom())); err != nil {
 		return nil, err
 	}
-	transfer := Transfer{ID: shardID(m.GetPool(), m.GetShard()), Permits: decodePermits("", m.GetPermits())}
-	transfer.Places = decodePlaces(m.GetPlaces())
-	transfer.Replica = m.GetReplica()
-	s.homes.Accept(transfer)
+	s.homes.Accept(Transfer{
+		ID: shardID(m.GetPool(), m.GetShard()), Places: decodePlaces(m.GetPlaces()), Replica: m.GetReplica(),
+	})
 	return connect.NewResponse(&peerpb.HandoffReply{}), nil
 }
 
--- a/internal/share/home/split_test.go
+++ b/internal/share/home/split_test.go
@@ -185,7 +185,7 @@
 func (f *splitFleet) handOff(b *box) {
 	for _, p := range b.homes.Misplaced(f.assigned.Home) {
 		f.box(p.To).homes.Accept(p)
-		b.homes.Moved(p.ID)
+		b.homes.Moved(p.ID, p.To)
 	}
 }
 
--- a/internal/share/peerpb/peer.connect.go
+++ b/internal/share/peerpb/peer.connect.go
@@ -79,7 +79,7 @@
 	Link(context.Context) *connect.BidiStreamForClient[LinkRequest, LinkReply]
 	// Sync replaces all that a home believes of one edge's permits.
 	Sync(context.Context, *connect.Request[SyncRequest]) (*connect.Response[SyncReply], error)
-	// Handoff passes a shard's counts and chat places to its next home.
+	// Handoff passes a shard's chat places to its next home.
 	Handoff(context.Context, *connect.Request[HandoffRequest]) (*connect.Response[HandoffReply], error)
 	// Fetch returns the configuration changes after a revision.
 	Fetch(context.Context, *connect.Request[FetchRequest]) (*connect.Response[FetchReply], error)
@@ -200,7 +200,7 @@
 	Link(context.Context, *connect.BidiStream[LinkRequest, LinkReply]) error
 	// Sync replaces all that a home believes of one edge's permits.
 	Sync(context.Context, *connect.Request[SyncRequest]) (*connect.Response[SyncReply], error)
-	// Handoff passes a shard's counts and chat places to its next home.
+	// Handoff passes a shard's chat places to its next home.
 	Handoff(context.Context, *connect.Request[HandoffRequest]) (*connect.Response[HandoffReply], error)
 	// Fetch returns the configuration changes after a revision.
 	Fetch(context.Context, *connect.Request[FetchRequest]) (*connect.Response[FetchReply], error)
