Requests that must be placed keep the load bound; what a box lacks is blamed on nobody

Cause: a router out of descriptors took each failed dial for an unreachable target and avoided nearly all engines; its requests, which the full shard had to place, went to the few left without any bound. Ruled out: that the least loaded engine of a whole shard can break the bound: it is never above its mean; only a request that avoids most engines can. Conclusion: a shard's own mean bounds such requests, counting avoided engines while they have work; when only those have room the caller is refused at once with a time to come back. Own lack (descriptors, ports, memory) is told apart in relay, front, links and gossip. The test of TestOwnLackOfDescriptorsBlamesNoTarget now expects the trial to be cancelled, which says nothing of the target either; the one of requests that must be placed expects a refusal, no wait, since a wait would hold up those behind.

--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -13,6 +13,7 @@
 
 	"valescale/internal/edge/relay"
 	"valescale/internal/edge/route"
+	"valescale/internal/plat/fault"
 	"valescale/internal/rule/retry"
 )
 
@@ -120,6 +121,12 @@
 // failed is the end of an attempt without an answer's head.
 func (h *Handler) failed(ctx context.Context, j *job, placement *route.Placement, began time.Time, err error) result {
 	step := relay.StepOf(err)
+	if fault.KindOf[relay.Kind](err) == relay.Exhausted {
+		// Other targets would fare no better. Blamed for it, nearly all of a pool got no new
+		// work from this router, and the few others more than they had room for.
+		h.Finder.Cancelled(placement.Hash)
+		return result{step: step, reason: Exhausted, err: err, took: h.Clock().Sub(began)}
+	}
 	reason := Unreachable
 	if !retry.Free(step) {
 		j.sends++
--- a/internal/edge/entry/follow.go
+++ b/internal/edge/entry/follow.go
@@ -28,6 +28,8 @@
 	mayHaveRun follow = "may_have_run"
 	// noAttempts means that the request has had as many attempts as it may.
 	noAttempts follow = "no_attempts"
+	// noRoom means that this router cannot open another connection.
+	noRoom follow = "no_room"
 	// noBudget means that the fleet's retries are used up.
 	noBudget follow = "no_budget"
 )
@@ -47,6 +49,9 @@
 	if ctx.Err() != nil {
 		return noTime
 	}
+	if last.reason == Exhausted {
+		return noRoom
+	}
 	if retry.Free(last.step) {
 		j.free++
 		if j.free > maxFree {
--- a/internal/edge/entry/problem.go
+++ b/internal/edge/entry/problem.go
@@ -41,6 +41,8 @@
 	Refused Reason = "target_refused"
 	// Unreachable means that no byte of the request reached a target.
 	Unreachable Reason = "target_unreachable"
+	// Exhausted means that this router cannot open another connection.
+	Exhausted Reason = "router_exhausted"
 	// Lost means that a target's answer did not come, or not whole.
 	Lost Reason = "answer_lost"
 	// Failed means that a target answered with a failure of its own.
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -180,7 +180,12 @@
 	reply, err := f.Sender.Send(ctx, call)
 	if err != nil {
 		placement.Release()
-		f.judge(ctx, placement, false)
+		if fault.KindOf[relay.Kind](err) == relay.Exhausted {
+			// What this box lacks says nothing of the target.
+			f.Finder.Cancelled(placement.Hash)
+		} else {
+			f.judge(ctx, placement, false)
+		}
 		return nil, relay.StepOf(err), err
 	}
 	if reply.Leaving {
--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -196,7 +196,7 @@
 	const op = "relay.Dial"
 	raw, err := c.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, failed(op, Connect, retry.Dialing, err)
+		return nil, failed(op, dialKind(err), retry.Dialing, err)
 	}
 	c.dialed.Add(1)
 	return newConn(addr, raw, c.limits.Header), nil
--- a/internal/edge/relay/error.go
+++ b/internal/edge/relay/error.go
@@ -13,6 +13,9 @@
 const (
 	// Connect means that no connection to the target came about.
 	Connect Kind = "connect"
+	// Exhausted means that this box has no descriptor, port or memory left for a connection,
+	// which says nothing of the target.
+	Exhausted Kind = "exhausted"
 	// Broken means that the connection broke, or the target was too slow.
 	Broken Kind = "broken"
 	// Framing means that the answer's end cannot be told from a cut.
@@ -41,6 +44,14 @@
 	return &failure{error: fault.New(op, kind, err), step: step}
 }
 
+// dialKind tells what this box lacks from a target that cannot be reached.
+func dialKind(err error) Kind {
+	if fault.OwnLack(err) {
+		return Exhausted
+	}
+	return Connect
+}
+
 // StepOf returns how far an attempt got; an error without a step counts as sent.
 func StepOf(err error) retry.Step {
 	var f *failure
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		cancel()
 		if !connected.Load() {
-			return nil, failed(op, Connect, retry.Dialing, err)
+			return nil, failed(op, dialKind(err), retry.Dialing, err)
 		}
 		return nil, failed(op, Broken, retry.Sending, err)
 	}
--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -73,7 +73,7 @@
 	sound := req
 	sound.Avoid = slices.Concat(req.Avoid, poor)
 	i, result, warm := h.chooseAmong(now, sound)
-	if result == Empty || result == Busy {
+	if result == Empty || result == Busy || result == Full && req.placedHere() {
 		return h.chooseAmong(now, req)
 	}
 	return i, result, warm
@@ -83,6 +83,9 @@
 // before, else the least loaded.
 func (h *Home) chooseAmong(now time.Time, req Request) (int, Result, bool) {
 	limit := h.limit(now, req.Work)
+	if req.placedHere() {
+		limit = max(limit, h.shardLimit(req))
+	}
 	if i, found := h.remembered(now, req, limit); found {
 		return i, Placed, true
 	}
@@ -197,6 +200,10 @@
 	return found
 }
 
+// placedHere reports whether no other shard is asked any more. Such a request keeps to the bound like
+// any other, but the mean of this shard will do, and engines that join need not be spared.
+func (r *Request) placedHere() bool { return r.Must || r.Over }
+
 // admits says whether one engine may take the request's work now.
 func (h *Home) admits(now time.Time, i int, req Request, limit float64) Result {
 	e := &h.engines[i]
@@ -211,10 +218,9 @@
 	if slots > 0 && load+req.Work > slots && load > 0 {
 		return Busy
 	}
-	if req.Must || req.Over {
-		return Placed
+	if !req.placedHere() {
+		limit *= h.ramp(now, e)
 	}
-	limit *= h.ramp(now, e)
 	if float64(load) >= limit || float64(e.own) >= limit*h.share() {
 		return Full
 	}
@@ -230,7 +236,9 @@
 	if h.elsewhere <= 0 {
 		return 1
 	}
-	return float64(h.granted+ident.OneRequest) / float64(h.granted+h.elsewhere+ident.OneRequest)
+	// With the new request, so that a home that begins has a share at all.
+	own := h.granted + ident.OneRequest
+	return float64(own) / float64(own+h.elsewhere)
 }
 
 // limit is the load that an engine must be below to take more work: the bound's
@@ -239,6 +247,21 @@
 	return h.bound.limit((1-returning)*float64(h.Total(now)+work), h.poolEngines)
 }
 
+// shardLimit is the limit by the mean of this shard's engines alone, for requests that must be
+// placed here: the pool's mean may be lower, or unknown. Engines that the request avoids count while
+// they have work: others use them, and the few that one router takes for sound must not get all
+// that it has. Once they are empty they may well be gone, and no longer hold down the others.
+func (h *Home) shardLimit(req Request) float64 {
+	engines := 0
+	for i := range h.engines {
+		e := &h.engines[i]
+		if e.usable() && (e.load() > 0 || !slices.Contains(req.Avoid, e.Hash)) {
+			engines++
+		}
+	}
+	return h.bound.limit((1-returning)*float64(h.Work()+req.Work), engines)
+}
+
 // returning is the share of the permits whose requests are thought to have ended
 // already, while the permits are on their way back.
 const returning = 0.03
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -74,7 +74,8 @@
 	Key    ident.ChatKey
 	Work   ident.Work
 	Zone   ident.Zone
-	// Must places on the least loaded engine even above the bound, when all other shards are full.
+	// Must says that all other shards are full. Full in answer to it means that only engines to avoid
+	// have room.
 	Must bool
 	// Over takes engines that seem to be full, up to twice their slots: counts may be too
 	// high for a while after homes have moved, and engines queue a few requests themselves.
--- a/internal/share/home/link.go
+++ b/internal/share/home/link.go
@@ -23,6 +23,8 @@
 	// waiting are the requests without an answer, by permit.
 	waiting map[uint64]chan Answer
 	closed  bool
+	// lack is set when the link broke for what this box lacks.
+	lack bool
 	// base is taken off permits as they are written and added as they are read.
 	base uint64
 	// missed counts the answers in a row that did not come in time.
@@ -124,6 +126,7 @@
 	for {
 		reply, err := stream.Receive()
 		if err != nil {
+			l.noteLack(err)
 			return
 		}
 		for _, m := range reply.GetPlaces() {
@@ -132,6 +135,24 @@
 	}
 }
 
+// noteLack notes whether the link broke for what this box lacks.
+func (l *link) noteLack(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lack = l.lack || fault.OwnLack(err)
+}
+
+// broken is the error of requests on a link that has ended.
+func (l *link) broken() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kind := Unreachable
+	if l.lack {
+		kind = HeldUp
+	}
+	return fault.New("home.Place", kind, nil)
+}
+
 // deliver hands an answer to the request that waits for it.
 func (l *link) deliver(permit uint64, a Answer) {
 	l.mu.Lock()
@@ -197,7 +218,7 @@
 	const op = "home.Place"
 	ch, open := l.expect(ask.Permit)
 	if !open {
-		return Answer{}, fault.New(op, Unreachable, nil)
+		return Answer{}, l.broken()
 	}
 	if !l.post(linkItem{place: encodeAsk(ask, released, l.base)}) {
 		l.forget(ask.Permit)
@@ -206,7 +227,7 @@
 	select {
 	case a, ok := <-ch:
 		if !ok {
-			return Answer{}, fault.New(op, Unreachable, nil)
+			return Answer{}, l.broken()
 		}
 		return a, nil
 	case <-ctx.Done():
--- a/internal/share/home/place.go
+++ b/internal/share/home/place.go
@@ -44,7 +44,7 @@
 	if s.queue.Len() == 0 {
 		d := s.home.Place(now, ask.Request)
 		if d.Result != place.Busy {
-			return s.answer(now, ask.Edge, d), nil
+			return s.decided(now, ask, d), nil
 		}
 	}
 	if ask.Wait <= 0 {
@@ -133,6 +133,15 @@
 	return a
 }
 
+// decided is the answer to a request that need not wait.
+func (s *shard) decided(now time.Time, ask Ask, d place.Decision) Answer {
+	if ask.Must && d.Result == place.Full {
+		// Only engines that this edge avoids have room: its callers may do better elsewhere.
+		return s.refusal(now, ask, Full)
+	}
+	return s.answer(now, ask.Edge, d)
+}
+
 // answer turns a placement's decision into what the edge is told.
 func (s *shard) answer(now time.Time, edge ident.Router, d place.Decision) Answer {
 	a := Answer{Engine: d.Engine, Warm: d.Warm, Holder: d.Holder, Held: s.home.Held(edge), Work: s.home.SureWork(), Sums: s.home.NextSums(now), Basis: d.Basis}
@@ -161,10 +170,10 @@
 		}
 		w := next.Value.(*waiting)
 		d := s.home.Place(now, w.ask.Request)
-		if d.Result != place.Placed {
+		if d.Result != place.Placed && d.Result != place.Full {
 			s.queue.Return(next)
 			return
 		}
-		w.answer <- s.answer(now, w.ask.Edge, d)
+		w.answer <- s.decided(now, w.ask, d)
 	}
 }
--- a/internal/share/home/remote.go
+++ b/internal/share/home/remote.go
@@ -19,8 +19,8 @@
 const (
 	// Unreachable means that the home did not answer; it may have given the permit.
 	Unreachable Kind = "unreachable"
-	// HeldUp means that this router was held up itself, frozen or short of processor time, so
-	// that it cannot tell whether the home has answered.
+	// HeldUp means that this router was held up itself, frozen or short of processor time or
+	// descriptors, so that it cannot tell whether the home would have answered.
 	HeldUp Kind = "held_up"
 	// Unknown means that membership does not know the home.
 	Unknown Kind = "unknown"
--- a/internal/share/peer/node.go
+++ b/internal/share/peer/node.go
@@ -175,7 +175,7 @@
 	out := n.outgoing(peer.ID, false)
 	reply, err := n.dial.At(peer.Addr).Gossip(ctx, connect.NewRequest(Encode(out)))
 	if err != nil {
-		if ctx.Err() != context.Canceled {
+		if ctx.Err() != context.Canceled && !fault.OwnLack(err) {
 			n.Do(func(v *View) { v.ContactFailed(n.clock(), peer.ID) })
 		}
 		return fault.New("peer.Exchange", Unreachable, err)
