Own lack of descriptors: tests for homes and gossip, one log line for each home passed over

Cause: the same as for targets: a failed dial for what the box lacks was taken for the other's silence, in links to homes and in gossip. Ruled out: nothing further.

--- a/internal/edge/entry/exhausted_test.go
+++ b/internal/edge/entry/exhausted_test.go
@@ -3,10 +3,11 @@
 import (
 	"bufio"
 	"net/http"
-	"syscall"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"valescale/internal/fake/scarce"
 )
 
 // answerOnce answers a request and closes the connection.
@@ -15,24 +16,6 @@
 	return false
 }
 
-// withoutDescriptors has this process get no descriptor beyond those that it has open.
-func withoutDescriptors(t *testing.T) {
-	t.Helper()
-	var before syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
-			t.Error(err)
-		}
-	})
-	// The three below are taken by the standard streams; those above stay as they are.
-	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: 3, Max: before.Max}); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // Seen: a router that had as many connections as it may have open sent all its requests to two of
 // 18 engines, far above the bound. How: it could not open a socket, request after request.
 // Cause: each was taken for a target that cannot be reached, which then got no new work.
@@ -42,7 +25,7 @@
 	if answer, _ := s.call(t, "GET", "/", ""); answer.Status != http.StatusOK {
 		t.Fatalf("status %d with descriptors", answer.Status)
 	}
-	withoutDescriptors(t)
+	scarce.Descriptors(t)
 	answer, header := s.call(t, "GET", "/", "")
 	if answer.Status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
 		t.Errorf("got %d, want a refusal and a time to come back", answer.Status)
--- a/internal/edge/route/home.go
+++ b/internal/edge/route/home.go
@@ -41,8 +41,10 @@
 // membership knows whether it is gone.
 func (r *Router) passOver(ctx context.Context, home ident.Router) {
 	r.mu.Lock()
-	r.silent[home] = r.clock().Add(silentFor)
-	if r.watcher != nil {
+	now := r.clock()
+	passed := now.Before(r.silent[home])
+	r.silent[home] = now.Add(silentFor)
+	if r.watcher != nil && !passed {
 		r.watcher.PassedOver(home, silentFor)
 	}
 	moved := r.movedShards()
