The load bound without homes: a test that fails

Cause: a router alone rounds its part of an engine's bound up to a request; 62 do so for the same engine. Figures: model of 62 routers and 90 engines: 0.32 of the requests above the promise.

--- a/internal/share/home/split_test.go
+++ b/internal/share/home/split_test.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	splitRouters = 7
-	splitEngines = 18
 	// splitSlots never bind.
 	splitSlots = 200
 	// splitFactor and splitExtra are what callers were promised: no request reaches an engine
@@ -42,8 +40,17 @@
 	deaf func(to ident.Router) bool
 }
 
+// size is how many routers share how many engines.
+type size struct{ routers, engines int }
+
+var (
+	smallFleet = size{routers: 7, engines: 18}
+	largeFleet = size{routers: 62, engines: 90}
+)
+
 // splitFleet is some routers that share one shard, in time that the test moves.
 type splitFleet struct {
+	size
 	now      time.Time
 	rng      *rand.Rand
 	due      []dueCall
@@ -138,22 +145,22 @@
 	return f.boxes[slices.IndexFunc(f.boxes, func(b *box) bool { return b.id == id })]
 }
 
-func newSplitFleet(seed uint64) *splitFleet {
+func newSplitFleet(seed uint64, of size) *splitFleet {
 	f := &splitFleet{
-		now: time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC), rng: rand.New(rand.NewPCG(seed, 1)), held: map[ident.TargetHash]int{},
+		size: of, now: time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC), rng: rand.New(rand.NewPCG(seed, 1)), held: map[ident.TargetHash]int{},
 	}
 	clock := func() time.Time { return f.now }
 	p := route.Pool{
 		Name: pool, Region: "co", Targets: map[ident.TargetHash]route.Target{}, Bound: splitBound,
 		Service: policy.Service{Name: "judge", Balance: policy.Exact, Shards: 1},
 	}
-	for i := range splitEngines {
+	for i := range f.engines {
 		name := ident.Target("engine-" + strconv.Itoa(i))
 		p.Engines = append(p.Engines, place.Engine{ID: name, Hash: name.Hash(), Incarnation: 1, Slots: splitSlots * ident.OneRequest})
 		p.Targets[name.Hash()] = route.Target{ID: name, Incarnation: 1}
 	}
 	var names []ident.Router
-	for i := range splitRouters {
+	for i := range f.routers {
 		names = append(names, ident.Router("router-"+strconv.Itoa(i)))
 	}
 	f.assigned = place.Assign([]place.ShardID{id}, names)
@@ -216,7 +223,7 @@
 		return
 	}
 	f.all++
-	if float64(f.held[p.Hash]) > splitFactor*float64(f.total())/splitEngines+splitExtra {
+	if float64(f.held[p.Hash]) > splitFactor*float64(f.total())/float64(f.engines)+splitExtra {
 		f.over++
 	}
 	f.held[p.Hash]++
@@ -246,7 +253,7 @@
 // bound was too high.
 func TestBoundWhileOneRouterAsksAnotherHome(t *testing.T) {
 	for seed := range uint64(5) {
-		f := newSplitFleet(seed)
+		f := newSplitFleet(seed, smallFleet)
 		first := f.split(t, seed)
 		other := f.otherThan(first, f.assigned.Next(id, first))
 		other.deaf = func(to ident.Router) bool { return to == first }
@@ -257,7 +264,7 @@
 // The home answers each router now and then, so that all change between it and the next in line.
 func TestBoundWhileRoutersChangeHomes(t *testing.T) {
 	for seed := range uint64(5) {
-		f := newSplitFleet(seed)
+		f := newSplitFleet(seed, smallFleet)
 		first := f.split(t, seed)
 		for _, b := range f.boxes {
 			if b.id != first {
@@ -268,6 +275,26 @@
 	}
 }
 
+// Seen: in the model alone, a third of the requests above the promise. How: 62 routers reach no home and
+// decide alone. Cause: each takes an engine on which it has nothing for empty, and all take the
+// same one for a subject, so that each may send its first request of a popular one there.
+// Proof: an engine's part of 62 routers is a third of a request each; rounding it up makes 62.
+func TestBoundWithoutHomes(t *testing.T) {
+	for seed := range uint64(3) {
+		f := newSplitFleet(seed, largeFleet)
+		for _, b := range f.boxes {
+			b.deaf = func(to ident.Router) bool { return to != b.id }
+		}
+		f.traffic(80*time.Millisecond, 700*time.Millisecond)
+		f.runFor(3 * time.Second)
+		f.share()
+		f.runFor(5 * time.Second)
+		if share := f.share(); share > allowedOver {
+			t.Errorf("seed %d: %.3f of the requests above the promise", seed, share)
+		}
+	}
+}
+
 // split starts the traffic and returns the home that some routers are to pass over.
 func (f *splitFleet) split(t *testing.T, seed uint64) ident.Router {
 	t.Helper()
