--- a/internal/rule/place/local.go
+++ b/internal/rule/place/local.go
@@ -6,18 +6,32 @@
 	"valescale/internal/plat/ident"
 )
 
-// Local decides without a home, from estimates alone: the engine of the key's last
-// request if that is under the bound, else the first such engine in the key's own order,
-// else the least loaded of all.
+// Local decides without a home, from this router's own work alone: the engine of the key's last
+// request if that has room in this router's part of the bound, else the first such engine in
+// the key's own order, else the one to which this router sends least.
 func (p *Pool) Local(req Request, routers int) Decision {
 	total, usable := p.estimates(routers)
 	if usable == 0 {
 		return Decision{Result: Empty}
 	}
-	limit := p.bound.limit(float64(total+req.Work), usable)
-	basis := func(load ident.Work) Basis {
-		return Basis{Rule: Alone, Load: load + req.Work, Mean: (total + req.Work) / ident.Work(usable)}
+	chosen := p.chooseAlone(req, routers, p.bound.limit(float64(total+req.Work), usable))
+	if !chosen.set {
+		return Decision{Result: Busy}
+	}
+	d := Decision{Result: Placed, Engine: p.engines[chosen.index].Hash}
+	d.Basis = Basis{Rule: Alone, Load: chosen.load + req.Work, Mean: (total + req.Work) / ident.Work(usable)}
+	d.Warm = d.Engine == req.Last
+	if !d.Warm {
+		d.Holder = p.localHolder(req, chosen.index)
 	}
+	return d
+}
+
+// beforeAllShards is the place in a key's order of the engine that has its prompt.
+const beforeAllShards = -1
+
+// chooseAlone picks an engine given the limit that all routers together keep to.
+func (p *Pool) chooseAlone(req Request, routers int, limit float64) ranked {
 	preference := p.preference(req.Key)
 	var first, least ranked
 	for i := range p.engines {
@@ -28,27 +42,40 @@
 		}
 		r := p.rank(i, req, preference)
 		r.load = load
-		least = least.better(r)
-		if float64(load) >= limit {
-			continue
-		}
 		if e.Hash == req.Last {
-			return Decision{Result: Placed, Engine: e.Hash, Warm: true, Basis: basis(load)}
+			r.shard = beforeAllShards
 		}
-		if r.preferred(first) {
+		least = least.better(r.spread(req, e))
+		if p.hasPart(req, e, limit, routers) && r.preferred(first) {
 			first = r
 		}
 	}
-	switch {
-	case first.set:
-		d := Decision{Result: Placed, Engine: p.engines[first.index].Hash, Basis: basis(first.load)}
-		d.Holder = p.localHolder(req, first.index)
-		return d
-	case least.set:
-		return Decision{Result: Placed, Engine: p.engines[least.index].Hash, Basis: basis(least.load)}
-	default:
-		return Decision{Result: Busy}
+	if first.set {
+		return first
 	}
+	return least
+}
+
+// hasPart reports whether an engine has room in this router's part of a limit. The part of one of
+// many routers is less than a request: rounded up, 62 routers alone would each send the first
+// request of a popular subject to the same engine, and a third of all requests reached engines above
+// twice the mean. So each pair of router and engine rounds its own way, and as many of the
+// routers have room as together make the limit.
+func (p *Pool) hasPart(req Request, e *Engine, limit float64, routers int) bool {
+	part := limit / float64(max(routers, 1))
+	return float64(p.own[e.Hash]+req.Work) <= part+lot(req, e)*float64(req.Work)
+}
+
+// lot is a number from zero to one of a router and an engine.
+func lot(req Request, e *Engine) float64 {
+	return ident.Unit(ident.Mix(uint64(req.Edge.Hash()), uint64(e.Hash)))
+}
+
+// spread ranks an engine by its lot in place of the key's own order, so that routers without room
+// anywhere do not all take the same engine for a key.
+func (r ranked) spread(req Request, e *Engine) ranked {
+	r.score = ident.Mix(uint64(req.Edge.Hash()), uint64(e.Hash))
+	return r
 }
 
 // Estimate is the work thought to be on an engine when its home cannot be asked:
