--- a/internal/fake/sched/sched.go
+++ b/internal/fake/sched/sched.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"flag"
 	"os"
 	"strconv"
@@ -21,12 +22,19 @@
 	os.Exit(m.Run())
 }
 
+// wanted is how many schedules SCHEDULES asks for, zero if it says nothing.
+func wanted() int {
+	// What is no number asks for nothing.
+	n, _ := strconv.Atoi(os.Getenv("SCHEDULES"))
+	return n
+}
+
+// Seeds is how many seeds of a model to play: as many as SCHEDULES says, or the usual number.
+func Seeds(usual int) uint64 { return uint64(cmp.Or(wanted(), usual)) }
+
 // Walk walks schedules: as many as SCHEDULES says, or a hundred.
 func Walk(t *testing.T, walk func(*rapid.T)) {
-	times := 1
-	if n, err := strconv.Atoi(os.Getenv("SCHEDULES")); err == nil {
-		times = max(n/perCheck, 1)
-	}
+	times := max(wanted()/perCheck, 1)
 	walked := 0
 	rapid.Check(t, func(r *rapid.T) {
 		for range times {
