A home adds up the pool's work once for each permit

Cause: the line that tells what a placement was decided from added it up a third time. Ruled out: nothing.

--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -64,25 +64,26 @@
 }
 
 // choose picks an engine among those that do not fail many requests, or any when none of
-// these is there or all are busy: a doubtful engine is better than waiting.
-func (h *Home) choose(now time.Time, req Request) (int, Result, bool) {
+// these is there or all are busy: a doubtful engine is better than waiting. total is the work on the
+// pool's engines without the request's.
+func (h *Home) choose(now time.Time, req Request, total ident.Work) (int, Result, bool) {
 	poor := h.poor(now, req.Zone)
 	if len(poor) == 0 {
-		return h.chooseAmong(now, req)
+		return h.chooseAmong(now, req, total)
 	}
 	sound := req
 	sound.Avoid = slices.Concat(req.Avoid, poor)
-	i, result, warm := h.chooseAmong(now, sound)
+	i, result, warm := h.chooseAmong(now, sound, total)
 	if result == Empty || result == Busy || result == Full && req.placedHere() {
-		return h.chooseAmong(now, req)
+		return h.chooseAmong(now, req, total)
 	}
 	return i, result, warm
 }
 
 // chooseAmong picks the chat's last engine while it is under the limit, else the one
 // before, else the least loaded.
-func (h *Home) chooseAmong(now time.Time, req Request) (int, Result, bool) {
-	limit := h.limit(now, req.Work)
+func (h *Home) chooseAmong(now time.Time, req Request, total ident.Work) (int, Result, bool) {
+	limit := h.limit(total + req.Work)
 	if req.placedHere() {
 		limit = max(limit, h.shardLimit(req))
 	}
@@ -90,7 +91,7 @@
 		return i, Placed, true
 	}
 	var best, first ranked
-	steady := h.steadyLimit(now)
+	steady := h.steadyLimit(total)
 	outcome := Empty
 	for i := range h.engines {
 		verdict := h.admits(now, i, req, limit)
@@ -132,11 +133,11 @@
 }
 
 // steadyLimit is the load under which an engine takes the chats that prefer it.
-func (h *Home) steadyLimit(now time.Time) float64 {
+func (h *Home) steadyLimit(total ident.Work) float64 {
 	if h.bound.Steady <= 0 {
 		return 0
 	}
-	return h.bound.Steady*float64(h.Total(now))/float64(max(h.poolEngines, 1)) + float64(h.bound.Extra)
+	return h.bound.Steady*float64(total)/float64(max(h.poolEngines, 1)) + float64(h.bound.Extra)
 }
 
 // rank says how well an engine suits a chat that is nowhere yet: the least loaded
@@ -243,8 +244,8 @@
 
 // limit is the load that an engine must be below to take more work: the bound's
 // factor times the pool's mean with the new work counted.
-func (h *Home) limit(now time.Time, work ident.Work) float64 {
-	return h.bound.limit((1-returning)*float64(h.Total(now)+work), h.poolEngines)
+func (h *Home) limit(total ident.Work) float64 {
+	return h.bound.limit((1-returning)*float64(total), h.poolEngines)
 }
 
 // shardLimit is the limit by the mean of this shard's engines alone, for requests that must be
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -236,7 +236,8 @@
 		return Decision{Result: Placed, Engine: p.Engine}
 	}
 	h.expire(now)
-	i, result, warm := h.choose(now, req)
+	total := h.Total(now)
+	i, result, warm := h.choose(now, req, total)
 	if result != Placed {
 		// Another shard that takes the request can have the prefix copied.
 		at, _ := h.places.get(req.Key)
@@ -245,7 +246,7 @@
 	e := &h.engines[i]
 	h.hold(Permit{Edge: req.Edge, ID: req.Permit, Engine: e.Hash, Work: req.Work})
 	h.health.sent(now, req.Zone, e.Hash)
-	d := Decision{Result: Placed, Engine: e.Hash, Basis: h.basis(req, h.Total(now), e)}
+	d := Decision{Result: Placed, Engine: e.Hash, Basis: h.basis(req, total+req.Work, e)}
 	if req.Once {
 		return d
 	}
--- a/internal/share/home/model_test.go
+++ b/internal/share/home/model_test.go
@@ -249,4 +249,3 @@
 	f.over, f.all = 0, 0
 	return share
 }
-
