A router that notices its own time-outs late blames no target

Cause: the same class as own lack of descriptors. A dial or a pause whose end a router short of processor time notices late was taken for a silent target, and its breaker and home were told.

--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -109,9 +109,11 @@
 	return j.route.Repeat == retry.Safe && j.ran < j.route.Attempts
 }
 
-// judge tells the finder how a target did; a caller that left says nothing of it.
+// judge tells the finder how a target did; a caller that left, or a router that was held up
+// itself, says nothing of it.
 func (h *Handler) judge(ctx context.Context, placement *route.Placement, ok bool) {
-	if !ok && errors.Is(context.Cause(ctx), context.Canceled) {
+	cause := context.Cause(ctx)
+	if !ok && (errors.Is(cause, context.Canceled) || errors.Is(cause, errHeldUp)) {
 		h.Finder.Cancelled(placement.Hash)
 		return
 	}
@@ -121,23 +123,25 @@
 // failed is the end of an attempt without an answer's head.
 func (h *Handler) failed(ctx context.Context, j *job, placement *route.Placement, began time.Time, err error) result {
 	step := relay.StepOf(err)
-	if fault.KindOf[relay.Kind](err) == relay.Exhausted {
-		// Other targets would fare no better. Blamed for it, nearly all of a pool got no new
-		// work from this router, and the few others more than they had room for.
-		h.Finder.Cancelled(placement.Hash)
-		return result{step: step, reason: Exhausted, err: err, took: h.Clock().Sub(began)}
-	}
 	reason := Unreachable
 	if !retry.Free(step) {
 		j.sends++
 		j.ran++
 		reason = Lost
 	}
-	if retry.Free(step) && ctx.Err() == nil {
+	switch {
+	case relay.SaysNothing(err):
+		// Blamed for what this box lacks, nearly all of a pool got no new work from this
+		// router, and the few others more than they had room for.
+		h.Finder.Cancelled(placement.Hash)
+	case retry.Free(step) && ctx.Err() == nil:
 		h.Finder.Unreachable(placement.Hash)
-	} else {
+	default:
 		h.judge(ctx, placement, false)
 	}
+	if fault.KindOf[relay.Kind](err) == relay.Exhausted {
+		reason = Exhausted
+	}
 	return result{step: step, reason: reason, err: err, took: h.Clock().Sub(began)}
 }
 
--- a/internal/edge/entry/follow.go
+++ b/internal/edge/entry/follow.go
@@ -50,6 +50,7 @@
 		return noTime
 	}
 	if last.reason == Exhausted {
+		// Other targets would fare no better.
 		return noRoom
 	}
 	if retry.Free(last.step) {
--- a/internal/edge/entry/patience.go
+++ b/internal/edge/entry/patience.go
@@ -11,8 +11,12 @@
 	"valescale/internal/rule/retry"
 )
 
-// errSilent ends an attempt at a target that has been silent for too long.
-var errSilent = errors.New("the target is silent")
+// errSilent ends an attempt at a target that has been silent for too long, errHeldUp one at which
+// this router was held up itself and cannot tell.
+var (
+	errSilent = errors.New("the target is silent")
+	errHeldUp = errors.New("this router was held up")
+)
 
 // patience ends an attempt when its target is silent for too long while another
 // target could still do the work, and tells of the silence when none could.
@@ -23,33 +27,47 @@
 	// watch tells of a silence, silence is how long that is, since when it began.
 	watch   *time.Timer
 	silence time.Duration
-	since   atomic.Pointer[time.Time]
+	wait    atomic.Pointer[wait]
 	clock   ident.Clock
 }
 
+// wait is since when nothing has come, and how long that may last.
+type wait struct {
+	since time.Time
+	limit time.Duration
+}
+
 // newPatience returns a context that ends after a limit without a byte; zero waits for
 // ever. After a silence, tell is called with its beginning.
 func newPatience(ctx context.Context, clock ident.Clock, limit, silence time.Duration, tell func(since time.Time)) (context.Context, *patience) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	p := &patience{cancel: cancel, clock: clock, silence: silence}
-	p.begin()
+	p.begin(limit)
 	if limit > 0 {
-		p.timer = time.AfterFunc(limit, func() { cancel(errSilent) })
+		p.timer = time.AfterFunc(limit, func() { cancel(p.ended()) })
 	}
 	if silence > 0 {
-		p.watch = time.AfterFunc(silence, func() { tell(*p.since.Load()) })
+		p.watch = time.AfterFunc(silence, func() { tell(p.wait.Load().since) })
 	}
 	return ctx, p
 }
 
-// begin notes the beginning of a silence.
-func (p *patience) begin() {
-	now := p.clock()
-	p.since.Store(&now)
+// begin notes the beginning of a silence and its limit.
+func (p *patience) begin(limit time.Duration) { p.wait.Store(&wait{since: p.clock(), limit: limit}) }
+
+// ended is why an attempt ends at its limit. A router short of processor time that notices it late
+// may have the answer waiting unread.
+func (p *patience) ended() error {
+	w := p.wait.Load()
+	if p.clock().Sub(w.since)-w.limit > heldUp {
+		return errHeldUp
+	}
+	return errSilent
 }
 
 // heard starts the silence anew, with a limit if there was one; zero lifts it.
 func (p *patience) heard(limit time.Duration) {
+	p.begin(limit)
 	switch {
 	case p.timer == nil:
 	case limit > 0:
@@ -58,7 +76,6 @@
 		p.timer.Stop()
 	}
 	if p.watch != nil {
-		p.begin()
 		p.watch.Reset(p.silence)
 	}
 }
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -180,8 +180,7 @@
 	reply, err := f.Sender.Send(ctx, call)
 	if err != nil {
 		placement.Release()
-		if fault.KindOf[relay.Kind](err) == relay.Exhausted {
-			// What this box lacks says nothing of the target.
+		if relay.SaysNothing(err) {
 			f.Finder.Cancelled(placement.Hash)
 		} else {
 			f.judge(ctx, placement, false)
--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -194,9 +194,10 @@
 // dial makes a connection.
 func (c *Conns) dial(ctx context.Context, addr string) (*conn, error) {
 	const op = "relay.Dial"
+	began := time.Now()
 	raw, err := c.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, failed(op, dialKind(err), retry.Dialing, err)
+		return nil, failed(op, dialKind(err, time.Since(began)-c.limits.Dial), retry.Dialing, err)
 	}
 	c.dialed.Add(1)
 	return newConn(addr, raw, c.limits.Header), nil
--- a/internal/edge/relay/error.go
+++ b/internal/edge/relay/error.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
 
 	"valescale/internal/plat/fault"
@@ -16,6 +18,9 @@
 	// Exhausted means that this box has no descriptor, port or memory left for a connection,
 	// which says nothing of the target.
 	Exhausted Kind = "exhausted"
+	// HeldUp means that this router noticed too late that its time to connect was over, so that it
+	// cannot tell whether the target would have answered.
+	HeldUp Kind = "held_up"
 	// Broken means that the connection broke, or the target was too slow.
 	Broken Kind = "broken"
 	// Framing means that the answer's end cannot be told from a cut.
@@ -44,12 +49,28 @@
 	return &failure{error: fault.New(op, kind, err), step: step}
 }
 
-// dialKind tells what this box lacks from a target that cannot be reached.
-func dialKind(err error) Kind {
-	if fault.OwnLack(err) {
+// heldUp is how late the end of the time to connect may be noticed before this router counts as
+// held up itself: frozen, or short of processor time.
+const heldUp = 100 * time.Millisecond
+
+// dialKind tells what this box lacks from a target that cannot be reached, given how long after
+// the time to connect a dial failed.
+func dialKind(err error, late time.Duration) Kind {
+	switch {
+	case fault.OwnLack(err):
 		return Exhausted
+	case late > heldUp:
+		return HeldUp
+	default:
+		return Connect
 	}
-	return Connect
+}
+
+// SaysNothing reports whether an attempt failed for what this router lacks or noticed late, so
+// that its target is not to be blamed.
+func SaysNothing(err error) bool {
+	kind := fault.KindOf[Kind](err)
+	return kind == Exhausted || kind == HeldUp
 }
 
 // StepOf returns how far an attempt got; an error without a step counts as sent.
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -179,11 +179,12 @@
 	case call.Once || !call.Echoes:
 		carrier = r.single
 	}
+	began := time.Now()
 	resp, err := carrier.RoundTrip(req)
 	if err != nil {
 		cancel()
 		if !connected.Load() {
-			return nil, failed(op, dialKind(err), retry.Dialing, err)
+			return nil, failed(op, dialKind(err, time.Since(began)-r.limits.Dial), retry.Dialing, err)
 		}
 		return nil, failed(op, Broken, retry.Sending, err)
 	}
