--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -130,7 +130,7 @@
 		reason = Lost
 	}
 	switch {
-	case relay.SaysNothing(err):
+	case relay.Blameless(err):
 		// Blamed for what this box lacks, nearly all of a pool got no new work from this
 		// router, and the few others more than they had room for.
 		h.Finder.Cancelled(placement.Hash)
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -180,7 +180,7 @@
 	reply, err := f.Sender.Send(ctx, call)
 	if err != nil {
 		placement.Release()
-		if relay.SaysNothing(err) {
+		if relay.Blameless(err) {
 			f.Finder.Cancelled(placement.Hash)
 		} else {
 			f.judge(ctx, placement, false)
--- a/internal/edge/relay/error.go
+++ b/internal/edge/relay/error.go
@@ -66,9 +66,9 @@
 	}
 }
 
-// SaysNothing reports whether an attempt failed for what this router lacks or noticed late, so
+// Blameless reports whether an attempt failed for what this router lacks or noticed late, so
 // that its target is not to be blamed.
-func SaysNothing(err error) bool {
+func Blameless(err error) bool {
 	kind := fault.KindOf[Kind](err)
 	return kind == Exhausted || kind == HeldUp
 }
--- a/internal/oper/mesh/mesh.go
+++ b/internal/oper/mesh/mesh.go
@@ -172,8 +172,8 @@
 	state       peer.State
 }
 
-// noteReturn tells the router of homes that are back or have started anew.
-func (m *Mesh) noteReturn(r peer.Member) {
+// noteState logs what is new of a router, and tells the edge of homes that are back or have started anew.
+func (m *Mesh) noteState(r peer.Member) {
 	before := m.known[r.ID]
 	now := sighting{incarnation: r.Incarnation, state: r.State}
 	m.known[r.ID] = now
@@ -190,7 +190,7 @@
 func (m *Mesh) routers(v *peer.View) routers {
 	out := routers{live: v.Routers(m.Self.Region), below: map[ident.Router]uint64{}, capacities: place.Capacities{}}
 	for _, r := range v.Members() {
-		m.noteReturn(r)
+		m.noteState(r)
 		out.capacities[r.ID] = r.Cores
 		if r.Region == m.Self.Region && r.State != peer.Leaving {
 			out.known = append(out.known, r.ID)
