--- a/internal/edge/route/throttle.go
+++ b/internal/edge/route/throttle.go
@@ -1,12 +1,12 @@
 package route
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"valescale/internal/plat/decay"
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 )
@@ -50,11 +50,9 @@
 
 // decay lets what was counted earlier count less.
 func (t *throttle) decay(now time.Time) {
-	if passed := now.Sub(t.at); passed > 0 {
-		kept := math.Exp2(-float64(passed) / float64(throttleHalfLife))
-		t.ended *= kept
-		t.granted *= kept
-	}
+	kept := decay.Kept(now.Sub(t.at), throttleHalfLife)
+	t.ended *= kept
+	t.granted *= kept
 	t.at = now
 }
 
--- /dev/null
+++ b/internal/plat/decay/doc.go
@@ -0,0 +1,2 @@
+// Package decay lets what was counted earlier count less.
+package decay
--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -9,8 +9,8 @@
 
 // holder returns an engine at which a chat ran and that is still there, other than one. It
 // may belong to another shard by now: a pool that outgrows its shards deals out half of its
-// engines anew. For a chat that is not remembered it is where the edge sent it last, else the first of
-// the chat's own order, which shares at most the beginning of its prompt.
+// engines anew. For a chat that is not remembered it is where the edge sent it last, else
+// the first of the chat's own order, which shares at most the beginning of its prompt.
 func (h *Home) holder(req Request, at chatPlace, other ident.TargetHash) ident.TargetHash {
 	var elsewhere ident.TargetHash
 	for _, s := range at.at {
--- a/internal/rule/place/health.go
+++ b/internal/rule/place/health.go
@@ -1,9 +1,9 @@
 package place
 
 import (
-	"math"
 	"time"
 
+	"valescale/internal/plat/decay"
 	"valescale/internal/plat/ident"
 )
 
@@ -42,9 +42,9 @@
 // decay lets what was counted earlier count less.
 func (r *record) decay(now time.Time) {
 	if since := now.Sub(r.at); since > 0 {
-		factor := math.Exp2(-float64(since) / float64(healthHalfLife))
-		r.sent *= factor
-		r.failed *= factor
+		kept := decay.Kept(since, healthHalfLife)
+		r.sent *= kept
+		r.failed *= kept
 		r.at = now
 	}
 }
--- a/internal/share/home/place.go
+++ b/internal/share/home/place.go
@@ -50,37 +50,38 @@
 	if ask.Wait <= 0 {
 		return s.refusal(now, ask, Full), nil
 	}
-	if s.hopeless(ask) {
+	w := s.newWaiting(now, ask)
+	if s.hopeless(w) {
 		return s.refusal(now, ask, Shed), nil
 	}
-	w := s.enqueue(now, ask)
+	s.enqueue(now, w)
 	h.dispatch(s)
 	return Answer{}, w
 }
 
+// newWaiting makes a request one that can wait in the shard's queue.
+func (s *shard) newWaiting(now time.Time, ask Ask) *waiting {
+	w := &waiting{ask: ask, shard: s, since: now, answer: make(chan Answer, 1)}
+	w.entry = &quota.Waiter{
+		Workspace: ask.Workspace, Priority: ask.Priority, Weight: ask.Weight, Work: ask.Work,
+		Deadline: now.Add(ask.Wait), Value: w,
+	}
+	return w
+}
+
 // hopeless reports whether a request would wait in vain. A refusal at once leaves its
 // caller time for another try.
-func (s *shard) hopeless(ask Ask) bool {
-	wait, known := s.rate.wait(s.queue.Ahead(ask.waiter()))
-	return known && wait > ask.Wait
+func (s *shard) hopeless(w *waiting) bool {
+	wait, known := s.rate.wait(s.queue.Ahead(w.entry))
+	return known && wait > w.ask.Wait
 }
 
 // enqueue has a request wait, and refuses another one for which no room is left.
-func (s *shard) enqueue(now time.Time, ask Ask) *waiting {
-	w := &waiting{ask: ask, shard: s, since: now, answer: make(chan Answer, 1)}
-	w.entry = ask.waiter()
-	w.entry.Deadline = now.Add(ask.Wait)
-	w.entry.Value = w
+func (s *shard) enqueue(now time.Time, w *waiting) {
 	if shed := s.queue.Push(w.entry); shed != nil {
 		other := shed.Value.(*waiting)
 		other.answer <- s.refusal(now, other.ask, Shed)
 	}
-	return w
-}
-
-// waiter is the ask as a queue sees it.
-func (a *Ask) waiter() *quota.Waiter {
-	return &quota.Waiter{Workspace: a.Workspace, Priority: a.Priority, Weight: a.Weight, Work: a.Work}
 }
 
 // await waits for a queued request's answer as long as the request can wait.
--- a/internal/share/home/rate.go
+++ b/internal/share/home/rate.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"valescale/internal/plat/decay"
 	"valescale/internal/plat/ident"
 )
 
@@ -31,7 +32,7 @@
 // note counts work that came back and what is in flight from now on.
 func (r *releaseRate) note(now time.Time, released, inFlight ident.Work) {
 	if passed := now.Sub(r.at); passed > 0 && !r.at.IsZero() {
-		kept := math.Exp2(-float64(passed) / float64(rateHalfLife))
+		kept := decay.Kept(passed, rateHalfLife)
 		r.released *= kept
 		// The work in flight since the last note decays as it is added.
 		halfLife := rateHalfLife.Seconds() / math.Ln2
