--- a/internal/edge/entry/exhausted_test.go
+++ b/internal/edge/entry/exhausted_test.go
@@ -16,8 +16,8 @@
 	return false
 }
 
-// Seen: a router that had as many connections as it may have open sent all its requests to two of
-// 18 engines, far above the bound. How: it could not open a socket, request after request.
+// Seen: routers that had as many connections open as they may sent their requests to two of 18
+// engines, far above the bound. How: they could not open a socket, request after request.
 // Cause: each was taken for a target that cannot be reached, which then got no new work.
 // Proof: 419 attempts in a second ended with "too many open files", at all targets alike.
 func TestOwnLackOfDescriptorsBlamesNoTarget(t *testing.T) {
--- a/internal/fake/scarce/scarce.go
+++ b/internal/fake/scarce/scarce.go
@@ -8,7 +8,8 @@
 // standardStreams are the descriptors below the limit, which are always taken.
 const standardStreams = 3
 
-// Descriptors has this process get no descriptor beyond those that it has open, until the test ends.
+// Descriptors has this process get no descriptor beyond those that it has open, until the test
+// ends.
 func Descriptors(t *testing.T) {
 	t.Helper()
 	var before syscall.Rlimit
--- a/internal/oper/mesh/mesh.go
+++ b/internal/oper/mesh/mesh.go
@@ -172,7 +172,8 @@
 	state       peer.State
 }
 
-// noteState logs what is new of a router, and tells the edge of homes that are back or have started anew.
+// noteState logs what is new of a router, and tells the edge of homes that are back or have
+// started anew.
 func (m *Mesh) noteState(r peer.Member) {
 	before := m.known[r.ID]
 	now := sighting{incarnation: r.Incarnation, state: r.State}
--- a/internal/rule/place/avoid_test.go
+++ b/internal/rule/place/avoid_test.go
@@ -7,8 +7,8 @@
 	"valescale/internal/rule/place"
 )
 
-// Seen: a router that took 16 of 18 engines for unreachable sent all its requests to the other two,
-// which held 42 where the mean was 12. How: the shard was full for it, so that each of its
+// Seen: routers that took nearly all of 18 engines for unreachable sent their requests to two of
+// them, which held 42 where the mean was 12. How: the shard was full for it, so that each of its
 // requests had to be placed. Cause: such a request went to the least loaded engine of those
 // left, whatever that held. Proof: the requests' lines, of rule least_loaded, with the counts
 // that the home had when it decided.
--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -64,8 +64,8 @@
 }
 
 // choose picks an engine among those that do not fail many requests, or any when none of
-// these is there or all are busy: a doubtful engine is better than waiting. total is the work on the
-// pool's engines without the request's.
+// these is there or all are busy: a doubtful engine is better than waiting. total is the work on
+// the pool's engines without the request's.
 func (h *Home) choose(now time.Time, req Request, total ident.Work) (int, Result, bool) {
 	poor := h.poor(now, req.Zone)
 	if len(poor) == 0 {
@@ -201,8 +201,8 @@
 	return found
 }
 
-// placedHere reports whether no other shard is asked any more. Such a request keeps to the bound like
-// any other, but the mean of this shard will do, and engines that join need not be spared.
+// placedHere reports whether no other shard is asked any more. Such a request keeps to the bound
+// like any other, but the mean of this shard will do, and engines that join need not be spared.
 func (r *Request) placedHere() bool { return r.Must || r.Over }
 
 // admits says whether one engine may take the request's work now.
@@ -249,9 +249,9 @@
 }
 
 // shardLimit is the limit by the mean of this shard's engines alone, for requests that must be
-// placed here: the pool's mean may be lower, or unknown. Engines that the request avoids count while
-// they have work: others use them, and the few that one router takes for sound must not get all
-// that it has. Once they are empty they may well be gone, and no longer hold down the others.
+// placed here: the pool's mean may be lower, or unknown. Engines that the request avoids count
+// while they have work: others use them, and the few that one router takes for sound must not get
+// all that it has. Once they are empty they may well be gone, and no longer hold down the others.
 func (h *Home) shardLimit(req Request) float64 {
 	engines := 0
 	for i := range h.engines {
--- a/internal/rule/place/local.go
+++ b/internal/rule/place/local.go
@@ -58,8 +58,8 @@
 
 // hasPart reports whether an engine has room in this router's part of a limit. The part of one of
 // many routers is less than a request: rounded up, 62 routers alone would each send the first
-// request of a popular subject to the same engine, and a third of all requests reached engines above
-// twice the mean. So each pair of router and engine rounds its own way, and as many of the
+// request of a popular subject to the same engine, and a third of all requests reached engines
+// above twice the mean. So each pair of router and engine rounds its own way, and as many of the
 // routers have room as together make the limit.
 func (p *Pool) hasPart(req Request, e *Engine, limit float64, routers int) bool {
 	part := limit / float64(max(routers, 1))
--- a/internal/share/home/homes_test.go
+++ b/internal/share/home/homes_test.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// A home that has handed its shard over serves those who still ask there, passes the places on once,
-// and drops the shard when all permits have gone. It still knows the places if it is
+// A home that has handed its shard over serves those who still ask there, passes the places on
+// once, and drops the shard when all permits have gone. It still knows the places if it is
 // asked again.
 func TestShardThatIsHandedOver(t *testing.T) {
 	h, _, _ := newHomes()
--- a/internal/share/home/split_test.go
+++ b/internal/share/home/split_test.go
@@ -12,8 +12,8 @@
 // allowedOver is the part of the requests that may go above the promise.
 const allowedOver = 0.03
 
-// Seen: for five seconds after a surge 3 to 8 in 100 requests reached engines that held over twice the
-// mean, some three times. How: the home of 18 engines was short of processor time, so that
+// Seen: for five seconds after a surge 4 to 8 in 100 requests reached engines that held over
+// twice the mean, some three times. How: the home of 18 engines was short of processor time, so that
 // some routers passed it over and asked the next in line while others still asked it. Cause:
 // the stand-in handed all permits to the home each second, but their routers went on telling
 // the stand-in what they held and giving permits back to it. So the home counted them
@@ -44,8 +44,8 @@
 	}
 }
 
-// Seen: in the model alone, a third of the requests above the promise. How: 62 routers reach no home and
-// decide alone. Cause: each takes an engine on which it has nothing for empty, and all take the
+// Seen: in the model alone, a third of the requests above the promise. How: 62 routers reach no
+// home and decide alone. Cause: each takes an engine on which it has nothing for empty, and all take the
 // same one for a subject, so that each may send its first request of a popular one there.
 // Proof: an engine's part of 62 routers is a third of a request each; rounding it up makes 62.
 func TestBoundWithoutHomes(t *testing.T) {
