--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -45,9 +45,6 @@
 	// any of it, in bytes, so that its loss can still be mended elsewhere. A longer one is
 	// passed on as it comes, which bounds memory.
 	wholeAnswer = 256 << 10
-	// heldUp is how late a timer may fire before this router counts as held up itself:
-	// frozen, or short of processor time.
-	heldUp = 100 * time.Millisecond
 )
 
 // attempt sends the request to one target and passes the answer on.
@@ -95,7 +92,7 @@
 // silent notes that a target has sent nothing for too long. A router that was held up
 // itself blames nobody.
 func (h *Handler) silent(j *job, placement *route.Placement, since time.Time) {
-	if h.Clock().Sub(since)-j.silence() > heldUp {
+	if h.Clock().Sub(since)-j.silence() > relay.HeldUpAfter {
 		return
 	}
 	if h.Finder.Silent(placement.Hash, since) {
--- a/internal/edge/entry/patience.go
+++ b/internal/edge/entry/patience.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"valescale/internal/edge/relay"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/retry"
 )
@@ -59,7 +60,7 @@
 // may have the answer waiting unread.
 func (p *patience) ended() error {
 	w := p.wait.Load()
-	if p.clock().Sub(w.since)-w.limit > heldUp {
+	if p.clock().Sub(w.since)-w.limit > relay.HeldUpAfter {
 		return errHeldUp
 	}
 	return errSilent
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -17,6 +17,7 @@
 
 	"valescale/internal/edge/relay"
 	"valescale/internal/edge/route"
+	"valescale/internal/fake/listen"
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/match"
@@ -134,21 +135,8 @@
 
 func newTarget(t *testing.T, serve serving) *target {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	out := &target{addr: l.Addr().String(), closed: make(chan struct{}, 16)}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go out.serve(c, serve)
-		}
-	}()
+	out := &target{closed: make(chan struct{}, 16)}
+	out.addr = listen.Conns(t, func(c net.Conn) { out.serve(c, serve) })
 	return out
 }
 
--- a/internal/edge/relay/error.go
+++ b/internal/edge/relay/error.go
@@ -49,9 +49,9 @@
 	return &failure{error: fault.New(op, kind, err), step: step}
 }
 
-// heldUp is how late the end of the time to connect may be noticed before this router counts as
-// held up itself: frozen, or short of processor time.
-const heldUp = 100 * time.Millisecond
+// HeldUpAfter is how late the end of a time-out may be noticed before this router counts as held up
+// itself: frozen, or short of processor time.
+const HeldUpAfter = 100 * time.Millisecond
 
 // dialKind tells what this box lacks from a target that cannot be reached, given how long after
 // the time to connect a dial failed.
@@ -59,7 +59,7 @@
 	switch {
 	case fault.OwnLack(err):
 		return Exhausted
-	case late > heldUp:
+	case late > HeldUpAfter:
 		return HeldUp
 	default:
 		return Connect
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"valescale/internal/edge/relay"
+	"valescale/internal/fake/listen"
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/retry"
@@ -22,8 +23,8 @@
 
 // hostile is a target that answers each request with raw bytes and then does as told.
 type hostile struct {
-	listener net.Listener
-	answer   string
+	addr   string
+	answer string
 	// keep leaves the connection open after the answer.
 	keep bool
 	mu   sync.Mutex
@@ -32,21 +33,8 @@
 
 func newHostile(t *testing.T, answer string, keep bool) *hostile {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	h := &hostile{listener: l, answer: answer, keep: keep}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go h.serve(c)
-		}
-	}()
+	h := &hostile{answer: answer, keep: keep}
+	h.addr = listen.Conns(t, h.serve)
 	return h
 }
 
@@ -80,7 +68,7 @@
 
 func (h *hostile) call(once bool) relay.Call {
 	return relay.Call{
-		Addr: h.listener.Addr().String(), Method: http.MethodPost, Path: "/orders", Attempt: "attempt-1",
+		Addr: h.addr, Method: http.MethodPost, Path: "/orders", Attempt: "attempt-1",
 		Header: http.Header{"Idempotency-Key": {"k"}}, Timeout: 5 * time.Second, Once: once,
 	}
 }
--- a/internal/edge/relay/silent_test.go
+++ b/internal/edge/relay/silent_test.go
@@ -9,32 +9,21 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"valescale/internal/fake/listen"
 )
 
 // When the connections to a target fall silent, one request finds out for all of them.
 func TestIdleConnectionsThatFallSilent(t *testing.T) {
 	var silent atomic.Bool
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go answerUntil(c, &silent, silent.Load())
-		}
-	}()
+	addr := listen.Conns(t, func(c net.Conn) { answerUntil(c, &silent, silent.Load()) })
 	conns, closeConns := NewConns(DefaultConnLimits)
 	t.Cleanup(closeConns)
 	send := func(limit time.Duration) (*Answer, error) {
 		ctx, cancel := context.WithTimeout(t.Context(), limit)
 		t.Cleanup(cancel)
 		return conns.Send(ctx, Exchange{
-			Addr: l.Addr().String(), Method: "GET", Path: "/", Host: "h", Header: http.Header{},
+			Addr: addr, Method: "GET", Path: "/", Host: "h", Header: http.Header{},
 			Owns: func(http.Header) bool { return true }, Fresh: time.Minute,
 		})
 	}
--- /dev/null
+++ b/internal/fake/listen/doc.go
@@ -0,0 +1,2 @@
+// Package listen serves a test's connections one by one, byte by byte.
+package listen
--- /dev/null
+++ b/internal/fake/listen/listen.go
@@ -0,0 +1,27 @@
+package listen
+
+import (
+	"net"
+	"testing"
+)
+
+// Conns has each connection to a new address on loopback served by a goroutine of its own until the
+// test ends, and returns the address. serve closes the connection.
+func Conns(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
--- a/internal/rule/place/local.go
+++ b/internal/rule/place/local.go
@@ -33,6 +33,8 @@
 // chooseAlone picks an engine given the limit that all routers together keep to.
 func (p *Pool) chooseAlone(req Request, routers int, limit float64) ranked {
 	preference := p.preference(req.Key)
+	edge := uint64(req.Edge.Hash())
+	part := limit / float64(max(routers, 1))
 	var first, least ranked
 	for i := range p.engines {
 		e := &p.engines[i]
@@ -45,8 +47,9 @@
 		if e.Hash == req.Last {
 			r.shard = beforeAllShards
 		}
-		least = least.better(r.spread(req, e))
-		if p.hasPart(req, e, limit, routers) && r.preferred(first) {
+		pair := ident.Mix(edge, uint64(e.Hash))
+		least = least.better(r.withScore(pair))
+		if p.hasPart(req.Work, e, part, pair) && r.preferred(first) {
 			first = r
 		}
 	}
@@ -56,25 +59,19 @@
 	return least
 }
 
-// hasPart reports whether an engine has room in this router's part of a limit. The part of one of
-// many routers is less than a request: rounded up, 62 routers alone would each send the first
-// request of a popular subject to the same engine, and a third of all requests reached engines
-// above twice the mean. So each pair of router and engine rounds its own way, and as many of the
-// routers have room as together make the limit.
-func (p *Pool) hasPart(req Request, e *Engine, limit float64, routers int) bool {
-	part := limit / float64(max(routers, 1))
-	return float64(p.own[e.Hash]+req.Work) <= part+lot(req, e)*float64(req.Work)
-}
-
-// lot is a number from zero to one of a router and an engine.
-func lot(req Request, e *Engine) float64 {
-	return ident.Unit(ident.Mix(uint64(req.Edge.Hash()), uint64(e.Hash)))
+// hasPart reports whether an engine has room for work in this router's part of the limit. The part
+// of one of many routers is less than a request: rounded up, 62 routers alone would each send the
+// first request of a popular subject to the same engine, and a third of all requests reached
+// engines above twice the mean. So each pair of router and engine, by a hash of both, rounds its
+// own way, and as many of the routers have room as together make the limit.
+func (p *Pool) hasPart(work ident.Work, e *Engine, part float64, pair uint64) bool {
+	return float64(p.own[e.Hash]+work) <= part+ident.Unit(pair)*float64(work)
 }
 
-// spread ranks an engine by its lot in place of the key's own order, so that routers without room
-// anywhere do not all take the same engine for a key.
-func (r ranked) spread(req Request, e *Engine) ranked {
-	r.score = ident.Mix(uint64(req.Edge.Hash()), uint64(e.Hash))
+// withScore ranks an engine by a hash of router and engine in place of the key's own order, so that
+// routers without room anywhere do not all take the same engine for a key.
+func (r ranked) withScore(pair uint64) ranked {
+	r.score = pair
 	return r
 }
 
--- a/internal/share/peer/silent_test.go
+++ b/internal/share/peer/silent_test.go
@@ -11,6 +11,7 @@
 
 	"connectrpc.com/connect"
 
+	"valescale/internal/fake/listen"
 	"valescale/internal/share/peerpb"
 )
 
@@ -23,21 +24,8 @@
 
 func newMute(t *testing.T, to string) *mute {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	m := &mute{addr: l.Addr().String()}
-	go func() {
-		for {
-			from, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go m.pass(from, to)
-		}
-	}()
+	m := &mute{}
+	m.addr = listen.Conns(t, func(from net.Conn) { m.pass(from, to) })
 	return m
 }
 
