Zones that operators close get no new work

Ruled out: late rows, since the same table brings configurations in time.

The targets of a closed zone are treated like leaving ones; once the zone is open again they get their share by and by, as engines that join do, since they have cooled.

--- a/internal/oper/daemon/pools.go
+++ b/internal/oper/daemon/pools.go
@@ -31,7 +31,7 @@
 // capacity is what an engine's report says of it.
 func (d *Daemon) capacity(_ policy.Service, t peer.Target) mesh.Capacity {
 	report := d.reports.of(t.ID)
-	return mesh.Capacity{Slots: report.Slots, Silent: report.silent()}
+	return mesh.Capacity{Slots: report.Slots, Closed: report.silent()}
 }
 
 // acknowledge says that callers are served by a revision from now on.
--- a/internal/oper/mesh/mesh.go
+++ b/internal/oper/mesh/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -28,8 +29,11 @@
 type Capacity struct {
 	// Slots is how many requests it runs at once; zero means no limit.
 	Slots int
-	// Silent targets get no new work.
-	Silent bool
+	// Closed targets get no new work.
+	Closed bool
+	// Reopened is when a target that was closed was opened again, zero if it never was: its
+	// caches have cooled, and it takes its share of the load by and by like one that joins.
+	Reopened time.Time
 }
 
 // Parts are what a mesh works with.
@@ -249,14 +253,22 @@
 			slots = capacity.Slots
 		}
 		p.Engines = append(p.Engines, place.Engine{
-			ID: t.ID, Hash: hash, Zone: t.Zone, Incarnation: t.Incarnation, Joined: t.Joined,
-			Slots: ident.Work(slots) * ident.OneRequest, Leaving: t.Leaving || capacity.Silent,
+			ID: t.ID, Hash: hash, Zone: t.Zone, Incarnation: t.Incarnation, Joined: later(t.Joined, capacity.Reopened),
+			Slots: ident.Work(slots) * ident.OneRequest, Leaving: t.Leaving || capacity.Closed,
 		})
 		p.Targets[hash] = route.Target{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Incarnation: t.Incarnation}
 	}
 	return p
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Target finds a target of any pool by its id.
 func (m *Mesh) Target(id ident.Target) (route.Target, bool) {
 	for _, p := range m.Set().Pools {
--- a/internal/oper/node/build.go
+++ b/internal/oper/node/build.go
@@ -38,7 +38,7 @@
 	s := n.settings.Load()
 	n.board = feed.NewBoard(n.Clock)
 	n.roles = feed.NewRoles()
-	n.state = newState(n.Rows, n.Logger)
+	n.state = newState(n.Rows, n.Logger, n.Clock)
 	n.buildPeers(s)
 	n.buildMesh(s)
 	n.followTables()
--- a/internal/oper/node/node_test.go
+++ b/internal/oper/node/node_test.go
@@ -27,7 +27,7 @@
 
 // The routers together leave a target with idle connections for half of what it takes.
 func TestIdleConnectionsFollowTheFleet(t *testing.T) {
-	n := &Node{mesh: mesh.New(mesh.Parts{}), state: newState(nil, log.NewNopLogger())}
+	n := &Node{mesh: mesh.New(mesh.Parts{}), state: newState(nil, log.NewNopLogger(), time.Now)}
 	if diff := cmp.Diff(0, n.IdleConns("s")); diff != "" {
 		t.Errorf("without a configuration: %s", diff)
 	}
--- a/internal/oper/node/reload_test.go
+++ b/internal/oper/node/reload_test.go
@@ -20,7 +20,7 @@
 		Reload: func() (Settings, error) { return *next, *failure },
 	}}
 	n.settings.Store(&old)
-	n.state = newState(nil, n.Logger)
+	n.state = newState(nil, n.Logger, time.Now)
 	n.budget = newBudget(old.Retries, func() int { return 1 })
 	n.mesh = mesh.New(mesh.Parts{})
 	return n, &lines
--- a/internal/oper/node/settings.go
+++ b/internal/oper/node/settings.go
@@ -81,6 +81,9 @@
 	TargetTable() table.Name
 	// Config decodes the configuration; found is false while there is none.
 	Config(rows []table.Row) (c match.Config, found bool, err error)
+	// ClosedZones are the availability zones whose targets are to get no new work, from the
+	// rows of the configuration's table.
+	ClosedZones(rows []table.Row) []ident.Zone
 	// Targets decodes the targets and reports the rows that cannot be read.
 	Targets(rows []table.Row) (targets []Target, bad []error)
 }
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -39,11 +39,15 @@
 	listed bool
 	// turns counts the changes that pools are made from.
 	turns uint64
+	zones *zones
 }
 
 // newState returns the state without rows.
-func newState(rows Rows, logger log.Logger) *state {
-	return &state{rows: rows, logger: logger, slots: map[ident.Target]int{}, counts: map[ident.Service]int{}}
+func newState(rows Rows, logger log.Logger, clock ident.Clock) *state {
+	return &state{
+		rows: rows, logger: logger, slots: map[ident.Target]int{}, counts: map[ident.Service]int{},
+		zones: newZones(logger, clock),
+	}
 }
 
 // setConfig puts a configuration in force. One that cannot be read, contradicts itself
@@ -76,6 +80,13 @@
 		"routes", compiled.Routes(), "version", newest(rows))
 }
 
+// setClosed closes the availability zones that operators want closed.
+func (s *state) setClosed(rows []table.Row) {
+	if s.zones.set(s.rows.ClosedZones(rows), newest(rows)) {
+		s.touch()
+	}
+}
+
 // newest is the version of the latest row.
 func newest(rows []table.Row) table.Version {
 	latest := table.Version(0)
@@ -182,7 +193,8 @@
 	if service.Kind == policy.PlainTargets {
 		slots *= plainSlots
 	}
-	return mesh.Capacity{Slots: slots}
+	closed, reopened := s.zones.of(t.Zone)
+	return mesh.Capacity{Slots: slots, Closed: closed, Reopened: reopened}
 }
 
 // wanted is what the configuration wants of the mesh.
--- a/internal/oper/node/tables.go
+++ b/internal/oper/node/tables.go
@@ -10,6 +10,7 @@
 func (n *Node) followTables() {
 	n.board.Follow(n.Rows.ConfigTable(), func(rows []table.Row) {
 		n.state.setConfig(rows)
+		n.state.setClosed(rows)
 		n.mesh.MarkDirty()
 	})
 	n.board.Follow(n.Rows.TargetTable(), func(rows []table.Row) {
--- /dev/null
+++ b/internal/oper/node/zones.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/plat/table"
+)
+
+// zones are the availability zones that operators have closed: their targets finish what
+// they have and get no new work.
+type zones struct {
+	logger log.Logger
+	clock  ident.Clock
+
+	mu     sync.Mutex
+	closed []ident.Zone
+	// reopened is when each zone that was closed was opened again.
+	reopened map[ident.Zone]time.Time
+}
+
+// newZones returns zones of which none is closed.
+func newZones(logger log.Logger, clock ident.Clock) *zones {
+	return &zones{logger: logger, clock: clock, reopened: map[ident.Zone]time.Time{}}
+}
+
+// set closes exactly the given zones, opens the others and reports whether anything changed.
+func (z *zones) set(closed []ident.Zone, version table.Version) bool {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	changed := false
+	for _, zone := range closed {
+		if !slices.Contains(z.closed, zone) {
+			_ = level.Info(z.logger).Log("msg", "availability zone closed to new work", "zone", zone, "version", version)
+			changed = true
+		}
+	}
+	for _, zone := range z.closed {
+		if !slices.Contains(closed, zone) {
+			_ = level.Info(z.logger).Log("msg", "availability zone open again", "zone", zone, "version", version)
+			z.reopened[zone] = z.clock()
+			changed = true
+		}
+	}
+	z.closed = closed
+	return changed
+}
+
+// of reports whether a zone is closed, and when it was opened last after it was closed.
+func (z *zones) of(zone ident.Zone) (closed bool, reopened time.Time) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return slices.Contains(z.closed, zone), z.reopened[zone]
+}
