--- a/internal/edge/route/throttle.go
+++ b/internal/edge/route/throttle.go
@@ -14,8 +14,7 @@
 const (
 	// askedPerGrant is how many permits a router asks for with each that it gets while it
 	// is being refused. Homes then decide twice as many requests as their engines can run,
-	// however many callers press, and an end of the overload shows within one and a half
-	// seconds. Asking for everything kept a home's box of 0.4 cores too busy to answer in
+	// however many callers press. Asking for everything kept a home's box of 0.4 cores too busy to answer in
 	// time: at four times the traffic a fifth fewer answers came in time.
 	askedPerGrant = 2
 	// throttleHalfLife is after how long what was asked and granted counts half: with some
@@ -63,12 +62,11 @@
 	t.at = now
 }
 
-// admits reports whether to ask a home for a request. Of those beyond what may be asked
-// an even part goes through.
+// admits reports whether to ask a home for a request.
 func (t *throttle) admits(now time.Time) bool {
 	t.decay(now)
-	share := min((askedPerGrant*t.granted+throttleSlack)/(t.ended+1), 1)
-	t.owed += share
+	// Of the requests beyond what may be asked an even part goes through.
+	t.owed += min((askedPerGrant*t.granted+throttleSlack)/(t.ended+1), 1)
 	if t.owed < 1 && now.Sub(t.asked) < askAtLeast {
 		t.ended++
 		return false
