Cold targets get no more requests a second than they bear

Cause: nothing read how long a target is cold nor what it bears meanwhile.

A home spaces what it sends to a cold target, by its share of the shard's work; requests that find only such targets wait, or go to another shard. Routers that decide alone draw by slot of time. Tests fail with the check switched off.

--- a/internal/edge/route/choose.go
+++ b/internal/edge/route/choose.go
@@ -15,7 +15,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	request := r.request(p, ask)
-	d := p.picture.Local(request, len(r.assigned.Routers()))
+	d := p.picture.Local(r.clock(), request, len(r.assigned.Routers()))
 	target, known := p.Targets[d.Engine]
 	switch {
 	case d.Result == place.Empty:
--- a/internal/oper/mesh/mesh.go
+++ b/internal/oper/mesh/mesh.go
@@ -34,6 +34,8 @@
 	// Reopened is when a target that was closed was opened again, zero if it never was: its
 	// caches have cooled, and it takes its share of the load by and by like one that joins.
 	Reopened time.Time
+	// Cold is until when the target bears few requests, and how many.
+	Cold place.Cold
 }
 
 // Parts are what a mesh works with.
@@ -254,7 +256,7 @@
 		}
 		p.Engines = append(p.Engines, place.Engine{
 			ID: t.ID, Hash: hash, Zone: t.Zone, Incarnation: t.Incarnation, Joined: later(t.Joined, capacity.Reopened),
-			Slots: ident.Work(slots) * ident.OneRequest, Leaving: t.Leaving || capacity.Closed,
+			Slots: ident.Work(slots) * ident.OneRequest, Leaving: t.Leaving || capacity.Closed, Cold: capacity.Cold,
 		})
 		p.Targets[hash] = route.Target{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Incarnation: t.Incarnation}
 	}
--- /dev/null
+++ b/internal/oper/node/cold.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"time"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/share/peer"
+)
+
+// coldTarget is a target that said how much longer it is cold.
+type coldTarget struct {
+	left  time.Duration
+	until time.Time
+}
+
+// noteCold keeps until when targets are cold. A row goes on saying what it said first, so that
+// time counts from when that is new; the caller holds the lock.
+func (s *state) noteCold(targets []Target) {
+	before := s.cold
+	s.cold = map[ident.Target]coldTarget{}
+	for _, t := range targets {
+		if t.ColdLeft <= 0 {
+			continue
+		}
+		id := ident.Target(t.ID)
+		cold, known := before[id]
+		if !known || cold.left != t.ColdLeft {
+			cold = coldTarget{left: t.ColdLeft, until: s.clock().Add(t.ColdLeft)}
+		}
+		s.cold[id] = cold
+	}
+}
+
+// coldOf is what a target bears while it is cold, as itself says or because its availability zone
+// was opened again a moment ago; the caller holds the lock.
+func (s *state) coldOf(t peer.Target, reopened time.Time) place.Cold {
+	for _, service := range s.services {
+		if service.Name != t.Service || service.ColdRate <= 0 {
+			continue
+		}
+		until := s.cold[t.ID].until
+		if again := reopened.Add(service.ColdFor); !reopened.IsZero() && again.After(until) {
+			until = again
+		}
+		return place.Cold{Until: until, Rate: service.ColdRate}
+	}
+	return place.Cold{}
+}
--- /dev/null
+++ b/internal/oper/node/cold_test.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/go-cmp/cmp"
+
+	"valescale/internal/plat/boxes"
+	"valescale/internal/plat/ident"
+	"valescale/internal/plat/table"
+	"valescale/internal/rule/match"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
+	"valescale/internal/share/peer"
+)
+
+// coldRows decodes nothing: what it says is set by the test.
+type coldRows struct {
+	Rows
+	left time.Duration
+}
+
+func (r *coldRows) Targets([]table.Row) ([]Target, []error) {
+	return []Target{{Box: boxes.Box{ID: "t", Service: "s", Zone: "a"}, Slots: 12, ColdLeft: r.left}}, nil
+}
+
+// A target is cold for as long as its row said first, however often the row is read, and again
+// when the row says another time or its availability zone was opened again.
+func TestColdTargets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rows := &coldRows{left: 3 * time.Second}
+	s := newState(rows, log.NewNopLogger(), func() time.Time { return now })
+	s.services = []match.Service{{Name: "s", ColdFor: 3 * time.Second, ColdRate: 13}}
+	until := func() time.Time {
+		s.setTargets(nil)
+		return s.capacity(policy.Service{Name: "s"}, peer.Target{ID: "t", Service: "s", Zone: "a"}).Cold.Until
+	}
+	first := now.Add(3 * time.Second)
+	if got := until(); !got.Equal(first) {
+		t.Errorf("cold until %v, want %v", got, first)
+	}
+	now = now.Add(time.Second)
+	if got := until(); !got.Equal(first) {
+		t.Errorf("the same row again: cold until %v, want %v", got, first)
+	}
+	rows.left = 2 * time.Second
+	if got := until(); !got.Equal(now.Add(rows.left)) {
+		t.Errorf("cold again: until %v, want %v", got, now.Add(rows.left))
+	}
+	rows.left = 0
+	s.zones.set([]ident.Zone{"a"}, 1)
+	now = now.Add(time.Minute)
+	s.zones.set(nil, 2)
+	if got := until(); !got.Equal(now.Add(3 * time.Second)) {
+		t.Errorf("open again: cold until %v, want %v", got, now.Add(3*time.Second))
+	}
+	got := s.capacity(policy.Service{Name: "s"}, peer.Target{ID: "t", Service: "other", Zone: "a"}).Cold
+	if diff := cmp.Diff(place.Cold{}, got); diff != "" {
+		t.Errorf("a service without a bound: %s", diff)
+	}
+}
--- a/internal/oper/node/settings.go
+++ b/internal/oper/node/settings.go
@@ -62,6 +62,8 @@
 	boxes.Box
 	// Slots is how many requests it runs at once.
 	Slots int
+	// ColdLeft is how much longer it was cold when it said so first.
+	ColdLeft time.Duration
 }
 
 // Store is what a router needs of the platform's store.
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -24,6 +24,7 @@
 type state struct {
 	rows   Rows
 	logger log.Logger
+	clock  ident.Clock
 	// rules is the configuration in force; it never goes back to a lower revision.
 	rules atomic.Pointer[match.Table]
 
@@ -35,6 +36,8 @@
 	// each service take new work.
 	slots  map[ident.Target]int
 	counts map[ident.Service]int
+	// cold are the targets that said that they are cold.
+	cold map[ident.Target]coldTarget
 	// listed is set once the targets' rows have been read.
 	listed bool
 	// turns counts the changes that pools are made from.
@@ -45,7 +48,7 @@
 // newState returns the state without rows.
 func newState(rows Rows, logger log.Logger, clock ident.Clock) *state {
 	return &state{
-		rows: rows, logger: logger, slots: map[ident.Target]int{}, counts: map[ident.Service]int{},
+		rows: rows, logger: logger, clock: clock, slots: map[ident.Target]int{}, counts: map[ident.Service]int{}, cold: map[ident.Target]coldTarget{},
 		zones: newZones(logger, clock),
 	}
 }
@@ -116,6 +119,7 @@
 			s.counts[t.Service]++
 		}
 	}
+	s.noteCold(targets)
 	s.turns++
 }
 
@@ -194,7 +198,7 @@
 		slots *= plainSlots
 	}
 	closed, reopened := s.zones.of(t.Zone)
-	return mesh.Capacity{Slots: slots, Closed: closed, Reopened: reopened}
+	return mesh.Capacity{Slots: slots, Closed: closed, Reopened: reopened, Cold: s.coldOf(t, reopened)}
 }
 
 // wanted is what the configuration wants of the mesh.
--- a/internal/rule/match/config.go
+++ b/internal/rule/match/config.go
@@ -65,6 +65,10 @@
 	Conns int
 	// Copies says that engines can take cached prompt parts from each other.
 	Copies bool
+	// ColdFor is how long a target is cold after it has started or its availability zone was
+	// opened again; ColdRate is how many requests a second one bears meanwhile, zero if any.
+	ColdFor  time.Duration
+	ColdRate float64
 }
 
 // Limits bound what callers may send.
--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -219,6 +219,9 @@
 	if slots > 0 && load+req.Work > slots && load > 0 {
 		return Busy
 	}
+	if !e.pace.bears(now, e.Cold, h.share()) {
+		return Busy
+	}
 	if !req.placedHere() {
 		limit *= h.ramp(now, e)
 	}
--- /dev/null
+++ b/internal/rule/place/cold_test.go
@@ -0,0 +1,98 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+)
+
+const (
+	// coldRate is how many requests a second a cold engine bears, coldMost what it may get in any
+	// second before it falls over.
+	coldRate = 13
+	coldMost = 1.5*coldRate + 5
+)
+
+// most returns how many of some times lie within the same second at most.
+func most(times []time.Time) int {
+	highest := 0
+	for i := range times {
+		n := 0
+		for _, at := range times[i:] {
+			if at.Sub(times[i]) < time.Second {
+				n++
+			}
+		}
+		highest = max(highest, n)
+	}
+	return highest
+}
+
+// A cold engine gets no more than it bears, also when all others are full and requests must be
+// placed; once it is warm it gets its part.
+func TestColdEngineGetsNoMoreThanItBears(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const coldFor = 3 * time.Second
+	cold := place.Engine{
+		ID: "cold", Hash: ident.Target("cold").Hash(), Slots: 12 * ident.OneRequest,
+		Cold: place.Cold{Until: now.Add(coldFor), Rate: coldRate},
+	}
+	warm := place.Engine{ID: "warm", Hash: ident.Target("warm").Hash(), Slots: 12 * ident.OneRequest}
+	h := place.NewHome(place.ShardID{Pool: "p"}, "self", place.BoundOf(2), 1)
+	h.SetEngines([]place.Engine{cold, warm}, []int{2})
+	var sent []time.Time
+	permit := uint64(0)
+	send := func(lasts time.Duration) {
+		for range int(lasts / (5 * time.Millisecond)) {
+			now = now.Add(5 * time.Millisecond)
+			permit++
+			d := h.Place(now, place.Request{Edge: "e", Permit: permit, Key: ident.ChatKey(permit), Work: ident.OneRequest, Must: true})
+			if d.Engine == cold.Hash {
+				sent = append(sent, now)
+			}
+			// Each request takes 60 ms.
+			if permit > 12 {
+				h.Release("e", permit-12)
+			}
+		}
+	}
+	send(coldFor)
+	if got := most(sent); float64(got) > coldMost || got < coldRate/2 {
+		t.Errorf("the cold engine got %d requests in a second, want about %d", got, coldRate)
+	}
+	sent = nil
+	send(time.Second)
+	if got := most(sent); float64(got) < 3*coldRate {
+		t.Errorf("the warm engine got %d requests in a second of 200", got)
+	}
+}
+
+// Pattern: 295 routers that reach no home, and an engine that comes back cold. Each of them may send
+// it only a part of a request a second; if each rounded that up, all would at once.
+func TestRoutersAloneSpareColdEngines(t *testing.T) {
+	const routers = 295
+	start := time.Unix(1000, 0)
+	engines := []place.Engine{
+		{ID: "cold", Hash: ident.Target("cold").Hash(), Cold: place.Cold{Until: start.Add(time.Minute), Rate: coldRate}},
+		{ID: "warm", Hash: ident.Target("warm").Hash()},
+	}
+	var sent []time.Time
+	for r := range routers {
+		p := place.NewPool("p", 1, place.BoundOf(2))
+		p.SetEngines(engines)
+		edge := ident.Router(fmt.Sprintf("router-%d", r))
+		for i := range 40 {
+			now := start.Add(time.Duration(i)*100*time.Millisecond + time.Duration(r)*300*time.Microsecond)
+			d := p.Local(now, place.Request{Edge: edge, Key: ident.ChatKey(i), Work: ident.OneRequest}, routers)
+			if d.Engine == engines[0].Hash {
+				sent = append(sent, now)
+			}
+		}
+	}
+	if got := most(sent); float64(got) > coldMost || got == 0 {
+		t.Errorf("the cold engine got %d requests in a second, want some and %v at most", got, coldMost)
+	}
+}
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -51,6 +51,8 @@
 	Joined time.Time
 	// Leaving engines keep their permits and get no new ones.
 	Leaving bool
+	// Cold says what the engine bears while it is cold.
+	Cold Cold
 }
 
 // Result says what became of a request for a permit.
@@ -111,6 +113,8 @@
 	own     ident.Work
 	foreign ident.Work
 	present bool
+	// pace follows what a cold engine got lately.
+	pace coldPace
 }
 
 func (e *engineLoad) load() ident.Work { return e.own + e.foreign }
@@ -246,6 +250,7 @@
 	e := &h.engines[i]
 	h.hold(Permit{Edge: req.Edge, ID: req.Permit, Engine: e.Hash, Work: req.Work})
 	h.health.sent(now, req.Zone, e.Hash)
+	e.pace.sent(now, e.Cold, h.share())
 	d := Decision{Result: Placed, Engine: e.Hash, Basis: h.basis(req, total+req.Work, e)}
 	if req.Once {
 		return d
--- a/internal/rule/place/local.go
+++ b/internal/rule/place/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"valescale/internal/plat/ident"
 )
@@ -9,12 +10,12 @@
 // Local decides without a home, from this router's own work alone: the engine of the key's last
 // request if that has room in this router's part of the bound, else the first such engine in
 // the key's own order, else the one to which this router sends least.
-func (p *Pool) Local(req Request, routers int) Decision {
+func (p *Pool) Local(now time.Time, req Request, routers int) Decision {
 	total, usable := p.estimates(routers)
 	if usable == 0 {
 		return Decision{Result: Empty}
 	}
-	chosen := p.chooseAlone(req, routers, p.bound.limit(float64(total+req.Work), usable))
+	chosen := p.chooseAlone(now, req, routers, p.bound.limit(float64(total+req.Work), usable))
 	if !chosen.set {
 		return Decision{Result: Busy}
 	}
@@ -31,7 +32,7 @@
 const beforeAllShards = -1
 
 // chooseAlone picks an engine given the limit that all routers together keep to.
-func (p *Pool) chooseAlone(req Request, routers int, limit float64) ranked {
+func (p *Pool) chooseAlone(now time.Time, req Request, routers int, limit float64) ranked {
 	preference := p.preference(req.Key)
 	edge := uint64(req.Edge.Hash())
 	part := limit / float64(max(routers, 1))
@@ -39,7 +40,8 @@
 	for i := range p.engines {
 		e := &p.engines[i]
 		load := p.Estimate(e.Hash, routers)
-		if !e.takes(req, load) {
+		pair := ident.Mix(edge, uint64(e.Hash))
+		if !e.takes(req, load) || !e.Cold.bearsPart(now, pair, routers) {
 			continue
 		}
 		r := p.rank(i, req, preference)
@@ -47,7 +49,6 @@
 		if e.Hash == req.Last {
 			r.shard = beforeAllShards
 		}
-		pair := ident.Mix(edge, uint64(e.Hash))
 		least = least.better(r.withScore(pair))
 		if p.hasPart(req.Work, e, part, pair) && r.preferred(first) {
 			first = r
--- a/internal/rule/place/local_test.go
+++ b/internal/rule/place/local_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -14,7 +15,7 @@
 	p.SetEngines(engines(4))
 	counts := map[ident.TargetHash]int{}
 	for n := range 40 {
-		d := p.Local(place.Request{Key: ident.ChatKey(n % 3), Work: ident.OneRequest}, 1)
+		d := p.Local(time.Time{}, place.Request{Key: ident.ChatKey(n % 3), Work: ident.OneRequest}, 1)
 		p.Begin(d.Engine, ident.OneRequest)
 		counts[d.Engine]++
 	}
@@ -23,7 +24,7 @@
 			t.Errorf("engine %d has %d of 40", e, n)
 		}
 	}
-	if diff := cmp.Diff(place.Empty, place.NewPool("x", 1, place.DefaultBound).Local(place.Request{}, 1).Result); diff != "" {
+	if diff := cmp.Diff(place.Empty, place.NewPool("x", 1, place.DefaultBound).Local(time.Time{}, place.Request{}, 1).Result); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/internal/rule/place/recall_test.go
+++ b/internal/rule/place/recall_test.go
@@ -90,7 +90,7 @@
 		p.Inherit(before)
 		p.SetEngines(before.Engines())
 		request := place.Request{Edge: edge, Key: key, Work: ident.OneRequest, Last: p.Last(key)}
-		got := p.Local(request, routers)
+		got := p.Local(time.Time{}, request, routers)
 		want := place.Decision{Result: place.Placed, Engine: got.Engine, Holder: last}
 		if got.Engine == last {
 			kept++
@@ -101,7 +101,7 @@
 			t.Errorf("last at engine %d: %s", i%8, diff)
 		}
 		p.Begin(last, ident.OneRequest)
-		got = p.Local(request, routers)
+		got = p.Local(time.Time{}, request, routers)
 		if got.Engine == last || got.Holder != last {
 			t.Errorf("beside a request at engine %d: got %+v, want another engine that copies from it", i%8, got)
 		}
