A store that does not answer is looked for by a few routers of a zone

Cause: routers whose parent has only old news all ask the store themselves, twice a second and table. In a model of a zone of 50 routers (real followers, pullers and boards, virtual time) a store that is silent for 8 s got 251 calls for one table, 376 a second for six zones and two tables.

While other routers answer, if only with old news, a router that is neither the reader nor one of its four deputies pauses two to four seconds; a router with old news is asked again after half a second instead of two. 116 calls, and a change reaches all routers 1.20 s after the store's return (1.27 s before; 1.97 s without deputies).

--- a/internal/oper/node/readers.go
+++ b/internal/oper/node/readers.go
@@ -17,6 +17,11 @@
 // times a second, so a router answers some fifty calls a second at most.
 const childrenPerReader = 16
 
+// deputies is how many routers of an availability zone, next to its reader, look for a store that
+// does not answer as often as the reader does. With two to six of them a change reaches 50 routers
+// equally soon after an outage; with none 0.8 s later.
+const deputies = 4
+
 // membersChanged follows a change of routers or targets.
 func (n *Node) membersChanged() {
 	n.mesh.MarkDirty()
@@ -28,6 +33,7 @@
 func (n *Node) assignRole() {
 	zone := n.zoneOrder(n.self.Zone)
 	rank := slices.Index(zone, n.self.ID)
+	n.roles.Deputize(rank > 0 && rank <= deputies)
 	if rank <= 0 {
 		n.setRole(true, "")
 		return
--- a/internal/share/feed/follow.go
+++ b/internal/share/feed/follow.go
@@ -52,7 +52,7 @@
 		before, _ := f.board.Version(f.name)
 		if err := f.Step(ctx); err != nil {
 			f.lost(ctx, err)
-			pause.For(ctx, f.nextPause())
+			f.rest(ctx)
 			continue
 		}
 		f.regained()
@@ -122,6 +122,16 @@
 	f.roles.storeFailed(f.name, false)
 }
 
+// rest pauses after a failed call: longer while other routers answer, until they answer no more
+// or this router becomes a reader.
+func (f *Follower) rest(ctx context.Context) {
+	pause.For(ctx, f.nextPause())
+	left := f.pace.Others/2 + time.Duration(f.rng.Int64N(int64(f.pace.Others/2)+1))
+	for left > 0 && f.roles.leavesStore() && pause.For(ctx, f.pace.Most) {
+		left -= f.pace.Most
+	}
+}
+
 // nextPause doubles from failure to failure and varies by half, so that routers do not
 // call a returned store all at once.
 func (f *Follower) nextPause() time.Duration {
--- a/internal/share/feed/pull.go
+++ b/internal/share/feed/pull.go
@@ -50,6 +50,8 @@
 	next int
 	// failed is set while the latest call failed, so that an outage is logged once.
 	failed bool
+	// answered is when another router answered last, if only with old news.
+	answered time.Time
 	// started is when this puller was made. Another router may know nothing yet for a
 	// while after it: all may have just started.
 	started time.Time
@@ -113,6 +115,7 @@
 		p.avoided[from] = p.clock().Add(p.pace.PeerFirst)
 		return
 	}
+	p.noteAnswer(err)
 	if err != nil {
 		p.lost(from, err)
 		return
@@ -120,6 +123,14 @@
 	p.regained(from)
 }
 
+// noteAnswer follows whether other routers answer at all; one that does not says little.
+func (p *Puller) noteAnswer(err error) {
+	if kind := fault.KindOf[Kind](err); err == nil || kind == Stale || kind == Empty {
+		p.answered = p.clock()
+	}
+	p.roles.peersAnswer(p.clock().Sub(p.answered) < avoidFor)
+}
+
 // regained notes a call that was answered and logs the first after failures.
 func (p *Puller) regained(from ident.Router) {
 	if p.failed {
@@ -137,10 +148,19 @@
 	}
 	p.failed = true
 	p.next++
-	p.avoided[from] = p.clock().Add(avoidFor)
+	p.avoided[from] = p.clock().Add(p.avoidance(err))
 	p.roles.peersFailed(true)
 }
 
+// avoidance is how long a router that failed is not asked: one that has only old news may have
+// fresh news with the store's next answer.
+func (p *Puller) avoidance(err error) time.Duration {
+	if fault.KindOf[Kind](err) == Stale {
+		return p.pace.Most
+	}
+	return avoidFor
+}
+
 // Step makes one call and takes in its answer.
 func (p *Puller) Step(ctx context.Context, from ident.Router) error {
 	const op = "feed.Pull"
--- a/internal/share/feed/roles.go
+++ b/internal/share/feed/roles.go
@@ -26,8 +26,13 @@
 	pressed bool
 	// starving is set while the store has not given a first copy in the time that it takes.
 	starving bool
-	// orphan is set while no other router answers.
+	// orphan is set while no other router has fresh news.
 	orphan bool
+	// deputy routers look for a store that does not answer as often as readers do: one reader may
+	// be turned away, or wait for an answer that does not come while the store is back.
+	deputy bool
+	// company is set while other routers answer, if only with old news.
+	company bool
 	// changed is closed and made anew whenever what a router is to read may differ.
 	changed chan struct{}
 }
@@ -49,6 +54,9 @@
 	r.signal()
 }
 
+// Deputize makes this router a deputy of its availability zone's reader, or no longer.
+func (r *Roles) Deputize(deputy bool) { r.set(&r.deputy, deputy) }
+
 // Reader reports whether this router is to read the store, and else from whom.
 func (r *Roles) Reader() (reader bool, parent ident.Router) {
 	r.mu.Lock()
@@ -68,9 +76,19 @@
 // Starve has a router that is to read the store ask the others as well, or no longer.
 func (r *Roles) Starve(starving bool) { r.set(&r.starving, starving) }
 
-// peersFailed notes whether other routers answer.
+// peersFailed notes whether other routers have no fresh news.
 func (r *Roles) peersFailed(failed bool) { r.set(&r.orphan, failed) }
 
+// peersAnswer notes whether other routers answer at all.
+func (r *Roles) peersAnswer(answer bool) { r.set(&r.company, answer) }
+
+// leavesStore reports whether to leave it to the readers to find a store that does not answer.
+func (r *Roles) leavesStore() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.reader && !r.deputy && r.parent != "" && !r.pressed && r.company
+}
+
 // set changes one of the conditions of a role and wakes those who wait if it differs.
 func (r *Roles) set(condition *bool, to bool) {
 	r.mu.Lock()
