--- a/internal/share/feed/roles.go
+++ b/internal/share/feed/roles.go
@@ -31,8 +31,8 @@
 	// deputy routers look for a store that does not answer as often as readers do: one reader may
 	// be turned away, or wait for an answer that does not come while the store is back.
 	deputy bool
-	// company is set while other routers answer, if only with old news.
-	company bool
+	// peersUp is set while other routers answer, if only with old news.
+	peersUp bool
 	// changed is closed and made anew whenever what a router is to read may differ.
 	changed chan struct{}
 }
@@ -80,13 +80,13 @@
 func (r *Roles) peersFailed(failed bool) { r.set(&r.orphan, failed) }
 
 // peersAnswer notes whether other routers answer at all.
-func (r *Roles) peersAnswer(answer bool) { r.set(&r.company, answer) }
+func (r *Roles) peersAnswer(answer bool) { r.set(&r.peersUp, answer) }
 
 // leavesStore reports whether to leave it to the readers to find a store that does not answer.
 func (r *Roles) leavesStore() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.reader && !r.deputy && r.parent != "" && !r.pressed && r.company
+	return !r.reader && !r.deputy && r.parent != "" && !r.pressed && r.peersUp
 }
 
 // set changes one of the conditions of a role and wakes those who wait if it differs.
