Operators of the product's own interface close availability zones in a service's document

closed_zones names them; their targets finish what they have and get no new work. TestClosedZone fails without the check (the engine of the closed zone got requests).

--- a/internal/fake/fleet/fleet_test.go
+++ b/internal/fake/fleet/fleet_test.go
@@ -249,6 +249,30 @@
 	}
 }
 
+// An operator closes an availability zone of a service and opens it again.
+func TestClosedZone(t *testing.T) {
+	b := start(t, fleet.Options{Routers: 3, Engines: 3})
+	ask := func(what string) int {
+		before := b.Engines[0].Counts().Served
+		for i := range 30 {
+			q := fmt.Sprint(what, i)
+			if r := b.caller.Chat(b.ctx, b.Routers[i%3].CallerAddr(), q, q, words, true); !r.Right(q, words) {
+				t.Fatalf("got %+v", r)
+			}
+		}
+		return b.Engines[0].Counts().Served - before
+	}
+	closed := "closed_zones = " + string(b.Engines[0].Zone) + "\nslots = 8"
+	b.apply(t, "closed", strings.Replace(text(), "slots = 8", closed, 1))
+	if got := ask("closed"); got != 0 {
+		t.Errorf("the engine of the closed zone got %d requests", got)
+	}
+	b.apply(t, "open", text())
+	if got := ask("open"); got == 0 {
+		t.Error("the engine of the opened zone got no requests")
+	}
+}
+
 func TestPlannedStopCutsNothing(t *testing.T) {
 	b := start(t, fleet.Options{Routers: 3, Engines: 3, Engine: target.EngineOptions{PerWord: 20 * time.Millisecond}})
 	stopping := b.Routers[2]
--- a/internal/oper/daemon/pools.go
+++ b/internal/oper/daemon/pools.go
@@ -28,10 +28,11 @@
 	}
 }
 
-// capacity is what an engine's report says of it.
-func (d *Daemon) capacity(_ policy.Service, t peer.Target) mesh.Capacity {
+// capacity is what an engine's report and its service's document say of it.
+func (d *Daemon) capacity(service policy.Service, t peer.Target) mesh.Capacity {
 	report := d.reports.of(t.ID)
-	return mesh.Capacity{Slots: report.Slots, Closed: report.silent()}
+	closed := report.silent() || slices.Contains(service.ClosedZones, t.Zone)
+	return mesh.Capacity{Slots: report.Slots, Closed: closed}
 }
 
 // acknowledge says that callers are served by a revision from now on.
--- a/internal/rule/policy/service.go
+++ b/internal/rule/policy/service.go
@@ -56,6 +56,8 @@
 	Weighing Weighing
 	// Model is the model that its engines are to have loaded; empty gives no orders.
 	Model string
+	// ClosedZones are the availability zones whose targets get no new work.
+	ClosedZones []ident.Zone
 }
 
 // Protocol is how targets are spoken to.
@@ -99,6 +101,9 @@
 		balance = Local
 	}
 	s.Balance = Balance(f.oneOf("balance", string(balance), string(Exact), string(Local)))
+	for _, zone := range f.list("closed_zones") {
+		s.ClosedZones = append(s.ClosedZones, ident.Zone(zone))
+	}
 	for _, part := range f.list("not_run_status") {
 		status, err := strconv.Atoi(part)
 		if err != nil || status < 400 || status > 599 {
