--- a/internal/share/feed/outage_test.go
+++ b/internal/share/feed/outage_test.go
@@ -12,6 +12,7 @@
 
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
+	"valescale/internal/plat/pause"
 	"valescale/internal/plat/table"
 )
 
@@ -45,7 +46,7 @@
 		<-ctx.Done()
 		return 0, fault.New("test", table.Unavailable, ctx.Err())
 	}
-	time.Sleep(storeAnswers)
+	pause.For(ctx, storeAnswers)
 	return version, nil
 }
 
@@ -59,7 +60,7 @@
 	if err != nil || version > after {
 		return changes(version, row("a", version)), err
 	}
-	time.Sleep(wait)
+	pause.For(ctx, wait)
 	return table.Page{Version: version}, nil
 }
 
@@ -70,7 +71,7 @@
 }
 
 func (z zonePeers) Rows(ctx context.Context, from ident.Router, have []State, wait time.Duration) ([]Reply, error) {
-	time.Sleep(storeAnswers / 10)
+	pause.For(ctx, storeAnswers/10)
 	b := z.o.boards[from]
 	after := map[table.Name]table.Version{}
 	for _, s := range have {
@@ -158,9 +159,9 @@
 		defer wg.Wait()
 		defer cancel()
 		o.run(ctx, &wg)
-		time.Sleep(5 * time.Second)
+		pause.For(ctx, 5*time.Second)
 		before := o.set(true)
-		time.Sleep(lasts)
+		pause.For(ctx, lasts)
 		o.mu.Lock()
 		o.version++
 		o.mu.Unlock()
@@ -171,7 +172,7 @@
 		}
 		began := time.Now()
 		for o.behind() > 0 && time.Since(began) < 10*time.Second {
-			time.Sleep(10 * time.Millisecond)
+			pause.For(ctx, 10*time.Millisecond)
 		}
 		if took := time.Since(began); took > news {
 			t.Errorf("a change reached all routers %v after the store's return, want %v at most", took, news)
