A target that starts again under its name is another incarnation; spoilt rows name no target

Cause: each start of a target counted as the first (`Incarnation: 1`), so that a target back under its name kept the places, failures, breakers, silence, idle connections and cold time of the process before. A row was taken for a live target whatever its state said and however much it lacked: no address, no availability zone, a number as text.

Change: the adapter reads when a target started as its incarnation and takes rows strictly, by the exact names, types and ranges of the fields; the rest of the product already tells incarnations apart, but for a router's memory of its last engines, breakers, the pace of cold engines, the cold time and idle connections, which now do. A start that tells an earlier time than the one before (a clock set back) still counts as later. Rows are decoded once a writing instead of at each change of any, and a spoilt one is logged once. What is in flight at the earlier start counts until it ends, since some of it may have reached the new one already.

Ruled out: taking a missing time of start for a spoilt row.

--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -96,13 +96,20 @@
 	}
 }
 
-// changeTarget has a target drain, leave without a word, or come back.
+// changeTarget has a target drain, leave without a word, come back, or start again under its name, or
+// another writer spoil its row.
 func (w *world) changeTarget(t *target) {
-	switch w.rng.IntN(3) {
+	switch w.rng.IntN(5) {
 	case 0:
 		w.announce(t, "draining")
 	case 1:
 		fake.Withdraw(w.store, t.id)
+	case 2:
+		fake.Spoil(w.store, t.id, w.rng.Int())
+	case 3:
+		// The clock may have been set back meanwhile.
+		t.born += int64(w.rng.IntN(4000)) - 1000
+		w.announce(t, "ready")
 	default:
 		w.announce(t, "ready")
 	}
--- a/cmd/soak/world.go
+++ b/cmd/soak/world.go
@@ -44,7 +44,9 @@
 	id      string
 	service string
 	addr    string
-	faults  *fake.Faults
+	// born is when the target started last, in Unix milliseconds.
+	born   int64
+	faults *fake.Faults
 }
 
 // Services and paths of the configuration.
@@ -107,14 +109,16 @@
 	if err != nil {
 		return err
 	}
-	t.faults, t.addr = faults, faults.Addr().String()
+	t.faults, t.addr, t.born = faults, faults.Addr().String(), time.Now().UnixMilli()
 	w.targets = append(w.targets, t)
 	w.announce(t, "ready")
 	return nil
 }
 
 func (w *world) announce(t *target, state string) {
-	fake.Announce(w.store, t.id, t.service, t.addr, "a", state, 16)
+	fake.Announce(w.store, fake.Announcement{
+		ID: t.id, Service: t.service, Addr: t.addr, Zone: "a", State: state, Slots: 16, Born: t.born,
+	})
 }
 
 // configure writes the next configuration: the fixed routes and one that only it has.
--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -97,9 +97,14 @@
 // while. Connections may fall silent for good without a reset, all of a target's at once,
 // and each would cost a request to find out.
 func (c *Conns) distrust(addr string, silence time.Duration) {
-	if silence < silentAfter {
-		return
+	if silence >= silentAfter {
+		c.Forget(addr)
 	}
+}
+
+// Forget closes the idle connections to an address, as when its target has started anew: they end
+// at the earlier process, or nowhere.
+func (c *Conns) Forget(addr string) {
 	c.mu.Lock()
 	list := c.idle[addr]
 	delete(c.idle, addr)
--- a/internal/edge/relay/silent_test.go
+++ b/internal/edge/relay/silent_test.go
@@ -50,6 +50,35 @@
 	a.Close()
 }
 
+// Idle connections to a target that has started anew are not used again, though they seem open.
+func TestConnectionsToAnEarlierStartAreForgotten(t *testing.T) {
+	var opened atomic.Int32
+	var never atomic.Bool
+	addr := listen.Conns(t, func(c net.Conn) {
+		opened.Add(1)
+		answerUntil(c, &never, false)
+	})
+	conns, closeConns := NewConns(DefaultConnLimits)
+	t.Cleanup(closeConns)
+	for _, forget := range []bool{false, false, true} {
+		if forget {
+			conns.Forget(addr)
+		}
+		a, err := conns.Send(t.Context(), Exchange{
+			Addr: addr, Method: "GET", Path: "/", Host: "h", Header: http.Header{},
+			Owns: func(http.Header) bool { return true }, Fresh: time.Minute,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, a)
+		a.Close()
+	}
+	if got := opened.Load(); got != 2 {
+		t.Errorf("%d connections, want one of each start", got)
+	}
+}
+
 // answerUntil answers requests on a connection; one that was open before falls silent.
 func answerUntil(c net.Conn, silent *atomic.Bool, born bool) {
 	defer c.Close()
--- a/internal/edge/route/gone_test.go
+++ b/internal/edge/route/gone_test.go
@@ -9,6 +9,7 @@
 
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
 )
 
 // What is known of a target goes with the target.
@@ -33,3 +34,32 @@
 		t.Errorf("breakers and times: %s", diff)
 	}
 }
+
+// What was seen of a target is void once it has started anew, and only that.
+func TestNothingIsKeptOfAnEarlierStart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(Self{ID: "edge", Region: "co"}, nil, func() time.Time { return now })
+	again, stays := ident.Target("again").Hash(), ident.Target("stays").Hash()
+	pool := func(incarnation ident.Incarnation) []Pool {
+		return []Pool{{
+			Name: "p", Region: "co", Service: policy.Service{Name: "s", Shards: 1},
+			Engines: []place.Engine{{ID: "again", Hash: again, Incarnation: incarnation}, {ID: "stays", Hash: stays, Incarnation: 1}},
+			Targets: map[ident.TargetHash]Target{again: {ID: "again", Incarnation: incarnation}, stays: {ID: "stays", Incarnation: 1}},
+		}}
+	}
+	r.Set(pool(1), place.Assign(nil, nil))
+	for _, hash := range []ident.TargetHash{again, stays} {
+		r.Unreachable(hash)
+		r.Heard(hash)
+	}
+	r.Set(pool(2), place.Assign(nil, nil))
+	id := place.ShardID{Pool: "p"}
+	_, tripped := r.breakers[again]
+	_, heard := r.heard[again]
+	if tripped || heard || !cmp.Equal(r.failed[id], []ident.TargetHash{stays}) {
+		t.Errorf("of the earlier start: breaker %v, answer %v, failures of %v", tripped, heard, r.failed[id])
+	}
+	if r.breakers[stays] == nil || r.heard[stays].IsZero() {
+		t.Error("what was seen of another target is gone too")
+	}
+}
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -169,6 +169,7 @@
 func (r *Router) Set(pools []Pool, assigned *place.Assignment) []Move {
 	r.mu.Lock()
 	old := r.pools
+	r.forgetRestarted(pools)
 	r.pools = map[ident.Service][]*pool{}
 	for _, p := range pools {
 		next := r.renew(old[p.Service.Name], p)
@@ -187,6 +188,28 @@
 	return moved
 }
 
+// forgetRestarted drops what was seen of targets that have started anew since: it was of the earlier
+// start. What this router has in flight there counts on until it ends, since some of it may have
+// reached the new start already; the caller holds the lock.
+func (r *Router) forgetRestarted(pools []Pool) {
+	for _, p := range pools {
+		for _, old := range r.pools[p.Service.Name] {
+			for hash, t := range p.Targets {
+				before, known := old.Targets[hash]
+				if !known || before.Incarnation == t.Incarnation {
+					continue
+				}
+				delete(r.breakers, hash)
+				delete(r.heard, hash)
+				id := old.shardOf(hash)
+				if failed := r.failed[id]; len(failed) > 0 {
+					r.failed[id] = slices.DeleteFunc(failed, func(h ident.TargetHash) bool { return h == hash })
+				}
+			}
+		}
+	}
+}
+
 // forgetGone drops what is known of targets that no pool has any more; the caller holds
 // the lock.
 func (r *Router) forgetGone(pools []Pool) {
--- a/internal/oper/node/cold.go
+++ b/internal/oper/node/cold.go
@@ -10,8 +10,9 @@
 
 // coldTarget is a target that said how much longer it is cold.
 type coldTarget struct {
-	left  time.Duration
-	until time.Time
+	incarnation ident.Incarnation
+	left        time.Duration
+	until       time.Time
 }
 
 // noteCold keeps until when targets are cold. A row goes on saying what it said first, so that
@@ -25,8 +26,8 @@
 		}
 		id := ident.Target(t.ID)
 		cold, known := before[id]
-		if !known || cold.left != t.ColdLeft {
-			cold = coldTarget{left: t.ColdLeft, until: s.clock().Add(t.ColdLeft)}
+		if !known || cold.left != t.ColdLeft || cold.incarnation != t.Incarnation {
+			cold = coldTarget{incarnation: t.Incarnation, left: t.ColdLeft, until: s.clock().Add(t.ColdLeft)}
 		}
 		s.cold[id] = cold
 	}
--- a/internal/oper/node/cold_test.go
+++ b/internal/oper/node/cold_test.go
@@ -19,22 +19,25 @@
 // coldRows decodes nothing: what it says is set by the test.
 type coldRows struct {
 	Rows
-	left time.Duration
+	left        time.Duration
+	incarnation ident.Incarnation
 }
 
-func (r *coldRows) Targets([]table.Row) ([]Target, []error) {
-	return []Target{{Box: boxes.Box{ID: "t", Service: "s", Zone: "a"}, Slots: 12, ColdLeft: r.left}}, nil
+func (r *coldRows) Target(table.Row) (Target, error) {
+	return Target{Box: boxes.Box{ID: "t", Service: "s", Zone: "a", Incarnation: r.incarnation}, Slots: 12, ColdLeft: r.left}, nil
 }
 
 // A target is cold for as long as its row said first, however often the row is read, and again
-// when the row says another time or its availability zone was opened again.
+// when the row says another time, the target started anew, or its availability zone was opened again.
 func TestColdTargets(t *testing.T) {
 	now := time.Unix(1000, 0)
-	rows := &coldRows{left: 3 * time.Second}
+	rows := &coldRows{left: 3 * time.Second, incarnation: 1}
+	version := table.Version(0)
 	s := newState(rows, log.NewNopLogger(), func() time.Time { return now })
 	s.services = []match.Service{{Name: "s", ColdFor: 3 * time.Second, ColdRate: 13}}
 	until := func() time.Time {
-		s.setTargets(nil)
+		version++
+		s.setTargets([]table.Row{{Key: "t", Version: version}})
 		return s.capacity(policy.Service{Name: "s"}, peer.Target{ID: "t", Service: "s", Zone: "a"}).Cold.Until
 	}
 	first := now.Add(3 * time.Second)
@@ -49,6 +52,11 @@
 	if got := until(); !got.Equal(now.Add(rows.left)) {
 		t.Errorf("cold again: until %v, want %v", got, now.Add(rows.left))
 	}
+	now = now.Add(time.Second)
+	rows.incarnation++
+	if got := until(); !got.Equal(now.Add(rows.left)) {
+		t.Errorf("another start that is cold for as long: until %v, want %v", got, now.Add(rows.left))
+	}
 	rows.left = 0
 	s.zones.set([]ident.Zone{"a"}, 1)
 	now = now.Add(time.Minute)
--- a/internal/oper/node/settings.go
+++ b/internal/oper/node/settings.go
@@ -86,8 +86,8 @@
 	// ClosedZones are the availability zones whose targets are to get no new work, from the
 	// rows of the configuration's table.
 	ClosedZones(rows []table.Row) []ident.Zone
-	// Targets decodes the targets and reports the rows that cannot be read.
-	Targets(rows []table.Row) (targets []Target, bad []error)
+	// Target decodes a target's row; one with an error names no target.
+	Target(row table.Row) (Target, error)
 }
 
 // Parts are what a router works with.
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -36,6 +36,8 @@
 	// each service take new work.
 	slots  map[ident.Target]int
 	counts map[ident.Service]int
+	// readings are the targets' rows as they were decoded.
+	readings map[table.Key]reading
 	// cold are the targets that said that they are cold.
 	cold map[ident.Target]coldTarget
 	// listed is set once the targets' rows have been read.
@@ -48,8 +50,8 @@
 // newState returns the state without rows.
 func newState(rows Rows, logger log.Logger, clock ident.Clock) *state {
 	return &state{
-		rows: rows, logger: logger, clock: clock, slots: map[ident.Target]int{}, counts: map[ident.Service]int{}, cold: map[ident.Target]coldTarget{},
-		zones: newZones(logger, clock),
+		rows: rows, logger: logger, clock: clock, zones: newZones(logger, clock),
+		slots: map[ident.Target]int{}, counts: map[ident.Service]int{}, cold: map[ident.Target]coldTarget{},
 	}
 }
 
@@ -99,15 +101,14 @@
 	return latest
 }
 
-// setTargets takes in the targets.
-func (s *state) setTargets(rows []table.Row) {
-	targets, bad := s.rows.Targets(rows)
-	for _, err := range bad {
-		_ = level.Error(s.logger).Log("msg", "a target's row cannot be read", "err", err)
-	}
+// setTargets takes in the targets, and returns the addresses of those that have started anew under
+// their names.
+func (s *state) setTargets(rows []table.Row) (restarted []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	targets := s.readTargets(rows)
 	s.logTargets(targets, newest(rows))
+	restarted = s.restarted(targets)
 	s.listed = true
 	s.targets = s.targets[:0:0]
 	clear(s.slots)
@@ -121,6 +122,7 @@
 	}
 	s.noteCold(targets)
 	s.turns++
+	return restarted
 }
 
 // logTargets logs which targets came, went or changed; the caller holds the lock.
--- a/internal/oper/node/tables.go
+++ b/internal/oper/node/tables.go
@@ -14,7 +14,9 @@
 		n.mesh.MarkDirty()
 	})
 	n.board.Follow(n.Rows.TargetTable(), func(rows []table.Row) {
-		n.state.setTargets(rows)
+		for _, addr := range n.state.setTargets(rows) {
+			n.conns.Forget(addr)
+		}
 		n.observe()
 		n.mesh.MarkDirty()
 	})
--- /dev/null
+++ b/internal/oper/node/targets_test.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/go-cmp/cmp"
+
+	"valescale/internal/plat/boxes"
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/plat/table"
+)
+
+// plainRows decodes rows whose value is a target's time of start in one letter; "?" is none.
+type plainRows struct{ Rows }
+
+func (plainRows) Target(row table.Row) (Target, error) {
+	if string(row.Value) == "?" {
+		return Target{}, fault.New("node.test", BadRow, nil)
+	}
+	since := ident.Incarnation(row.Value[0])
+	return Target{Box: boxes.Box{ID: string(row.Key), Addr: "at " + string(row.Key), State: boxes.Live, Incarnation: since}}, nil
+}
+
+// rowsOf makes rows of keys, values and versions.
+func rowsOf(version table.Version, keysAndValues ...string) []table.Row {
+	var out []table.Row
+	for i := 0; i < len(keysAndValues); i += 2 {
+		out = append(out, table.Row{Key: table.Key(keysAndValues[i]), Value: []byte(keysAndValues[i+1]), Version: version})
+	}
+	return out
+}
+
+// incarnations are those of all targets.
+func incarnations(s *state) map[string]ident.Incarnation {
+	out := map[string]ident.Incarnation{}
+	for _, b := range s.targets {
+		out[b.ID] = b.Incarnation
+	}
+	return out
+}
+
+// A target that starts again under its name is a new incarnation, above the one before even if its
+// clock was set back, and its address is returned so that old connections can be closed.
+func TestTargetStartsAnew(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newState(plainRows{}, log.NewNopLogger(), func() time.Time { return now })
+	for i, step := range []struct {
+		name string
+		rows []table.Row
+		want map[string]ident.Incarnation
+		anew []string
+	}{
+		{"first", rowsOf(1, "x", "m", "y", "m"), map[string]ident.Incarnation{"x": 'm', "y": 'm'}, nil},
+		{"later", append(rowsOf(1, "y", "m"), rowsOf(2, "x", "p")...), map[string]ident.Incarnation{"x": 'p', "y": 'm'}, []string{"at x"}},
+		{"said again", append(rowsOf(1, "y", "m"), rowsOf(3, "x", "p")...), map[string]ident.Incarnation{"x": 'p', "y": 'm'}, nil},
+		{"clock set back", append(rowsOf(1, "y", "m"), rowsOf(4, "x", "a")...), map[string]ident.Incarnation{"x": 'q', "y": 'm'}, []string{"at x"}},
+		{"said again", append(rowsOf(1, "y", "m"), rowsOf(5, "x", "a")...), map[string]ident.Incarnation{"x": 'q', "y": 'm'}, nil},
+		{"gone", rowsOf(1, "y", "m"), map[string]ident.Incarnation{"y": 'm'}, nil},
+		{"back with an earlier time", append(rowsOf(1, "y", "m"), rowsOf(6, "x", "b")...), map[string]ident.Incarnation{"x": 'r', "y": 'm'}, nil},
+		{"spoilt", append(rowsOf(1, "y", "m"), rowsOf(7, "x", "?")...), map[string]ident.Incarnation{"y": 'm'}, nil},
+		{"its own row again", append(rowsOf(1, "y", "m"), rowsOf(8, "x", "b")...), map[string]ident.Incarnation{"x": 'r', "y": 'm'}, nil},
+	} {
+		anew := s.setTargets(step.rows)
+		if diff := cmp.Diff(step.want, incarnations(s)); diff != "" {
+			t.Errorf("step %d, %s: %s", i, step.name, diff)
+		}
+		if diff := cmp.Diff(step.anew, anew); diff != "" {
+			t.Errorf("step %d, %s, started anew: %s", i, step.name, diff)
+		}
+	}
+	s.setTargets(nil)
+	now = now.Add(rememberGone)
+	s.setTargets(nil)
+	if diff := cmp.Diff(0, len(s.readings)); diff != "" {
+		t.Errorf("rows remembered for ever: %s", diff)
+	}
+}
+
+// A row that names no target is told of once, however often the table is read.
+func TestSpoiltRowIsLoggedOnce(t *testing.T) {
+	var out bytes.Buffer
+	s := newState(plainRows{}, log.NewJSONLogger(&out), time.Now)
+	for range 3 {
+		s.setTargets(append(rowsOf(1, "x", "?"), rowsOf(2, "y", "m")...))
+	}
+	if diff := cmp.Diff(1, strings.Count(out.String(), "names no target")); diff != "" {
+		t.Errorf("lines about the row: %s", diff)
+	}
+	s.setTargets(rowsOf(3, "x", "?"))
+	if diff := cmp.Diff(2, strings.Count(out.String(), "names no target")); diff != "" {
+		t.Errorf("lines after another writing: %s", diff)
+	}
+}
--- a/internal/rule/place/cold_test.go
+++ b/internal/rule/place/cold_test.go
@@ -116,3 +116,24 @@
 		t.Errorf("the cold engine got %d requests in a second, want some and %v at most", got, coldMost)
 	}
 }
+
+// A cold engine that starts anew owes nothing for what its earlier start got.
+func TestColdEngineThatStartsAnew(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := place.Engine{
+		ID: "cold", Hash: ident.Target("cold").Hash(), Slots: 12 * ident.OneRequest, Incarnation: 1,
+		Cold: place.Cold{Until: now.Add(time.Minute), Rate: 1},
+	}
+	h := place.NewHome(place.ShardID{Pool: "p"}, "router", steady, 0)
+	h.SetEngines([]place.Engine{e}, []int{1})
+	ask := func(permit uint64) place.Result {
+		return h.Place(now, place.Request{Edge: "edge", Permit: permit, Key: 7, Work: ident.OneRequest, Must: true}).Result
+	}
+	first, second := ask(1), ask(2)
+	e.Incarnation++
+	h.SetEngines([]place.Engine{e}, []int{1})
+	third := ask(3)
+	if first != place.Placed || second == place.Placed || third != place.Placed {
+		t.Errorf("got %v, %v, and %v from the new start", first, second, third)
+	}
+}
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -211,6 +211,7 @@
 		}
 		if known && h.engines[i].Incarnation < e.Incarnation {
 			h.health.forget(e.Hash)
+			h.engines[i].pace = coldPace{}
 		}
 		h.engines[i].Engine = e
 		h.engines[i].present = true
--- a/internal/rule/place/pool.go
+++ b/internal/rule/place/pool.go
@@ -26,11 +26,11 @@
 	asked [MaxShards]time.Time
 	bound Bound
 	// last is the engine to which this router sent each chat last.
-	last memory[ident.TargetHash]
+	last memory[spot]
 }
 
 // lastChats is how many chats' engines a router remembers: at 1,200 subjects of a large
-// site all of them; 12 bytes each.
+// site all of them; 24 bytes each.
 const lastChats = 20_000
 
 // NewPool returns a picture without engines; shards is between one and MaxShards.
@@ -41,7 +41,7 @@
 		index:  map[ident.TargetHash]int{},
 		own:    map[ident.TargetHash]ident.Work{},
 		bound:  bound,
-		last:   newMemory[ident.TargetHash](lastChats),
+		last:   newMemory[spot](lastChats),
 	}
 }
 
@@ -53,16 +53,20 @@
 }
 
 // Remember notes the engine to which this router sent a chat.
-func (p *Pool) Remember(key ident.ChatKey, engine ident.TargetHash) { p.last.put(key, engine) }
+func (p *Pool) Remember(key ident.ChatKey, engine ident.TargetHash) {
+	e, _ := p.engine(engine)
+	p.last.put(key, spot{engine: engine, incarnation: e.Incarnation})
+}
 
-// Last is the engine to which this router sent a chat last, zero if that is not known or
-// the engine is gone.
+// Last is the engine to which this router sent a chat last, zero if that is not known, or
+// the engine is gone or has started anew since: its caches are empty then.
 func (p *Pool) Last(key ident.ChatKey) ident.TargetHash {
-	engine, _ := p.last.get(key)
-	if _, known := p.index[engine]; !known {
+	at, _ := p.last.get(key)
+	e, known := p.engine(at.engine)
+	if !known || e.Incarnation != at.incarnation {
 		return 0
 	}
-	return engine
+	return at.engine
 }
 
 // SetEngines replaces the pool's engines.
--- a/internal/rule/place/recall_test.go
+++ b/internal/rule/place/recall_test.go
@@ -119,3 +119,25 @@
 		t.Error(diff)
 	}
 }
+
+// An engine that has started anew holds nothing of before: the router no longer asks for it, though
+// it asks again once it has sent the chat to the new start.
+func TestEngineThatStartedAnewIsNotTheLast(t *testing.T) {
+	p := steadyPool(1)
+	e := engineOf(3)
+	p.Remember(7, e.Hash)
+	list := append([]place.Engine(nil), p.Engines()...)
+	for i := range list {
+		if list[i].Hash == e.Hash {
+			list[i].Incarnation++
+		}
+	}
+	p.SetEngines(list)
+	if diff := cmp.Diff(ident.TargetHash(0), p.Last(7)); diff != "" {
+		t.Errorf("after a new start: %s", diff)
+	}
+	p.Remember(7, e.Hash)
+	if diff := cmp.Diff(e.Hash, p.Last(7)); diff != "" {
+		t.Errorf("sent to the new start: %s", diff)
+	}
+}
