A slot that comes free goes to a waiting request whose prompt is kept there

Ruled out: memory that gives way (6.6 million tokens of subjects before room for 37), and slots that idle (1,321 of 1,344 were taken).

Change: of the waiting requests of the same priority whose turn would come soon, one that has its prompt at an engine with a free slot goes first. A request is passed 16 times at most, 25 ms; who goes before whom by priority is unchanged, and so is the alternation with the fair order.

--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -132,6 +132,27 @@
 	return i, known && h.admits(now, i, req, limit) == Placed
 }
 
+// Kept reports whether an engine where a request's chat ran has a free slot: it need not copy or read
+// the chat's prompt again there.
+func (h *Home) Kept(req Request) bool {
+	if req.Once {
+		return true
+	}
+	at, _ := h.places.get(req.Key)
+	for _, s := range at.at {
+		i, known := h.index[s.engine]
+		if known && h.engines[i].Incarnation == s.incarnation && h.engines[i].hasSlot(req) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasSlot reports whether an engine that may get the request can run it at once.
+func (e *engineLoad) hasSlot(req Request) bool {
+	return e.usable() && !slices.Contains(req.Avoid, e.Hash) && (e.Slots <= 0 || e.load()+req.Work <= e.Slots || e.load() <= 0)
+}
+
 // steadyLimit is the load under which an engine takes the chats that prefer it.
 func (h *Home) steadyLimit(total ident.Work) float64 {
 	if h.bound.Steady <= 0 {
--- a/internal/rule/quota/queue.go
+++ b/internal/rule/quota/queue.go
@@ -23,6 +23,8 @@
 	seq   uint64
 	flow  *flow
 	slot  int
+	// passed is how many others went before this one in its turn.
+	passed int
 }
 
 type flow struct {
@@ -128,19 +130,58 @@
 // Pop takes the next waiter whose deadline has not passed; those whose has are
 // returned as late.
 func (q *Queue) Pop(now time.Time) (next *Waiter, late []*Waiter) {
+	return q.PopSuited(now, func(*Waiter) bool { return true })
+}
+
+const (
+	// mostPassed is how many others may go before a waiter in its turn because they suit the room
+	// that has come free. At some 600 turns a second of a shard of 28 engines it waits 25 ms longer
+	// at most; four times as many brought no more in a model of such a shard.
+	mostPassed = 16
+	// suitedWithin is how far behind the waiter whose turn it is others may be to go before it, in
+	// requests of their workspace. In the same model 0.62 of the requests met their prompt with 4,
+	// 0.76 with 16, 0.79 with 64 and 0.15 with none.
+	suitedWithin = 16 * float64(ident.OneRequest)
+)
+
+// PopSuited takes the next waiter like Pop, or, if that one does not suit the room there is, another
+// of its priority that would come soon after it and does.
+func (q *Queue) PopSuited(now time.Time, suits func(*Waiter) bool) (next *Waiter, late []*Waiter) {
 	for len(q.heap) > 0 {
-		w := heap.Remove(&q.heap, q.turn()).(*Waiter)
-		q.left(w)
+		w := q.heap[q.turn()]
 		if !w.Deadline.IsZero() && now.After(w.Deadline) {
+			q.Remove(w)
 			late = append(late, w)
 			continue
 		}
 		q.virtual = max(q.virtual, w.start)
+		if w.passed < mostPassed && !suits(w) {
+			if other := q.suited(now, w, suits); other != nil {
+				w.passed++
+				w = other
+			}
+		}
+		q.Remove(w)
 		return w, late
 	}
 	return nil, late
 }
 
+// suited returns the first waiter that may go before the one whose turn it is and suits, or nil.
+func (q *Queue) suited(now time.Time, turn *Waiter, suits func(*Waiter) bool) *Waiter {
+	var best *Waiter
+	for _, w := range q.heap {
+		switch {
+		case w == turn || w.Priority != turn.Priority || w.start > turn.start+suitedWithin:
+		case !w.Deadline.IsZero() && now.After(w.Deadline):
+		case best != nil && (w.start > best.start || w.start == best.start && w.seq > best.seq):
+		case suits(w):
+			best = w
+		}
+	}
+	return best
+}
+
 // turn returns the place in the heap of the waiter whose turn is next. Turns go by
 // priority and by the fair order of workspaces alone, one after the other: under lasting
 // overload the most urgent requests get at least half of the room and the others still
--- a/internal/share/home/place.go
+++ b/internal/share/home/place.go
@@ -161,7 +161,7 @@
 func (h *Homes) dispatch(s *shard) {
 	now := h.clock()
 	for {
-		next, late := s.queue.Pop(now)
+		next, late := s.queue.PopSuited(now, func(w *quota.Waiter) bool { return s.home.Kept(w.Value.(*waiting).ask.Request) })
 		for _, l := range late {
 			other := l.Value.(*waiting)
 			other.answer <- s.refusal(now, other.ask, TimedOut)
