Refusals close their connection

Traced with the process's own figures written into its log (trial): processor time 0.18 of 0.4 cores, timers 2 ms late at most, but 3,600 connections of callers after five seconds, and none accepted from then on for four seconds: the descriptors were gone. A refused caller comes back over a new connection and leaves the one before idle until the configured 15 s are over.

Change: a refusal says Connection: close.

--- /dev/null
+++ b/internal/edge/entry/pressed_test.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"valescale/internal/edge/route"
+	"valescale/internal/plat/fault"
+)
+
+// Pattern: more requests than all targets run, for seconds. A refused caller comes back over a new
+// connection and keeps the one before idle, as long as the configuration lets it, 15 s at the users'
+// deployments; a router of 4,100 descriptors had 3,600 such connections after five seconds of four
+// times the traffic, and accepted nobody from then on. Refusals must leave no connection behind.
+func TestRefusedCallersLeaveNoConnections(t *testing.T) {
+	s := newSetup(t, aRoute(nil))
+	s.finder.acquire = func(context.Context, route.Ask) (*route.Placement, error) {
+		return nil, fault.New("route.Acquire", route.TimedOut, route.RetryAfter{})
+	}
+	var open atomic.Int64
+	server := &http.Server{Handler: s.handler, ConnContext: WithConn, ConnState: func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			open.Add(1)
+		case http.StateClosed:
+			open.Add(-1)
+		}
+	}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for range 200 {
+		// Each caller keeps its connection if the router does.
+		client := &http.Client{Transport: &http.Transport{}}
+		req, err := http.NewRequestWithContext(t.Context(), "GET", "http://"+l.Addr().String()+"/", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "h"
+		req.Header.Set("Key", "k")
+		resp, err := client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+			t.Fatalf("status %d, come back after %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+		}
+	}
+	for deadline := time.Now().Add(5 * time.Second); open.Load() > 0; {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d connections of callers that were refused are open", open.Load())
+		}
+		<-time.After(time.Millisecond)
+	}
+}
--- a/internal/edge/entry/problem.go
+++ b/internal/edge/entry/problem.go
@@ -92,6 +92,12 @@
 	if p.again > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(p.again.Seconds(), 'f', 3, 64))
 	}
+	if p.status == http.StatusServiceUnavailable {
+		// Callers come back over a new connection and would leave this one idle for seconds. At four
+		// times the traffic a router ran out of descriptors so: it took no callers for four seconds,
+		// and 8,700 of 70,000 tries had no answer, in place of 30.
+		h.Set("Connection", "close")
+	}
 	w.WriteHeader(p.status)
 	// A caller that has gone needs no answer.
 	_, _ = w.Write(body)
