--- a/internal/edge/entry/accept.go
+++ b/internal/edge/entry/accept.go
@@ -17,6 +17,11 @@
 		arrived: h.Clock(), call: h.Dialect.Read(r.Header),
 		method: r.Method, path: r.RequestURI, host: r.Host, header: r.Header,
 	}
+	waited := unread(r.Context())
+	if h.Gate == nil || !h.Gate.read(waited) {
+		waited = 0
+	}
+	j.arrived = j.arrived.Add(-waited)
 	table := h.table(r.Context(), j)
 	if table == nil {
 		return j, refusal(NoConfig, 0)
@@ -33,6 +38,10 @@
 	if wait := j.call.Wait; wait > 0 && wait < j.route.Timeout {
 		j.limit = j.arrived.Add(wait)
 	}
+	if waited > 0 && !j.arrived.Add(j.wait(h.expected.of(j.route.Name))).After(h.Clock()) {
+		// It would be late in any case, and make those late that come after it.
+		return j, refusal(Overloaded, waited)
+	}
 	j.key = j.placeKey()
 	j.service = j.route.ServiceOf(j.key)
 	j.copies = table.Service(j.service).Copies
--- a/internal/edge/entry/caller.go
+++ b/internal/edge/entry/caller.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
+	"time"
 
 	"valescale/internal/edge/relay"
 )
@@ -10,9 +12,27 @@
 // connKey is the key of a caller's connection in the context of its requests.
 type connKey struct{}
 
+// connection is a caller's connection.
+type connection struct {
+	net.Conn
+	// accepted is when it was accepted.
+	accepted time.Time
+	// used is set once a request of it has been read.
+	used atomic.Bool
+}
+
 // WithConn notes a caller's connection for its requests, as an http.Server's ConnContext.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+	return context.WithValue(ctx, connKey{}, &connection{Conn: c, accepted: time.Now()})
+}
+
+// unread is how long the first request of a connection has waited to be read; zero for later ones.
+func unread(ctx context.Context) time.Duration {
+	c, known := ctx.Value(connKey{}).(*connection)
+	if !known || c.used.Swap(true) {
+		return 0
+	}
+	return time.Since(c.accepted)
 }
 
 // callerLeft reports whether a request's caller has closed its connection. The server ends
@@ -23,6 +43,6 @@
 	if ctx.Err() == context.Canceled {
 		return true
 	}
-	c, known := ctx.Value(connKey{}).(net.Conn)
-	return known && relay.Peek(c) == relay.Ended
+	c, known := ctx.Value(connKey{}).(*connection)
+	return known && relay.Peek(c.Conn) == relay.Ended
 }
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -79,6 +79,8 @@
 	Observer Observer
 	Logger   log.Logger
 	Clock    ident.Clock
+	// Gate is in front of the listener; nil if there is none.
+	Gate *Gate
 }
 
 // Handler serves callers.
--- a/internal/oper/node/build.go
+++ b/internal/oper/node/build.go
@@ -87,9 +87,10 @@
 	n.cleanups = append(n.cleanups, closeConns)
 	n.budget = newBudget(s.Retries, n.fleet)
 	n.metrics = telem.NewRouted(n.readings())
+	n.gate = entry.NewGate(n.listeners.callers, n.Logger, n.Clock)
 	n.handler = entry.New(entry.Parts{
 		Dialect: n.Dialect, Rules: n, Finder: n.router, Sender: conns, Budget: n.budget, Observer: n.metrics,
-		Logger: n.Logger, Clock: n.Clock,
+		Logger: n.Logger, Clock: n.Clock, Gate: n.gate,
 	})
 }
 
--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -34,6 +34,7 @@
 	conns   *relay.Conns
 	budget  *budget
 	handler *entry.Handler
+	gate    *entry.Gate
 	metrics *telem.Routed
 	// meter counts what goes to and from other routers.
 	meter *peer.Meter
--- a/internal/oper/node/serve.go
+++ b/internal/oper/node/serve.go
@@ -56,7 +56,7 @@
 	callers, peers, ready := n.callerServer(), n.peerServer(), n.readyServer()
 	n.serve(&wg, ready, n.listeners.ready)
 	n.serve(&wg, peers, n.meter.Listener(n.listeners.peers))
-	n.serve(&wg, callers, n.listeners.callers)
+	n.serve(&wg, callers, n.gate)
 	n.work(background, &wg)
 	wg.Go(func() { n.followSettings(background, reload) })
 	<-ctx.Done()
