--- a/internal/edge/entry/accept.go
+++ b/internal/edge/entry/accept.go
@@ -17,10 +17,7 @@
 		arrived: h.Clock(), call: h.Dialect.Read(r.Header),
 		method: r.Method, path: r.RequestURI, host: r.Host, header: r.Header,
 	}
-	waited := unread(r.Context())
-	if h.Gate == nil || !h.Gate.read(waited) {
-		waited = 0
-	}
+	waited := h.waitedUnread(r.Context())
 	j.arrived = j.arrived.Add(-waited)
 	table := h.table(r.Context(), j)
 	if table == nil {
@@ -48,6 +45,16 @@
 	return j, nil
 }
 
+// waitedUnread is how long a request has waited to be read while this router reads its callers late,
+// else zero.
+func (h *Handler) waitedUnread(ctx context.Context) time.Duration {
+	waited := unread(ctx)
+	if h.Gate == nil || !h.Gate.read(waited) {
+		return 0
+	}
+	return waited
+}
+
 // find finds the request's route by host and path, and its workspace by key.
 func (h *Handler) find(table *match.Table, j *job) *problem {
 	path, _, _ := strings.Cut(j.path, "?")
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -107,8 +107,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	targets := s.readTargets(rows)
-	s.logTargets(targets, newest(rows))
-	restarted = s.restarted(targets)
+	before := s.before()
+	restarted = s.restarted(targets, before)
+	s.logTargets(targets, before, newest(rows))
 	s.listed = true
 	s.targets = s.targets[:0:0]
 	clear(s.slots)
@@ -125,12 +126,8 @@
 	return restarted
 }
 
-// logTargets logs which targets came, went or changed; the caller holds the lock.
-func (s *state) logTargets(targets []Target, version table.Version) {
-	before := map[string]boxes.Box{}
-	for _, b := range s.targets {
-		before[b.ID] = b
-	}
+// logTargets logs which targets came, went or changed, and takes those that stayed out of before.
+func (s *state) logTargets(targets []Target, before map[string]boxes.Box, version table.Version) {
 	for _, t := range targets {
 		if old, known := before[t.ID]; !known || old != t.Box {
 			_ = level.Info(s.logger).Log("msg", "target", "target", t.ID, "state", t.State, "addr", t.Addr,
--- a/internal/oper/node/targets.go
+++ b/internal/oper/node/targets.go
@@ -22,9 +22,9 @@
 	gone time.Time
 }
 
-// rememberGone is for how long what a row said is remembered after it has gone: a target that starts
+// goneKept is for how long what a row said is remembered after it has gone: a target that starts
 // again is back within seconds, and is to be known for another incarnation.
-const rememberGone = time.Minute
+const goneKept = time.Minute
 
 // readTargets decodes the rows that have changed and returns all targets; the caller holds the lock.
 func (s *state) readTargets(rows []table.Row) []Target {
@@ -42,12 +42,12 @@
 			targets = append(targets, r.target)
 		}
 	}
-	s.rememberGone(before)
+	s.keepGone(before)
 	return targets
 }
 
-// rememberGone keeps the readings of rows that have gone for a while; the caller holds the lock.
-func (s *state) rememberGone(before map[table.Key]reading) {
+// keepGone keeps the readings of rows that have gone for a while; the caller holds the lock.
+func (s *state) keepGone(before map[table.Key]reading) {
 	now := s.clock()
 	for key, r := range before {
 		if _, there := s.readings[key]; there {
@@ -56,7 +56,7 @@
 		if r.gone.IsZero() {
 			r.gone = now
 		}
-		if now.Sub(r.gone) < rememberGone {
+		if now.Sub(r.gone) < goneKept {
 			s.readings[key] = r
 		}
 	}
@@ -80,12 +80,17 @@
 	return r
 }
 
-// restarted lists the addresses at which known targets have started anew; the caller holds the lock.
-func (s *state) restarted(targets []Target) []string {
-	before := make(map[string]boxes.Box, len(s.targets))
+// before are the targets' boxes as they were until now, by id; the caller holds the lock.
+func (s *state) before() map[string]boxes.Box {
+	out := make(map[string]boxes.Box, len(s.targets))
 	for _, b := range s.targets {
-		before[b.ID] = b
+		out[b.ID] = b
 	}
+	return out
+}
+
+// restarted lists the addresses at which known targets have started anew.
+func (s *state) restarted(targets []Target, before map[string]boxes.Box) []string {
 	var out []string
 	for _, t := range targets {
 		if old, known := before[t.ID]; known && old.Incarnation != t.Incarnation {
--- a/internal/oper/node/targets_test.go
+++ b/internal/oper/node/targets_test.go
@@ -74,7 +74,7 @@
 		}
 	}
 	s.setTargets(nil)
-	now = now.Add(rememberGone)
+	now = now.Add(goneKept)
 	s.setTargets(nil)
 	if diff := cmp.Diff(0, len(s.readings)); diff != "" {
 		t.Errorf("rows remembered for ever: %s", diff)
