--- a/internal/edge/entry/caller.go
+++ b/internal/edge/entry/caller.go
@@ -26,7 +26,9 @@
 	return context.WithValue(ctx, connKey{}, &connection{Conn: c, accepted: time.Now()})
 }
 
-// unread is how long the first request of a connection has waited to be read; zero for later ones.
+// unread is how long the first request of a connection has waited to be read. Later ones count as read
+// at once: nothing shows when they came, and where many come over kept connections the few that were
+// opened ahead of their first request must not count as callers that wait.
 func unread(ctx context.Context) time.Duration {
 	c, known := ctx.Value(connKey{}).(*connection)
 	if !known || c.used.Swap(true) {
