--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -65,6 +65,7 @@
 	patience.heard(j.patience())
 	j.sends++
 	reply := h.Dialect.Reply(answer.Status, answer.Header)
+	h.logWords(j, placement, answer, reply)
 	if reply.NotRun {
 		if reply.Elsewhere {
 			h.Finder.Unreachable(placement.Hash)
--- a/internal/edge/entry/types.go
+++ b/internal/edge/entry/types.go
@@ -49,6 +49,8 @@
 	NotRun bool
 	// Elsewhere says that another target has the address now.
 	Elsewhere bool
+	// Leaving says that the target is leaving and is to get no new work.
+	Leaving bool
 }
 
 // Dialect reads and writes the headers of the protocol that callers and targets speak.
--- a/internal/oper/mesh/mesh.go
+++ b/internal/oper/mesh/mesh.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"valescale/internal/edge/route"
 	"valescale/internal/plat/ident"
@@ -76,8 +77,9 @@
 	refreshed  inputs
 	// moved are permits whose home has changed and that the new one is to be told of.
 	moved []route.Move
-	// known are the routers' states as seen last.
-	known map[ident.Router]sighting
+	// known are the routers' states as seen last, leaving the incarnations in which targets leave.
+	known   map[ident.Router]sighting
+	leaving map[ident.Target]ident.Incarnation
 	// settling keeps to one settlement at a time, unsettled asks for one.
 	settling  sync.Mutex
 	unsettled chan struct{}
@@ -85,7 +87,8 @@
 
 // New returns a mesh without pools.
 func New(parts Parts) *Mesh {
-	m := &Mesh{Parts: parts, dirty: make(chan struct{}, 1), unsettled: make(chan struct{}, 1), known: map[ident.Router]sighting{}}
+	m := &Mesh{Parts: parts, dirty: make(chan struct{}, 1), unsettled: make(chan struct{}, 1), known: map[ident.Router]sighting{},
+		leaving: map[ident.Target]ident.Incarnation{}}
 	m.set.Store(&Set{Live: place.Assign(nil, nil), Known: place.Assign(nil, nil)})
 	if parts.Router != nil {
 		parts.Router.Watch(watcher{m})
@@ -193,6 +196,19 @@
 	}
 }
 
+// noteLeaving adds the targets that leave to some, and logs which are newly known to, whoever told it.
+func (m *Mesh) noteLeaving(targets []peer.Target, leaving map[ident.Target]ident.Incarnation) {
+	for _, t := range targets {
+		if !t.Leaving {
+			continue
+		}
+		leaving[t.ID] = t.Incarnation
+		if m.leaving[t.ID] != t.Incarnation {
+			_ = level.Info(m.Logger).Log("msg", "target gets no new work", "target", t.ID, "incarnation", t.Incarnation)
+		}
+	}
+}
+
 // routers sorts the routers of the view.
 func (m *Mesh) routers(v *peer.View) routers {
 	out := routers{live: v.Routers(m.Self.Region), below: map[ident.Router]uint64{}, capacities: place.Capacities{}}
@@ -233,11 +249,15 @@
 // pools joins the services of the configuration with the targets of the view.
 func (m *Mesh) pools(services []policy.Service, v *peer.View) []route.Pool {
 	var out []route.Pool
+	leaving := map[ident.Target]ident.Incarnation{}
 	for _, service := range services {
 		for _, region := range v.Regions(service.Name) {
-			out = append(out, m.pool(service, region, v.Targets(service.Name, region)))
+			targets := v.Targets(service.Name, region)
+			m.noteLeaving(targets, leaving)
+			out = append(out, m.pool(service, region, targets))
 		}
 	}
+	m.leaving = leaving
 	return out
 }
 
