What targets say of themselves in their answers binds the router

Cause: routers took status and "not run" of an answer and read nothing that its target says of itself. Their belief of a target came from rows and failures alone, so that with the store away nobody knew that a target leaves, and a refusal, which is no failure, left a target that wants rest as the least loaded one. Change: an answer's word that its target leaves is marked in the view that gossip spreads already (as the product's own interface did, now one method of the mesh); Retry-After of a 503 keeps this router's requests off that start of the target until it is over, and the home hears of it as of a failure; what a home grants is held against what the router knows and given back; if all targets rest, the caller is refused at once and told when the first takes requests again. The same in front, resuming of streams included. A breaker's trial ends with its place at the latest. A silence seen while this router read an engine's reports ends when another reads them, since grants are held against it now.

--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -31,6 +31,14 @@
 	Silent(target ident.TargetHash, since time.Time) bool
 	// Unreachable notes that a target could not be reached at all.
 	Unreachable(target ident.TargetHash)
+	// Rest notes that one start of a target wants no requests from this router for a while.
+	Rest(target ident.TargetHash, incarnation ident.Incarnation, wait time.Duration)
+}
+
+// Directory is what all routers know of targets.
+type Directory interface {
+	// MarkLeaving notes that an incarnation of a target is leaving, and tells the other routers.
+	MarkLeaving(id ident.Target, incarnation ident.Incarnation)
 }
 
 // Sender makes attempts.
@@ -82,15 +90,16 @@
 
 // Parts are what a handler works with.
 type Parts struct {
-	Dialect  Dialect
-	Rules    Rules
-	Finder   Finder
-	Sender   Sender
-	Budget   Budget
-	Guard    Guard
-	Observer Observer
-	Logger   log.Logger
-	Clock    ident.Clock
+	Dialect   Dialect
+	Rules     Rules
+	Finder    Finder
+	Directory Directory
+	Sender    Sender
+	Budget    Budget
+	Guard     Guard
+	Observer  Observer
+	Logger    log.Logger
+	Clock     ident.Clock
 	// Gate is in front of the listener; nil if there is none.
 	Gate *Gate
 }
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -7,7 +7,6 @@
 
 	"github.com/go-kit/log/level"
 
-	"valescale/internal/edge/relay"
 	"valescale/internal/edge/route"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/match"
@@ -162,16 +161,6 @@
 		"err", j.refused)
 }
 
-// logWords tells the log what a target says of itself in an answer.
-func (h *Handler) logWords(j *job, placement *route.Placement, answer *relay.Answer, reply Reply) {
-	rest := relay.RestOf(answer.Status, answer.Header, h.Clock())
-	if !reply.Leaving && rest == 0 {
-		return
-	}
-	_ = level.Info(h.Logger).Log("msg", "target speaks of itself", "request", j.call.ID, "target", placement.Target.ID,
-		"incarnation", placement.Target.Incarnation, "status", answer.Status, "leaving", reply.Leaving, "rest_ms", rest.Milliseconds())
-}
-
 // logAttempt tells the log of an attempt that brought no answer and what follows.
 func (h *Handler) logAttempt(j *job, placement *route.Placement, last result, next follow) {
 	_ = level.Info(h.Logger).Log("msg", "attempt failed", "request", j.call.ID, "fingerprint", j.fingerprint(), "service", j.service, "target", placement.Target.ID,
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -45,7 +45,9 @@
 func (plain) Owns(h http.Header, call Call) bool { return h.Get("Id") == string(call.ID) }
 
 func (plain) Reply(status int, h http.Header) Reply {
-	return Reply{NotRun: h.Get("Not-Run") != "", Elsewhere: status == http.StatusMisdirectedRequest}
+	return Reply{
+		NotRun: h.Get("Not-Run") != "", Elsewhere: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != "",
+	}
 }
 
 // rules is a configuration that is fresh or not.
@@ -98,6 +100,14 @@
 func (f *finder) Silent(ident.TargetHash, time.Time) bool { return false }
 func (f *finder) Unreachable(ident.TargetHash)            { f.note("unreachable") }
 
+func (f *finder) Rest(target ident.TargetHash, incarnation ident.Incarnation, wait time.Duration) {
+	f.note(fmt.Sprint("rest ", target, " ", incarnation, " ", wait))
+}
+
+func (f *finder) MarkLeaving(id ident.Target, incarnation ident.Incarnation) {
+	f.note(fmt.Sprint("leaving ", id, " ", incarnation))
+}
+
 // budget gives a number of retries.
 type budget struct{ left int }
 
@@ -229,7 +239,7 @@
 	guarding, closeGuard := guard.New(guard.Parts{Prober: conns, Logger: log.NewNopLogger(), Clock: time.Now, Spread: func() {}})
 	t.Cleanup(closeGuard)
 	h := New(Parts{
-		Dialect: plain{}, Rules: r, Finder: s.finder, Sender: conns, Budget: s.budget, Guard: guarding, Observer: s.ends,
+		Dialect: plain{}, Rules: r, Finder: s.finder, Directory: s.finder, Sender: conns, Budget: s.budget, Guard: guarding, Observer: s.ends,
 		Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 	server := httptest.NewUnstartedServer(h)
--- a/internal/edge/front/chat.go
+++ b/internal/edge/front/chat.go
@@ -250,6 +250,15 @@
 		gone.write(w)
 		return
 	}
+	if rest := f.Finder.RestLeft(target); rest > 0 {
+		// No other engine has the stream.
+		later := &Problem{
+			Status: http.StatusServiceUnavailable, Code: CodeOverloaded, Outcome: retry.Unknown, RetryAfter: rest,
+			Message: "the engine that has this stream wants no requests for a while",
+		}
+		later.write(w)
+		return
+	}
 	j := &job{id: claim.NewAttempt(), workspace: ws, arrived: f.Clock(), found: f.Clock(), tries: 1,
 		decision: policy.Decision{Repeat: retry.Never, OnLoss: policy.Fail}}
 	reply, err := f.Sender.Send(r.Context(), relay.Call{
@@ -262,6 +271,7 @@
 		return
 	}
 	s := &sent{placement: &route.Placement{Target: target, Hash: target.ID.Hash()}, reply: reply}
+	f.heed(j, s.placement, reply)
 	if reply.Status != http.StatusOK {
 		reply.Close()
 		f.fail(w, j, gone)
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -231,9 +231,7 @@
 		f.broke(ctx, j, placement.Target, at, err)
 		return nil, relay.StepOf(err), err
 	}
-	if reply.Leaving {
-		f.Directory.MarkLeaving(placement.Target.ID, placement.Target.Incarnation)
-	}
+	f.heed(j, placement, reply)
 	if j.service.MeansNotRun(reply.Status) {
 		reply.Close()
 		placement.Release()
@@ -248,6 +246,22 @@
 	return &sent{placement: placement, reply: reply, at: at}, 0, nil
 }
 
+// heed takes in what a target says of itself in an answer, whatever becomes of the request.
+func (f *Front) heed(j *job, placement *route.Placement, reply *relay.Reply) {
+	target := placement.Target
+	rest := relay.RestOf(reply.Status, reply.Header, f.Clock())
+	if reply.Leaving {
+		f.Directory.MarkLeaving(target.ID, target.Incarnation)
+	}
+	if rest > 0 {
+		f.Finder.Rest(placement.Hash, target.Incarnation, rest)
+	}
+	if reply.Leaving || rest > 0 {
+		_ = level.Info(f.Logger).Log("msg", "target speaks of itself", "request", j.id, "target", target.ID,
+			"incarnation", target.Incarnation, "status", reply.Status, "leaving", reply.Leaving, "rest_ms", rest.Milliseconds())
+	}
+}
+
 var (
 	errRefused = fault.Newf("front.send", relay.Broken, "the target refused")
 	errGateway = fault.Newf("front.send", relay.Broken, "the target says that it cannot serve now")
--- a/internal/edge/route/choose.go
+++ b/internal/edge/route/choose.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"valescale/internal/plat/fault"
@@ -52,33 +53,48 @@
 	return &t
 }
 
-// troubled adds the targets whose breakers are open to those to avoid, and lists those
-// that cannot be reached.
-func (r *Router) troubled(p *pool, avoid []ident.TargetHash) (avoided, lost []ident.TargetHash) {
+// troubled returns the targets that an ask must avoid and those that cannot be reached. It avoids those that
+// rest or are withheld in any case; those that failed the request before, and those whose breakers are open,
+// as long as that leaves others to try.
+func (r *Router) troubled(p *pool, ask Ask) (avoid, lost []ident.TargetHash) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock()
-	if len(avoid) >= p.picture.Usable() {
+	out, _ := r.resting(p)
+	open := p.picture.Usable() - len(out)
+	out = append(out, ask.withheld...)
+	tried := without(ask.Avoid, out)
+	if len(tried) >= open {
 		// Each has failed this request once; another try is all that is left.
-		avoid = nil
+		tried = nil
 	}
-	blocked := 0
-	for hash := range p.Targets {
-		b, ok := r.breakers[hash]
-		if !ok {
+	var blocked []ident.TargetHash
+	for hash, b := range r.breakers {
+		if _, known := p.Targets[hash]; !known {
 			continue
 		}
 		if b.Tripped() {
 			lost = append(lost, hash)
 		}
 		if b.Blocked(now) {
-			avoid = append(avoid, hash)
-			blocked++
+			blocked = append(blocked, hash)
 		}
 	}
-	if blocked >= p.picture.Usable() {
+	blocked = without(blocked, out)
+	if len(blocked) >= open {
 		// With every breaker open, trying is better than refusing everything.
-		return avoid[:len(avoid)-blocked], lost
+		blocked = nil
 	}
-	return avoid, lost
+	return slices.Concat(tried, blocked, out), lost
+}
+
+// without returns the targets that are not among some others.
+func without(targets, others []ident.TargetHash) []ident.TargetHash {
+	var out []ident.TargetHash
+	for _, t := range targets {
+		if !slices.Contains(others, t) {
+			out = append(out, t)
+		}
+	}
+	return out
 }
--- a/internal/edge/route/placement.go
+++ b/internal/edge/route/placement.go
@@ -7,6 +7,7 @@
 
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/place"
+	"valescale/internal/rule/retry"
 )
 
 // Placement is one request's place at a target.
@@ -46,13 +47,14 @@
 		}
 		r.held[id][permit.ID] = permit
 	}
-	if b, ok := r.breakers[permit.Engine]; ok {
-		b.Allow(r.clock())
-	}
+	trial := r.beginTrial(permit.Engine)
 	return &Placement{Target: target, Hash: permit.Engine, release: func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		p.picture.End(permit.Engine, permit.Work)
+		if trial != nil {
+			trial.Cancelled()
+		}
 		if counted {
 			delete(r.held[id], permit.ID)
 			r.giveBack(id, permit.ID)
@@ -60,6 +62,17 @@
 	}}
 }
 
+// beginTrial returns the breaker for which a request at a target is the trial, or nil. The trial ends with the
+// request's place at the latest: a target that turned its trial away, or whose caller left, would get no
+// other; the caller holds the lock.
+func (r *Router) beginTrial(target ident.TargetHash) *retry.Breaker {
+	b, known := r.breakers[target]
+	if !known || !b.Allow(r.clock()) || b.State() != retry.HalfOpen {
+		return nil
+	}
+	return b
+}
+
 // flushAfter is how long permits given back wait for another message to travel with.
 const flushAfter = 10 * time.Millisecond
 
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -71,6 +71,8 @@
 	Once bool
 	// lost are targets that this router cannot reach.
 	lost []ident.TargetHash
+	// withheld are targets that were offered although this router knows that they take no new work.
+	withheld []ident.TargetHash
 }
 
 // Router finds targets.
@@ -102,6 +104,8 @@
 	spoken   map[place.ShardID]time.Time
 	flushing bool
 	breakers map[ident.TargetHash]*retry.Breaker
+	// rests are the targets that want no requests from this router for a while.
+	rests map[ident.TargetHash]rest
 	// failed are the targets that failed requests since their shards' homes were asked last.
 	failed  map[place.ShardID][]ident.TargetHash
 	allowed map[ident.Workspace]*quota.Allowance
@@ -151,6 +155,7 @@
 		owed:     map[debt]uint64{},
 		heard:    map[ident.TargetHash]time.Time{},
 		breakers: map[ident.TargetHash]*retry.Breaker{},
+		rests:    map[ident.TargetHash]rest{},
 		failed:   map[place.ShardID][]ident.TargetHash{},
 		silent:   map[ident.Router]time.Time{},
 		allowed:  map[ident.Workspace]*quota.Allowance{},
@@ -223,6 +228,7 @@
 	}
 	maps.DeleteFunc(r.breakers, func(hash ident.TargetHash, _ *retry.Breaker) bool { return gone(hash) })
 	maps.DeleteFunc(r.heard, func(hash ident.TargetHash, _ time.Time) bool { return gone(hash) })
+	r.forgetRests()
 	for id, failed := range r.failed {
 		if slices.ContainsFunc(failed, gone) {
 			// Its shard may be another by now, too.
@@ -247,14 +253,35 @@
 	return &pool{Pool: p, picture: picture, throttles: map[demand]*throttle{}}
 }
 
+// mostOffers is how many places a request may be given at targets that take no new work, as this router
+// knows. After the first one the home is told of all of them; more come only if others say so meanwhile.
+const mostOffers = 4
+
 // Acquire finds a target and counts the request there until the placement is released.
 func (r *Router) Acquire(ctx context.Context, ask Ask) (*Placement, error) {
 	const op = "route.Acquire"
-	p := r.poolFor(ask.Service)
-	if p == nil {
-		return nil, fault.Newf(op, NoTarget, "service %s", ask.Service)
+	for range mostOffers {
+		p, err := r.poolFor(ask.Service)
+		if err != nil {
+			return nil, err
+		}
+		placement, err := r.find(ctx, p, ask)
+		if err != nil {
+			return nil, err
+		}
+		withheld := r.withheld(p, placement)
+		if withheld == nil {
+			return placement, nil
+		}
+		placement.Release()
+		ask.withheld = append(ask.withheld, withheld...)
 	}
-	ask.Avoid, ask.lost = r.troubled(p, ask.Avoid)
+	return nil, fault.New(op, TimedOut, RetryAfter{})
+}
+
+// find finds a target in a pool, which homes may offer although this router knows better.
+func (r *Router) find(ctx context.Context, p *pool, ask Ask) (*Placement, error) {
+	ask.Avoid, ask.lost = r.troubled(p, ask)
 	if p.Service.Balance == policy.Local {
 		return r.local(p, ask)
 	}
@@ -269,15 +296,3 @@
 		}
 	}
 }
-
-// poolFor returns the first pool of a service that has a usable engine, the near one first.
-func (r *Router) poolFor(service ident.Service) *pool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, p := range r.pools[service] {
-		if p.picture.Usable() > 0 {
-			return p
-		}
-	}
-	return nil
-}
--- a/internal/oper/daemon/build.go
+++ b/internal/oper/daemon/build.go
@@ -87,7 +87,7 @@
 		ID: s.Router.ID, Zone: s.Router.Zone, Region: s.Router.Region, FirstPermit: first,
 	}, d.remote, d.clock)
 	d.mesh = mesh.New(mesh.Parts{
-		Self: d.self, Node: d.node, Homes: d.homes, Remote: d.remote, Router: d.router, Logger: d.logger,
+		Self: d.self, Node: d.node, Homes: d.homes, Remote: d.remote, Router: d.router, Logger: d.logger, Clock: d.clock,
 		Wanted: d.wanted, Capacity: d.capacity,
 		Bound: func(s policy.Service) place.Bound { return place.BoundOf(s.Bound) },
 	})
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -215,12 +215,5 @@
 
 // MarkLeaving notes that an incarnation of a target is leaving, and tells the peers.
 func (d *Daemon) MarkLeaving(id ident.Target, incarnation ident.Incarnation) {
-	fresh := false
-	d.node.Do(func(v *peer.View) {
-		fresh = v.MarkLeaving(d.clock(), peer.Mark{Target: id, Incarnation: incarnation})
-	})
-	if fresh {
-		_ = level.Info(d.logger).Log("msg", "target is leaving", "target", id)
-		go d.node.Tell(context.Background())
-	}
+	d.mesh.MarkLeaving(id, incarnation)
 }
--- a/internal/oper/daemon/pools.go
+++ b/internal/oper/daemon/pools.go
@@ -102,6 +102,22 @@
 	return r.turn(known.missed == silentAfter)
 }
 
+// watched forgets the missed reports of all engines but those that this router reads now. Whoever is home of
+// the others knows better: a silence that nobody looks at would never end here.
+func (r *reports) watched(now map[ident.Target]bool) (turned bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, known := range r.byID {
+		if now[id] || known.missed == 0 {
+			continue
+		}
+		turned = r.turn(known.silent()) || turned
+		known.missed = 0
+		r.byID[id] = known
+	}
+	return turned
+}
+
 // export reports whether an engine's present incarnation is still to be
 // exported, and notes that it is being done.
 func (r *reports) export(id ident.Target) bool {
--- a/internal/oper/daemon/probe.go
+++ b/internal/oper/daemon/probe.go
@@ -22,6 +22,7 @@
 	var wg sync.WaitGroup
 	gate := make(chan struct{}, probeAtOnce)
 	set, force := d.mesh.Set(), d.InForce()
+	read := map[ident.Target]bool{}
 	for _, p := range set.Pools {
 		if p.Region != d.self.Region || p.Service.Kind != policy.EngineTargets {
 			continue
@@ -31,6 +32,7 @@
 			if set.Live.Home(id) != d.self.ID {
 				continue
 			}
+			read[e.ID] = true
 			gate <- struct{}{}
 			wg.Go(func() {
 				defer func() { <-gate }()
@@ -39,6 +41,9 @@
 		}
 	}
 	wg.Wait()
+	if d.reports.watched(read) {
+		d.mesh.MarkDirty()
+	}
 }
 
 func (d *Daemon) readReport(ctx context.Context, id place.ShardID, t route.Target, wanted ident.Revision, service policy.Service) {
--- a/internal/oper/mesh/mesh.go
+++ b/internal/oper/mesh/mesh.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,7 @@
 	Remote *home.Remote
 	Router *route.Router
 	Logger log.Logger
+	Clock  ident.Clock
 	// Wanted returns what the configuration wants now.
 	Wanted func() Wanted
 	// Capacity returns what is known of a target beside its service's document.
@@ -291,6 +293,17 @@
 	return b
 }
 
+// MarkLeaving notes that an incarnation of a target is leaving, and tells the other routers.
+func (m *Mesh) MarkLeaving(id ident.Target, incarnation ident.Incarnation) {
+	fresh := false
+	m.Node.Do(func(v *peer.View) {
+		fresh = v.MarkLeaving(m.Clock(), peer.Mark{Target: id, Incarnation: incarnation})
+	})
+	if fresh {
+		go m.Node.Tell(context.Background())
+	}
+}
+
 // Target finds a target of any pool by its id.
 func (m *Mesh) Target(id ident.Target) (route.Target, bool) {
 	for _, p := range m.Set().Pools {
--- a/internal/oper/node/build.go
+++ b/internal/oper/node/build.go
@@ -105,7 +105,7 @@
 	n.cleanups = append(n.cleanups, closeLinks)
 	n.router = route.New(route.Self{ID: s.ID, Zone: s.Zone, Region: s.Region, FirstPermit: first}, remote, n.Clock)
 	n.mesh = mesh.New(mesh.Parts{
-		Self: n.self, Node: n.peers, Homes: n.homes, Remote: remote, Router: n.router, Logger: n.Logger,
+		Self: n.self, Node: n.peers, Homes: n.homes, Remote: remote, Router: n.router, Logger: n.Logger, Clock: n.Clock,
 		Wanted: n.state.wanted, Capacity: n.state.capacity, Bound: n.bound,
 	})
 	n.peers.SetHooks(peer.Hooks{Changed: n.membersChanged})
@@ -117,8 +117,8 @@
 	n.metrics = telem.NewRouted(n.readings())
 	n.gate = entry.NewGate(n.listeners.callers, n.Logger, n.Clock)
 	n.handler = entry.New(entry.Parts{
-		Dialect: n.Dialect, Rules: n, Finder: n.router, Sender: n.conns, Budget: n.budget, Guard: n.guard, Observer: n.metrics,
-		Logger: n.Logger, Clock: n.Clock, Gate: n.gate,
+		Dialect: n.Dialect, Rules: n, Finder: n.router, Directory: n.mesh, Sender: n.conns, Budget: n.budget, Guard: n.guard,
+		Observer: n.metrics, Logger: n.Logger, Clock: n.Clock, Gate: n.gate,
 	})
 }
 
--- a/internal/rule/place/pool.go
+++ b/internal/rule/place/pool.go
@@ -147,6 +147,12 @@
 	return out
 }
 
+// Takes reports whether an engine may get new work.
+func (p *Pool) Takes(hash ident.TargetHash) bool {
+	e, known := p.engine(hash)
+	return known && !e.Leaving
+}
+
 // engine returns one of the pool's engines.
 func (p *Pool) engine(hash ident.TargetHash) (Engine, bool) {
 	i, known := p.index[hash]
