Failing model: what a fleet pays to learn that engines ask for rest

Cause: each router learns of a rest by being turned away itself. Conclusion: homes are to be told of rests as what they are.

--- /dev/null
+++ b/internal/edge/route/rest_test.go
@@ -0,0 +1,159 @@
+package route_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"valescale/internal/edge/route"
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+	"valescale/internal/rule/policy"
+	"valescale/internal/share/home"
+)
+
+// crowd is many routers over the homes of one pool, of whose engines some turn all requests away.
+type crowd struct {
+	now     time.Time
+	homes   *home.Homes
+	routers []*route.Router
+	tired   map[ident.Target]bool
+	// turned counts what was turned away, refused the requests that no engine took.
+	turned, refused, asked int
+	later                  []func()
+}
+
+// member reaches the homes in one router's name.
+type member struct {
+	*crowd
+	id ident.Router
+}
+
+func (m member) Place(ctx context.Context, _ ident.Router, ask home.Ask, released []uint64) (home.Answer, error) {
+	return m.homes.Place(ctx, ask, released), nil
+}
+
+func (m member) Release(_ context.Context, _ ident.Router, id place.ShardID, released []uint64) error {
+	m.homes.Release(id, m.id, released)
+	return nil
+}
+
+func (m member) Sync(_ context.Context, _ ident.Router, id place.ShardID, held []place.Permit, upto uint64, from ident.Router) error {
+	m.homes.Sync(id, m.id, held, upto, from)
+	return nil
+}
+
+func (m member) Withdraw(_ context.Context, _ ident.Router, id place.ShardID, upto uint64) error {
+	m.homes.Withdraw(id, m.id, upto)
+	return nil
+}
+
+func (m member) Grant(context.Context, ident.Router, ident.Workspace, int) (int, time.Duration, error) {
+	return 0, 0, fault.New("test", home.Unreachable, nil)
+}
+
+// newCrowd starts routers before engines of which the first ones turn requests away.
+func newCrowd(routers, engines, tired int) *crowd {
+	c := &crowd{now: time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC), tired: map[ident.Target]bool{}}
+	clock := func() time.Time { return c.now }
+	bound := place.BoundOf(2)
+	bound.Steady = 1.3
+	p := route.Pool{
+		Name: pool, Region: "co", Targets: map[ident.TargetHash]route.Target{}, Bound: bound,
+		Service: policy.Service{Name: "judge", Balance: policy.Exact, Shards: 1},
+	}
+	for i := range engines {
+		name := ident.Target(fmt.Sprint("engine-", i))
+		p.Engines = append(p.Engines, place.Engine{ID: name, Hash: name.Hash(), Incarnation: 1, Slots: 64 * ident.OneRequest})
+		p.Targets[name.Hash()] = route.Target{ID: name, Incarnation: 1}
+		c.tired[name] = i < tired
+	}
+	c.homes = home.New("a", home.DefaultLimits, clock, func(ident.Workspace) (policy.Workspace, bool) { return workspace, true })
+	c.homes.SetPool(pool, 1, bound, p.Engines)
+	for i := range routers {
+		name := ident.Router(fmt.Sprint("router-", i))
+		r := route.New(route.Self{
+			ID: name, Region: "co", AfterFunc: func(_ time.Duration, run func()) { c.later = append(c.later, run) },
+		}, member{c, name}, clock)
+		r.Set([]route.Pool{p}, place.Assign([]place.ShardID{id}, []ident.Router{"a"}))
+		c.routers = append(c.routers, r)
+	}
+	return c
+}
+
+const (
+	// restFor is what a tired engine asks for, modelFor how long it is tired.
+	restFor  = 3 * time.Second
+	modelFor = 9 * time.Second
+	// perSecond is how many requests one router gets; each takes a tenth of a second.
+	perSecond = 10
+	tick      = time.Second / perSecond
+	// mayTurnAway is how many targets may turn one request away before its caller is refused.
+	mayTurnAway = 4
+	// retryRatio is how many requests may reach a second target, of all; refusedRatio how many may be refused
+	// while targets could serve them, one in 500 as for any wrong refusal.
+	retryRatio   = 0.2
+	refusedRatio = 0.002
+)
+
+// play sends each router's requests, one a tick.
+func (c *crowd) play() {
+	for range int(modelFor / tick) {
+		var open []*route.Placement
+		for i, r := range c.routers {
+			// Routers are not at it all at once.
+			c.now = c.now.Add(tick / time.Duration(len(c.routers)))
+			c.asked++
+			if p := c.send(r, ident.ChatKey(c.asked+i)); p != nil {
+				open = append(open, p)
+			}
+		}
+		for _, p := range open {
+			p.Release()
+		}
+		for len(c.later) > 0 {
+			next := c.later[0]
+			c.later = c.later[1:]
+			next()
+		}
+	}
+}
+
+// send sends one request until an engine takes it, and returns its place there.
+func (c *crowd) send(r *route.Router, key ident.ChatKey) *route.Placement {
+	var avoid []ident.TargetHash
+	for range mayTurnAway {
+		p, err := r.Acquire(context.Background(), route.Ask{Service: "judge", Key: key, Work: ident.OneRequest, Avoid: avoid})
+		if err != nil {
+			break
+		}
+		if !c.tired[p.Target.ID] {
+			return p
+		}
+		c.turned++
+		r.Rest(p.Hash, p.Target.Incarnation, restFor)
+		avoid = append(avoid, p.Hash)
+		p.Release()
+	}
+	c.refused++
+	return nil
+}
+
+// At 300 routers each sees too few requests to learn of a tired engine by itself: the rest would be over before
+// most have been turned away once. What their home hears from several keeps the others from trying, so that
+// retries stay within their budget and hardly anybody is refused.
+func TestTiredEnginesCostFewRetries(t *testing.T) {
+	for _, c := range []struct{ routers, engines, tired int }{{8, 18, 5}, {60, 36, 12}, {300, 150, 45}} {
+		m := newCrowd(c.routers, c.engines, c.tired)
+		m.play()
+		t.Logf("%d routers: %d requests, %d turned away, %d refused", c.routers, m.asked, m.turned, m.refused)
+		if share := float64(m.turned) / float64(m.asked); share > retryRatio {
+			t.Errorf("%d routers: %.3f of the requests reached an engine that turned them away, at most %.1f may", c.routers, share, retryRatio)
+		}
+		if float64(m.refused) > refusedRatio*float64(m.asked) {
+			t.Errorf("%d routers: %d of %d requests were refused although most engines take them", c.routers, m.refused, m.asked)
+		}
+	}
+}
