--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -65,7 +65,7 @@
 	patience.heard(j.patience())
 	j.sends++
 	reply := h.Dialect.Reply(answer.Status, answer.Header)
-	h.heed(j, placement, answer, reply)
+	h.observe(j, placement, answer, reply)
 	if reply.NotRun {
 		if reply.Elsewhere {
 			h.Finder.Unreachable(placement.Hash)
@@ -85,24 +85,24 @@
 	return got
 }
 
-// heed takes in what a target says of itself in an answer, whatever becomes of the request. Its row says it
+// observe takes in what a target says of itself in an answer, whatever becomes of the request. Its row says it
 // later, or never while the store is away: one target in 18 that left in such 12 s got 59 more requests.
-func (h *Handler) heed(j *job, placement *route.Placement, answer *relay.Answer, reply Reply) {
+func (h *Handler) observe(j *job, placement *route.Placement, answer *relay.Answer, reply Reply) {
 	if reply.Elsewhere {
 		// Another target has the address now, and speaks of itself.
 		return
 	}
 	target := placement.Target
-	rest := relay.RestOf(answer.Status, answer.Header, h.Clock())
+	backoff := relay.BackoffOf(answer.Status, answer.Header, h.Clock())
 	if reply.Leaving {
 		h.Directory.MarkLeaving(target.ID, target.Incarnation)
 	}
-	if rest > 0 {
-		h.Finder.Rest(placement.Hash, target.Incarnation, rest)
+	if backoff > 0 {
+		h.Finder.BackOff(placement.Hash, target.Incarnation, backoff)
 	}
-	if reply.Leaving || rest > 0 {
-		_ = level.Info(h.Logger).Log("msg", "target speaks of itself", "request", j.call.ID, "target", target.ID,
-			"incarnation", target.Incarnation, "status", answer.Status, "leaving", reply.Leaving, "rest_ms", rest.Milliseconds())
+	if reply.Leaving || backoff > 0 {
+		_ = level.Info(h.Logger).Log("msg", "target tells its state", "request", j.call.ID, "target", target.ID,
+			"incarnation", target.Incarnation, "status", answer.Status, "leaving", reply.Leaving, "backoff_ms", backoff.Milliseconds())
 	}
 }
 
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -31,8 +31,8 @@
 	Silent(target ident.TargetHash, since time.Time) bool
 	// Unreachable notes that a target could not be reached at all.
 	Unreachable(target ident.TargetHash)
-	// Rest notes that one start of a target wants no requests from this router for a while.
-	Rest(target ident.TargetHash, incarnation ident.Incarnation, wait time.Duration)
+	// BackOff notes that one start of a target wants no requests from this router for a while.
+	BackOff(target ident.TargetHash, incarnation ident.Incarnation, wait time.Duration)
 }
 
 // Directory is what all routers know of targets.
--- a/internal/edge/entry/told_test.go
+++ b/internal/edge/entry/observe_test.go
@@ -15,13 +15,13 @@
 	"valescale/internal/rule/retry"
 )
 
-// heeded are the target's words that reached the finder and the directory.
-func (f *finder) heeded() []string {
+// observed are the target's words that reached the finder and the directory.
+func (f *finder) observed() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []string
 	for _, r := range f.reports {
-		if strings.HasPrefix(r, "rest ") || strings.HasPrefix(r, "leaving ") {
+		if strings.HasPrefix(r, "backoff ") || strings.HasPrefix(r, "leaving ") {
 			out = append(out, r)
 		}
 	}
@@ -31,21 +31,21 @@
 // A target's words of itself count with any answer of its own, passed on or not, and with no other: not with one
 // that belongs to another request, nor with that of another target that has its address now.
 func TestWhichAnswersSpeakOfTheirTarget(t *testing.T) {
-	const leaves, rests = "Leaving: 1\r\n", "Not-Run: full\r\nRetry-After: 3\r\n"
-	rest := fmt.Sprint("rest ", ident.Target("t0").Hash(), " 0 3s")
+	const leaves, backoffs = "Leaving: 1\r\n", "Not-Run: full\r\nRetry-After: 3\r\n"
+	backoff := fmt.Sprint("backoff ", ident.Target("t0").Hash(), " 0 3s")
 	cases := map[string]struct {
 		first serving
 		want  []string
 	}{
 		"served":               {answer(200, leaves, "x"), []string{"leaving t0 0"}},
 		"failed":               {answer(500, leaves, "x"), []string{"leaving t0 0"}},
-		"refused":              {answer(503, leaves+rests, ""), []string{"leaving t0 0", rest}},
-		"refused for good":     {answer(429, rests, ""), nil},
+		"refused":              {answer(503, leaves+backoffs, ""), []string{"leaving t0 0", backoff}},
+		"refused for good":     {answer(429, backoffs, ""), nil},
 		"served with a time":   {answer(200, "Retry-After: 3\r\n", "x"), nil},
-		"failed with a time":   {answer(503, "Retry-After: 3\r\n", "x"), []string{rest}},
+		"failed with a time":   {answer(503, "Retry-After: 3\r\n", "x"), []string{backoff}},
 		"by who has its place": {answer(421, leaves+"Not-Run: 1\r\n", ""), nil},
 		"of another request": {func(w *bufio.Writer, r *http.Request) bool {
-			writeAnswer(w, "other", 503, leaves+rests, "")
+			writeAnswer(w, "other", 503, leaves+backoffs, "")
 			writeAnswer(w, r.Header.Get("Id"), 200, "", "x")
 			return true
 		}, nil},
@@ -56,7 +56,7 @@
 		if got, _ := s.call(t, "GET", "/", ""); got.Status != 200 {
 			t.Errorf("%s: the caller got %+v, want the second target's answer", name, got)
 		}
-		if diff := cmp.Diff(c.want, s.finder.heeded(), cmpopts.EquateEmpty()); diff != "" {
+		if diff := cmp.Diff(c.want, s.finder.observed(), cmpopts.EquateEmpty()); diff != "" {
 			t.Errorf("%s: %s", name, diff)
 		}
 	}
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -100,8 +100,8 @@
 func (f *finder) Silent(ident.TargetHash, time.Time) bool { return false }
 func (f *finder) Unreachable(ident.TargetHash)            { f.note("unreachable") }
 
-func (f *finder) Rest(target ident.TargetHash, incarnation ident.Incarnation, wait time.Duration) {
-	f.note(fmt.Sprint("rest ", target, " ", incarnation, " ", wait))
+func (f *finder) BackOff(target ident.TargetHash, incarnation ident.Incarnation, wait time.Duration) {
+	f.note(fmt.Sprint("backoff ", target, " ", incarnation, " ", wait))
 }
 
 func (f *finder) MarkLeaving(id ident.Target, incarnation ident.Incarnation) {
--- a/internal/edge/front/chat.go
+++ b/internal/edge/front/chat.go
@@ -250,10 +250,10 @@
 		gone.write(w)
 		return
 	}
-	if rest := f.Finder.RestLeft(target); rest > 0 {
+	if backoff := f.Finder.BackoffLeft(target); backoff > 0 {
 		// No other engine has the stream.
 		later := &Problem{
-			Status: http.StatusServiceUnavailable, Code: CodeOverloaded, Outcome: retry.Unknown, RetryAfter: rest,
+			Status: http.StatusServiceUnavailable, Code: CodeOverloaded, Outcome: retry.Unknown, RetryAfter: backoff,
 			Message: "the engine that has this stream wants no requests for a while",
 		}
 		later.write(w)
@@ -271,7 +271,7 @@
 		return
 	}
 	s := &sent{placement: &route.Placement{Target: target, Hash: target.ID.Hash()}, reply: reply}
-	f.heed(j, s.placement, reply)
+	f.observe(j, s.placement, reply)
 	if reply.Status != http.StatusOK {
 		reply.Close()
 		f.fail(w, j, gone)
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -29,10 +29,10 @@
 	Admit(ctx context.Context, w policy.Workspace) error
 	Report(target ident.TargetHash, ok bool)
 	Cancelled(target ident.TargetHash)
-	// Rest notes that one start of a target wants no requests from this router for a while.
-	Rest(target ident.TargetHash, incarnation ident.Incarnation, wait time.Duration)
-	// RestLeft is for how much longer a target wants no requests from this router.
-	RestLeft(target route.Target) time.Duration
+	// BackOff notes that one start of a target wants no requests from this router for a while.
+	BackOff(target ident.TargetHash, incarnation ident.Incarnation, wait time.Duration)
+	// BackoffLeft is for how much longer a target wants no requests from this router.
+	BackoffLeft(target route.Target) time.Duration
 }
 
 // Sender makes attempts.
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -48,8 +48,8 @@
 	claimed  *claim.Ticket
 	answer   *claim.Answer
 	claimErr error
-	// rest is for how long targets want no requests.
-	rest     time.Duration
+	// backoff is for how long targets want no requests.
+	backoff  time.Duration
 	released int
 	sent     int
 	asked    int
@@ -81,8 +81,8 @@
 func (p *parts) Admit(context.Context, policy.Workspace) error              { return p.admit }
 func (p *parts) Report(ident.TargetHash, bool)                              {}
 func (p *parts) Cancelled(ident.TargetHash)                                 {}
-func (p *parts) Rest(ident.TargetHash, ident.Incarnation, time.Duration)    {}
-func (p *parts) RestLeft(route.Target) time.Duration                        { return p.rest }
+func (p *parts) BackOff(ident.TargetHash, ident.Incarnation, time.Duration) {}
+func (p *parts) BackoffLeft(route.Target) time.Duration                     { return p.backoff }
 func (p *parts) Target(ident.Target) (route.Target, bool)                   { return route.Target{}, false }
 func (p *parts) MarkLeaving(ident.Target, ident.Incarnation)                {}
 func (p *parts) Finished(front.Finished)                                    {}
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -231,7 +231,7 @@
 		f.broke(ctx, j, placement.Target, at, err)
 		return nil, relay.StepOf(err), err
 	}
-	f.heed(j, placement, reply)
+	f.observe(j, placement, reply)
 	if j.service.MeansNotRun(reply.Status) {
 		reply.Close()
 		placement.Release()
@@ -246,19 +246,19 @@
 	return &sent{placement: placement, reply: reply, at: at}, 0, nil
 }
 
-// heed takes in what a target says of itself in an answer, whatever becomes of the request.
-func (f *Front) heed(j *job, placement *route.Placement, reply *relay.Reply) {
+// observe takes in what a target says of itself in an answer, whatever becomes of the request.
+func (f *Front) observe(j *job, placement *route.Placement, reply *relay.Reply) {
 	target := placement.Target
-	rest := relay.RestOf(reply.Status, reply.Header, f.Clock())
+	backoff := relay.BackoffOf(reply.Status, reply.Header, f.Clock())
 	if reply.Leaving {
 		f.Directory.MarkLeaving(target.ID, target.Incarnation)
 	}
-	if rest > 0 {
-		f.Finder.Rest(placement.Hash, target.Incarnation, rest)
+	if backoff > 0 {
+		f.Finder.BackOff(placement.Hash, target.Incarnation, backoff)
 	}
-	if reply.Leaving || rest > 0 {
-		_ = level.Info(f.Logger).Log("msg", "target speaks of itself", "request", j.id, "target", target.ID,
-			"incarnation", target.Incarnation, "status", reply.Status, "leaving", reply.Leaving, "rest_ms", rest.Milliseconds())
+	if reply.Leaving || backoff > 0 {
+		_ = level.Info(f.Logger).Log("msg", "target tells its state", "request", j.id, "target", target.ID,
+			"incarnation", target.Incarnation, "status", reply.Status, "leaving", reply.Leaving, "backoff_ms", backoff.Milliseconds())
 	}
 }
 
--- a/internal/edge/front/problem.go
+++ b/internal/edge/front/problem.go
@@ -116,7 +116,7 @@
 		p.RetryAfter = max(p.RetryAfter, time.Second)
 	case route.Shed:
 		p.Status, p.Code, p.Message = http.StatusTooManyRequests, CodeOverloaded, "too many requests wait already"
-	case route.Resting:
+	case route.BackingOff:
 		p.Code, p.Message = CodeOverloaded, "every target of the service wants no requests for a while"
 	case route.Limited:
 		p.Status, p.Code, p.Message = http.StatusTooManyRequests, CodeRateLimited, "the workspace is over its rate"
--- a/internal/edge/relay/rest_test.go
+++ b/internal/edge/relay/backoff_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func TestRestOf(t *testing.T) {
+func TestBackoffOf(t *testing.T) {
 	now := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
 	cases := map[string]struct {
 		status int
@@ -17,8 +17,8 @@
 		"a fraction":      {503, "0.25", 250 * time.Millisecond},
 		"a moment":        {503, "Thu, 03 Dec 2026 12:00:07 GMT", 7 * time.Second},
 		"a moment gone":   {503, "Thu, 03 Dec 2026 11:59:00 GMT", 0},
-		"for ever":        {503, "1e300", maxRest},
-		"infinite":        {503, "Inf", maxRest},
+		"for ever":        {503, "1e300", maxBackoff},
+		"infinite":        {503, "Inf", maxBackoff},
 		"no number":       {503, "NaN", 0},
 		"negative":        {503, "-1", 0},
 		"nothing":         {503, "", 0},
@@ -32,7 +32,7 @@
 		if c.told != "" {
 			h.Set("Retry-After", c.told)
 		}
-		if got := RestOf(c.status, h, now); got != c.want {
+		if got := BackoffOf(c.status, h, now); got != c.want {
 			t.Errorf("%s: %v, want %v", name, got, c.want)
 		}
 	}
--- a/internal/edge/route/ask.go
+++ b/internal/edge/route/ask.go
@@ -125,7 +125,7 @@
 func (r *Router) ask(ctx context.Context, p *pool, step place.Step, ask Ask) (home.Answer, *Placement, error) {
 	id := place.ShardID{Pool: p.Name, Shard: step.Shard}
 	now := r.clock()
-	to, request, released, rests := r.prepare(p, id, step, ask, now)
+	to, request, released, backoffs := r.prepare(p, id, step, ask, now)
 	a, err := r.homes.Place(ctx, to, request, released)
 	if err == nil && a.Result == home.Empty && r.hasEngines(p, step.Shard) {
 		// A router that has just started is home already and knows no engines yet.
@@ -139,7 +139,7 @@
 	defer r.mu.Unlock()
 	if err != nil {
 		r.failed[id] = append(request.Failed, r.failed[id]...)
-		r.tellLater(id, rests)
+		r.tellLater(id, backoffs)
 		r.unanswered(blamed, id, to, request.Permit, released)
 		return a, nil, err
 	}
@@ -158,9 +158,9 @@
 	return r.placed(p, id, to, request, a)
 }
 
-// prepare makes the request for a permit, with the permits that go back and the rests that are told on the way.
+// prepare makes the request for a permit, with the permits that go back and the backoffs that are told on the way.
 func (r *Router) prepare(p *pool, id place.ShardID, step place.Step, ask Ask, now time.Time) (
-	to ident.Router, request home.Ask, released []uint64, rests map[ident.TargetHash]rest,
+	to ident.Router, request home.Ask, released []uint64, backoffs map[ident.TargetHash]backoff,
 ) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -174,7 +174,7 @@
 	delete(r.pending, id)
 	failed := r.failed[id]
 	delete(r.failed, id)
-	rests, told := r.tellNow(id, now)
+	backoffs, told := r.tellNow(id, now)
 	r.stats.Asked++
 	request = home.Ask{
 		Request:   r.request(p, ask),
@@ -184,7 +184,7 @@
 		Priority:  ask.Priority,
 		Sums:      p.picture.SumsFor(now, step.Shard, nil),
 		Failed:    failed,
-		Rests:     told,
+		Backoffs:  told,
 	}
 	request.Permit = r.permit
 	if step.Must {
@@ -192,7 +192,7 @@
 		request.Must = true
 		request.Wait = max(ask.Deadline.Sub(now), 0)
 	}
-	return to, request, released, rests
+	return to, request, released, backoffs
 }
 
 // request is what an ask says of the place it needs; the caller holds the lock.
--- /dev/null
+++ b/internal/edge/route/backoff.go
@@ -0,0 +1,145 @@
+package route
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/place"
+)
+
+// backoff is until when one start of a target wants no requests from this router.
+type backoff struct {
+	incarnation ident.Incarnation
+	until       time.Time
+}
+
+// BackOff notes that one start of a target has turned a request away and wants none from this router for a
+// while. Its home is told with the next ask: what one router is told holds for that router, but a target
+// that tells several is kept from the others too, before each has sent it a request in vain.
+func (r *Router) BackOff(target ident.TargetHash, incarnation ident.Incarnation, wait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until := r.clock().Add(wait)
+	if known := r.backoffs[target]; known.incarnation == incarnation && known.until.After(until) {
+		until = known.until
+	}
+	told := backoff{incarnation: incarnation, until: until}
+	r.backoffs[target] = told
+	if id, known := r.shardOf(target); known {
+		r.tellLater(id, map[ident.TargetHash]backoff{target: told})
+	}
+}
+
+// tellLater keeps backoffs for the next ask to their shard's home; the caller holds the lock.
+func (r *Router) tellLater(id place.ShardID, backoffs map[ident.TargetHash]backoff) {
+	if len(backoffs) == 0 {
+		return
+	}
+	if r.untold[id] == nil {
+		r.untold[id] = map[ident.TargetHash]backoff{}
+	}
+	maps.Copy(r.untold[id], backoffs)
+}
+
+// tellNow takes out the backoffs that a shard's home has not been told of, as they go with an ask; the caller
+// holds the lock.
+func (r *Router) tellNow(id place.ShardID, now time.Time) (taken map[ident.TargetHash]backoff, told []place.Backoff) {
+	taken = r.untold[id]
+	delete(r.untold, id)
+	for hash, asked := range taken {
+		if left := asked.until.Sub(now); left > 0 {
+			told = append(told, place.Backoff{Engine: hash, Left: left})
+		}
+	}
+	return taken, told
+}
+
+// BackoffLeft is for how much longer a target wants no requests from this router, zero if it takes some.
+func (r *Router) BackoffLeft(target Target) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.backoffs[target.ID.Hash()]
+	if known.incarnation != target.Incarnation {
+		return 0
+	}
+	return max(known.until.Sub(r.clock()), 0)
+}
+
+// backingOff lists the usable targets of a pool that want no requests from this router now, and says when the
+// first of them takes some again; the caller holds the lock.
+func (r *Router) backingOff(p *pool) (targets []ident.TargetHash, first time.Time) {
+	now := r.clock()
+	for hash, asked := range r.backoffs {
+		t, known := p.Targets[hash]
+		if !known || t.Incarnation != asked.incarnation || !now.Before(asked.until) || !p.picture.Takes(hash) {
+			continue
+		}
+		targets = append(targets, hash)
+		if first.IsZero() || asked.until.Before(first) {
+			first = asked.until
+		}
+	}
+	return targets, first
+}
+
+// forgetBackoffs drops the backoffs that are over. One of a target that has gone is kept: its row may come back
+// before the backoff ends; the caller holds the lock.
+func (r *Router) forgetBackoffs() {
+	now := r.clock()
+	for hash, asked := range r.backoffs {
+		if !now.Before(asked.until) {
+			delete(r.backoffs, hash)
+		}
+	}
+}
+
+// withheld lists the targets of a pool that this router knows to take no new work if a place is at one of
+// them, so that none of them is offered again. The home that gave the place may know less: another router
+// tells it, the store does, or the target will, each in its own time.
+func (r *Router) withheld(p *pool, placement *Placement) []ident.TargetHash {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p.picture.Takes(placement.Hash) {
+		// It may have asked for backoff while the request waited for the place.
+		backingOff, _ := r.backingOff(p)
+		if !slices.Contains(backingOff, placement.Hash) {
+			return nil
+		}
+	}
+	out := []ident.TargetHash{placement.Hash}
+	for _, e := range p.picture.Engines() {
+		if e.Leaving && e.Hash != placement.Hash {
+			out = append(out, e.Hash)
+		}
+	}
+	return out
+}
+
+// poolFor returns the first pool of a service that has a target which takes new work, the near one first.
+// If all that a service has ask for backoff, the error says when the first takes requests again.
+func (r *Router) poolFor(service ident.Service) (*pool, error) {
+	const op = "route.Acquire"
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var soonest time.Time
+	for _, p := range r.pools[service] {
+		usable := p.picture.Usable()
+		if usable == 0 {
+			continue
+		}
+		backingOff, first := r.backingOff(p)
+		if len(backingOff) < usable {
+			return p, nil
+		}
+		if soonest.IsZero() || first.Before(soonest) {
+			soonest = first
+		}
+	}
+	if soonest.IsZero() {
+		return nil, fault.Newf(op, NoTarget, "service %s", service)
+	}
+	return nil, fault.New(op, BackingOff, RetryAfter{Wait: soonest.Sub(r.clock())})
+}
--- a/internal/edge/route/rest_test.go
+++ b/internal/edge/route/backoff_test.go
@@ -17,10 +17,10 @@
 
 // crowd is many routers over the homes of one pool, of whose engines some turn all requests away.
 type crowd struct {
-	now     time.Time
-	homes   *home.Homes
-	routers []*route.Router
-	tired   map[ident.Target]bool
+	now      time.Time
+	homes    *home.Homes
+	routers  []*route.Router
+	refusing map[ident.Target]bool
 	// turned counts what was turned away, refused the requests that no engine took.
 	turned, refused, asked int
 	later                  []func()
@@ -56,8 +56,8 @@
 }
 
 // newCrowd starts routers before engines of which the first ones turn requests away.
-func newCrowd(routers, engines, tired int) *crowd {
-	c := &crowd{now: time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC), tired: map[ident.Target]bool{}}
+func newCrowd(routers, engines, refusing int) *crowd {
+	c := &crowd{now: time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC), refusing: map[ident.Target]bool{}}
 	clock := func() time.Time { return c.now }
 	bound := place.BoundOf(2)
 	bound.Steady = 1.3
@@ -69,7 +69,7 @@
 		name := ident.Target(fmt.Sprint("engine-", i))
 		p.Engines = append(p.Engines, place.Engine{ID: name, Hash: name.Hash(), Incarnation: 1, Slots: 64 * ident.OneRequest})
 		p.Targets[name.Hash()] = route.Target{ID: name, Incarnation: 1}
-		c.tired[name] = i < tired
+		c.refusing[name] = i < refusing
 	}
 	c.homes = home.New("a", home.DefaultLimits, clock, func(ident.Workspace) (policy.Workspace, bool) { return workspace, true })
 	c.homes.SetPool(pool, 1, bound, p.Engines)
@@ -85,9 +85,9 @@
 }
 
 const (
-	// restFor is what a tired engine asks for, modelFor how long it is tired.
-	restFor  = 3 * time.Second
-	modelFor = 9 * time.Second
+	// backoffFor is what a refusing engine asks for, modelFor how long it is refusing.
+	backoffFor = 3 * time.Second
+	modelFor   = 9 * time.Second
 	// perSecond is how many requests one router gets; each takes a tenth of a second.
 	perSecond = 10
 	tick      = time.Second / perSecond
@@ -130,11 +130,11 @@
 		if err != nil {
 			break
 		}
-		if !c.tired[p.Target.ID] {
+		if !c.refusing[p.Target.ID] {
 			return p
 		}
 		c.turned++
-		r.Rest(p.Hash, p.Target.Incarnation, restFor)
+		r.BackOff(p.Hash, p.Target.Incarnation, backoffFor)
 		avoid = append(avoid, p.Hash)
 		p.Release()
 	}
@@ -142,12 +142,12 @@
 	return nil
 }
 
-// At 300 routers each sees too few requests to learn of a tired engine by itself: the rest would be over before
+// At 300 routers each sees too few requests to learn of a refusing engine by itself: the backoff would be over before
 // most have been turned away once. What their home hears from several keeps the others from trying, so that
 // retries stay within their budget and hardly anybody is refused.
-func TestTiredEnginesCostFewRetries(t *testing.T) {
-	for _, c := range []struct{ routers, engines, tired int }{{8, 18, 5}, {60, 36, 12}, {300, 150, 45}} {
-		m := newCrowd(c.routers, c.engines, c.tired)
+func TestRefusingEnginesCostFewRetries(t *testing.T) {
+	for _, c := range []struct{ routers, engines, refusing int }{{8, 18, 5}, {60, 36, 12}, {300, 150, 45}} {
+		m := newCrowd(c.routers, c.engines, c.refusing)
 		m.play()
 		t.Logf("%d routers: %d requests, %d turned away, %d refused", c.routers, m.asked, m.turned, m.refused)
 		if share := float64(m.turned) / float64(m.asked); share > retryRatio {
@@ -166,14 +166,14 @@
 
 // If every target wants no requests, the caller is refused at once, without a question to a home, and told when
 // the first target takes some again.
-func TestAllTargetsRest(t *testing.T) {
+func TestAllTargetsAskForBackoff(t *testing.T) {
 	f, r, _ := newFleet()
-	r.Rest(ident.Target("engine-1").Hash(), 1, 3*time.Second)
-	r.Rest(ident.Target("engine-2").Hash(), 1, 2*time.Second)
+	r.BackOff(ident.Target("engine-1").Hash(), 1, 3*time.Second)
+	r.BackOff(ident.Target("engine-2").Hash(), 1, 2*time.Second)
 	f.asked = nil
 	_, err := askFor(r)
-	if fault.KindOf[route.Kind](err) != route.Resting {
-		t.Fatalf("got %v, want a refusal since all targets rest", err)
+	if fault.KindOf[route.Kind](err) != route.BackingOff {
+		t.Fatalf("got %v, want a refusal since all targets ask for backoff", err)
 	}
 	var later route.RetryAfter
 	if !errors.As(err, &later) || later.Wait != 2*time.Second {
@@ -184,17 +184,17 @@
 	}
 	f.now = f.now.Add(2 * time.Second)
 	if p, err := askFor(r); err != nil || p.Target.ID != "engine-2" {
-		t.Errorf("got %+v, %v once the first rest is over, want engine-2", p, err)
+		t.Errorf("got %+v, %v once the first backoff is over, want engine-2", p, err)
 	}
 }
 
-// A rest holds for one start of a target, through a row that comes and goes, and is never cut short by a later
+// A backoff holds for one start of a target, through a row that comes and goes, and is never cut short by a later
 // word; breakers and earlier failures of the request give way where they would leave nothing to try.
-func TestRestsAreKept(t *testing.T) {
+func TestBackoffsAreKept(t *testing.T) {
 	f, r, assigned := newFleet()
-	tired, other := ident.Target("engine-1").Hash(), ident.Target("engine-2").Hash()
-	r.Rest(tired, 1, 3*time.Second)
-	r.Rest(tired, 1, time.Second)
+	refusing, other := ident.Target("engine-1").Hash(), ident.Target("engine-2").Hash()
+	r.BackOff(refusing, 1, 3*time.Second)
+	r.BackOff(refusing, 1, time.Second)
 	without := f.pools[0]
 	without.Engines = without.Engines[1:]
 	without.Targets = map[ident.TargetHash]route.Target{other: f.pools[0].Targets[other]}
@@ -202,28 +202,28 @@
 	r.Set(f.pools, assigned)
 	r.Unreachable(other)
 	f.now = f.now.Add(2 * time.Second)
-	for _, avoid := range [][]ident.TargetHash{nil, {other}, {tired, other}} {
+	for _, avoid := range [][]ident.TargetHash{nil, {other}, {refusing, other}} {
 		p, err := r.Acquire(context.Background(), route.Ask{Service: "judge", Key: 1, Work: ident.OneRequest, Avoid: avoid})
 		if err != nil || p.Target.ID != "engine-2" {
 			t.Errorf("avoiding %v: got %+v, %v, want engine-2", avoid, p, err)
 		}
 	}
 	again := f.pools[0]
-	again.Targets = map[ident.TargetHash]route.Target{tired: {ID: "engine-1", Incarnation: 2}, other: again.Targets[other]}
+	again.Targets = map[ident.TargetHash]route.Target{refusing: {ID: "engine-1", Incarnation: 2}, other: again.Targets[other]}
 	r.Set([]route.Pool{again}, assigned)
-	if left := r.RestLeft(again.Targets[tired]); left != 0 {
-		t.Errorf("a target that has started anew rests for %v", left)
+	if left := r.BackoffLeft(again.Targets[refusing]); left != 0 {
+		t.Errorf("a target that has started anew backoffs for %v", left)
 	}
 }
 
-// A request that waited for its place while the target asked for rest is not sent there.
-func TestRestWhileARequestWaits(t *testing.T) {
+// A request that waited for its place while the target asked for backoff is not sent there.
+func TestBackoffWhileARequestWaits(t *testing.T) {
 	f, r, _ := newFleet()
-	tired := ident.Target("engine-1").Hash()
-	f.placing = func() { r.Rest(tired, 1, time.Second) }
+	refusing := ident.Target("engine-1").Hash()
+	f.placing = func() { r.BackOff(refusing, 1, time.Second) }
 	for key := range ident.ChatKey(4) {
-		if p := acquire(t, r, key); p.Hash == tired {
-			t.Errorf("chat %d was sent to a target that asked for rest while the chat waited", key)
+		if p := acquire(t, r, key); p.Hash == refusing {
+			t.Errorf("chat %d was sent to a target that asked for backoff while the chat waited", key)
 		}
 	}
 }
--- a/internal/edge/route/error.go
+++ b/internal/edge/route/error.go
@@ -16,8 +16,8 @@
 	NoTarget Kind = "no_target"
 	// Shed means that too many wait already.
 	Shed Kind = "shed"
-	// Resting means that each usable target of the service wants no requests from this router for a while.
-	Resting Kind = "resting"
+	// BackingOff means that each usable target of the service wants no requests from this router for a while.
+	BackingOff Kind = "backing_off"
 	// TimedOut means that no target became free while the request could wait.
 	TimedOut Kind = "timed_out"
 	// Limited means that the workspace is over its rate.
--- a/internal/edge/route/told_test.go
+++ b/internal/edge/route/leaving_test.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// Found while the incident of targets that ask for rest was looked at: a target that could not be reached gets
+// Found while the incident of targets that ask for backoff was looked at: a target that could not be reached gets
 // one request on trial; if that ends without a verdict, since the target turns it away or its caller leaves,
 // the trial never ended, and the router sent the target nothing for as long as both lived.
 func TestTrialWithoutAVerdict(t *testing.T) {
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -104,10 +104,10 @@
 	spoken   map[place.ShardID]time.Time
 	flushing bool
 	breakers map[ident.TargetHash]*retry.Breaker
-	// rests are the targets that want no requests from this router for a while.
-	rests map[ident.TargetHash]rest
-	// untold are the rests that their shards' homes have not been told of.
-	untold map[place.ShardID]map[ident.TargetHash]rest
+	// backoffs are the targets that want no requests from this router for a while.
+	backoffs map[ident.TargetHash]backoff
+	// untold are the backoffs that their shards' homes have not been told of.
+	untold map[place.ShardID]map[ident.TargetHash]backoff
 	// failed are the targets that failed requests since their shards' homes were asked last.
 	failed  map[place.ShardID][]ident.TargetHash
 	allowed map[ident.Workspace]*quota.Allowance
@@ -157,8 +157,8 @@
 		owed:     map[debt]uint64{},
 		heard:    map[ident.TargetHash]time.Time{},
 		breakers: map[ident.TargetHash]*retry.Breaker{},
-		rests:    map[ident.TargetHash]rest{},
-		untold:   map[place.ShardID]map[ident.TargetHash]rest{},
+		backoffs: map[ident.TargetHash]backoff{},
+		untold:   map[place.ShardID]map[ident.TargetHash]backoff{},
 		failed:   map[place.ShardID][]ident.TargetHash{},
 		silent:   map[ident.Router]time.Time{},
 		allowed:  map[ident.Workspace]*quota.Allowance{},
@@ -231,7 +231,7 @@
 	}
 	maps.DeleteFunc(r.breakers, func(hash ident.TargetHash, _ *retry.Breaker) bool { return gone(hash) })
 	maps.DeleteFunc(r.heard, func(hash ident.TargetHash, _ time.Time) bool { return gone(hash) })
-	r.forgetRests()
+	r.forgetBackoffs()
 	for id, failed := range r.failed {
 		if slices.ContainsFunc(failed, gone) {
 			// Its shard may be another by now, too.
--- a/internal/fake/fleet/told_test.go
+++ b/internal/fake/fleet/backoff_test.go
@@ -14,14 +14,14 @@
 	return strings.Replace(text(), "echo = true", "echo = true\nnot_run_status = 503", 1)
 }
 
-// Seen: on the users' platform targets that asked for rest got requests all the same (platform,
-// TestTargetThatAsksForRest). The product's own interface reads answers in another place, and read no more
+// Seen: on the users' platform targets that asked for backoff got requests all the same (platform,
+// TestTargetThatAsksForBackoff). The product's own interface reads answers in another place, and read no more
 // there: an engine that turns requests away gets one after the other, since it is always the least loaded.
-func TestEngineThatAsksForRest(t *testing.T) {
-	const rest = 2 * time.Second
+func TestEngineThatAsksForBackoff(t *testing.T) {
+	const backoff = 2 * time.Second
 	b := start(t, fleet.Options{Routers: 1, Engines: 3})
 	b.apply(t, "turned-away", turnedAway())
-	tired := b.Engines[0]
+	refusing := b.Engines[0]
 	ask := func(what string, count int) {
 		for i := range count {
 			q := fmt.Sprint(what, i)
@@ -31,19 +31,19 @@
 		}
 	}
 	ask("before", 30)
-	if tired.Counts().Served == 0 {
-		t.Fatal("the engine got nothing before it was tired")
+	if refusing.Counts().Served == 0 {
+		t.Fatal("the engine got nothing before it was refusing")
 	}
-	tired.Rest(rest)
+	refusing.BackOff(backoff)
 	ask("during", 30)
-	if got := tired.Counts().Refused; got != 1 {
-		t.Errorf("%d requests reached an engine that asked for %v of rest, want the one that it turned away", got, rest)
+	if got := refusing.Counts().Refused; got != 1 {
+		t.Errorf("%d requests reached an engine that asked for %v of backoff, want the one that it turned away", got, backoff)
 	}
-	tired.Rest(0)
-	<-time.After(rest)
-	before := tired.Counts().Served
+	refusing.BackOff(0)
+	<-time.After(backoff)
+	before := refusing.Counts().Served
 	ask("after", 30)
-	if tired.Counts().Served == before {
-		t.Error("the engine got nothing after its rest")
+	if refusing.Counts().Served == before {
+		t.Error("the engine got nothing after its backoff")
 	}
 }
--- a/internal/fake/target/chat.go
+++ b/internal/fake/target/chat.go
@@ -51,10 +51,10 @@
 		return
 	}
 	key, _ := strconv.ParseUint(r.Header.Get(engine.CacheHeader), 16, 64)
-	if rest, taken := e.begin(); !taken {
+	if backoff, taken := e.begin(); !taken {
 		e.headers(w, r)
-		if rest > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+		if backoff > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(backoff.Seconds(), 'f', -1, 64))
 		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -152,12 +152,12 @@
 }
 
 // begin takes a request, or turns it away and says how long the engine wants nothing more.
-func (e *Engine) begin() (rest time.Duration, taken bool) {
+func (e *Engine) begin() (backoff time.Duration, taken bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.rest > 0 || e.options.Slots > 0 && e.running >= 2*e.options.Slots {
+	if e.backoff > 0 || e.options.Slots > 0 && e.running >= 2*e.options.Slots {
 		e.refused++
-		return e.rest, false
+		return e.backoff, false
 	}
 	e.running++
 	e.served++
--- a/internal/fake/target/engine.go
+++ b/internal/fake/target/engine.go
@@ -29,8 +29,8 @@
 	options EngineOptions
 	mu      sync.Mutex
 	leaving bool
-	// rest is how long the engine asks routers to stay away, turning all requests away; zero serves them.
-	rest    time.Duration
+	// backoff is how long the engine asks routers to stay away, turning all requests away; zero serves them.
+	backoff time.Duration
 	refused int
 	running int
 	peak    int
@@ -84,11 +84,11 @@
 	e.leaving = true
 }
 
-// Rest makes the engine turn all requests away and ask for some rest; zero has it serve again.
-func (e *Engine) Rest(rest time.Duration) {
+// BackOff makes the engine turn all requests away and ask for backoff; zero has it serve again.
+func (e *Engine) BackOff(backoff time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.rest = rest
+	e.backoff = backoff
 }
 
 // CutStreams makes the next n streams break off after some events.
--- a/internal/oper/node/build.go
+++ b/internal/oper/node/build.go
@@ -126,11 +126,11 @@
 func (n *Node) logBlocked(b home.Blocked) {
 	target, _ := n.mesh.TargetAt(b.Shard.Pool, b.Engine)
 	message := "target fails many requests"
-	if b.Rest > 0 {
+	if b.Backoff > 0 {
 		message = "target wants no requests"
 	}
 	_ = level.Info(n.Logger).Log("msg", message, "target", target.ID, "pool", b.Shard.Pool,
-		"shard", b.Shard.Shard, "reported_by", b.Edge, "reported_zone", b.Zone, "rest_ms", b.Rest.Milliseconds())
+		"shard", b.Shard.Shard, "reported_by", b.Edge, "reported_zone", b.Zone, "backoff_ms", b.Backoff.Milliseconds())
 }
 
 // noRate says that workspaces have no rates here.
--- a/internal/rule/place/rest.go
+++ b/internal/rule/place/backoff.go
@@ -6,8 +6,8 @@
 	"valescale/internal/plat/ident"
 )
 
-// Rest is an engine that wants no requests from one edge for some more time.
-type Rest struct {
+// Backoff is an engine that wants no requests from one edge for some more time.
+type Backoff struct {
 	Engine ident.TargetHash
 	Left   time.Duration
 }
@@ -16,8 +16,8 @@
 // fails many requests.
 const mostShared = poorMost
 
-// sharedRest is what edges of one availability zone, or of several, have been told by one engine.
-type sharedRest struct {
+// sharedBackoff is what edges of one availability zone, or of several, have been told by one engine.
+type sharedBackoff struct {
 	// from is the edge or zone that was told first, several is set once another was: what a single one is told
 	// may hold for that one only.
 	from    string
@@ -25,50 +25,50 @@
 	until   time.Time
 }
 
-// rests are the engines that want no requests, as the edges were told.
-type rests struct {
-	shared map[recordKey]sharedRest
+// backoffs are the engines that want no requests, as the edges were told.
+type backoffs struct {
+	shared map[recordKey]sharedBackoff
 	// until is until when any engine is kept from edges.
 	until time.Time
 }
 
-// newRests returns none.
-func newRests() rests { return rests{shared: map[recordKey]sharedRest{}} }
+// newBackoffs returns none.
+func newBackoffs() backoffs { return backoffs{shared: map[recordKey]sharedBackoff{}} }
 
 // note takes in what an edge was told, and reports whether that keeps the engine from edges which were told
 // nothing: from those of a zone once two there were told, from all once two zones were.
-func (r *rests) note(now time.Time, edge ident.Router, zone ident.Zone, told Rest) bool {
+func (b *backoffs) note(now time.Time, edge ident.Router, zone ident.Zone, told Backoff) bool {
 	until := now.Add(min(told.Left, mostShared))
 	if zone == allZones {
-		return r.noteIn(now, recordKey{told.Engine, allZones}, string(edge), until)
+		return b.noteIn(now, recordKey{told.Engine, allZones}, string(edge), until)
 	}
-	here := r.noteIn(now, recordKey{told.Engine, zone}, string(edge), until)
-	everywhere := r.noteIn(now, recordKey{told.Engine, allZones}, string(zone), until)
+	here := b.noteIn(now, recordKey{told.Engine, zone}, string(edge), until)
+	everywhere := b.noteIn(now, recordKey{told.Engine, allZones}, string(zone), until)
 	return here || everywhere
 }
 
 // noteIn takes in what one of a group was told, and reports whether the group is kept off by that.
-func (r *rests) noteIn(now time.Time, key recordKey, from string, until time.Time) bool {
-	known := r.shared[key]
+func (b *backoffs) noteIn(now time.Time, key recordKey, from string, until time.Time) bool {
+	known := b.shared[key]
 	if !now.Before(known.until) {
-		known = sharedRest{from: from}
+		known = sharedBackoff{from: from}
 	}
 	turned := !known.several && known.from != from
 	known.several = known.several || turned
 	if until.After(known.until) {
 		known.until = until
 	}
-	r.shared[key] = known
-	if known.several && known.until.After(r.until) {
-		r.until = known.until
+	b.shared[key] = known
+	if known.several && known.until.After(b.until) {
+		b.until = known.until
 	}
 	return turned
 }
 
 // keeps reports whether an engine is kept from a zone's edges.
-func (r *rests) keeps(now time.Time, engine ident.TargetHash, zone ident.Zone) bool {
+func (b *backoffs) keeps(now time.Time, engine ident.TargetHash, zone ident.Zone) bool {
 	for _, z := range []ident.Zone{allZones, zone} {
-		if known := r.shared[recordKey{engine, z}]; known.several && now.Before(known.until) {
+		if known := b.shared[recordKey{engine, z}]; known.several && now.Before(known.until) {
 			return true
 		}
 	}
@@ -76,21 +76,21 @@
 }
 
 // forget drops what is known of an engine that is gone or has started anew.
-func (r *rests) forget(engine ident.TargetHash) {
-	for key := range r.shared {
+func (b *backoffs) forget(engine ident.TargetHash) {
+	for key := range b.shared {
 		if key.engine == engine {
-			delete(r.shared, key)
+			delete(b.shared, key)
 		}
 	}
 }
 
-// Rests notes which engines want no requests from an edge, and returns those that are kept from others too
-// from now on. They are a last resort then: 300 edges before 150 engines, a third of them tired, were turned
+// Backoffs notes which engines want no requests from an edge, and returns those that are kept from others too
+// from now on. They are a last resort then: 300 edges before 150 engines, a third of them refusing, were turned
 // away 14,100 times in 27,000 requests while each learnt for itself, in a model.
-func (h *Home) Rests(now time.Time, edge ident.Router, zone ident.Zone, told []Rest) []Rest {
-	var kept []Rest
+func (h *Home) Backoffs(now time.Time, edge ident.Router, zone ident.Zone, told []Backoff) []Backoff {
+	var kept []Backoff
 	for _, one := range told {
-		if _, known := h.index[one.Engine]; known && h.rests.note(now, edge, zone, one) {
+		if _, known := h.index[one.Engine]; known && h.backoffs.note(now, edge, zone, one) {
 			kept = append(kept, one)
 		}
 	}
--- a/internal/rule/place/rest_test.go
+++ b/internal/rule/place/backoff_test.go
@@ -17,7 +17,7 @@
 
 // What an engine tells one edge holds for that edge; what it tells two edges of a zone is believed in that
 // zone, what it tells two zones everywhere, and for no longer than it said.
-func TestRestsAreSharedOnceSeveralWereTold(t *testing.T) {
+func TestBackoffsAreSharedOnceSeveralWereTold(t *testing.T) {
 	const left = 3 * time.Second
 	cases := map[string]struct {
 		told  []told
@@ -38,7 +38,7 @@
 	for name, c := range cases {
 		h, list := newHome(2)
 		for _, one := range c.told {
-			h.Rests(start, one.edge, one.zone, []place.Rest{{Engine: list[0].Hash, Left: one.left}})
+			h.Backoffs(start, one.edge, one.zone, []place.Backoff{{Engine: list[0].Hash, Left: one.left}})
 		}
 		now := start.Add(c.after)
 		if got := sentTo(h, now, c.zone, list[0].Hash) == 0; got != c.kept {
@@ -62,21 +62,21 @@
 
 // An engine that has started anew has told nobody anything, and one that is all there is gets requests all the
 // same: from those that it told nothing.
-func TestRestsOfAnotherStartAndOfTheLastEngine(t *testing.T) {
+func TestBackoffsOfAnotherStartAndOfTheLastEngine(t *testing.T) {
 	h, list := newHome(2)
-	rest := func() {
+	backoff := func() {
 		for _, edge := range []ident.Router{"x", "y"} {
-			h.Rests(start, edge, "", []place.Rest{{Engine: list[0].Hash, Left: time.Minute}})
+			h.Backoffs(start, edge, "", []place.Backoff{{Engine: list[0].Hash, Left: time.Minute}})
 		}
 	}
-	rest()
+	backoff()
 	list[0].Incarnation++
 	h.SetEngines(list, []int{2})
 	if sentTo(h, start, "", list[0].Hash) == 0 {
 		t.Error("the engine gets nothing after it has started anew")
 	}
 	h, list = newHome(1)
-	rest()
+	backoff()
 	if sentTo(h, start, "", list[0].Hash) == 0 {
 		t.Error("the only engine gets nothing although requests would wait in vain")
 	}
--- a/internal/rule/place/health.go
+++ b/internal/rule/place/health.go
@@ -193,13 +193,13 @@
 // poor lists the engines that get no new work of a zone's edges because they fail many
 // requests, or want none.
 func (h *Home) poor(now time.Time, zone ident.Zone) []ident.TargetHash {
-	if !now.Before(h.health.until) && !now.Before(h.rests.until) {
+	if !now.Before(h.health.until) && !now.Before(h.backoffs.until) {
 		return nil
 	}
 	var out []ident.TargetHash
 	for i := range h.engines {
 		e := &h.engines[i]
-		if e.usable() && (h.health.blocked(now, e.Hash, zone) || h.rests.keeps(now, e.Hash, zone)) {
+		if e.usable() && (h.health.blocked(now, e.Hash, zone) || h.backoffs.keeps(now, e.Hash, zone)) {
 			out = append(out, e.Hash)
 		}
 	}
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -151,28 +151,28 @@
 	// moves are the chats that went elsewhere since the last digest.
 	moves []ChatPlace
 	// told is the shard whose work was told last with an answer.
-	told   int
-	health health
-	rests  rests
+	told     int
+	health   health
+	backoffs backoffs
 }
 
 // NewHome returns a home without engines or permits; its digests are numbered from
 // seq on, which must exceed what an earlier home of this router used.
 func NewHome(id ShardID, self ident.Router, bound Bound, seq uint64) *Home {
 	return &Home{
-		id:      id,
-		self:    self,
-		bound:   bound,
-		index:   map[ident.TargetHash]int{},
-		permits: map[permitKey]Permit{},
-		held:    map[ident.Router]int{},
-		doubted: map[ident.Router]bool{},
-		heard:   map[ident.Router]time.Time{},
-		places:  newMemory[chatPlace](bound.Places),
-		foreign: map[ident.Router]foreign{},
-		seq:     seq,
-		health:  newHealth(),
-		rests:   newRests(),
+		id:       id,
+		self:     self,
+		bound:    bound,
+		index:    map[ident.TargetHash]int{},
+		permits:  map[permitKey]Permit{},
+		held:     map[ident.Router]int{},
+		doubted:  map[ident.Router]bool{},
+		heard:    map[ident.Router]time.Time{},
+		places:   newMemory[chatPlace](bound.Places),
+		foreign:  map[ident.Router]foreign{},
+		seq:      seq,
+		health:   newHealth(),
+		backoffs: newBackoffs(),
 	}
 }
 
@@ -240,7 +240,7 @@
 // forget drops what edges said of an engine that is gone or has started anew.
 func (h *Home) forget(engine ident.TargetHash) {
 	h.health.forget(engine)
-	h.rests.forget(engine)
+	h.backoffs.forget(engine)
 }
 
 // Place decides one request and counts the permit it gives.
--- a/internal/share/home/ask.go
+++ b/internal/share/home/ask.go
@@ -39,8 +39,8 @@
 	// Failed are the shard's engines that have failed requests of the edge since it asked
 	// last, once for each request.
 	Failed []ident.TargetHash
-	// Rests are the shard's engines that want no requests from the edge, as they told it since it asked last.
-	Rests []place.Rest
+	// Backoffs are the shard's engines that want no requests from the edge, as they told it since it asked last.
+	Backoffs []place.Backoff
 }
 
 // Answer is what a home says.
--- a/internal/share/home/blame.go
+++ b/internal/share/home/blame.go
@@ -14,8 +14,8 @@
 	// Edge and Zone are of the router whose report decided it.
 	Edge ident.Router
 	Zone ident.Zone
-	// Rest is how long the engine wants no requests if that is why; zero otherwise.
-	Rest time.Duration
+	// Backoff is how long the engine wants no requests if that is why; zero otherwise.
+	Backoff time.Duration
 }
 
 // OnBlocked has a function told of each engine that is blocked; it must not call the homes.
@@ -30,14 +30,14 @@
 	for _, engine := range s.home.Blame(now, ask.Edge, ask.Zone, ask.Failed) {
 		h.tellBlocked(ask, engine, 0)
 	}
-	for _, rest := range s.home.Rests(now, ask.Edge, ask.Zone, ask.Rests) {
-		h.tellBlocked(ask, rest.Engine, rest.Left)
+	for _, backoff := range s.home.Backoffs(now, ask.Edge, ask.Zone, ask.Backoffs) {
+		h.tellBlocked(ask, backoff.Engine, backoff.Left)
 	}
 }
 
 // tellBlocked tells of an engine that is blocked from an edge's word on.
-func (h *Homes) tellBlocked(ask Ask, engine ident.TargetHash, rest time.Duration) {
+func (h *Homes) tellBlocked(ask Ask, engine ident.TargetHash, backoff time.Duration) {
 	if h.onBlocked != nil {
-		h.onBlocked(Blocked{Shard: ask.Shard, Engine: engine, Edge: ask.Edge, Zone: ask.Zone, Rest: rest})
+		h.onBlocked(Blocked{Shard: ask.Shard, Engine: engine, Edge: ask.Edge, Zone: ask.Zone, Backoff: backoff})
 	}
 }
--- a/internal/share/home/codec.go
+++ b/internal/share/home/codec.go
@@ -32,7 +32,7 @@
 		Once:      a.Once,
 		Sums:      encodeSums(a.Sums),
 		Failed:    encodeHashes(a.Failed),
-		Rests:     encodeRests(a.Rests),
+		Backoffs:  encodeBackoffs(a.Backoffs),
 	}
 }
 
@@ -52,18 +52,18 @@
 	return out
 }
 
-func encodeRests(rests []place.Rest) []*peerpb.Rest {
-	out := make([]*peerpb.Rest, 0, len(rests))
-	for _, r := range rests {
-		out = append(out, &peerpb.Rest{Engine: uint32(r.Engine), LeftMs: uint32(r.Left.Milliseconds())})
+func encodeBackoffs(backoffs []place.Backoff) []*peerpb.Backoff {
+	out := make([]*peerpb.Backoff, 0, len(backoffs))
+	for _, r := range backoffs {
+		out = append(out, &peerpb.Backoff{Engine: uint32(r.Engine), LeftMs: uint32(r.Left.Milliseconds())})
 	}
 	return out
 }
 
-func decodeRests(in []*peerpb.Rest) []place.Rest {
-	var out []place.Rest
+func decodeBackoffs(in []*peerpb.Backoff) []place.Backoff {
+	var out []place.Backoff
 	for _, r := range in {
-		out = append(out, place.Rest{Engine: ident.TargetHash(r.GetEngine()), Left: time.Duration(r.GetLeftMs()) * time.Millisecond})
+		out = append(out, place.Backoff{Engine: ident.TargetHash(r.GetEngine()), Left: time.Duration(r.GetLeftMs()) * time.Millisecond})
 	}
 	return out
 }
@@ -106,7 +106,7 @@
 		Wait:      time.Duration(m.GetWaitMs()) * time.Millisecond,
 		Sums:      decodeSums(m.GetSums()),
 		Failed:    decodeHashes(m.GetFailed()),
-		Rests:     decodeRests(m.GetRests()),
+		Backoffs:  decodeBackoffs(m.GetBackoffs()),
 	}
 }
 
