--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -60,7 +60,7 @@
 	queue *quota.Queue
 	rate  releaseRate
 	// returns are the times that refused callers were told.
-	returns returns
+	returns quota.Returns
 	sent    place.Digest
 	sentAt  time.Time
 	// jumped is set when permits came or went other than one by one.
--- a/internal/share/home/place.go
+++ b/internal/share/home/place.go
@@ -129,7 +129,7 @@
 	a := Answer{Result: result, Held: s.home.Held(ask.Edge), Work: s.home.SureWork()}
 	if ask.Must {
 		queue, _ := s.rate.wait(s.queue.Len())
-		a.RetryAfter = s.returns.tell(now, s.rate.perSecond(), queue)
+		a.RetryAfter = s.returns.Tell(now, s.rate.perSecond(), queue)
 	}
 	return a
 }
--- a/internal/share/home/rate.go
+++ b/internal/share/home/rate.go
@@ -6,6 +6,7 @@
 
 	"valescale/internal/plat/decay"
 	"valescale/internal/plat/ident"
+	"valescale/internal/rule/quota"
 )
 
 // releaseRate follows how fast a shard's permits come back, to tell how long a queue takes
@@ -61,7 +62,7 @@
 	if perSecond <= 0 {
 		return 0, false
 	}
-	seconds := min(float64(ahead+1)/perSecond, maxRetryAfter.Seconds())
+	seconds := min(float64(ahead+1)/perSecond, quota.MaxReturn.Seconds())
 	return time.Duration(seconds * float64(time.Second)), true
 }
 
