News of a router leaves pools as they are

Cause: each change of the view, mostly a router that has come or is suspect, made all pools anew from all targets, sorted, and gave them to homes and edge. In a fleet that starts again, where each router hears of all others one after the other, that was a third of what the processes did. Change: the view counts changes of targets apart; pools are remade when targets, reports or configuration have changed, else only homes are assigned anew. Test: 50 routers that come before 300 targets had 15,000 targets looked at again, now none. Figures, 120 routers in one process before 3,000 targets, second start, processor time a router: 98 ms until all were ready and 51, 48, 33, 15 ms in the next four seconds before; 77 and 24, 20, 11, 8 ms after.

--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -196,6 +196,14 @@
 	return moved
 }
 
+// Reassign replaces the assignment of homes alone, and returns the shards whose home has changed.
+func (r *Router) Reassign(assigned *place.Assignment) []Move {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.assigned = assigned
+	return r.movedShards()
+}
+
 // forgetRestarted drops what was seen of targets that have started anew since: it was of the earlier
 // start. What this router has in flight there counts on until it ends, since some of it may have
 // reached the new start already; the caller holds the lock.
--- a/internal/oper/mesh/mesh.go
+++ b/internal/oper/mesh/mesh.go
@@ -111,13 +111,21 @@
 // FirstPermit is above all permits that earlier incarnations of a router asked for.
 func FirstPermit(incarnation ident.Incarnation) uint64 { return uint64(incarnation) << permitBits }
 
-// inputs are what pools and homes are made from, by the counts of their changes.
-type inputs struct {
-	view     uint64
+// poolInputs are what pools are made from, by the counts of their changes.
+type poolInputs struct {
+	targets  uint64
 	revision ident.Revision
 	reports  uint64
 }
 
+// inputs are what pools and homes are made from. Routers come and go far more often than targets, and
+// change no pool: 120 routers that started before 3,000 targets took 244 ms of processor time each in their first
+// six seconds while each news of a router made the pools anew, and 140 ms without.
+type inputs struct {
+	poolInputs
+	view uint64
+}
+
 // routers are the routers of a region by what is thought of them.
 type routers struct {
 	live    []ident.Router
@@ -134,14 +142,15 @@
 	m.refreshing.Lock()
 	defer m.refreshing.Unlock()
 	wanted := m.Wanted()
-	latest := inputs{revision: wanted.Revision, reports: wanted.Reports}
-	m.Node.Read(func(v *peer.View) { latest.view = v.Version() })
+	latest := inputs{poolInputs: poolInputs{revision: wanted.Revision, reports: wanted.Reports}}
+	m.Node.Read(func(v *peer.View) { latest.view, latest.targets = v.Version(), v.TargetVersion() })
 	if latest == m.refreshed {
 		return
 	}
+	remake := latest.poolInputs != m.refreshed.poolInputs
 	m.refreshed = latest
-	next, seen := m.look(wanted.Services)
-	m.install(next)
+	next, seen := m.look(wanted.Services, remake)
+	m.install(next, remake)
 	if wanted.Install != nil {
 		wanted.Install()
 	}
@@ -151,13 +160,15 @@
 	}
 }
 
-// look makes pools and homes of what membership knows now, and returns the routers as it
-// sees them.
-func (m *Mesh) look(services []policy.Service) (*Set, routers) {
-	next := &Set{}
+// look makes pools, if they are to be remade, and homes of what membership knows now, and returns the routers
+// as it sees them.
+func (m *Mesh) look(services []policy.Service, remake bool) (*Set, routers) {
+	next := &Set{Pools: m.Set().Pools}
 	var seen routers
 	m.Node.Read(func(v *peer.View) {
-		next.Pools = m.pools(services, v)
+		if remake {
+			next.Pools = m.pools(services, v)
+		}
 		seen = m.routers(v)
 	})
 	shards := m.shards(next.Pools)
@@ -166,15 +177,19 @@
 	return next, seen
 }
 
-// install has this router's homes and edge work with new pools and homes.
-func (m *Mesh) install(next *Set) {
+// install has this router's homes and edge work with new homes, and new pools if they were remade.
+func (m *Mesh) install(next *Set, remade bool) {
+	defer m.set.Store(next)
+	if !remade {
+		m.moved = append(m.moved, m.Router.Reassign(next.Live)...)
+		return
+	}
 	for _, p := range next.Pools {
 		if p.Region == m.Self.Region {
 			m.Homes.SetPool(p.Name, p.Service.Shards, p.Bound, p.Engines)
 		}
 	}
 	m.moved = append(m.moved, m.Router.Set(next.Pools, next.Live)...)
-	m.set.Store(next)
 }
 
 // sighting is a router's state as seen at one moment.
--- a/internal/oper/mesh/mesh_test.go
+++ b/internal/oper/mesh/mesh_test.go
@@ -1,13 +1,19 @@
 package mesh
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/google/go-cmp/cmp"
 
+	"valescale/internal/edge/route"
+	"valescale/internal/plat/boxes"
+	"valescale/internal/plat/ident"
 	"valescale/internal/rule/place"
 	"valescale/internal/rule/policy"
+	"valescale/internal/share/home"
 	"valescale/internal/share/peer"
 )
 
@@ -47,3 +53,60 @@
 		}
 	}
 }
+
+// A fleet that starts again hears of its routers one after the other. Each of them made all pools anew, a third of
+// what 120 routers did in their first seconds before 3,000 targets, and of 300 small boxes' time for half a minute.
+func TestRoutersThatComeLeavePoolsAsTheyAre(t *testing.T) {
+	const targets, routers = 300, 50
+	now := time.Unix(1000, 0)
+	self := peer.Member{ID: "self", Region: "r", Incarnation: 1}
+	view := peer.NewView(now, self, peer.DefaultLimits)
+	node := peer.NewNode(view, nil, nil, peer.DefaultPace, nil, 1, func() time.Time { return now })
+	looked := 0
+	m := New(Parts{
+		Self: self, Node: node, Logger: log.NewNopLogger(), Clock: func() time.Time { return now },
+		Homes:  home.New("self", home.DefaultLimits, func() time.Time { return now }, nil),
+		Router: route.New(route.Self{ID: "self", Region: "r"}, nil, func() time.Time { return now }),
+		Wanted: func() Wanted {
+			return Wanted{Revision: 1, Services: []policy.Service{{Name: "s", Balance: policy.Exact, Shards: 4}}}
+		},
+		Bound: func(policy.Service) place.Bound { return place.DefaultBound },
+		Capacity: func(policy.Service, peer.Target) Capacity {
+			looked++
+			return Capacity{Slots: 8}
+		},
+	})
+	var list []boxes.Box
+	for i := range targets {
+		list = append(list, boxes.Box{
+			ID: fmt.Sprint("t", i), Role: boxes.TargetRole, Service: "s", Region: "r", State: boxes.Live, Incarnation: 1, Addr: "127.0.0.1:1",
+		})
+	}
+	node.Do(func(v *peer.View) { v.ObserveList(now, list) })
+	m.Update()
+	if looked != targets {
+		t.Fatalf("%d targets were looked at, want %d", looked, targets)
+	}
+	for i := range routers {
+		d := peer.Digest{Members: []peer.Member{{ID: ident.Router(fmt.Sprint("r", i)), Region: "r", Incarnation: 1, State: peer.Live, Seq: 1}}}
+		node.Do(func(v *peer.View) { v.Incoming(now, d) })
+		m.Update()
+	}
+	if looked != targets {
+		t.Errorf("%d targets were looked at again for %d routers that came", looked-targets, routers)
+	}
+	if got := len(m.Set().Live.Routers()); got != routers+1 {
+		t.Errorf("homes are among %d routers, want %d", got, routers+1)
+	}
+	node.Do(func(v *peer.View) { v.MarkLeaving(now, peer.Mark{Target: "t0", Incarnation: 1}) })
+	m.Update()
+	leaving := 0
+	for _, e := range m.Set().Pools[0].Engines {
+		if e.Leaving {
+			leaving++
+		}
+	}
+	if leaving != 1 {
+		t.Errorf("%d targets leave, want one", leaving)
+	}
+}
--- a/internal/share/peer/target.go
+++ b/internal/share/peer/target.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -82,11 +84,17 @@
 		t.missing++
 		if t.missing >= v.limits.MissingLists && !t.gone {
 			t.gone = true
-			v.version++
+			v.targetsChanged()
 		}
 	}
 }
 
+// targetsChanged counts a change of targets.
+func (v *View) targetsChanged() {
+	v.version++
+	v.targetVersion++
+}
+
 // ObserveRouters takes in the routers of a list that says nothing of targets.
 func (v *View) ObserveRouters(now time.Time, list []boxes.Box) {
 	for _, b := range list {
@@ -121,7 +129,7 @@
 	}
 	if !known || b.Incarnation > t.Incarnation || t.gone {
 		t.Joined = v.joined(now, t, known)
-		v.version++
+		v.targetsChanged()
 	}
 	t.ID, t.Addr, t.Service, t.Zone, t.Region = id, b.Addr, b.Service, b.Zone, b.Region
 	t.Incarnation = b.Incarnation
@@ -161,7 +169,7 @@
 		return false
 	}
 	v.marks[m.Target] = &markEntry{incarnation: m.Incarnation, at: now}
-	v.version++
+	v.targetsChanged()
 	return true
 }
 
@@ -178,7 +186,7 @@
 		}
 		out = append(out, target)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	slices.SortFunc(out, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
--- a/internal/share/peer/view.go
+++ b/internal/share/peer/view.go
@@ -55,6 +55,8 @@
 	onList map[ident.Router]bool
 	// version grows with each change that routing cares about.
 	version uint64
+	// targetVersion grows with those among them that are of targets.
+	targetVersion uint64
 	// hash is the exclusive or of all members' digests.
 	hash uint64
 	// sorted holds the members' ids in order, or nothing after one came or went.
@@ -83,6 +85,9 @@
 // Version grows with each change of routers or targets.
 func (v *View) Version() uint64 { return v.version }
 
+// TargetVersion grows with each change of targets.
+func (v *View) TargetVersion() uint64 { return v.targetVersion }
+
 // Self returns this router as the others are to see it.
 func (v *View) Self() Member { return v.members[v.self].Member }
 
