Both interfaces pass on what targets say of themselves in one way

Change: route.Router.Observe takes the notice, keeps the backoff and tells its watcher, the mesh, which logs it and marks what leaves at all routers; entry and front only read their own headers. Behaviour and log lines are as before; tests only say it in the new words. Ruled out: a second shared package, since the router has a watcher already.

--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -85,25 +85,16 @@
 	return got
 }
 
-// observe takes in what a target says of itself in an answer, whatever becomes of the request. Its row says it
-// later, or never while the store is away: one target in 18 that left in such 12 s got 59 more requests.
+// observe tells the finder what a target says of itself in an answer.
 func (h *Handler) observe(j *job, placement *route.Placement, answer *relay.Answer, reply Reply) {
 	if reply.Elsewhere {
 		// Another target has the address now, and speaks of itself.
 		return
 	}
-	target := placement.Target
-	backoff := relay.BackoffOf(answer.Status, answer.Header, h.Clock())
-	if reply.Leaving {
-		h.Directory.MarkLeaving(target.ID, target.Incarnation)
-	}
-	if backoff > 0 {
-		h.Finder.BackOff(placement.Hash, target.Incarnation, backoff)
-	}
-	if reply.Leaving || backoff > 0 {
-		_ = level.Info(h.Logger).Log("msg", "target tells its state", "request", j.call.ID, "target", target.ID,
-			"incarnation", target.Incarnation, "status", answer.Status, "leaving", reply.Leaving, "backoff_ms", backoff.Milliseconds())
-	}
+	h.Finder.Observe(placement.Target, route.Notice{
+		Request: string(j.call.ID), Status: answer.Status, Leaving: reply.Leaving,
+		Backoff: relay.BackoffOf(answer.Status, answer.Header, h.Clock()),
+	})
 }
 
 // dropsFailure reports whether an answer that tells of the target's failure is dropped:
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -31,14 +31,8 @@
 	Silent(target ident.TargetHash, since time.Time) bool
 	// Unreachable notes that a target could not be reached at all.
 	Unreachable(target ident.TargetHash)
-	// BackOff notes that one start of a target wants no requests from this router for a while.
-	BackOff(target ident.TargetHash, incarnation ident.Incarnation, wait time.Duration)
-}
-
-// Directory is what all routers know of targets.
-type Directory interface {
-	// MarkLeaving notes that an incarnation of a target is leaving, and tells the other routers.
-	MarkLeaving(id ident.Target, incarnation ident.Incarnation)
+	// Observe takes in what a target said of itself in an answer.
+	Observe(target route.Target, n route.Notice)
 }
 
 // Sender makes attempts.
@@ -90,16 +84,15 @@
 
 // Parts are what a handler works with.
 type Parts struct {
-	Dialect   Dialect
-	Rules     Rules
-	Finder    Finder
-	Directory Directory
-	Sender    Sender
-	Budget    Budget
-	Guard     Guard
-	Observer  Observer
-	Logger    log.Logger
-	Clock     ident.Clock
+	Dialect  Dialect
+	Rules    Rules
+	Finder   Finder
+	Sender   Sender
+	Budget   Budget
+	Guard    Guard
+	Observer Observer
+	Logger   log.Logger
+	Clock    ident.Clock
 	// Gate is in front of the listener; nil if there is none.
 	Gate *Gate
 }
--- a/internal/edge/entry/observe_test.go
+++ b/internal/edge/entry/observe_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -10,12 +9,11 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
-	"valescale/internal/plat/ident"
 	"valescale/internal/rule/match"
 	"valescale/internal/rule/retry"
 )
 
-// observed are the target's words that reached the finder and the directory.
+// observed are the target's words that reached the finder.
 func (f *finder) observed() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -32,14 +30,14 @@
 // that belongs to another request, nor with that of another target that has its address now.
 func TestWhichAnswersSpeakOfTheirTarget(t *testing.T) {
 	const leaves, backoffs = "Leaving: 1\r\n", "Not-Run: full\r\nRetry-After: 3\r\n"
-	backoff := fmt.Sprint("backoff ", ident.Target("t0").Hash(), " 0 3s")
+	backoff := "backoff t0 3s"
 	cases := map[string]struct {
 		first serving
 		want  []string
 	}{
-		"served":               {answer(200, leaves, "x"), []string{"leaving t0 0"}},
-		"failed":               {answer(500, leaves, "x"), []string{"leaving t0 0"}},
-		"refused":              {answer(503, leaves+backoffs, ""), []string{"leaving t0 0", backoff}},
+		"served":               {answer(200, leaves, "x"), []string{"leaving t0"}},
+		"failed":               {answer(500, leaves, "x"), []string{"leaving t0"}},
+		"refused":              {answer(503, leaves+backoffs, ""), []string{"leaving t0", backoff}},
 		"refused for good":     {answer(429, backoffs, ""), nil},
 		"served with a time":   {answer(200, "Retry-After: 3\r\n", "x"), nil},
 		"failed with a time":   {answer(503, "Retry-After: 3\r\n", "x"), []string{backoff}},
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -100,12 +100,13 @@
 func (f *finder) Silent(ident.TargetHash, time.Time) bool { return false }
 func (f *finder) Unreachable(ident.TargetHash)            { f.note("unreachable") }
 
-func (f *finder) BackOff(target ident.TargetHash, incarnation ident.Incarnation, wait time.Duration) {
-	f.note(fmt.Sprint("backoff ", target, " ", incarnation, " ", wait))
-}
-
-func (f *finder) MarkLeaving(id ident.Target, incarnation ident.Incarnation) {
-	f.note(fmt.Sprint("leaving ", id, " ", incarnation))
+func (f *finder) Observe(target route.Target, n route.Notice) {
+	if n.Leaving {
+		f.note(fmt.Sprint("leaving ", target.ID))
+	}
+	if n.Backoff > 0 {
+		f.note(fmt.Sprint("backoff ", target.ID, " ", n.Backoff))
+	}
 }
 
 // budget gives a number of retries.
@@ -239,7 +240,7 @@
 	guarding, closeGuard := guard.New(guard.Parts{Prober: conns, Logger: log.NewNopLogger(), Clock: time.Now, Spread: func() {}})
 	t.Cleanup(closeGuard)
 	h := New(Parts{
-		Dialect: plain{}, Rules: r, Finder: s.finder, Directory: s.finder, Sender: conns, Budget: s.budget, Guard: guarding, Observer: s.ends,
+		Dialect: plain{}, Rules: r, Finder: s.finder, Sender: conns, Budget: s.budget, Guard: guarding, Observer: s.ends,
 		Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 	server := httptest.NewUnstartedServer(h)
--- a/internal/edge/front/chat.go
+++ b/internal/edge/front/chat.go
@@ -271,7 +271,7 @@
 		return
 	}
 	s := &sent{placement: &route.Placement{Target: target, Hash: target.ID.Hash()}, reply: reply}
-	f.observe(j, s.placement, reply)
+	f.observe(j, target, reply)
 	if reply.Status != http.StatusOK {
 		reply.Close()
 		f.fail(w, j, gone)
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -29,8 +29,8 @@
 	Admit(ctx context.Context, w policy.Workspace) error
 	Report(target ident.TargetHash, ok bool)
 	Cancelled(target ident.TargetHash)
-	// BackOff notes that one start of a target wants no requests from this router for a while.
-	BackOff(target ident.TargetHash, incarnation ident.Incarnation, wait time.Duration)
+	// Observe takes in what a target said of itself in an answer.
+	Observe(target route.Target, n route.Notice)
 	// BackoffLeft is for how much longer a target wants no requests from this router.
 	BackoffLeft(target route.Target) time.Duration
 }
@@ -60,7 +60,6 @@
 // Directory finds a target by its id, for resuming a stream.
 type Directory interface {
 	Target(id ident.Target) (route.Target, bool)
-	MarkLeaving(id ident.Target, incarnation ident.Incarnation)
 }
 
 // Observer is told what happens to requests.
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -81,10 +81,9 @@
 func (p *parts) Admit(context.Context, policy.Workspace) error              { return p.admit }
 func (p *parts) Report(ident.TargetHash, bool)                              {}
 func (p *parts) Cancelled(ident.TargetHash)                                 {}
-func (p *parts) BackOff(ident.TargetHash, ident.Incarnation, time.Duration) {}
+func (p *parts) Observe(route.Target, route.Notice)                         {}
 func (p *parts) BackoffLeft(route.Target) time.Duration                     { return p.backoff }
 func (p *parts) Target(ident.Target) (route.Target, bool)                   { return route.Target{}, false }
-func (p *parts) MarkLeaving(ident.Target, ident.Incarnation)                {}
 func (p *parts) Finished(front.Finished)                                    {}
 func (p *parts) Finish(*claim.Ticket, claim.Answer)                         {}
 func (p *parts) Decided(policy.Workspace, *policy.Request, policy.Decision) {}
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -231,7 +231,7 @@
 		f.broke(ctx, j, placement.Target, at, err)
 		return nil, relay.StepOf(err), err
 	}
-	f.observe(j, placement, reply)
+	f.observe(j, placement.Target, reply)
 	if j.service.MeansNotRun(reply.Status) {
 		reply.Close()
 		placement.Release()
@@ -246,20 +246,12 @@
 	return &sent{placement: placement, reply: reply, at: at}, 0, nil
 }
 
-// observe takes in what a target says of itself in an answer, whatever becomes of the request.
-func (f *Front) observe(j *job, placement *route.Placement, reply *relay.Reply) {
-	target := placement.Target
-	backoff := relay.BackoffOf(reply.Status, reply.Header, f.Clock())
-	if reply.Leaving {
-		f.Directory.MarkLeaving(target.ID, target.Incarnation)
-	}
-	if backoff > 0 {
-		f.Finder.BackOff(placement.Hash, target.Incarnation, backoff)
-	}
-	if reply.Leaving || backoff > 0 {
-		_ = level.Info(f.Logger).Log("msg", "target tells its state", "request", j.id, "target", target.ID,
-			"incarnation", target.Incarnation, "status", reply.Status, "leaving", reply.Leaving, "backoff_ms", backoff.Milliseconds())
-	}
+// observe tells the finder what a target says of itself in an answer.
+func (f *Front) observe(j *job, target route.Target, reply *relay.Reply) {
+	f.Finder.Observe(target, route.Notice{
+		Request: string(j.id), Status: reply.Status, Leaving: reply.Leaving,
+		Backoff: relay.BackoffOf(reply.Status, reply.Header, f.Clock()),
+	})
 }
 
 var (
--- a/internal/edge/route/backoff.go
+++ b/internal/edge/route/backoff.go
@@ -16,20 +16,49 @@
 	until       time.Time
 }
 
-// BackOff notes that one start of a target has turned a request away and wants none from this router for a
+// Notice is what a target said of itself in an answer.
+type Notice struct {
+	// Request is the caller's, for logs; Status is that of the answer.
+	Request string
+	Status  int
+	// Leaving says that the target leaves.
+	Leaving bool
+	// Backoff is for how long it wants no more requests from this router; zero if it takes some.
+	Backoff time.Duration
+}
+
+// Observe takes in what a target said of itself in an answer, whatever becomes of the request. Its row says it
+// later, or never while the store is away: one target in 18 that left in such 12 s got 59 more requests.
+func (r *Router) Observe(target Target, n Notice) {
+	if !n.Leaving && n.Backoff <= 0 {
+		return
+	}
+	if n.Backoff > 0 {
+		r.backOff(target, n.Backoff)
+	}
+	r.mu.Lock()
+	watcher := r.watcher
+	r.mu.Unlock()
+	if watcher != nil {
+		watcher.Noticed(target, n)
+	}
+}
+
+// backOff notes that one start of a target has turned a request away and wants none from this router for a
 // while. Its home is told with the next ask: what one router is told holds for that router, but a target
 // that tells several is kept from the others too, before each has sent it a request in vain.
-func (r *Router) BackOff(target ident.TargetHash, incarnation ident.Incarnation, wait time.Duration) {
+func (r *Router) backOff(target Target, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	hash := target.ID.Hash()
 	until := r.clock().Add(wait)
-	if known := r.backoffs[target]; known.incarnation == incarnation && known.until.After(until) {
+	if known := r.backoffs[hash]; known.incarnation == target.Incarnation && known.until.After(until) {
 		until = known.until
 	}
-	told := backoff{incarnation: incarnation, until: until}
-	r.backoffs[target] = told
-	if id, known := r.shardOf(target); known {
-		r.tellLater(id, map[ident.TargetHash]backoff{target: told})
+	told := backoff{incarnation: target.Incarnation, until: until}
+	r.backoffs[hash] = told
+	if id, known := r.shardOf(hash); known {
+		r.tellLater(id, map[ident.TargetHash]backoff{hash: told})
 	}
 }
 
--- a/internal/edge/route/backoff_test.go
+++ b/internal/edge/route/backoff_test.go
@@ -134,7 +134,7 @@
 			return p
 		}
 		c.turned++
-		r.BackOff(p.Hash, p.Target.Incarnation, backoffFor)
+		r.Observe(p.Target, route.Notice{Backoff: backoffFor})
 		avoid = append(avoid, p.Hash)
 		p.Release()
 	}
@@ -159,6 +159,11 @@
 	}
 }
 
+// asksForBackoff has the first start of a target ask this router for backoff.
+func asksForBackoff(r *route.Router, target ident.Target, wait time.Duration) {
+	r.Observe(route.Target{ID: target, Incarnation: 1}, route.Notice{Backoff: wait})
+}
+
 // askFor asks for a place without waiting.
 func askFor(r *route.Router) (*route.Placement, error) {
 	return r.Acquire(context.Background(), route.Ask{Service: "judge", Key: 1, Work: ident.OneRequest})
@@ -168,8 +173,8 @@
 // the first target takes some again.
 func TestAllTargetsAskForBackoff(t *testing.T) {
 	f, r, _ := newFleet()
-	r.BackOff(ident.Target("engine-1").Hash(), 1, 3*time.Second)
-	r.BackOff(ident.Target("engine-2").Hash(), 1, 2*time.Second)
+	asksForBackoff(r, "engine-1", 3*time.Second)
+	asksForBackoff(r, "engine-2", 2*time.Second)
 	f.asked = nil
 	_, err := askFor(r)
 	if fault.KindOf[route.Kind](err) != route.BackingOff {
@@ -193,8 +198,8 @@
 func TestBackoffsAreKept(t *testing.T) {
 	f, r, assigned := newFleet()
 	refusing, other := ident.Target("engine-1").Hash(), ident.Target("engine-2").Hash()
-	r.BackOff(refusing, 1, 3*time.Second)
-	r.BackOff(refusing, 1, time.Second)
+	asksForBackoff(r, "engine-1", 3*time.Second)
+	asksForBackoff(r, "engine-1", time.Second)
 	without := f.pools[0]
 	without.Engines = without.Engines[1:]
 	without.Targets = map[ident.TargetHash]route.Target{other: f.pools[0].Targets[other]}
@@ -220,7 +225,7 @@
 func TestBackoffWhileARequestWaits(t *testing.T) {
 	f, r, _ := newFleet()
 	refusing := ident.Target("engine-1").Hash()
-	f.placing = func() { r.BackOff(refusing, 1, time.Second) }
+	f.placing = func() { asksForBackoff(r, "engine-1", time.Second) }
 	for key := range ident.ChatKey(4) {
 		if p := acquire(t, r, key); p.Hash == refusing {
 			t.Errorf("chat %d was sent to a target that asked for backoff while the chat waited", key)
--- a/internal/edge/route/watch.go
+++ b/internal/edge/route/watch.go
@@ -6,9 +6,11 @@
 	"valescale/internal/plat/ident"
 )
 
-// Watcher is told what a router comes to believe of the homes it asks. It is called with
+// Watcher is told what a router comes to believe of homes and targets. It may be called with
 // the router's lock held and must not call the router.
 type Watcher interface {
+	// Noticed says what a target said of itself.
+	Noticed(target Target, n Notice)
 	// PassedOver says that a home did not answer and for how long the next in line is asked.
 	PassedOver(home ident.Router, wait time.Duration)
 	// CutOff says that this router decides alone from now on, or that a home has answered again.
--- a/internal/oper/mesh/log.go
+++ b/internal/oper/mesh/log.go
@@ -5,14 +5,24 @@
 
 	"github.com/go-kit/log/level"
 
+	"valescale/internal/edge/route"
 	"valescale/internal/plat/ident"
 	"valescale/internal/share/home"
 	"valescale/internal/share/peer"
 )
 
-// watcher tells the log what the edge believes of homes.
+// watcher tells the log, and the other routers, what the edge believes of homes and targets.
 type watcher struct{ mesh *Mesh }
 
+// Noticed implements route.Watcher.
+func (w watcher) Noticed(target route.Target, n route.Notice) {
+	_ = level.Info(w.mesh.Logger).Log("msg", "target tells its state", "request", n.Request, "target", target.ID,
+		"incarnation", target.Incarnation, "status", n.Status, "leaving", n.Leaving, "backoff_ms", n.Backoff.Milliseconds())
+	if n.Leaving {
+		w.mesh.MarkLeaving(target.ID, target.Incarnation)
+	}
+}
+
 // PassedOver implements route.Watcher.
 func (w watcher) PassedOver(home ident.Router, wait time.Duration) {
 	_ = level.Info(w.mesh.Logger).Log("msg", "home passed over", "home", home, "for_ms", wait.Milliseconds())
--- a/internal/oper/node/build.go
+++ b/internal/oper/node/build.go
@@ -117,7 +117,7 @@
 	n.metrics = telem.NewRouted(n.readings())
 	n.gate = entry.NewGate(n.listeners.callers, n.Logger, n.Clock)
 	n.handler = entry.New(entry.Parts{
-		Dialect: n.Dialect, Rules: n, Finder: n.router, Directory: n.mesh, Sender: n.conns, Budget: n.budget, Guard: n.guard,
+		Dialect: n.Dialect, Rules: n, Finder: n.router, Sender: n.conns, Budget: n.budget, Guard: n.guard,
 		Observer: n.metrics, Logger: n.Logger, Clock: n.Clock, Gate: n.gate,
 	})
 }
