Soak: targets that leave by their answers, and that turn all away for a while

Two faults more: a target says in its answers that it leaves, until it starts anew; one turns all requests away for 2 s and says so. Requests that reach it 3 s, or half a second, after its word count as unwanted; a run may have 40, a few for each start of a router.

--- a/cmd/soak/ledger.go
+++ b/cmd/soak/ledger.go
@@ -23,6 +23,8 @@
 	served int
 	// ends counts the targets that ended under the fatal request.
 	ends int
+	// unwanted counts the requests that reached targets which had said that they want none.
+	unwanted int
 }
 
 func newLedger() *ledger { return &ledger{sent: map[string]*entry{}} }
@@ -63,6 +65,20 @@
 	return l.ends
 }
 
+// unwelcome notes a request that reached a target which had said that it wants none.
+func (l *ledger) unwelcome() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unwanted++
+}
+
+// unwantedSoFar is how many requests reached targets that had said that they want none.
+func (l *ledger) unwantedSoFar() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unwanted
+}
+
 // refused notes that a caller was told that its request has not run.
 func (l *ledger) refused(id string) {
 	l.mu.Lock()
--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -55,7 +55,8 @@
 	for _, b := range broken {
 		fmt.Println("BROKEN", b)
 	}
-	fmt.Printf("seed %d: %d requests, %d served, %d targets ended under one request\n", w.Seed, sent, served, w.ledger.endsSoFar())
+	fmt.Printf("seed %d: %d requests, %d served, %d targets ended under one request, %d unwanted\n", w.Seed, sent, served,
+		w.ledger.endsSoFar(), w.ledger.unwantedSoFar())
 	passed := 1
 	if len(broken) > 0 {
 		passed = 0
@@ -69,7 +70,7 @@
 	r := w.routers[w.rng.IntN(len(w.routers))]
 	t := w.targets[w.rng.IntN(len(w.targets))]
 	mode := fake.Mode(w.rng.IntN(int(fake.Resetting) + 1))
-	switch w.rng.IntN(12) {
+	switch w.rng.IntN(14) {
 	case 0:
 		order("kill", r)
 	case 1:
@@ -93,6 +94,10 @@
 		w.configure()
 	case 11:
 		w.changeTarget(t)
+	case 12:
+		t.work.leave()
+	case 13:
+		t.work.turnAway()
 	}
 }
 
@@ -109,6 +114,7 @@
 	case 3:
 		// The clock may have been set back meanwhile.
 		t.born += int64(w.rng.IntN(4000)) - 1000
+		t.work.renew()
 		w.announce(t, "ready")
 	default:
 		w.announce(t, "ready")
@@ -134,6 +140,9 @@
 	w.storeAt.Set(fake.Sound)
 	for _, t := range w.targets {
 		t.faults.Set(fake.Sound)
+		t.work.renew()
+		// What has said that it leaves serves again only as another start.
+		t.born++
 		w.announce(t, "ready")
 	}
 	w.configure()
@@ -147,6 +156,9 @@
 func (w *world) checkEnd() {
 	c := w.newCaller(w.Callers)
 	w.checkFatal(c)
+	if got := w.ledger.unwantedSoFar(); got > mostUnwanted {
+		w.ledger.report("%d requests reached targets that had said that they want none", got)
+	}
 	for _, r := range w.routers {
 		served := 0
 		for range finalSends {
@@ -171,6 +183,10 @@
 	mostEnds = 12
 )
 
+// mostUnwanted is how many requests of a run may reach targets that have said that they want none: each start
+// of a router may send a target one or two until it is told itself.
+const mostUnwanted = 40
+
 // checkFatal checks that every router refuses the request under which targets ended, whatever became of
 // the routers that lost them.
 func (w *world) checkFatal(c *caller) {
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -21,6 +21,10 @@
 	rng    *rand.Rand
 	// end takes the target away.
 	end func()
+	// leaving is since when the target says in its answers that it leaves, backoff until when it turns all
+	// requests away; zero if it does not.
+	leaving time.Time
+	backoff time.Time
 }
 
 func (w *world) newWork(t *target, n uint64) *work {
@@ -54,7 +58,7 @@
 		return
 	}
 	fate := k.draw()
-	if fate < refusePercent {
+	if k.notice(w) || fate < refusePercent {
 		w.Header().Set(fake.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -82,6 +86,59 @@
 	_, _ = io.WriteString(w, answerTo(id))
 }
 
+const (
+	// leaveTime is how long a target that leaves may get requests: two seconds, and what a box without
+	// processor time to spare adds.
+	leaveTime = 3 * time.Second
+	// backoffTime is for how long a target wants no requests, backoffGrace how long those on their way may take.
+	backoffTime  = 2 * time.Second
+	backoffGrace = 500 * time.Millisecond
+)
+
+// leave has the target say that it leaves.
+func (k *work) leave() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving = time.Now()
+}
+
+// turnAway has the target turn all requests away for a while.
+func (k *work) turnAway() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.backoff = time.Now().Add(backoffTime)
+}
+
+// renew has the target say nothing of itself, as after a start.
+func (k *work) renew() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving, k.backoff = time.Time{}, time.Time{}
+}
+
+// notice writes what the target says of itself, counts a request that comes although it said so before, and
+// reports whether the request is turned away.
+func (k *work) notice(w http.ResponseWriter) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	if !k.leaving.IsZero() {
+		w.Header().Set(fake.HeaderLeaving, "1")
+		if now.Sub(k.leaving) > leaveTime {
+			k.ledger.unwelcome()
+		}
+	}
+	left := k.backoff.Sub(now)
+	if left <= 0 {
+		return false
+	}
+	w.Header().Set("Retry-After", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+	if left < backoffTime-backoffGrace {
+		k.ledger.unwelcome()
+	}
+	return true
+}
+
 // answerTo is the only right body of the answer to a plain request.
 func answerTo(id string) string { return "answer to " + id }
 
--- a/cmd/soak/world.go
+++ b/cmd/soak/world.go
@@ -48,6 +48,7 @@
 	born   int64
 	faults *fake.Faults
 	server *http.Server
+	work   *work
 }
 
 // Services and paths of the configuration.
@@ -115,6 +116,7 @@
 		return err
 	}
 	work.end = func() { w.end(t) }
+	t.work = work
 	t.server = server
 	t.faults, t.addr, t.born = faults, faults.Addr().String(), time.Now().UnixMilli()
 	w.targets = append(w.targets, t)
