--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -17,6 +17,7 @@
 	"valescale/internal/edge/guard"
 	"valescale/internal/edge/relay"
 	"valescale/internal/edge/route"
+	"valescale/internal/plat/engine"
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/policy"
@@ -49,7 +50,11 @@
 	answer   *claim.Answer
 	claimErr error
 	// backoff is for how long targets want no requests.
-	backoff  time.Duration
+	backoff time.Duration
+	// relay sends to the known target's address, if it is set.
+	relay    *relay.Relay
+	addr     string
+	notices  []route.Notice
 	released int
 	sent     int
 	asked    int
@@ -71,8 +76,11 @@
 	return p.claimed, p.answer, p.claimErr
 }
 
-func (p *parts) Send(context.Context, relay.Call) (*relay.Reply, error) {
+func (p *parts) Send(ctx context.Context, call relay.Call) (*relay.Reply, error) {
 	p.sent++
+	if p.relay != nil {
+		return p.relay.Send(ctx, call)
+	}
 	return nil, p.send
 }
 
@@ -81,13 +89,19 @@
 func (p *parts) Admit(context.Context, policy.Workspace) error              { return p.admit }
 func (p *parts) Report(ident.TargetHash, bool)                              {}
 func (p *parts) Cancelled(ident.TargetHash)                                 {}
-func (p *parts) Observe(route.Target, route.Notice)                         {}
 func (p *parts) BackoffLeft(route.Target) time.Duration                     { return p.backoff }
-func (p *parts) Target(ident.Target) (route.Target, bool)                   { return route.Target{}, false }
 func (p *parts) Finished(front.Finished)                                    {}
 func (p *parts) Finish(*claim.Ticket, claim.Answer)                         {}
 func (p *parts) Decided(policy.Workspace, *policy.Request, policy.Decision) {}
 
+// Observe keeps what targets said of themselves.
+func (p *parts) Observe(_ route.Target, n route.Notice) { p.notices = append(p.notices, n) }
+
+// Target knows one target, for resuming.
+func (p *parts) Target(id ident.Target) (route.Target, bool) {
+	return route.Target{ID: id, Incarnation: 1, Addr: p.addr}, id == "known"
+}
+
 func newFront(t *testing.T, p *parts) http.Handler {
 	t.Helper()
 	docs, err := policy.Split("front.ini", fmt.Appendf(nil, documents, policy.HashToken("bogota")))
@@ -246,3 +260,42 @@
 		}
 	}
 }
+
+// resume goes on with a stream of the known target.
+func resume(handler http.Handler) *httptest.ResponseRecorder {
+	r := httptest.NewRequest("GET", front.ChatPath, nil)
+	r.Header.Set("Authorization", "Bearer bogota")
+	r.Header.Set("Last-Event-Id", relay.Keys{make([]byte, 32)}.Seal("bogota", relay.Token{Target: "known", Incarnation: 1, Stream: "s"}))
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, r)
+	return w
+}
+
+// A stream is not resumed at a target that wants no requests: its caller is told at once when to come back.
+func TestResumeDuringBackoff(t *testing.T) {
+	p := parts{backoff: 1500 * time.Millisecond}
+	w := resume(newFront(t, &p))
+	got := []string{fmt.Sprint(w.Code), w.Header().Get("Retry-After"), fmt.Sprint(p.sent)}
+	if diff := cmp.Diff([]string{"503", "2", "0"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// What a target says of itself counts when a stream is resumed there, too.
+func TestResumeAtALeavingTarget(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(engine.LeavingHeader, "true")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	}))
+	t.Cleanup(target.Close)
+	sender, closeSender := relay.New(relay.DefaultLimits)
+	t.Cleanup(closeSender)
+	p := parts{relay: sender, addr: target.Listener.Addr().String()}
+	if w := resume(newFront(t, &p)); w.Code != http.StatusOK {
+		t.Fatalf("status %d, want 200", w.Code)
+	}
+	if len(p.notices) != 1 || !p.notices[0].Leaving {
+		t.Errorf("noticed %+v, want that the target leaves", p.notices)
+	}
+}
--- a/internal/edge/route/backoff_test.go
+++ b/internal/edge/route/backoff_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"valescale/internal/edge/route"
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
@@ -217,7 +219,33 @@
 	again.Targets = map[ident.TargetHash]route.Target{refusing: {ID: "engine-1", Incarnation: 2}, other: again.Targets[other]}
 	r.Set([]route.Pool{again}, assigned)
 	if left := r.BackoffLeft(again.Targets[refusing]); left != 0 {
-		t.Errorf("a target that has started anew backoffs for %v", left)
+		t.Errorf("a target that has started anew wants no requests for %v", left)
+	}
+	used := false
+	for key := range ident.ChatKey(10) {
+		p := acquire(t, r, key)
+		used = used || p.Hash == refusing
+		p.Release()
+	}
+	if !used {
+		t.Error("a target that has started anew gets nothing")
+	}
+}
+
+// A home that does not answer hears of backoffs with the next ask that it answers, with what is left of them.
+func TestBackoffsOutliveASilentHome(t *testing.T) {
+	f, r, assigned := newFleet()
+	asksForBackoff(r, "engine-1", 3*time.Second)
+	f.loseAnswers = true
+	acquire(t, r, 1).Release()
+	f.loseAnswers = false
+	f.backoffs = nil
+	f.now = f.now.Add(time.Second)
+	r.Returned(assigned.Home(id))
+	acquire(t, r, 2).Release()
+	want := []place.Backoff{{Engine: ident.Target("engine-1").Hash(), Left: 2 * time.Second}}
+	if diff := cmp.Diff(want, f.backoffs); diff != "" {
+		t.Error(diff)
 	}
 }
 
--- a/internal/edge/route/router_test.go
+++ b/internal/edge/route/router_test.go
@@ -23,7 +23,9 @@
 	down  map[ident.Router]bool
 	// failed are the engines that asks named as failing.
 	failed []ident.TargetHash
-	asked  []ident.Router
+	// backoffs are what asks told of engines that want no requests.
+	backoffs []place.Backoff
+	asked    []ident.Router
 	// loseAnswers has homes give permits whose answers do not arrive.
 	loseAnswers bool
 	// heldUp has the router notice too late whether its homes answered.
@@ -48,6 +50,7 @@
 func (f *fleet) Place(ctx context.Context, to ident.Router, ask home.Ask, released []uint64) (home.Answer, error) {
 	f.asked = append(f.asked, to)
 	f.failed = append(f.failed, ask.Failed...)
+	f.backoffs = append(f.backoffs, ask.Backoffs...)
 	h, err := f.at(to)
 	if err != nil {
 		return home.Answer{}, err
