An assignment of homes looks at routers that came or went alone

Cause: each news of a router had every shard score all routers twice, among the live and among the remembered: 158,000 scores at 986 routers and 80 shards, as often as the rest of 400 ms allows. What a shard thinks of a router depends on the two alone, so an Assigner keeps the scores.

Test: random fleets, half of them gone at once now and then, give the same homes and next in line as an assignment made anew.

--- a/internal/oper/mesh/mesh.go
+++ b/internal/oper/mesh/mesh.go
@@ -84,6 +84,9 @@
 	leaving map[ident.Target]ident.Incarnation
 	// capacities are what the routers say of their boxes; never changed, only replaced.
 	capacities place.Capacities
+	// live and remembered assign homes among live routers, and among all that are remembered.
+	live       place.Assigner
+	remembered place.Assigner
 	// settling keeps to one settlement at a time, unsettled asks for one.
 	settling  sync.Mutex
 	unsettled chan struct{}
@@ -166,8 +169,8 @@
 		seen = m.routers(v, holders)
 	})
 	shards := m.shards(next.Pools)
-	next.Live = place.AssignBy(shards, seen.live, m.capacities)
-	next.Known = place.AssignBy(shards, seen.known, m.capacities)
+	next.Live = m.live.Assign(shards, seen.live, m.capacities)
+	next.Known = m.remembered.Assign(shards, seen.known, m.capacities)
 	return next, seen, changed
 }
 
--- a/internal/rule/place/assign.go
+++ b/internal/rule/place/assign.go
@@ -6,8 +6,6 @@
 	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
 	"valescale/internal/plat/ident"
 )
 
@@ -19,6 +17,8 @@
 type Assignment struct {
 	routers    []ident.Router
 	capacities Capacities
+	// least is the smallest of the capacities.
+	least ident.Cores
 	// choices are the shards' first few routers and one more.
 	choices []choice
 	homes   map[ShardID]ident.Router
@@ -37,20 +37,15 @@
 // AssignBy assigns the shards of all pools of a region to its live routers by what they
 // can carry.
 func AssignBy(ids []ShardID, routers []ident.Router, capacities Capacities) *Assignment {
-	a := &Assignment{
-		routers: routers, capacities: capacities, choices: choices(ids, routers, capacities),
-		without: map[ident.Router]map[ShardID]ident.Router{},
-	}
-	a.homes = a.assign("")
-	return a
+	var a Assigner
+	return a.Assign(ids, routers, capacities)
 }
 
 // assign gives each shard to one of its first few routers, leaving one out.
 func (a *Assignment) assign(without ident.Router) map[ShardID]ident.Router {
-	least := a.capacities.least()
-	counts := make(map[ident.Router]int, len(a.routers))
+	counts := make(map[ident.Router]int, len(a.choices))
 	// load is how busy a router is once it has some more shards.
-	load := func(r ident.Router, more int) float64 { return float64(counts[r]+more) / a.capacities.of(r, least) }
+	load := func(r ident.Router, more int) float64 { return float64(counts[r]+more) / a.capacities.of(r, a.least) }
 	homes := make(map[ShardID]ident.Router, len(a.choices))
 	left := make([]choice, len(a.choices))
 	for i, c := range a.choices {
@@ -104,34 +99,18 @@
 // offer puts a router in its place among the first few.
 func (c *choice) offer(s scored) {
 	for i := range c.few {
-		if c.few[i].router == "" || s.score > c.few[i].score {
+		if s.before(c.few[i]) {
 			c.few[i], s = s, c.few[i]
 		}
 	}
 }
 
-// choices returns each shard's first few routers and one more.
-func choices(ids []ShardID, routers []ident.Router, capacities Capacities) []choice {
-	if len(routers) == 0 {
-		return nil
-	}
-	least := capacities.least()
-	hashes := make([]uint64, len(routers))
-	pulls := make([]float64, len(routers))
-	for i, r := range routers {
-		hashes[i] = xxhash.Sum64String(string(r))
-		pulls[i] = pull(capacities.of(r, least))
+// before reports whether a router comes before another, or before none.
+func (s scored) before(other scored) bool {
+	if other.router == "" || s.score != other.score {
+		return other.router == "" || s.score > other.score
 	}
-	out := make([]choice, 0, len(ids))
-	for _, id := range ids {
-		c := choice{id: id}
-		seed := shardSeed(id)
-		for i, r := range routers {
-			c.offer(scored{router: r, score: drawn(ident.Mix(seed, hashes[i]), pulls[i])})
-		}
-		out = append(out, c)
-	}
-	return out
+	return s.router < other.router
 }
 
 // Home returns the router that is home of a shard, or the empty id without routers.
