An edge and a home that know different targets still serve

A home that offers a target which the edge does not know is asked again without it, twice; an edge whom no home offers one that it knows decides alone instead of refusing. Ruled out: telling homes which targets an edge knows, a message of the size of the fleet.

--- a/internal/edge/route/ask.go
+++ b/internal/edge/route/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"valescale/internal/plat/fault"
@@ -22,19 +23,20 @@
 	if cut {
 		return r.withoutHome(ctx, p, ask, nil)
 	}
-	passed := false
+	passed, strange := false, false
 	var holder ident.TargetHash
 	for {
 		step, ok := r.next(p, &search)
 		if !ok {
 			return nil, false, fault.New("route.Acquire", NoTarget, nil)
 		}
-		a, placement, err := r.ask(ctx, p, step, ask)
+		a, placement, unknown, err := r.askKnown(ctx, p, step, ask)
 		if err != nil && !passed && ctx.Err() == nil {
 			// The next in line knows what the silent home counted a second ago.
 			passed = true
-			a, placement, err = r.ask(ctx, p, step, ask)
+			a, placement, unknown, err = r.askKnown(ctx, p, step, ask)
 		}
+		strange = strange || unknown
 		switch {
 		case err != nil:
 			return r.withoutHome(ctx, p, ask, err)
@@ -43,6 +45,9 @@
 			return placement, false, nil
 		case a.Result == home.Moved:
 			return nil, true, nil
+		case step.Must && strange && a.Result != home.Shed:
+			// Homes that know other targets than this router say nothing of those that it knows.
+			return r.withoutHome(ctx, p, ask, nil)
 		case step.Must:
 			return nil, false, r.giveUp(ctx, p, step.Shard, a)
 		}
@@ -53,6 +58,25 @@
 	}
 }
 
+// mostUnknown is how often a home is asked once more after it has offered a target that this router does not know.
+const mostUnknown = 2
+
+// askKnown asks one home for a permit at a target that this router knows; unknown is set if the home offered another.
+// News of targets reaches the two up to a second apart, and either may be ahead.
+func (r *Router) askKnown(ctx context.Context, p *pool, step place.Step, ask Ask) (
+	a home.Answer, placement *Placement, unknown bool, err error,
+) {
+	for range 1 + mostUnknown {
+		a, placement, err = r.ask(ctx, p, step, ask)
+		if err != nil || placement != nil || a.Result != home.Placed {
+			return a, placement, unknown, err
+		}
+		unknown = true
+		ask.Avoid = append(slices.Clip(ask.Avoid), a.Engine)
+	}
+	return a, nil, true, nil
+}
+
 // next returns the shard that a search asks next.
 func (r *Router) next(p *pool, search *place.Search) (place.Step, bool) {
 	r.mu.Lock()
@@ -121,7 +145,8 @@
 	return placement, false, err
 }
 
-// ask asks one home for a permit.
+// ask asks one home for a permit. An answer that gives one without a placement is for a target that this router does
+// not know.
 func (r *Router) ask(ctx context.Context, p *pool, step place.Step, ask Ask) (home.Answer, *Placement, error) {
 	id := place.ShardID{Pool: p.Name, Shard: step.Shard}
 	now := r.clock()
@@ -230,9 +255,8 @@
 func (r *Router) placed(p *pool, id place.ShardID, to ident.Router, request home.Ask, a home.Answer) (home.Answer, *Placement, error) {
 	target, ok := p.Target(a.Engine)
 	if !ok {
-		// The home knows an engine that this router does not know yet.
 		r.giveBack(id, request.Permit)
-		return home.Answer{Result: home.Full}, nil, nil
+		return a, nil, nil
 	}
 	r.granted[id] = to
 	placement := r.hold(p, id, place.Permit{Edge: r.self.ID, ID: request.Permit, Engine: a.Engine, Work: request.Work}, target)
