What a caller does not read waits at the router, bounded, not at the target

What would be seen: a caller that reads slowly or nothing held its target's answer up: the stream was read from the target only as fast as the caller took it. The target's silence timer ran meanwhile, so that the target was suspected; nothing ended the request while the caller's connection lived. Targets cut off answers that stay unread for some seconds, and fall over when they hold too many.

Beyond that the request ends as "unread" with its connection, and nobody is blamed.

--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -216,7 +216,7 @@
 	header.Set("Content-Length", strconv.FormatInt(length, 10))
 	w.WriteHeader(answer.Status)
 	// A caller that has gone needs no answer.
-	_, _ = w.Write(body)
+	_ = writeWhole(w, body)
 	return result{ended: true, reason: Served, status: answer.Status}
 }
 
@@ -243,15 +243,18 @@
 // noting notes whether writing failed, which tells a caller that has gone from a target
 // that breaks off.
 type noting struct {
-	to     io.Writer
+	to     http.ResponseWriter
 	failed bool
 }
 
 // Write implements io.Writer.
 func (n *noting) Write(p []byte) (int, error) {
-	written, err := n.to.Write(p)
-	n.failed = n.failed || err != nil
-	return written, err
+	err := writeWhole(n.to, p)
+	if err != nil {
+		n.failed = true
+		return 0, err
+	}
+	return len(p), nil
 }
 
 // head copies an answer's headers to the caller, without its length.
--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -21,7 +21,9 @@
 // passEvents passes on the events of a stream as they come, whole ones only, so that
 // the stream can go on elsewhere if this target stops in the middle of one.
 func (h *Handler) passEvents(w http.ResponseWriter, j *job, answer *relay.Answer, patience *patience) result {
-	control := http.NewResponseController(w)
+	if j.outbox == nil {
+		j.outbox = newOutbox(w, &h.unread)
+	}
 	var pending []byte
 	buffer := make([]byte, eventBuffer)
 	for {
@@ -34,40 +36,52 @@
 		if end > 0 {
 			patience.heard(j.gap())
 			h.Finder.Heard(j.placed.Hash)
-			if !h.passOn(w, control, j, answer, pending[:end]) {
-				return result{ended: true, reason: CallerGone, status: answer.Status}
+			if reason := h.passOn(w, j, answer, pending[:end]); reason != "" {
+				return result{ended: true, reason: reason, status: answer.Status}
 			}
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
 		case err == io.EOF:
 			h.begin(w, j, answer)
-			return result{ended: true, reason: Served, status: answer.Status}
+			return h.delivered(j, answer)
 		case err != nil || len(pending) > maxEvent:
 			return result{step: retry.Answering, reason: Lost, status: answer.Status, err: err}
 		}
 	}
 }
 
-// passOn writes whole events and reports whether the caller is still there. Of a stream
+// delivered waits until the caller has the whole stream. Its target has none of it any more, and is free for others.
+func (h *Handler) delivered(j *job, answer *relay.Answer) result {
+	if !j.outbox.finish() {
+		return result{ended: true, reason: CallerGone, status: answer.Status}
+	}
+	return result{ended: true, reason: Served, status: answer.Status}
+}
+
+// passOn passes whole events on and returns why the request ends if the caller has gone or does not read. Of a stream
 // that goes on at another target it leaves out what the caller has.
-func (h *Handler) passOn(w http.ResponseWriter, control *http.ResponseController, j *job, answer *relay.Answer, events []byte) bool {
+func (h *Handler) passOn(w http.ResponseWriter, j *job, answer *relay.Answer, events []byte) Reason {
 	if j.started && j.sends > 1 {
 		events = after(events, j.last)
 	}
 	h.begin(w, j, answer)
 	if len(events) == 0 {
-		return true
+		return ""
 	}
 	if j.route.Resumable {
 		if id, ok := lastID(events); ok {
 			j.last = id
 		}
 	}
-	if _, err := w.Write(events); err != nil {
-		return false
+	switch there, fast := j.outbox.send(events); {
+	case !there:
+		return CallerGone
+	case !fast:
+		j.outbox.abandon()
+		return Unread
 	}
-	return control.Flush() == nil
+	return ""
 }
 
 // begin writes the head of the first target's answer, once. It names no length, since
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -103,6 +104,8 @@
 	// started is when the handler was made.
 	started  time.Time
 	expected *expectations
+	// unread is what waits for callers that read slowly, in bytes.
+	unread atomic.Int64
 }
 
 // New returns a handler.
@@ -127,6 +130,11 @@
 		h.answer(w, j, p)
 		return
 	}
+	defer func() {
+		if j.outbox != nil {
+			j.outbox.close()
+		}
+	}()
 	h.serve(ctx, w, j)
 }
 
@@ -248,10 +256,10 @@
 	h.answer(w, j, p)
 }
 
-// abortCutOff closes the caller's connection under an answer that was cut off. It comes
+// abortCutOff closes the caller's connection under an answer that was cut off, or that it does not read. It comes
 // last: it does not return, and by then the place at the target must be given back.
 func abortCutOff(reason Reason) {
-	if reason == CutOff {
+	if reason == CutOff || reason == Unread {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -46,6 +46,8 @@
 	refused error
 	// started is set once a part of an answer has gone to the caller.
 	started bool
+	// outbox passes a stream on to the caller; nil before there is one.
+	outbox *outbox
 	// placed is the latest placement, nil before the first.
 	placed *route.Placement
 	// last is the id of the last event that the caller has got.
--- a/internal/edge/entry/problem.go
+++ b/internal/edge/entry/problem.go
@@ -33,6 +33,8 @@
 	SlowCaller Reason = "slow_caller"
 	// CallerGone means that the caller left before the end of its answer.
 	CallerGone Reason = "caller_gone"
+	// Unread means that the caller did not read its answer.
+	Unread Reason = "unread"
 	// NoTarget means that the service has no target.
 	NoTarget Reason = "no_target"
 	// Overloaded means that no target took the request in time.
@@ -102,7 +104,7 @@
 	}
 	w.WriteHeader(p.status)
 	// A caller that has gone needs no answer.
-	_, _ = w.Write(body)
+	_ = writeWhole(w, body)
 }
 
 // comeBack is when a caller may try again after a refusal that says nothing better:
