Routers exchange news with lasting neighbours

Cause: each exchange went to a router chosen at random. Among 8 that is one of 8 connections; among 986 hardly any connection is used twice, each costs both sides buffers and goroutines for five minutes, and five in six cross to another availability zone. By arithmetic 5 new connections a second and router.

The model now chooses peers by the code that routers use, where it chose them itself. Test: 1,000 exchanges go to 16 routers at most; one that dies is replaced, the others stay.

--- a/internal/share/peer/node.go
+++ b/internal/share/peer/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,9 +61,6 @@
 // DefaultPace stays within a few kilobytes a second.
 var DefaultPace = Pace{Gossip: time.Second, List: 2 * time.Second, Call: time.Second, Fanout: 3}
 
-// lostOneIn is how seldom a router thought dead is tried instead of a live one.
-const lostOneIn = 10
-
 // Node exchanges digests with other routers and reads the list of boxes.
 type Node struct {
 	mu      sync.Mutex
@@ -204,19 +202,16 @@
 	wg.Wait()
 }
 
-// pick chooses peers at random: mostly live ones, seldom one thought dead.
+// pick chooses whom to exchange news with: the seeds while nobody else is known.
 func (n *Node) pick(count int) []Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	peers := n.view.Peers()
-	if lost := n.view.Lost(); len(lost) > 0 && n.rng.IntN(lostOneIn) == 0 {
-		return []Member{lost[n.rng.IntN(len(lost))]}
-	}
-	if len(peers) == 0 {
-		peers = append(peers, n.seeds...)
+	if peers := n.view.Pick(n.rng, count); len(peers) > 0 {
+		return peers
 	}
-	n.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers[:min(count, len(peers))]
+	seeds := slices.Clone(n.seeds)
+	n.rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	return seeds[:min(count, len(seeds))]
 }
 
 // Exchange sends news to one peer and takes in its news.
--- a/internal/share/peer/view.go
+++ b/internal/share/peer/view.go
@@ -136,23 +136,17 @@
 }
 
 // Peers returns the other routers that are not dead, in order of id.
-func (v *View) Peers() []Member { return v.others(func(s State) bool { return s != Dead }) }
-
-// Lost returns the routers that are thought to be dead, in order of id. They are tried now and
-// then, since after a cut both sides think so of each other.
-func (v *View) Lost() []Member { return v.others(func(s State) bool { return s == Dead }) }
-
-// others returns the other routers whose state is wanted, in order of id.
-func (v *View) others(wanted func(State) bool) []Member {
+func (v *View) Peers() []Member {
 	var out []Member
 	for m := range v.All() {
-		if m.ID != v.self && wanted(m.State) {
+		if m.ID != v.self && m.State != Dead {
 			out = append(out, m)
 		}
 	}
 	return out
 }
 
+
 // setMember stores a member and starts passing it on.
 func (v *View) setMember(now time.Time, m Member) {
 	e, ok := v.members[m.ID]
--- a/internal/share/peer/view_test.go
+++ b/internal/share/peer/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -83,14 +84,16 @@
 	}
 }
 
+// index finds a router by its id.
+func (f *fleet) index(id ident.Router) int { return slices.Index(f.ids, id) }
+
 // round lets a second pass in which each router calls one other.
 func (f *fleet) round() {
 	f.now = f.now.Add(time.Second)
 	for a := range f.views {
 		f.views[a].Tick(f.now)
-		b := f.rng.IntN(len(f.views))
-		if b != a {
-			f.exchange(a, b)
+		for _, m := range f.views[a].Pick(f.rng, 1) {
+			f.exchange(a, f.index(m.ID))
 		}
 	}
 }
@@ -126,8 +129,8 @@
 	for fresh := []int{from}; len(fresh) > 0; hops++ {
 		var next []int
 		for _, a := range fresh {
-			for range peer.DefaultPace.Fanout {
-				b := f.rng.IntN(len(f.views))
+			for _, m := range f.views[a].Pick(f.rng, peer.DefaultPace.Fanout) {
+				b := f.index(m.ID)
 				before := f.views[b].Head()
 				f.exchange(a, b)
 				if f.views[b].Head() > before {
@@ -402,3 +405,55 @@
 		t.Errorf("era %d is heard of, want 3", news.Era)
 	}
 }
+
+// Found by arithmetic: a router of a thousand that exchanges news with anyone, five times a second in both directions,
+// makes a new connection for nearly each, and holds hundreds after a minute. It keeps to a few, over which news still
+// reaches all in as many rounds, in a fleet of several availability zones too; who dies is replaced, the others stay.
+func TestRoutersKeepToTheirNeighbours(t *testing.T) {
+	const routers, zones, most = 300, 6, 16
+	f := newFleet(t, 0)
+	var list []boxes.Box
+	for i := range routers {
+		id := ident.Router(fmt.Sprintf("router-%03d", i))
+		zone := ident.Zone(fmt.Sprint("zone-", i%zones))
+		f.ids = append(f.ids, id)
+		f.views = append(f.views, peer.NewView(start, peer.Member{ID: id, Zone: zone, Incarnation: 1}, peer.DefaultLimits))
+		list = append(list, boxes.Box{ID: string(id), Role: boxes.RouterRole, Zone: zone, State: boxes.Live})
+	}
+	for _, v := range f.views {
+		v.ObserveList(start, list)
+	}
+	picked := func() map[ident.Router]bool {
+		out := map[ident.Router]bool{}
+		for range 1000 {
+			for _, m := range f.views[0].Pick(f.rng, 1) {
+				if m.State != peer.Dead {
+					out[m.ID] = true
+				}
+			}
+		}
+		return out
+	}
+	before := picked()
+	if len(before) > most {
+		t.Errorf("news is exchanged with %d routers, want %d at most", len(before), most)
+	}
+	var first ident.Router
+	for id := range before {
+		first = max(first, id)
+	}
+	f.views[0].Incoming(f.now, peer.Digest{Members: []peer.Member{{ID: first, Incarnation: 1, State: peer.Dead, Seq: 1}}})
+	after := picked()
+	stayed := 0
+	for id := range after {
+		if before[id] {
+			stayed++
+		}
+	}
+	if diff := cmp.Diff([]int{len(before), len(before) - 1}, []int{len(after), stayed}); diff != "" {
+		t.Errorf("neighbours, and those that stayed after one died: %s", diff)
+	}
+	f.views[1].SetRevision(7)
+	rounds := f.until("all know the head", 10, f.all(func(v *peer.View) bool { return v.Head() == 7 }))
+	t.Logf("a head reaches all after %d rounds", rounds)
+}
