A router's part of the extra retries grows from its start

A part is below one retry a router (0.84), so that it must be whole when the first request fails; with the request's own 0.2 it is. The sum over routers keeps to the allowance as before: a process that starts has used nothing, and its predecessor's part is over when its own has grown.

--- a/internal/oper/node/budget.go
+++ b/internal/oper/node/budget.go
@@ -16,18 +16,21 @@
 	mu      sync.Mutex
 	allowed retry.Allowance
 	windows map[ident.Service]*retry.Window
+	// began is since when this router has used nothing that is not in the windows.
+	began time.Time
 }
 
-// newBudget returns a budget of which nothing is used.
-func newBudget(allowed retry.Allowance, fleet func() int) *budget {
-	return &budget{allowed: allowed, fleet: fleet, windows: map[ident.Service]*retry.Window{}}
+// newBudget returns the budget of a router that starts now.
+func newBudget(now time.Time, allowed retry.Allowance, fleet func() int) *budget {
+	return &budget{allowed: allowed, fleet: fleet, began: now, windows: map[ident.Service]*retry.Window{}}
 }
 
-// window returns a service's window; the caller holds the lock.
-func (b *budget) window(service ident.Service, now time.Time) *retry.Window {
+// window returns a service's window; the caller holds the lock. It counts from the router's start, not from the service's
+// first request: a router that sees one in some seconds would have no retry for its first ones.
+func (b *budget) window(service ident.Service) *retry.Window {
 	w, ok := b.windows[service]
 	if !ok {
-		w = retry.NewWindow(now, b.allowed)
+		w = retry.NewWindow(b.began, b.allowed)
 		b.windows[service] = w
 	}
 	return w
@@ -37,23 +40,23 @@
 func (b *budget) Request(service ident.Service, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.window(service, now).Request(now)
+	b.window(service).Request(now)
 }
 
 // Retry uses one of the service's retries if there is one.
 func (b *budget) Retry(service ident.Service, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.window(service, now).Retry(now, b.fleet())
+	return b.window(service).Retry(now, b.fleet())
 }
 
 // allow changes the allowance; what was used of the earlier one counts no more.
-func (b *budget) allow(allowed retry.Allowance) {
+func (b *budget) allow(now time.Time, allowed retry.Allowance) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.allowed == allowed {
 		return
 	}
-	b.allowed = allowed
+	b.allowed, b.began = allowed, now
 	clear(b.windows)
 }
--- a/internal/oper/node/build.go
+++ b/internal/oper/node/build.go
@@ -122,7 +122,7 @@
 
 // buildEntry makes what serves callers.
 func (n *Node) buildEntry(s *Settings) {
-	n.budget = newBudget(s.Retries, n.fleet)
+	n.budget = newBudget(n.Clock(), s.Retries, n.fleet)
 	n.metrics = telem.NewRouted(n.readings())
 	n.gate = entry.NewGate(n.listeners.callers, n.Logger, n.Clock)
 	n.handler = entry.New(entry.Parts{
--- a/internal/oper/node/node_test.go
+++ b/internal/oper/node/node_test.go
@@ -73,7 +73,7 @@
 // Services have budgets of their own, and a new allowance starts anew.
 func TestBudgets(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := newBudget(retry.Allowance{Ratio: 1, Span: 10 * time.Second}, func() int { return 8 })
+	b := newBudget(now, retry.Allowance{Ratio: 1, Span: 10 * time.Second}, func() int { return 8 })
 	b.Request("a", now)
 	if b.Retry("b", now) {
 		t.Error("a retry is given for another service's request")
@@ -81,7 +81,7 @@
 	if !b.Retry("a", now) || b.Retry("a", now) {
 		t.Error("one request does not give one retry")
 	}
-	b.allow(retry.Allowance{Ratio: 0, Extra: 0, Span: 10 * time.Second})
+	b.allow(now, retry.Allowance{Ratio: 0, Extra: 0, Span: 10 * time.Second})
 	b.Request("a", now)
 	if b.Retry(ident.Service("a"), now) {
 		t.Error("a retry is given after the allowance was taken away")
--- a/internal/oper/node/reload.go
+++ b/internal/oper/node/reload.go
@@ -67,7 +67,7 @@
 	next := *old
 	next.Retries, next.LoadFactor, next.Grace = fresh.Retries, fresh.LoadFactor, fresh.Grace
 	n.settings.Store(&next)
-	n.budget.allow(next.Retries)
+	n.budget.allow(n.Clock(), next.Retries)
 	n.state.touch()
 	n.mesh.MarkDirty()
 	_ = level.Info(n.Logger).Log("msg", "reload", "signal", signalled, "retry_ratio", next.Retries.Ratio,
--- a/internal/oper/node/reload_test.go
+++ b/internal/oper/node/reload_test.go
@@ -18,10 +18,11 @@
 	n := &Node{Parts: Parts{
 		Logger: log.LoggerFunc(func(...any) error { lines++; return nil }),
 		Reload: func() (Settings, error) { return *next, *failure },
+		Clock:  time.Now,
 	}}
 	n.settings.Store(&old)
 	n.state = newState(nil, n.Logger, time.Now)
-	n.budget = newBudget(old.Retries, func() int { return 1 })
+	n.budget = newBudget(time.Now(), old.Retries, func() int { return 1 })
 	n.mesh = mesh.New(mesh.Parts{})
 	return n, &lines
 }
