A home may be asked for a shard that its pool has not

What was seen, how and why stand at the head of TestShardThatThePoolHasNot, which panics on the code before. Ruled out elsewhere: edges look a shard up in the pool that gave it.

--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -190,8 +190,9 @@
 		h.setWeights(roster.Weights())
 		return
 	}
-	engines := make([]Engine, 0, len(roster.shards[h.id.Shard]))
-	for _, e := range roster.shards[h.id.Shard] {
+	shard := roster.shard(h.id.Shard)
+	engines := make([]Engine, 0, len(shard))
+	for _, e := range shard {
 		engines = append(engines, *e)
 	}
 	h.SetEngines(engines, roster.Weights())
--- a/internal/rule/place/roster.go
+++ b/internal/rule/place/roster.go
@@ -90,12 +90,20 @@
 	return sum + slots
 }
 
+// shard lists the engines of a shard, none of one that the pool has not: another router may know more shards.
+func (r *Roster) shard(shard ident.Shard) []*Engine {
+	if int(shard) >= len(r.shards) {
+		return nil
+	}
+	return r.shards[shard]
+}
+
 // sharesWith reports whether a shard is the very same in another roster; r may be nil.
 func (r *Roster) sharesWith(other *Roster, shard ident.Shard) bool {
 	if r == nil || len(r.shards) != len(other.shards) {
 		return false
 	}
-	a, b := r.shards[shard], other.shards[shard]
+	a, b := r.shard(shard), other.shard(shard)
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
--- a/internal/share/home/homes_test.go
+++ b/internal/share/home/homes_test.go
@@ -150,3 +150,22 @@
 		t.Errorf("requests of one chat at one engine: %s", diff)
 	}
 }
+
+// Seen: a router ended by itself, again and again, when the targets of its pool changed.
+//
+// How: an edge that knew more targets, and so four shards, asked it for a permit of the fourth. The router, whose pool
+// had two, became home of a shard without engines; the next change looked for that shard among two.
+//
+// Cause: lists of engines by shard, in place of one list of all, were read at a shard that others name.
+func TestShardThatThePoolHasNot(t *testing.T) {
+	h, _, _ := newHomes()
+	beyond := place.ShardID{Pool: pool, Shard: 3}
+	ask := home.Ask{Shard: beyond, Request: place.Request{Edge: "router-b", Permit: 1, Key: 7, Work: ident.OneRequest}}
+	engine := place.Engine{ID: "engine-2", Hash: ident.Target("engine-2").Hash(), Incarnation: 1}
+	for _, shards := range []int{2, 1, 4, 2} {
+		if a := h.Place(t.Context(), ask, nil); a.Result != home.Empty && a.Result != home.Placed {
+			t.Errorf("before %d shards: got %+v", shards, a)
+		}
+		h.SetPool(pool, place.DefaultBound, place.NewRoster(shards, []place.Engine{engine}))
+	}
+}
