Routers that read the same rows of routers agree without a word

What was seen and the cause stand at the head of TestRoutersThatReadTheSameListAgree, which fails on the code before (a listed router had no incarnation). A row names the start of its router and is taken for what that says of itself at first. Zones' readers follow the table of routers as they follow the others and hand it on, so that all that start together know each other from one reading a zone.

Rows lost by the store are written again for live routers as before; one that is known from its row alone counts as live once ten seconds have passed in which its neighbours would have found it dead.

--- a/internal/oper/node/members.go
+++ b/internal/oper/node/members.go
@@ -140,8 +140,7 @@
 	var out []peer.Member
 	n.peers.Read(func(v *peer.View) {
 		for _, m := range v.Members() {
-			// Of a router without an incarnation only a row is known.
-			if m.Zone == n.self.Zone && m.State == peer.Live && m.Incarnation > 0 {
+			if m.Zone == n.self.Zone && m.State == peer.Live && !v.Doubtful(n.Clock(), m.ID) {
 				out = append(out, m)
 			}
 		}
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -109,6 +109,14 @@
 
 // setRouters takes in the other routers.
 func (s *state) setRouters(rows []table.Row) {
+	routers := s.decodeRouters(rows)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routers = routers
+}
+
+// decodeRouters reads the rows of routers.
+func (s *state) decodeRouters(rows []table.Row) []boxes.Box {
 	var routers []boxes.Box
 	for _, row := range rows {
 		member, err := decodeRouter(row)
@@ -121,9 +129,7 @@
 			State: boxes.Live, Incarnation: member.Incarnation, Cores: member.Cores,
 		})
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.routers = routers
+	return routers
 }
 
 // known lists the other routers as the store's rows say.
--- a/internal/oper/node/tables.go
+++ b/internal/oper/node/tables.go
@@ -15,6 +15,7 @@
 
 // followTables connects the copies of the store's tables with what is made of them.
 func (n *Node) followTables() {
+	n.followRouters()
 	revision := func(row table.Row) uint64 { return uint64(n.Rows.Revision(row)) }
 	n.board.Follow(n.Rows.ConfigTable(), feed.Rules{Rank: revision, LostFor: configLostFor}, func(change feed.Change) {
 		rows := change.All()
@@ -33,13 +34,24 @@
 	})
 }
 
+// followRouters has membership learn of routers from their rows as they are written. All that start together know each
+// other so within a moment, from one reading a zone; who lives and who does not they tell each other.
+func (n *Node) followRouters() {
+	n.board.Follow(routerTable, feed.Rules{LostFor: configLostFor}, func(change feed.Change) {
+		list := n.state.decodeRouters(change.Rows)
+		n.peers.Do(func(v *peer.View) { v.ObserveRouters(n.Clock(), list) })
+	})
+}
+
 // observe tells membership which routers the store's rows name.
 func (n *Node) observe() {
 	n.peers.Do(func(v *peer.View) { v.ObserveRouters(n.Clock(), n.state.known()) })
 }
 
 // tables are the tables that routers follow.
-func (n *Node) tables() []table.Name { return []table.Name{n.Rows.ConfigTable(), n.Rows.TargetTable()} }
+func (n *Node) tables() []table.Name {
+	return []table.Name{n.Rows.ConfigTable(), n.Rows.TargetTable(), routerTable}
+}
 
 // follower returns the follower of one table.
 func (n *Node) follower(name table.Name) *feed.Follower {
--- a/internal/share/peer/member.go
+++ b/internal/share/peer/member.go
@@ -80,10 +80,15 @@
 	return m.State > known.State
 }
 
+// firstSeq is the sequence number of what a member says of itself first.
+const firstSeq = 1
+
 // memberEntry is a member with how news of it has been passed on.
 type memberEntry struct {
 	Member
 	revision ident.Revision
+	// listed is set while the member is known from a list alone.
+	listed bool
 	// changed is when this router learned of the state.
 	changed time.Time
 	// sent and ackSent count how often the update and the revision were passed on.
--- a/internal/share/peer/target.go
+++ b/internal/share/peer/target.go
@@ -129,15 +129,19 @@
 }
 
 // observeRouter learns of a router that no peer has told of yet. The list lags, so
-// it never overrules what the router or its peers say.
+// it never overrules what the router or its peers say. A list that names the router's incarnation says what that says
+// of itself at first: routers that read the same list have nothing to tell each other.
 func (v *View) observeRouter(now time.Time, b boxes.Box) {
 	id := ident.Router(b.ID)
 	if _, known := v.members[id]; known || b.State != boxes.Live {
 		return
 	}
-	v.setMember(now, Member{
-		ID: id, Addr: b.Addr, Zone: b.Zone, Region: b.Region, Incarnation: 0, Cores: b.Cores, State: Live,
-	})
+	m := Member{ID: id, Addr: b.Addr, Zone: b.Zone, Region: b.Region, Incarnation: b.Incarnation, Cores: b.Cores, State: Live}
+	if m.Incarnation > 0 {
+		m.Seq = firstSeq
+	}
+	v.setMember(now, m)
+	v.members[id].listed = true
 }
 
 // observeTarget takes in what a list says of a target, unless it is of an earlier incarnation.
--- a/internal/share/peer/view.go
+++ b/internal/share/peer/view.go
@@ -81,7 +81,7 @@
 		marks:   map[ident.Target]*markEntry{},
 	}
 	self.State = Live
-	self.Seq = 1
+	self.Seq = firstSeq
 	v.setMember(now, self)
 	return v
 }
@@ -109,6 +109,16 @@
 	return e.Member, true
 }
 
+// listedDoubt is for how long a router that is known from a list alone may have died before: its neighbours find out
+// within seconds, and tell.
+const listedDoubt = 10 * time.Second
+
+// Doubtful reports whether all that is known of a router is a list that named it a moment ago.
+func (v *View) Doubtful(now time.Time, id ident.Router) bool {
+	e, known := v.members[id]
+	return known && e.listed && now.Sub(e.changed) < listedDoubt
+}
+
 // Members returns all routers that are remembered, in order of id.
 func (v *View) Members() []Member { return slices.Collect(v.All()) }
 
@@ -146,7 +156,6 @@
 	return out
 }
 
-
 // setMember stores a member and starts passing it on.
 func (v *View) setMember(now time.Time, m Member) {
 	e, ok := v.members[m.ID]
@@ -165,6 +174,7 @@
 		e.revision = 0
 	}
 	e.Member = m
+	e.listed = false
 	e.changed = now
 	e.sent = 0
 	v.hash ^= m.digest()
@@ -212,7 +222,7 @@
 	if !ok || id == v.self {
 		return
 	}
-	if e.Incarnation == 0 && now.Sub(e.changed) < v.limits.ListedGrace {
+	if e.listed && now.Sub(e.changed) < v.limits.ListedGrace {
 		return
 	}
 	m := e.Member
--- a/internal/share/peer/view_test.go
+++ b/internal/share/peer/view_test.go
@@ -323,13 +323,20 @@
 	}
 }
 
-// A router that is only known from a list has a moment to come up before it is suspect.
+// A router that is only known from a list has a moment to come up before it is suspect, whether the list names its
+// start or not.
 func TestListedRouterThatIsNotUpYet(t *testing.T) {
+	for _, incarnation := range []ident.Incarnation{0, 7} {
+		listedRouterThatIsNotUpYet(t, incarnation)
+	}
+}
+
+func listedRouterThatIsNotUpYet(t *testing.T, incarnation ident.Incarnation) {
 	limits := peer.DefaultLimits
 	limits.ListedGrace = 600 * time.Millisecond
 	now := time.Unix(1000, 0)
 	v := peer.NewView(now, peer.Member{ID: "self", Region: "co", Incarnation: 1}, limits)
-	v.ObserveRouters(now, []boxes.Box{{ID: "other", Role: boxes.RouterRole, Region: "co", State: boxes.Live}})
+	v.ObserveRouters(now, []boxes.Box{{ID: "other", Role: boxes.RouterRole, Region: "co", State: boxes.Live, Incarnation: incarnation}})
 	state := func(after time.Duration) peer.State {
 		v.ContactFailed(now.Add(after), "other")
 		m, _ := v.Member("other")
@@ -457,3 +464,43 @@
 	rounds := f.until("all know the head", 10, f.all(func(v *peer.View) bool { return v.Head() == 7 }))
 	t.Logf("a head reaches all after %d rounds", rounds)
 }
+
+// Seen: a router that started among 300 logged each of the others twice, as its row named it and as it named itself,
+// looked at all homes anew for both, and asked others for their whole lists until news had gone round.
+//
+// Cause: a row names the start of its router, but was taken for less than what the router says of itself, so that no
+// two routers knew the same until each had heard from each.
+func TestRoutersThatReadTheSameListAgree(t *testing.T) {
+	members := []peer.Member{
+		{ID: "a", Addr: "10.0.0.1:1", Region: "co", Incarnation: 5, Cores: 1}, {ID: "b", Addr: "10.0.0.2:1", Region: "co", Incarnation: 6, Cores: 2},
+	}
+	var list []boxes.Box
+	for _, m := range members {
+		list = append(list, boxes.Box{
+			ID: string(m.ID), Role: boxes.RouterRole, Addr: m.Addr, Region: m.Region, State: boxes.Live, Incarnation: m.Incarnation, Cores: m.Cores,
+		})
+	}
+	a, b := peer.NewView(start, members[0], peer.DefaultLimits), peer.NewView(start, members[1], peer.DefaultLimits)
+	a.ObserveRouters(start, list)
+	b.ObserveRouters(start, list)
+	before := a.Version()
+	for range 10 {
+		a.Incoming(start, b.Outgoing("a", false))
+		b.Incoming(start, a.Outgoing("b", false))
+	}
+	if diff := cmp.Diff(before, a.Version()); diff != "" {
+		t.Errorf("changes of the view that routers make which know the same: %s", diff)
+	}
+	if d := a.Outgoing("b", false); d.Whole || d.MembersHash != b.Outgoing("a", false).MembersHash {
+		t.Error("two routers that read the same list do not agree")
+	}
+	// What is known of a router otherwise still goes before its row.
+	a.Incoming(start, peer.Digest{Members: []peer.Member{{ID: "b", Incarnation: 6, State: peer.Dead, Seq: 1}}})
+	a.ObserveRouters(start, list)
+	if m, _ := a.Member("b"); m.State != peer.Dead {
+		t.Errorf("a dead router is %s again by its row", m.State)
+	}
+	if a.Doubtful(start, "b") || !b.Doubtful(start, "a") || b.Doubtful(start.Add(time.Minute), "a") {
+		t.Error("routers that others told of, or that were listed long ago, are doubtful, or one listed just now is not")
+	}
+}
