--- a/internal/oper/node/members.go
+++ b/internal/oper/node/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -49,8 +50,10 @@
 }
 
 const (
-	// announcePause is the pause between two tries to write this router's row.
-	announcePause = 500 * time.Millisecond
+	// announceSpread is within how long a try to write this router's row that failed is made again, at some moment of
+	// it: the rows of a table share some hundred writes a second, and a thousand routers that start together write
+	// theirs at once.
+	announceSpread = 4 * time.Second
 	// listPause is the pause between two readings of the routers' rows while this router
 	// knows no other.
 	listPause = time.Second
@@ -92,16 +95,25 @@
 
 // writeRow writes this router's row until the store has taken it.
 func (n *Node) writeRow(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(n.self.Seed(), announceSalt))
 	for ctx.Err() == nil {
 		err := n.Store.Commit(ctx, table.Txn{Puts: []table.Put{encodeRouter(n.self)}})
 		if err == nil {
 			return
 		}
 		_ = level.Warn(n.Logger).Log("msg", "could not announce this router", "err", err)
-		pause.For(ctx, announcePause)
+		pause.For(ctx, announceAgain(rng))
 	}
 }
 
+// announceSalt keeps the moments of writing apart from other random choices.
+const announceSalt = 0xa4404ce
+
+// announceAgain is how long to wait after a try that failed.
+func announceAgain(rng *rand.Rand) time.Duration {
+	return time.Duration(rng.Int64N(int64(announceSpread)))
+}
+
 // listRouters reads the routers' rows.
 func (n *Node) listRouters(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
