What changed a moment ago is told without a look at all rows

Cause: each call of a router that reads from another had that one go through all rows and deletions of a table. Sixteen routers call several times a second while targets come: by arithmetic a tenth of the time of a parent of 0.19 cores.

Test: 3,000 random positions in random histories are told the same as by a look at all rows, and copies that follow by it come to be the same.

--- a/internal/share/feed/replica.go
+++ b/internal/share/feed/replica.go
@@ -32,6 +32,8 @@
 	deleted map[table.Key]deletion
 	// floor is the position from which on all changes are known.
 	floor table.Position
+	// steps are the latest changes, for those who were told of what came before them.
+	steps steps
 	// at is how far the copy goes; without known there is no copy yet.
 	at    table.Position
 	known bool
@@ -91,6 +93,11 @@
 	when time.Time
 }
 
+// row is the deletion as it is told.
+func (d deletion) row(name table.Name, key table.Key) table.Row {
+	return table.Row{Table: name, Key: key, Era: d.at.Era, Version: d.at.Version, Deleted: true}
+}
+
 const (
 	// LapseGrace is how long after the store's return a row that went meanwhile still
 	// counts. The platform has live targets write theirs again within about two seconds.
@@ -160,8 +167,10 @@
 	changed := !r.known
 	if page.Whole {
 		changed = r.replace(now, page) || changed
+		r.steps.forget()
 	} else {
 		changed = r.apply(now, page) || changed
+		r.steps.end(r.at, page.At)
 	}
 	r.known = true
 	r.at = page.At
@@ -241,6 +250,7 @@
 	}
 	delete(r.deleted, row.Key)
 	r.rows[row.Key] = row
+	r.steps.note(row.Key)
 	r.newest = later(r.newest, row.Position())
 	after, counts := r.counts(row.Key)
 	return r.touch(row.Key, counted != counts || !bytes.Equal(before.Value, after.Value))
@@ -256,6 +266,7 @@
 	}
 	delete(r.rows, key)
 	r.deleted[key] = deletion{at: at, when: now}
+	r.steps.note(key)
 	r.newest = later(r.newest, at)
 	switch {
 	case counted && (instead && k.until.IsZero() || r.rankOf(row) > 0):
@@ -296,20 +307,46 @@
 		return page
 	}
 	page.Whole = !have.Known || have.At.Before(r.floor)
-	for _, row := range r.rows {
-		if page.Whole || have.At.Before(row.Position()) {
-			page.Rows = append(page.Rows, row)
-		}
+	if keys, known := r.steps.since(have.At); known && !page.Whole {
+		page.Rows = r.changedAmong(have, keys)
+		return page
 	}
 	if page.Whole {
+		page.Rows = slices.Collect(maps.Values(r.rows))
 		return page
 	}
+	page.Rows = r.scan(have)
+	return page
+}
+
+// scan looks at all rows and deletions for those that are later than a state.
+func (r *replica) scan(have State) []table.Row {
+	var out []table.Row
+	for _, row := range r.rows {
+		if have.At.Before(row.Position()) {
+			out = append(out, row)
+		}
+	}
 	for key, d := range r.deleted {
 		if have.At.Before(d.at) {
-			page.Rows = append(page.Rows, table.Row{Table: have.Table, Key: key, Era: d.at.Era, Version: d.at.Version, Deleted: true})
+			out = append(out, d.row(have.Table, key))
 		}
 	}
-	return page
+	return out
+}
+
+// changedAmong are the rows and deletions among some keys that are later than a state.
+func (r *replica) changedAmong(have State, keys []table.Key) []table.Row {
+	var out []table.Row
+	for _, key := range keys {
+		if row, there := r.rows[key]; there && have.At.Before(row.Position()) {
+			out = append(out, row)
+		}
+		if d, went := r.deleted[key]; went && have.At.Before(d.at) {
+			out = append(out, d.row(have.Table, key))
+		}
+	}
+	return out
 }
 
 // later returns the later of two positions.
