Orders to move a service to another version are followed

What was missing: nothing read the operators' orders. Targets of a new version got requests like any others, a bad one its full share, and no order was ever answered.

A version on trial gets its targets in a pool of its own and a share of each router's requests; answers that fail or take three times as long as usual on their route count against what the other version does there; routers exchange the sums; a reader of the store writes active, done or reverted. Nothing of this runs where the settings allow no trials.

A row written again with the same content is news in the operators' table now, so that an order can be given again.

--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -60,6 +60,25 @@
 	Retry(service ident.Service, now time.Time) bool
 }
 
+// Trials choose the requests that try a version of a service which is on trial.
+type Trials interface {
+	// Choose returns the name under which the next request's target is sought: the service's own, or that of the
+	// version on trial.
+	Choose(service ident.Service) (as ident.Service)
+	// Sent notes that a target was found under a name.
+	Sent(service, as ident.Service)
+	// Answered notes how a target answered that was found under a name.
+	Answered(service, as ident.Service, route match.RouteName, ok bool, took time.Duration)
+}
+
+// noTrials is where nothing is ever on trial.
+type noTrials struct{}
+
+func (noTrials) Choose(service ident.Service) ident.Service { return service }
+func (noTrials) Sent(_, _ ident.Service)                    {}
+func (noTrials) Answered(_, _ ident.Service, _ match.RouteName, _ bool, _ time.Duration) {
+}
+
 // Observer is told of each request's end.
 type Observer interface {
 	// Ended is called once a request.
@@ -96,6 +115,8 @@
 	Clock    ident.Clock
 	// Gate is in front of the listener; nil if there is none.
 	Gate *Gate
+	// Trials may be nil.
+	Trials Trials
 }
 
 // Handler serves callers.
@@ -110,6 +131,9 @@
 
 // New returns a handler.
 func New(parts Parts) *Handler {
+	if parts.Trials == nil {
+		parts.Trials = noTrials{}
+	}
 	return &Handler{Parts: parts, started: parts.Clock(), expected: newExpectations()}
 }
 
@@ -150,7 +174,7 @@
 		if h.left(ctx, j) {
 			return
 		}
-		placement, err := h.Finder.Acquire(ctx, j.ask(h.expected.of(j.route.Name)))
+		placement, err := h.acquire(ctx, j)
 		if err != nil {
 			h.notPlaced(ctx, w, j, err)
 			return
@@ -172,6 +196,7 @@
 		result := h.attempt(ctx, w, j, placement)
 		placement.Release()
 		h.tellGuard(j, placement, result)
+		h.tellTrials(j, result)
 		if result.good() && j.sends == 1 {
 			h.expected.note(j.route.Name, j.arrived.Add(j.first).Sub(began))
 		}
@@ -187,6 +212,33 @@
 	}
 }
 
+// acquire finds a target. A first attempt may try a version on trial, if a target of it has room.
+func (h *Handler) acquire(ctx context.Context, j *job) (*route.Placement, error) {
+	ask := j.ask(h.expected.of(j.route.Name))
+	j.as = j.service
+	if j.sends+j.free == 0 {
+		j.as = h.Trials.Choose(j.service)
+	}
+	ask.Service = j.as
+	placement, err := h.Finder.Acquire(ctx, ask)
+	if err != nil && j.as != j.service {
+		j.as, ask.Service = j.service, j.service
+		placement, err = h.Finder.Acquire(ctx, ask)
+	}
+	if err == nil {
+		h.Trials.Sent(j.service, j.as)
+	}
+	return placement, err
+}
+
+// tellTrials tells how a target answered. Of a caller that left, or was not read from, nothing can be said.
+func (h *Handler) tellTrials(j *job, got result) {
+	if got.reason == CallerGone || got.reason == Unread || got.step == retry.Refused && !got.ended {
+		return
+	}
+	h.Trials.Answered(j.service, j.as, j.route.Name, got.good(), got.took)
+}
+
 // held is the answer to a request under which targets end. Sent on, it would take one along and all that
 // runs there, and still not be answered.
 func (h *Handler) held(j *job) *problem {
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -27,6 +27,8 @@
 	route     *match.Route
 	workspace *match.Workspace
 	service   ident.Service
+	// as is the name under which the latest target was sought: the service's, or that of its version on trial.
+	as ident.Service
 	// copies says that the service's engines can take cached prompts from each other.
 	copies  bool
 	key     ident.ChatKey
--- a/internal/oper/node/build.go
+++ b/internal/oper/node/build.go
@@ -51,6 +51,7 @@
 	n.roles.Consult(true)
 	n.state = newState(n.Rows, n.Logger, n.Clock)
 	n.buildPeers(s)
+	n.buildTrials(s)
 	n.buildGuard()
 	n.buildMesh(s)
 	n.followTables()
@@ -78,6 +79,13 @@
 	n.peers = peer.NewNode(view, clients, nil, pace, n.otherSeeds(s.Seeds), n.self.Seed(), n.Clock)
 }
 
+// buildTrials makes what follows orders to move services to other versions.
+func (n *Node) buildTrials(s *Settings) {
+	n.trials = newTrials(s.TrialShare, n.self.Seed(), n.Logger, n.Clock)
+	n.state.nameOf, n.state.onTrial = n.trials.nameOf, n.trials.onTrial
+	n.peers.SetTrials(n.trials)
+}
+
 // buildGuard makes what holds requests back that targets end under.
 func (n *Node) buildGuard() {
 	conns, closeConns := relay.NewConns(relay.DefaultConnLimits)
@@ -127,7 +135,7 @@
 	n.gate = entry.NewGate(n.listeners.callers, n.Logger, n.Clock)
 	n.handler = entry.New(entry.Parts{
 		Dialect: n.Dialect, Rules: n, Finder: n.router, Sender: n.conns, Budget: n.budget, Guard: n.guard,
-		Observer: n.metrics, Logger: n.Logger, Clock: n.Clock, Gate: n.gate,
+		Observer: n.metrics, Logger: n.Logger, Clock: n.Clock, Gate: n.gate, Trials: n.trials,
 	})
 }
 
--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -44,6 +44,7 @@
 	conns     *relay.Conns
 	guard     *guard.Guard
 	budget    *budget
+	trials    *trials
 	handler   *entry.Handler
 	gate      *entry.Gate
 	metrics   *telem.Routed
--- a/internal/oper/node/serve.go
+++ b/internal/oper/node/serve.go
@@ -92,6 +92,9 @@
 	wg.Go(func() { n.peers.Run(ctx) })
 	wg.Go(func() { n.mesh.Run(ctx) })
 	wg.Go(func() { n.becomeReady(ctx) })
+	if n.trials.follows() {
+		wg.Go(func() { mesh.Every(ctx, judgeEvery, n.judge) })
+	}
 }
 
 // serve runs a server until it is closed.
--- a/internal/oper/node/settings.go
+++ b/internal/oper/node/settings.go
@@ -11,6 +11,7 @@
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 	"valescale/internal/plat/table"
+	"valescale/internal/rule/canary"
 	"valescale/internal/rule/match"
 	"valescale/internal/rule/retry"
 	"valescale/internal/share/feed"
@@ -53,6 +54,9 @@
 	Grace time.Duration
 	// LoadFactor is the multiple of the mean load that no target may exceed.
 	LoadFactor float64
+	// TrialShare is the part of a service's requests that a version on trial may get; zero follows no orders to
+	// move services to other versions.
+	TrialShare float64
 }
 
 // Target is one target as it announces itself.
@@ -62,6 +66,8 @@
 	Slots int
 	// ColdLeft is how much longer it was cold when it said so first.
 	ColdLeft time.Duration
+	// Version is that of its software.
+	Version ident.Version
 }
 
 // Store is what a router needs of the platform's store.
@@ -86,6 +92,14 @@
 	// ClosedZones are the availability zones whose targets are to get no new work, from the
 	// rows of the configuration's table.
 	ClosedZones(rows []table.Row) []ident.Zone
+	// Orders are the operators' orders to move services to other versions, from the rows of the configuration's table.
+	Orders(rows []table.Row) []canary.Order
+	// StatusTable is the table in which the fleet says what became of them.
+	StatusTable() table.Name
+	// Status decodes what became of an order; found is false for a row that says nothing of any.
+	Status(row table.Row) (s canary.Status, found bool)
+	// PutStatus is the writing of what became of an order.
+	PutStatus(s canary.Status) table.Put
 	// Target decodes a target's row; one with an error names no target.
 	Target(row table.Row) (Target, error)
 }
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -36,6 +36,9 @@
 	counts map[ident.Service]int
 	// cold are the targets that said that they are cold.
 	cold map[ident.Target]coldTarget
+	// nameOf is the service under whose name a target of a version is kept, onTrial whether some are kept apart.
+	nameOf  func(ident.Service, ident.Version) ident.Service
+	onTrial func(ident.Service) bool
 	// turns counts the changes that concern all targets.
 	turns uint64
 	zones *zones
@@ -45,7 +48,8 @@
 func newState(rows Rows, logger log.Logger, clock ident.Clock) *state {
 	return &state{
 		rows: rows, logger: logger, clock: clock, zones: newZones(logger, clock),
-		readings: map[table.Key]reading{}, counts: map[ident.Service]int{}, cold: map[ident.Target]coldTarget{},
+		nameOf:  func(service ident.Service, _ ident.Version) ident.Service { return service },
+		onTrial: func(ident.Service) bool { return false }, readings: map[table.Key]reading{}, counts: map[ident.Service]int{}, cold: map[ident.Target]coldTarget{},
 	}
 }
 
@@ -170,6 +174,10 @@
 	w := mesh.Wanted{Reports: s.turns}
 	for _, service := range s.services {
 		w.Services = append(w.Services, s.service(service))
+		if s.onTrial(service.Name) {
+			service.Name += canarySuffix
+			w.Services = append(w.Services, s.service(service))
+		}
 	}
 	return w
 }
--- a/internal/oper/node/tables.go
+++ b/internal/oper/node/tables.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"valescale/internal/plat/ident"
 	"valescale/internal/plat/table"
 	"valescale/internal/share/feed"
 	"valescale/internal/share/peer"
@@ -17,10 +18,13 @@
 func (n *Node) followTables() {
 	n.followRouters()
 	revision := func(row table.Row) uint64 { return uint64(n.Rows.Revision(row)) }
-	n.board.Follow(n.Rows.ConfigTable(), feed.Rules{Rank: revision, LostFor: configLostFor}, func(change feed.Change) {
+	n.board.Follow(n.Rows.ConfigTable(), feed.Rules{Rank: revision, LostFor: configLostFor, Anew: true}, func(change feed.Change) {
 		rows := change.All()
 		n.state.setConfig(rows)
 		n.state.setClosed(rows)
+		if n.trials.setOrders(n.Rows.Orders(rows)) {
+			n.regroup()
+		}
 		n.peers.Do(func(v *peer.View) { v.RaiseHead(n.state.revision()) })
 		n.mesh.MarkDirty()
 	})
@@ -29,9 +33,32 @@
 		for _, addr := range restarted {
 			n.conns.Forget(addr)
 		}
-		n.peers.Do(func(v *peer.View) { v.ObserveTargets(n.Clock(), news) })
+		n.observeTargets(news)
 		n.mesh.MarkDirty()
 	})
+	if n.trials.follows() {
+		n.followStatuses()
+	}
+}
+
+// followStatuses follows what became of orders to move services to other versions.
+func (n *Node) followStatuses() {
+	n.board.Follow(n.Rows.StatusTable(), feed.Rules{LostFor: configLostFor}, func(change feed.Change) {
+		statuses := map[ident.Service]written{}
+		for _, row := range change.Rows {
+			if s, found := n.Rows.Status(row); found {
+				statuses[s.Service] = written{Status: s, version: row.Version}
+			}
+		}
+		if n.trials.setStatuses(statuses) {
+			n.regroup()
+		}
+	})
+}
+
+// observeTargets tells membership what is new of targets.
+func (n *Node) observeTargets(news peer.TargetNews) {
+	n.peers.Do(func(v *peer.View) { v.ObserveTargets(n.Clock(), news) })
 }
 
 // followRouters has membership learn of routers from their rows as they are written. All that start together know each
@@ -50,7 +77,11 @@
 
 // tables are the tables that routers follow.
 func (n *Node) tables() []table.Name {
-	return []table.Name{n.Rows.ConfigTable(), n.Rows.TargetTable(), routerTable}
+	names := []table.Name{n.Rows.ConfigTable(), n.Rows.TargetTable(), routerTable}
+	if n.trials.follows() {
+		names = append(names, n.Rows.StatusTable())
+	}
+	return names
 }
 
 // follower returns the follower of one table.
--- a/internal/oper/node/targets.go
+++ b/internal/oper/node/targets.go
@@ -20,6 +20,8 @@
 	value   []byte
 	target  Target
 	err     error
+	// service is the target's own; its box names the one under which it is kept while versions are on trial.
+	service ident.Service
 	// since is the incarnation as the target says it itself.
 	since ident.Incarnation
 	// gone is when the row went, zero while it is there.
@@ -121,7 +123,8 @@
 // time, unless its clock was set back meanwhile: an incarnation is above the one before in any case.
 func (s *state) readTarget(row table.Row, before reading) reading {
 	target, err := s.rows.Target(row)
-	r := reading{version: row.Version, value: row.Value, target: target, err: err, since: target.Incarnation}
+	r := reading{version: row.Version, value: row.Value, target: target, err: err, service: target.Service, since: target.Incarnation}
+	r.target.Service = s.nameOf(target.Service, target.Version)
 	switch {
 	case err != nil:
 		_ = level.Error(s.logger).Log("msg", "a target's row names no target", "target", row.Key, "era", row.Era, "version", row.Version, "err", err)
@@ -144,3 +147,21 @@
 		"incarnation", after.target.Incarnation, "was", before.target.Incarnation)
 	return []string{before.target.Addr}
 }
+
+// regroup keeps targets under the services that trials of versions want them under now, and returns those that
+// changed.
+func (s *state) regroup() (news peer.TargetNews) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, before := range s.readings {
+		name := s.nameOf(before.service, before.target.Version)
+		if !before.names() || name == before.target.Service {
+			continue
+		}
+		after := before
+		after.target.Service = name
+		s.replaceReading(key, before, after, table.Position{Version: before.version})
+		news.Boxes = append(news.Boxes, after.target.Box)
+	}
+	return news
+}
--- a/internal/plat/ident/ident.go
+++ b/internal/plat/ident/ident.go
@@ -30,6 +30,9 @@
 // Region is the name of a region.
 type Region string
 
+// Version names a version of a service's software.
+type Version string
+
 // Incarnation counts the starts of a process; a higher one has lost the soft state of the lower.
 type Incarnation uint64
 
--- a/internal/share/feed/replica.go
+++ b/internal/share/feed/replica.go
@@ -15,6 +15,8 @@
 	// Rank orders the states of a row that never goes back, zero for other rows; nil if the table has
 	// none. A row stays while the store, back from an older copy, shows a lower rank or no row.
 	Rank func(table.Row) uint64
+	// Anew is set where a row that is written again is news although it says the same.
+	Anew bool
 	// LostFor is for how long a row still counts that an older copy of the store lacks.
 	LostFor time.Duration
 }
@@ -253,7 +255,8 @@
 	r.steps.note(row.Key)
 	r.newest = later(r.newest, row.Position())
 	after, counts := r.counts(row.Key)
-	return r.touch(row.Key, counted != counts || !bytes.Equal(before.Value, after.Value))
+	anew := r.rules.Anew && before.Position() != after.Position()
+	return r.touch(row.Key, counted != counts || anew || !bytes.Equal(before.Value, after.Value))
 }
 
 // remove takes a row out, and reports whether what counts changed. What counted goes on counting until a
--- a/internal/share/peer/codec.go
+++ b/internal/share/peer/codec.go
@@ -5,6 +5,7 @@
 
 	"valescale/internal/plat/ident"
 	"valescale/internal/plat/table"
+	"valescale/internal/rule/canary"
 	"valescale/internal/rule/crash"
 	"valescale/internal/share/peerpb"
 )
@@ -31,6 +32,11 @@
 	for _, s := range d.Suspects {
 		out.Suspects = append(out.Suspects, encodeSuspect(now, s))
 	}
+	for _, r := range d.Trials {
+		out.Trials = append(out.Trials, &peerpb.Trial{
+			Number: r.Number, Source: r.Source, Answers: uint32(r.Answers), Poor: uint32(r.Poor), Expected: float32(r.Expected),
+		})
+	}
 	return out
 }
 
@@ -94,6 +100,11 @@
 	for _, s := range in.GetSuspects() {
 		d.Suspects = append(d.Suspects, decodeSuspect(now, s))
 	}
+	for _, r := range in.GetTrials() {
+		d.Trials = append(d.Trials, canary.Report{Number: r.GetNumber(), Source: r.GetSource(), Evidence: canary.Evidence{
+			Answers: int(r.GetAnswers()), Poor: int(r.GetPoor()), Expected: float64(r.GetExpected()),
+		}})
+	}
 	return d
 }
 
--- a/internal/share/peer/digest.go
+++ b/internal/share/peer/digest.go
@@ -8,6 +8,7 @@
 
 	"valescale/internal/plat/ident"
 	"valescale/internal/plat/table"
+	"valescale/internal/rule/canary"
 	"valescale/internal/rule/crash"
 )
 
@@ -33,6 +34,8 @@
 	InForce []byte
 	// Suspects are requests under which targets have ended.
 	Suspects []crash.Suspect
+	// Trials are what routers have seen of versions on trial.
+	Trials []canary.Report
 	// Era is the latest of the store that the sender has heard of.
 	Era table.Era
 }
--- a/internal/share/peer/node.go
+++ b/internal/share/peer/node.go
@@ -14,6 +14,7 @@
 	"valescale/internal/plat/ident"
 	"valescale/internal/plat/pause"
 	"valescale/internal/plat/table"
+	"valescale/internal/rule/canary"
 	"valescale/internal/rule/crash"
 	"valescale/internal/share/peerpb"
 )
@@ -48,6 +49,14 @@
 	Incoming(list []crash.Suspect)
 }
 
+// Trials are what routers tell each other of versions on trial.
+type Trials interface {
+	// Reports returns what is to be told a router.
+	Reports() []canary.Report
+	// Heard takes in what another router tells.
+	Heard(reports []canary.Report)
+}
+
 // Pace is how often things are done.
 type Pace struct {
 	Gossip time.Duration
@@ -74,6 +83,7 @@
 	seeds   []Member
 	clock   ident.Clock
 	crashes Crashes
+	trials  Trials
 	// urgent asks for news to be passed on ahead of the rounds.
 	urgent chan struct{}
 }
@@ -103,6 +113,9 @@
 // SetCrashes sets what is told of requests under which targets end; it must come before Run.
 func (n *Node) SetCrashes(c Crashes) { n.crashes = c }
 
+// SetTrials sets what is told of versions on trial; it must come before Run.
+func (n *Node) SetTrials(t Trials) { n.trials = t }
+
 // Spread has news passed on ahead of the rounds, from router to router.
 func (n *Node) Spread() {
 	select {
@@ -242,6 +255,9 @@
 	if n.crashes != nil {
 		d.Suspects = n.crashes.Outgoing(routers)
 	}
+	if n.trials != nil {
+		d.Trials = n.trials.Reports()
+	}
 	return d
 }
 
@@ -258,6 +274,9 @@
 	if n.crashes != nil && len(d.Suspects) > 0 {
 		n.crashes.Incoming(d.Suspects)
 	}
+	if n.trials != nil && len(d.Trials) > 0 {
+		n.trials.Heard(d.Trials)
+	}
 	return news.SendWhole
 }
 
