Whole copies are packed once for all who ask

Cause: when a fleet starts again, sixteen routers ask each of those that others read from for the same whole copy at once.

A whole page of 100 rows and more is packed once and sent to all; a router that does not say that it reads packed rows gets them as before. Test: packed and plain copies are the same, also after a change; a copy is packed once; a broken one is not taken in.

--- /dev/null
+++ b/internal/oper/node/pack_test.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	gocmp "github.com/google/go-cmp/cmp"
+
+	"valescale/internal/plat/table"
+	"valescale/internal/share/feed"
+	"valescale/internal/share/peerpb"
+)
+
+const packedTable table.Name = "targets"
+
+// newPeerService answers for a table of some rows.
+func newPeerService(rows int) *peerService {
+	board := feed.NewBoard(log.NewNopLogger(), time.Now)
+	board.Follow(packedTable, feed.Rules{}, nil)
+	page := table.Page{At: table.Position{Version: table.Version(rows)}, Whole: true}
+	for i := range rows {
+		page.Rows = append(page.Rows, table.Row{
+			Table: packedTable, Key: table.Key(fmt.Sprintf("i-%08x", i)), Version: table.Version(i + 1),
+			Value: fmt.Appendf(nil, `{"Service":"s","Addr":"10.1.%d.%d:8361","Zone":"zone-a","Version":"v1","Slots":16,"State":"ready"}`, i/250, i%250),
+		})
+	}
+	board.Take(packedTable, table.Position{}, page)
+	return &peerService{board: board, packs: newPacks()}
+}
+
+// ask returns the page that a router gets which knows nothing.
+func (p *peerService) ask(t testing.TB, packs bool) *peerpb.TablePage {
+	t.Helper()
+	reply, err := p.Rows(t.Context(), connect.NewRequest(&peerpb.RowsRequest{
+		Tables: []*peerpb.TableState{{Table: string(packedTable)}}, Packs: packs,
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply.Msg.GetPages()[0]
+}
+
+// rowsIn are a page's rows by key.
+func rowsIn(t testing.TB, in *peerpb.TablePage) []table.Row {
+	t.Helper()
+	page, err := decodePage(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	slices.SortFunc(page.Rows, func(a, b table.Row) int { return cmp.Compare(a.Key, b.Key) })
+	return page.Rows
+}
+
+// Routers that ask for a whole copy get it packed if they read that, and the same either way; it is packed once, until
+// it changes.
+func TestWholeCopiesArePackedOnce(t *testing.T) {
+	const rows = 1000
+	p := newPeerService(rows)
+	plain, first, second := p.ask(t, false), p.ask(t, true), p.ask(t, true)
+	if len(plain.GetPacked()) > 0 || len(first.GetRows()) > 0 || &first.GetPacked()[0] != &second.GetPacked()[0] {
+		t.Error("a copy is packed for a router that does not read it, sent twice, or packed twice")
+	}
+	if diff := gocmp.Diff(rowsIn(t, plain), rowsIn(t, first)); diff != "" {
+		t.Error(diff)
+	}
+	changed := table.Row{Table: packedTable, Key: "i-00000007", Version: rows + 1, Value: []byte("other")}
+	p.board.Take(packedTable, table.Position{Version: rows}, table.Page{At: table.Position{Version: rows + 1}, Rows: []table.Row{changed}})
+	after := rowsIn(t, p.ask(t, true))
+	if diff := gocmp.Diff(rowsIn(t, p.ask(t, false)), after); diff != "" || string(after[7].Value) != "other" {
+		t.Errorf("after a change: %q, %s", after[7].Value, diff)
+	}
+	broken := p.ask(t, true)
+	broken.Packed = broken.GetPacked()[:len(broken.GetPacked())/2]
+	if _, err := decodePage(broken); err == nil {
+		t.Error("a broken copy is taken in")
+	}
+}
+
+// BenchmarkWholeCopy is the answer to one of many routers that ask for a whole copy at once.
+func BenchmarkWholeCopy(b *testing.B) {
+	for _, rows := range []int{1000, 10_000, 20_000} {
+		b.Run(fmt.Sprint(rows), func(b *testing.B) {
+			p := newPeerService(rows)
+			for b.Loop() {
+				p.ask(b, true)
+			}
+		})
+	}
+}
--- a/internal/oper/node/peers.go
+++ b/internal/oper/node/peers.go
@@ -21,6 +21,7 @@
 	*home.Server
 	peers *peer.Node
 	board *feed.Board
+	packs *packs
 }
 
 // Gossip exchanges digests.
@@ -43,13 +44,33 @@
 	reply := &peerpb.RowsReply{}
 	for _, s := range req.Msg.GetTables() {
 		page, known := p.board.Since(decodeState(s))
-		if known {
-			reply.Pages = append(reply.Pages, encodePage(s.GetTable(), page))
+		if !known {
+			continue
 		}
+		encoded, err := p.encode(s.GetTable(), page, req.Msg.GetPacks())
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+		reply.Pages = append(reply.Pages, encoded)
 	}
 	return connect.NewResponse(reply), nil
 }
 
+// encode is a page as a router gets it, which may read packed rows.
+func (p *peerService) encode(name string, page table.Page, packed bool) (*peerpb.TablePage, error) {
+	if !packed || !page.Whole || len(page.Rows) < packFrom {
+		return encodePage(name, page), nil
+	}
+	data, err := p.packs.of(table.Name(name), page)
+	if err != nil {
+		return nil, err
+	}
+	page.Rows = nil
+	out := encodePage(name, page)
+	out.Packed = data
+	return out, nil
+}
+
 // encodeState is how far this router's copy of a table goes, as routers tell each other.
 func encodeState(s feed.State) *peerpb.TableState {
 	return &peerpb.TableState{
@@ -117,7 +138,7 @@
 	if err != nil {
 		return nil, fault.New(op, feed.Unreachable, err)
 	}
-	req := &peerpb.RowsRequest{WaitMs: wait.Milliseconds()}
+	req := &peerpb.RowsRequest{WaitMs: wait.Milliseconds(), Packs: true}
 	for _, s := range have {
 		req.Tables = append(req.Tables, encodeState(s))
 	}
@@ -126,8 +147,12 @@
 		return nil, fault.New(op, feed.Unreachable, err)
 	}
 	var out []feed.Reply
-	for _, page := range reply.Msg.GetPages() {
-		out = append(out, feed.Reply{Table: table.Name(page.GetTable()), Page: decodePage(page)})
+	for _, in := range reply.Msg.GetPages() {
+		page, err := decodePage(in)
+		if err != nil {
+			return nil, fault.New(op, feed.Unreachable, err)
+		}
+		out = append(out, feed.Reply{Table: table.Name(in.GetTable()), Page: page})
 	}
 	return out, nil
 }
@@ -153,13 +178,18 @@
 }
 
 // decodePage is a page from another router.
-func decodePage(in *peerpb.TablePage) table.Page {
+func decodePage(in *peerpb.TablePage) (table.Page, error) {
 	out := table.Page{
 		At:    table.Position{Era: table.Era(in.GetEra()), Version: table.Version(in.GetVersion())},
 		Whole: in.GetWhole(), Age: time.Duration(in.GetAgeMs()) * time.Millisecond,
 	}
 	out.Rows, out.Kept = decodeRows(in.GetTable(), in.GetRows()), decodeRows(in.GetTable(), in.GetKept())
-	return out
+	if len(in.GetPacked()) == 0 {
+		return out, nil
+	}
+	rows, err := unpackRows(in.GetTable(), in.GetPacked())
+	out.Rows = rows
+	return out, err
 }
 
 // decodeRows are a table's rows from another router.
--- a/internal/oper/node/servers.go
+++ b/internal/oper/node/servers.go
@@ -54,7 +54,7 @@
 func (n *Node) peerServer() *http.Server {
 	mux := http.NewServeMux()
 	anyone := func(context.Context) ident.Router { return "" }
-	service := &peerService{Server: home.NewServer(n.homes, anyone), peers: n.peers, board: n.board}
+	service := &peerService{Server: home.NewServer(n.homes, anyone), peers: n.peers, board: n.board, packs: newPacks()}
 	mux.Handle(peerpb.NewPeerServiceHandler(service, connect.WithCompressMinBytes(compressFrom)))
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	protocols := &http.Protocols{}
--- a/internal/share/feed/replica.go
+++ b/internal/share/feed/replica.go
@@ -315,7 +315,10 @@
 		return page
 	}
 	if page.Whole {
-		page.Rows = slices.Collect(maps.Values(r.rows))
+		page.Rows = make([]table.Row, 0, len(r.rows))
+		for _, row := range r.rows {
+			page.Rows = append(page.Rows, row)
+		}
 		return page
 	}
 	page.Rows = r.scan(have)
--- a/internal/share/peer/client.go
+++ b/internal/share/peer/client.go
@@ -74,14 +74,12 @@
 // trimHeaders takes out of each call, streams aside, the headers that routers have no use for.
 type trimHeaders struct{}
 
-// WrapUnary shortens the user agent. Only rows of tables are large enough to be compressed.
+// WrapUnary shortens the user agent. What is large enough to be compressed is so before it is sent.
 func (trimHeaders) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
 	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
 		if req.Spec().IsClient {
 			req.Header().Set("User-Agent", "v")
-			if req.Spec().Procedure != peerpb.PeerServiceRowsProcedure {
-				req.Header().Del("Accept-Encoding")
-			}
+			req.Header().Del("Accept-Encoding")
 		}
 		return next(ctx, req)
 	}
