--- a/internal/oper/mesh/loop.go
+++ b/internal/oper/mesh/loop.go
@@ -42,9 +42,9 @@
 }
 
 const (
-	// updateRest is how many times as long as an update took the next one waits. At 3,000
-	// targets and 300 routers an update takes some ten milliseconds, and while all routers
-	// start a change comes with every exchange: without a rest a small box does nothing else.
+	// updateRest is how many times as long as an update took the next one waits. While all
+	// routers start a change comes with every exchange, and each has homes found anew:
+	// without a rest a small box does little else.
 	updateRest = 9
 	// updateRestMost bounds the rest: a target that leaves must be known within two seconds.
 	updateRestMost = 400 * time.Millisecond
