What changed in the view is told as the asker's own list

Nobody saw anything of it: the mesh is the only one who asks, and what it overwrote it had looked at in the same moment. A second asker, or one that reads in two steps, would have missed targets.

--- a/internal/share/peer/change.go
+++ b/internal/share/peer/change.go
@@ -1,5 +1,7 @@
 package peer
 
+import "slices"
+
 // mostChanges is how many changes are remembered: several times what comes between two looks at the view while half
 // of 10,000 targets are replaced.
 const mostChanges = 4096
@@ -15,15 +17,15 @@
 func (c *changes[K]) note(key K) {
 	c.count++
 	if len(c.keys) >= 2*mostChanges {
-		c.keys = append(c.keys[:0:0], c.keys[mostChanges:]...)
+		c.keys = slices.Clone(c.keys[mostChanges:])
 	}
 	c.keys = append(c.keys, key)
 }
 
-// since returns what changed after a count; known is false if not all of it is remembered.
+// since returns what changed after a count, which is the caller's to change; known is false if not all of it is remembered.
 func (c *changes[K]) since(count uint64) (keys []K, known bool) {
 	if count > c.count || c.count-count > uint64(len(c.keys)) {
 		return nil, false
 	}
-	return c.keys[len(c.keys)-int(c.count-count):], true
+	return slices.Clone(c.keys[len(c.keys)-int(c.count-count):]), true
 }
