--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -67,6 +67,8 @@
 	j.sends++
 	reply := h.Dialect.Reply(answer.Status, answer.Header)
 	h.reportNotice(j, placement, answer, reply)
+	j.progress = progress{}
+	h.reportPace(j, placement, reply)
 	if reply.NotRun {
 		if reply.AddressReassigned {
 			h.Finder.ReportUnreachable(placement.Hash)
@@ -83,6 +85,9 @@
 	end.connBroken = end.cutOff() && ctx.Err() == nil
 	end.complete = end.reason == Served && answer.Framed
 	h.reportResult(ctx, placement, end.succeeded())
+	if end.complete && end.succeeded() && j.sends == 1 {
+		h.measure(j, placement, began, end.took)
+	}
 	return end
 }
 
--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -35,6 +35,7 @@
 			end = len(pending)
 		}
 		if end > 0 {
+			j.progress.add(h.Clock(), pending[:end])
 			idleTimeout.reset(j.eventTimeout())
 			h.Finder.ReportReceived(j.lastPlacement.Hash)
 			if reason := h.forwardComplete(w, j, answer, pending[:end]); reason != "" {
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -14,6 +14,8 @@
 	"valescale/internal/edge/route"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/match"
+	"valescale/internal/rule/pace"
+	"valescale/internal/rule/place"
 	"valescale/internal/rule/retry"
 )
 
@@ -32,6 +34,8 @@
 	ReportSilent(target ident.TargetHash, since time.Time) bool
 	// ReportUnreachable records that no connection to a target could be made.
 	ReportUnreachable(target ident.TargetHash)
+	// ReportPace records what an attempt shows about the pace of its target.
+	ReportPace(report pace.Report)
 	// ReportNotice records the draining state and backoff that a target reported in an answer.
 	ReportNotice(target route.Target, n route.Notice)
 }
@@ -101,6 +105,10 @@
 	Found time.Duration
 	First time.Duration
 	Total time.Duration
+	// Rule is the rule by which the last target was selected, or zero.
+	Rule place.Rule
+	// Timely is set if the answer met the objectives of the route.
+	Timely bool
 }
 
 // Parts contains the dependencies of a handler.
@@ -126,6 +134,10 @@
 	// startedAt is the time at which the handler was created.
 	startedAt time.Time
 	latency   *latencyEstimates
+	// meter measures how long requests usually take.
+	meter *pace.Meter
+	// invalidPaces limits the log lines about targets that report an invalid pace.
+	invalidPaces logged
 	// unreadBytes is the total size of the stream data buffered for slow callers.
 	unreadBytes atomic.Int64
 }
@@ -135,7 +147,7 @@
 	if parts.Canaries == nil {
 		parts.Canaries = noCanaries{}
 	}
-	return &Handler{Parts: parts, startedAt: parts.Clock(), latency: newLatencyEstimates()}
+	return &Handler{Parts: parts, startedAt: parts.Clock(), latency: newLatencyEstimates(), meter: pace.NewMeter(parts.Clock)}
 }
 
 // ServeHTTP serves one request.
@@ -217,6 +229,7 @@
 // free slot.
 func (h *Handler) acquire(ctx context.Context, j *job) (*route.Placement, error) {
 	placementRequest := j.placementRequest(h.latency.firstByteTime(j.route.Name))
+	placementRequest.Effort = h.meter.Effort(j.service, pace.Kind(j.route.Name), j.size())
 	j.lookupName = j.service
 	if j.sends+j.unreached == 0 {
 		j.lookupName = h.Canaries.Choose(j.service)
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -62,6 +63,8 @@
 	// answer; zero before that.
 	found time.Duration
 	first time.Duration
+	// progress is that of the latest attempt.
+	progress progress
 }
 
 // sharesPrefix reports whether the request shares a prompt prefix with others.
@@ -78,6 +81,16 @@
 	return ident.NewChatKey("", shared.ID)
 }
 
+// parentKey returns the key of the prompt part before the one that the placement key stands for, or
+// zero if there is none. It has 32 bits, the size in which routers exchange it.
+func (j *job) parentKey() ident.ChatKey {
+	parts := j.call.Parts
+	if !j.sharesPrefix() || len(parts) < 3 {
+		return 0
+	}
+	return ident.NewChatKey("", parts[len(parts)-3].ID) & math.MaxUint32
+}
+
 // rankLevels is the number of distinct ranks of routes, and of workspaces. Higher rank numbers,
 // which mean lower urgency, count as the last.
 const rankLevels = 16
@@ -124,7 +137,24 @@
 		Work:      ident.OneRequest,
 		Deadline:  j.arrived.Add(j.wait(expected)),
 		Avoid:     j.avoid,
+		Due:       j.due(),
+		Parent:    j.parentKey(),
+	}
+}
+
+// due returns when the first byte of the answer is due, or zero without an objective.
+func (j *job) due() time.Time {
+	if j.route.Objective <= 0 {
+		return time.Time{}
 	}
+	return j.arrived.Add(j.route.Objective)
+}
+
+// timely reports whether the first byte and the events of the answer met the objectives of the route.
+func (j *job) timely() bool {
+	late := j.route.Objective > 0 && j.first > j.route.Objective
+	paused := j.route.Stream && j.route.GapObjective > 0 && j.progress.longestGap > j.route.GapObjective
+	return !late && !paused
 }
 
 // ended reports the end of a request to the observer and logs it.
@@ -140,6 +170,10 @@
 	e := End{Service: j.service, Sends: j.sends, Found: j.found, First: j.first, Total: now.Sub(j.arrived)}
 	if j.route != nil {
 		e.Route = j.route.Name
+		e.Timely = j.timely()
+	}
+	if j.lastPlacement != nil {
+		e.Rule = j.lastPlacement.Basis.Rule
 	}
 	if j.workspace != nil {
 		e.Workspace = j.workspace.Name
@@ -153,6 +187,7 @@
 	var home ident.Router
 	var basis place.Basis
 	warm := false
+	size := j.size()
 	if j.lastPlacement != nil {
 		basis = j.lastPlacement.Basis
 		target, warm, home = j.lastPlacement.Target.ID, j.lastPlacement.Warm, j.lastPlacement.Home
@@ -165,6 +200,8 @@
 		"target", target, "key", strconv.FormatUint(uint64(j.placementKey), 16), "warm", warm, "holder", holder, "home", home,
 		"rule", basis.Rule, "load", basis.Load.Requests(), "mean", basis.Mean.Requests(),
 		"found_ms", e.Found.Milliseconds(), "first_ms", e.First.Milliseconds(), "whole_ms", e.Total.Milliseconds(),
+		"pace", float64(j.progress.pace), "events", j.progress.events, "gap_ms", j.progress.longestGap.Milliseconds(),
+		"own_tokens", size.Own, "prefix_tokens", size.Prefix, "output_tokens", size.Output,
 		"err", j.placementErr)
 }
 
--- /dev/null
+++ b/internal/edge/entry/pace.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/edge/route"
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/pace"
+)
+
+// progress is the progress of an attempt's answer.
+type progress struct {
+	// pace is the pace that the target reported, zero for none.
+	pace pace.Pace
+	// events is the number of events of a stream, longestGap the longest time between two reads of
+	// them.
+	events     int
+	longestGap time.Duration
+	// firstAt and lastAt are when the first and the last event arrived.
+	firstAt time.Time
+	lastAt  time.Time
+}
+
+// add adds complete events that arrived together.
+func (p *progress) add(now time.Time, events []byte) {
+	if p.firstAt.IsZero() {
+		p.firstAt = now
+	} else {
+		p.longestGap = max(p.longestGap, now.Sub(p.lastAt))
+	}
+	p.lastAt = now
+	for range splitEvents(events) {
+		p.events++
+	}
+}
+
+// size returns the size of the request as far as it is known before the answer.
+func (j *job) size() pace.Size {
+	var s pace.Size
+	last := len(j.call.Parts) - 1
+	for i, part := range j.call.Parts {
+		if i < last {
+			s.Prefix += part.Tokens
+		} else {
+			s.Own += part.Tokens
+		}
+	}
+	s.Output = j.call.ExpectedOutput
+	if limit := j.call.MaxOutput; limit > 0 && s.Output > limit {
+		s.Output = limit
+	}
+	return s
+}
+
+// reportPace reports the pace in a target's answer to the finder.
+func (h *Handler) reportPace(j *job, placement *route.Placement, reply Reply) {
+	if !reply.HasPace || reply.AddressReassigned {
+		return
+	}
+	if !reply.Pace.Valid() {
+		if h.invalidPaces.first(placement.Target.ID) {
+			_ = level.Warn(h.Logger).Log("msg", "target reported an invalid pace", "request", j.call.ID,
+				"target", placement.Target.ID, "pace", float64(reply.Pace))
+		}
+		return
+	}
+	j.progress.pace = reply.Pace
+	h.Finder.ReportPace(pace.Report{Target: placement.Hash, Told: reply.Pace})
+}
+
+// measure reports how long a complete answer took compared with others. Answers that were resumed at
+// another target or waited for their caller are not comparable.
+func (h *Handler) measure(j *job, placement *route.Placement, began time.Time, took time.Duration) {
+	f := pace.Finished{
+		Size: j.size(), Cached: placement.Warm, First: took, Whole: took, Events: j.progress.events,
+	}
+	if f.Events > 0 {
+		f.First, f.Whole = j.progress.firstAt.Sub(began), j.progress.lastAt.Sub(began)
+	}
+	measured, expected := h.meter.Add(j.service, pace.Kind(j.route.Name), f)
+	if expected > 0 {
+		h.Finder.ReportPace(pace.Report{Target: placement.Hash, Took: measured, Expected: expected})
+	}
+}
+
+// maxLogged limits the number of targets that are remembered as logged.
+const maxLogged = 4096
+
+// logged remembers for which targets a line was logged.
+type logged struct {
+	mu      sync.Mutex
+	targets map[ident.Target]struct{}
+}
+
+// first reports whether this is the first call for a target.
+func (l *logged) first(target ident.Target) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, known := l.targets[target]; known {
+		return false
+	}
+	if l.targets == nil || len(l.targets) >= maxLogged {
+		l.targets = map[ident.Target]struct{}{}
+	}
+	l.targets[target] = struct{}{}
+	return true
+}
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -22,6 +23,7 @@
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/match"
+	"valescale/internal/rule/pace"
 	"valescale/internal/rule/retry"
 )
 
@@ -45,7 +47,9 @@
 func (testDialect) Matches(h http.Header, call Call) bool { return h.Get("Id") == string(call.ID) }
 
 func (testDialect) Reply(status int, h http.Header) Reply {
+	told, err := strconv.ParseFloat(h.Get("Pace"), 64)
 	return Reply{
+		Pace: pace.Pace(told), HasPace: err == nil,
 		NotRun: h.Get("Not-Run") != "", AddressReassigned: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != "",
 	}
 }
@@ -66,6 +70,7 @@
 	mu      sync.Mutex
 	targets []route.Target
 	reports []string
+	paces   []pace.Report
 	// holder is the cache holder of each placement.
 	holder *route.Target
 	// acquire replaces Acquire if it is set.
@@ -100,6 +105,12 @@
 func (f *finder) ReportSilent(ident.TargetHash, time.Time) bool { return false }
 func (f *finder) ReportUnreachable(ident.TargetHash)            { f.record("unreachable") }
 
+func (f *finder) ReportPace(report pace.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.paces = append(f.paces, report)
+}
+
 func (f *finder) ReportNotice(target route.Target, n route.Notice) {
 	if n.Leaving {
 		f.record(fmt.Sprint("leaving ", target.ID))
--- a/internal/edge/entry/types.go
+++ b/internal/edge/entry/types.go
@@ -6,6 +6,7 @@
 
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/match"
+	"valescale/internal/rule/pace"
 )
 
 // RequestID is the caller's ID of a request.
@@ -17,6 +18,8 @@
 // PromptPart is a part of a prompt that several requests may share.
 type PromptPart struct {
 	ID string
+	// Tokens is the size of the part, or zero if it is unknown.
+	Tokens ident.Tokens
 }
 
 // Call contains the values of a caller's request headers.
@@ -28,6 +31,10 @@
 	Key string
 	// Parts are the parts of the prompt in order; the last part is specific to this request.
 	Parts []PromptPart
+	// MaxOutput is the maximum size of the answer and ExpectedOutput the caller's estimate of it. Zero
+	// means unknown.
+	MaxOutput      ident.Tokens
+	ExpectedOutput ident.Tokens
 }
 
 // TargetHeaders contains the values that are sent to a target in addition to the caller's request.
@@ -51,6 +58,10 @@
 	NotRun bool
 	// AddressReassigned is set when another target now uses the address.
 	AddressReassigned bool
+	// Pace is how long work takes at the target at present. HasPace is set if the answer has a pace,
+	// which may be out of range.
+	Pace    pace.Pace
+	HasPace bool
 	// Leaving is set when the server that answered is draining and must receive no new work.
 	Leaving bool
 }
--- /dev/null
+++ b/internal/edge/route/pace_test.go
@@ -0,0 +1,59 @@
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/pace"
+)
+
+// Reports reach the home once, with the next permit request. Measured times count only once a target
+// has reported a pace: a deployment whose targets have their machines to themselves is served as
+// without this.
+func TestPacesAreReportedToHome(t *testing.T) {
+	f, r, _ := newFleet()
+	one := ident.Target("engine-1").Hash()
+	r.ReportPace(pace.Report{Target: one, Took: 3 * time.Second, Expected: time.Second})
+	acquire(t, r, 1).Release()
+	if diff := cmp.Diff([]pace.Report(nil), f.paces); diff != "" {
+		t.Errorf("reported without a target that reports its pace: %s", diff)
+	}
+	r.ReportPace(pace.Report{Target: one, Told: 1.3})
+	r.ReportPace(pace.Report{Target: one, Took: 3 * time.Second, Expected: time.Second})
+	r.ReportPace(pace.Report{Target: ident.Target("unknown").Hash(), Told: 1.3})
+	f.now = f.now.Add(40 * time.Millisecond)
+	acquire(t, r, 1).Release()
+	acquire(t, r, 2).Release()
+	want := []pace.Report{{Target: one, Told: 1.3, Age: 40 * time.Millisecond, Took: 3 * time.Second, Expected: time.Second}}
+	if diff := cmp.Diff(want, f.paces); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(pace.Pace(1.3), f.homes[routers[0]].Paces()[0].Pace); diff != "" {
+		t.Errorf("pace at the home: %s", diff)
+	}
+}
+
+// Failure: no home can be reached. The router avoids the engine that it knows to be slow as long as
+// another one is available.
+func TestRouterWithoutHomeAvoidsSlowTarget(t *testing.T) {
+	f, r, _ := newFleet()
+	slow := ident.Target("engine-1").Hash()
+	for range 4 {
+		r.ReportPace(pace.Report{Target: slow, Told: 3})
+		r.ReportPace(pace.Report{Target: ident.Target("engine-2").Hash(), Told: 1})
+		f.now = f.now.Add(200 * time.Millisecond)
+	}
+	for _, router := range routers {
+		f.down[router] = true
+	}
+	for key := range ident.ChatKey(3) {
+		p := acquire(t, r, key+1)
+		if p.Hash == slow {
+			t.Errorf("request %d went to the slow engine", key)
+		}
+		p.Release()
+	}
+}
--- a/internal/edge/route/permit.go
+++ b/internal/edge/route/permit.go
@@ -210,6 +210,7 @@
 	unsentFailures := r.unsentFailures[id]
 	delete(r.unsentFailures, id)
 	backoffs, included := r.takeBackoffs(id, now)
+	paces := r.unsentPaces[id].Take(now)
 	r.stats.PermitRequests++
 	placeRequest = home.PermitRequest{
 		Request:    r.placeRequest(p, request),
@@ -220,6 +221,7 @@
 		ShardLoads: p.state.ShardLoadsFor(now, step.Shard, nil),
 		Failed:     unsentFailures,
 		Backoffs:   included,
+		Paces:      paces,
 	}
 	placeRequest.Permit = r.permit
 	if step.MustPlace {
@@ -235,9 +237,22 @@
 	return place.Request{
 		Edge: r.self.ID, Key: request.Key, Work: request.Work, Zone: r.self.Zone,
 		Avoid: request.Avoid, Lost: request.unreachable, Last: p.state.Last(request.Key), Once: request.Once,
+		Parent: request.Parent, Effort: request.Effort, Due: r.timeLeft(request.Due),
 	}
 }
 
+// minDue is the smallest time left that is sent with a permit request, where zero means that the
+// request has no objective.
+const minDue = time.Millisecond
+
+// timeLeft returns the time until the first byte of an answer is due, or zero without an objective.
+func (r *Router) timeLeft(due time.Time) time.Duration {
+	if due.IsZero() {
+		return 0
+	}
+	return max(due.Sub(r.clock()), minDue)
+}
+
 // recordNoResponse records that a home did not respond, and counts it as a failure of the home if
 // homeFault is set. The caller holds the lock.
 func (r *Router) recordNoResponse(homeFault bool, id place.ShardID, to ident.Router, permit uint64, released []uint64) {
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -9,6 +9,7 @@
 
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
+	"valescale/internal/rule/pace"
 	"valescale/internal/rule/place"
 	"valescale/internal/rule/policy"
 	"valescale/internal/rule/quota"
@@ -69,6 +70,12 @@
 	Avoid []ident.TargetHash
 	// Once means that no other request has this key.
 	Once bool
+	// Parent identifies the part of the prompt before the one that the key stands for, or is zero.
+	Parent ident.ChatKey
+	// Effort is the time that the request usually takes. Due is when the first byte of the answer is
+	// due, or zero.
+	Effort pace.Effort
+	Due    time.Time
 	// unreachable contains the targets that this router cannot reach.
 	unreachable []ident.TargetHash
 	// excluded contains the targets that were offered although they accept no new work according to
@@ -118,8 +125,13 @@
 	// unsentFailures contains the targets that failed requests since the last permit request to the
 	// home of their shard.
 	unsentFailures map[place.ShardID][]ident.TargetHash
-	allowances     map[ident.Workspace]*quota.Allowance
-	stats          Stats
+	// unsentPaces contains the reports about paces since the last permit request to the home of the
+	// targets' shard.
+	unsentPaces map[place.ShardID]*pace.Unsent
+	// paced is set once a target has reported its pace.
+	paced      bool
+	allowances map[ident.Workspace]*quota.Allowance
+	stats      Stats
 	// watcher may be nil.
 	watcher Watcher
 }
@@ -172,6 +184,7 @@
 		leaving:            map[ident.TargetHash]ident.Incarnation{},
 		unsentBackoffs:     map[place.ShardID]map[ident.TargetHash]backoff{},
 		unsentFailures:     map[place.ShardID][]ident.TargetHash{},
+		unsentPaces:        map[place.ShardID]*pace.Unsent{},
 		skipped:            map[ident.Router]time.Time{},
 		allowances:         map[ident.Workspace]*quota.Allowance{},
 	}
@@ -245,6 +258,9 @@
 	for id, unsentFailures := range r.unsentFailures {
 		r.unsentFailures[id] = slices.DeleteFunc(unsentFailures, restarted)
 	}
+	for _, unsent := range r.unsentPaces {
+		unsent.Remove(restarted)
+	}
 }
 
 // restarted reports whether a target has another incarnation in a pool than in the pool that it
@@ -276,6 +292,9 @@
 			delete(r.unsentFailures, id)
 		}
 	}
+	for _, unsent := range r.unsentPaces {
+		unsent.Remove(unlisted)
+	}
 }
 
 // updatePool keeps the counted shard loads of a pool if only its engines change, and this router's
--- a/internal/edge/route/router_test.go
+++ b/internal/edge/route/router_test.go
@@ -11,6 +11,7 @@
 	"valescale/internal/edge/route"
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
+	"valescale/internal/rule/pace"
 	"valescale/internal/rule/place"
 	"valescale/internal/rule/policy"
 	"valescale/internal/share/home"
@@ -23,6 +24,8 @@
 	down  map[ident.Router]bool
 	// failures contains the engines that permit requests reported as failed.
 	failures []ident.TargetHash
+	// paces contains the paces that permit requests reported.
+	paces []pace.Report
 	// backoffs contains the backoffs that permit requests reported.
 	backoffs  []place.Backoff
 	requested []ident.Router
@@ -52,6 +55,7 @@
 	f.requested = append(f.requested, to)
 	f.failures = append(f.failures, request.Failed...)
 	f.backoffs = append(f.backoffs, request.Backoffs...)
+	f.paces = append(f.paces, request.Paces...)
 	h, err := f.homeAt(to)
 	if err != nil {
 		return home.PermitResponse{}, err
--- a/internal/oper/node/build.go
+++ b/internal/oper/node/build.go
@@ -132,6 +132,7 @@
 func (n *Node) buildEntry(s *Settings) {
 	n.retryBudget = newRetryBudget(n.Clock(), s.RetryAllowance, n.fleetSize)
 	n.metrics = telem.NewRouteMetrics(n.metricReadings())
+	n.metrics.Add(n.paceMetric())
 	n.gate = entry.NewGate(n.listeners.callers, n.Logger, n.Clock)
 	n.handler = entry.New(entry.Parts{
 		Dialect: n.Dialect, Rules: n, Finder: n.router, Sender: n.conns, Budget: n.retryBudget, Guard: n.guard,
--- a/internal/oper/node/metrics.go
+++ b/internal/oper/node/metrics.go
@@ -38,6 +38,20 @@
 	}
 }
 
+// paceMetric returns the metric of the paces that this router, as home, uses to place requests.
+func (n *Node) paceMetric() telem.LabeledMetric {
+	return telem.LabeledMetric{
+		Name: "valescale_target_pace", Help: "Time that work takes at a target as a multiple of the usual time.", Labels: []string{"pool", "target"},
+		Read: func() []telem.LabeledReading {
+			var out []telem.LabeledReading
+			for _, p := range n.homes.Paces() {
+				out = append(out, telem.LabeledReading{Labels: []string{string(p.Pool), string(p.Target)}, Value: float64(p.Pace)})
+			}
+			return out
+		},
+	}
+}
+
 // revision returns the configuration revision in force, or zero if there is none.
 func (n *Node) revision() float64 {
 	if t := n.Table(); t != nil {
--- a/internal/oper/telem/routed.go
+++ b/internal/oper/telem/routed.go
@@ -18,6 +18,8 @@
 	findTime  *prometheus.HistogramVec
 	firstByte *prometheus.HistogramVec
 	duration  *prometheus.HistogramVec
+	timely    *prometheus.CounterVec
+	rules     *prometheus.CounterVec
 }
 
 // FuncMetric is a metric whose value is read from a function when metrics are collected.
@@ -30,6 +32,43 @@
 	Read func() float64
 }
 
+// LabeledReading is one value of a metric with labels.
+type LabeledReading struct {
+	Labels []string
+	Value  float64
+}
+
+// LabeledMetric is a gauge with labels whose values are read from a function when metrics are
+// collected.
+type LabeledMetric struct {
+	Name   string
+	Help   string
+	Labels []string
+	// Read returns the current values.
+	Read func() []LabeledReading
+}
+
+// labeledCollector collects a LabeledMetric.
+type labeledCollector struct {
+	desc *prometheus.Desc
+	read func() []LabeledReading
+}
+
+// Describe implements prometheus.Collector.
+func (c labeledCollector) Describe(out chan<- *prometheus.Desc) { out <- c.desc }
+
+// Collect implements prometheus.Collector.
+func (c labeledCollector) Collect(out chan<- prometheus.Metric) {
+	for _, r := range c.read() {
+		out <- prometheus.MustNewConstMetric(c.desc, prometheus.GaugeValue, r.Value, r.Labels...)
+	}
+}
+
+// Add adds a metric with labels.
+func (m *RouteMetrics) Add(l LabeledMetric) {
+	m.registry.MustRegister(labeledCollector{desc: prometheus.NewDesc(l.Name, l.Help, l.Labels, nil), read: l.Read})
+}
+
 // BoolValue returns 1 for true and 0 for false.
 func BoolValue(value bool) float64 {
 	if value {
@@ -67,7 +106,13 @@
 		firstByte: histogram("valescale_routed_first_byte_seconds", "Time until the caller got the answer's first byte."),
 		duration:  histogram("valescale_routed_whole_seconds", "Time until the request's end."),
 	}
-	m.registry.MustRegister(m.requests, m.sends, m.findTime, m.firstByte, m.duration)
+	m.timely = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "valescale_routed_answers_total", Help: "Complete answers by service and whether they met the objectives of their route.",
+	}, []string{"service", "timely"})
+	m.rules = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "valescale_routed_placements_total", Help: "Placed requests by service and the rule that selected the target.",
+	}, []string{"service", "rule"})
+	m.registry.MustRegister(m.requests, m.sends, m.findTime, m.firstByte, m.duration, m.timely, m.rules)
 	for _, r := range readings {
 		m.registry.MustRegister(r.collector())
 	}
@@ -94,6 +139,12 @@
 		m.firstByte.WithLabelValues(service).Observe(e.First.Seconds())
 	}
 	m.duration.WithLabelValues(service).Observe(e.Total.Seconds())
+	if e.Rule != 0 {
+		m.rules.WithLabelValues(service, e.Rule.String()).Inc()
+	}
+	if e.Reason == entry.Served {
+		m.timely.WithLabelValues(service, strconv.FormatBool(e.Timely)).Inc()
+	}
 }
 
 // Handler returns the HTTP handler of the metrics endpoint.
--- a/internal/plat/ident/ident.go
+++ b/internal/plat/ident/ident.go
@@ -65,6 +65,9 @@
 // OneRequest is the default work of a request for which there is no estimate.
 const OneRequest Work = 1000
 
+// Tokens is a number of tokens of a prompt or an answer.
+type Tokens int32
+
 // Attempt is the random id of one attempt to send a request to a target.
 type Attempt string
 
--- a/internal/rule/place/basis.go
+++ b/internal/rule/place/basis.go
@@ -16,6 +16,13 @@
 	BeyondSlots
 	// WithoutHome places a request on an edge router without a home.
 	WithoutHome
+	// Shortest places a request on the engine below the load bound where it costs the least time.
+	Shortest
+	// LeftLate places a request on another engine than the one with its prefix cached, where the
+	// first byte may arrive too late.
+	LeftLate
+	// LeftSlow does the same because the answer takes much longer there.
+	LeftSlow
 )
 
 // String returns the name of the rule in logs.
@@ -29,6 +36,12 @@
 		return "beyond_slots"
 	case WithoutHome:
 		return "alone"
+	case Shortest:
+		return "shortest"
+	case LeftLate:
+		return "left_late"
+	case LeftSlow:
+		return "left_slow"
 	default:
 		return ""
 	}
@@ -44,9 +57,10 @@
 	Mean ident.Work
 }
 
-// basis returns the inputs of a placement after the request was counted.
-func (h *Home) basis(req Request, total ident.Work, e *engineLoad) Basis {
-	b := Basis{Rule: WithinBound, Load: e.load(), Mean: total / ident.Work(max(h.poolEngines, 1))}
+// basis returns the inputs of a placement after the request was counted. rule is the rule by which the
+// engine was selected, or zero.
+func (h *Home) basis(req Request, rule Rule, total ident.Work, e *engineLoad) Basis {
+	b := Basis{Rule: max(rule, WithinBound), Load: e.load(), Mean: total / ident.Work(max(h.poolEngines, 1))}
 	switch {
 	case req.Over:
 		b.Rule = BeyondSlots
--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -33,10 +33,31 @@
 	if req.Last != 0 && req.Last != other && !slices.Contains(req.Lost, req.Last) {
 		return req.Last
 	}
-	if h.bound.PreferredFactor > 0 && !req.Once {
+	if h.bound.PreferredFactor <= 0 || req.Once {
+		return 0
+	}
+	preferred := h.firstPreferred(req.Key, 0, req.Lost)
+	if parent, ok := h.parentHolder(req, other); ok && preferred == other {
+		return parent
+	}
+	if preferred == other {
 		return h.firstPreferred(req.Key, other, req.Lost)
 	}
-	return 0
+	return preferred
+}
+
+// parentHolder returns the engine that last ran a request with the same parent part, if that is
+// another engine than the given one. The chat's own part is not cached anywhere as far as is known.
+func (h *Home) parentHolder(req Request, other ident.TargetHash) (ident.TargetHash, bool) {
+	if req.Parent == 0 {
+		return 0, false
+	}
+	s, known := h.parents.get(req.Parent)
+	if !known || s.engine == other || slices.Contains(req.Lost, s.engine) {
+		return 0, false
+	}
+	i, present := h.index[s.engine]
+	return s.engine, present && h.engines[i].present && h.engines[i].Incarnation == s.incarnation
 }
 
 // inPool reports whether an engine incarnation is still present in any shard of the pool.
@@ -64,35 +85,49 @@
 	return h.engines[best.index].Hash
 }
 
+// choice is the outcome of a selection. The other fields are set if result is Placed.
+type choice struct {
+	result Result
+	// engine is the position in the home's engines.
+	engine int
+	// warm means that the engine served the chat before.
+	warm bool
+	// rule is the rule that selected the engine, zero for the load bound alone.
+	rule Rule
+}
+
 // choose selects an engine among those that are not blocked. If none of these is present or all
 // are busy it selects among all engines, because an unhealthy engine is better than waiting. total
 // is the work on the pool's engines without the request.
-func (h *Home) choose(now time.Time, req Request, total ident.Work) (int, Result, bool) {
+func (h *Home) choose(now time.Time, req Request, total ident.Work) choice {
 	blockedEngines := h.blockedEngines(now, req.Zone)
 	if len(blockedEngines) == 0 {
 		return h.chooseAmong(now, req, total)
 	}
 	filtered := req
 	filtered.Avoid = slices.Concat(req.Avoid, blockedEngines)
-	i, result, warm := h.chooseAmong(now, filtered, total)
-	if result == Empty || result == Busy || result == Full && req.finalShard() {
+	c := h.chooseAmong(now, filtered, total)
+	if c.result == Empty || c.result == Busy || c.result == Full && req.finalShard() {
 		return h.chooseAmong(now, req, total)
 	}
-	return i, result, warm
+	return c
 }
 
 // chooseAmong selects the chat's last engine if it is below the limit, else an earlier engine of
-// the chat, else the least loaded one.
-func (h *Home) chooseAmong(now time.Time, req Request, total ident.Work) (int, Result, bool) {
+// the chat, else the least loaded one. If paces are known, it selects by time instead.
+func (h *Home) chooseAmong(now time.Time, req Request, total ident.Work) choice {
 	limit := h.limit(total + req.Work)
 	if req.finalShard() {
 		limit = max(limit, h.shardLimit(req))
 	}
+	maxPreferredLoad := h.preferredLimit(total)
+	if h.paced {
+		return h.chooseByTime(now, req, limit, maxPreferredLoad)
+	}
 	if i, found := h.findWarm(now, req, limit); found {
-		return i, Placed, true
+		return choice{result: Placed, engine: i, warm: true}
 	}
 	var best, first ranked
-	maxPreferredLoad := h.preferredLimit(total)
 	outcome := Empty
 	for i := range h.engines {
 		result := h.admits(now, i, req, limit)
@@ -111,11 +146,11 @@
 	}
 	switch {
 	case first.set:
-		return first.index, Placed, false
+		return choice{result: Placed, engine: first.index}
 	case best.set:
-		return best.index, Placed, false
+		return choice{result: Placed, engine: best.index}
 	default:
-		return 0, outcome, false
+		return choice{result: outcome}
 	}
 }
 
--- a/internal/rule/place/digest.go
+++ b/internal/rule/place/digest.go
@@ -25,6 +25,8 @@
 	Loads []EngineWork
 	// Places are the chats that moved to another engine since the last digest.
 	Places []ChatPlace
+	// Paces are the paces of the shard's engines, as far as they are known.
+	Paces []EnginePace
 }
 
 // ShardLoad is the load of one shard as published by its home some time ago. Shard loads are sent
@@ -171,6 +173,7 @@
 		return
 	}
 	h.peerShare[d.Home] = peerShare{digest: d, at: now}
+	h.mergePaces(now, d.Paces)
 	h.recount()
 }
 
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"valescale/internal/plat/ident"
+	"valescale/internal/rule/pace"
 )
 
 // Bound limits how far an engine's load may exceed the mean.
@@ -94,6 +95,13 @@
 	Last ident.TargetHash
 	// Once means that no other request has this key, so that its place is not stored.
 	Once bool
+	// Parent identifies the part of the prompt before the one that the key stands for, or is zero.
+	// Many chats share it.
+	Parent ident.ChatKey
+	// Effort is the time that the request usually takes. Due is the time left until the first byte
+	// of the answer is due, or zero.
+	Effort pace.Effort
+	Due    time.Duration
 }
 
 // Decision is the result of a Request.
@@ -119,6 +127,9 @@
 	present   bool
 	// pacer limits the rate of requests while the engine is cold.
 	pacer coldPacer
+	// gauge estimates the engine's pace. The engine is expected to read prompts until readUntil.
+	gauge     pace.Gauge
+	readUntil time.Time
 }
 
 func (e *engineLoad) load() ident.Work { return e.own + e.peerShare }
@@ -146,6 +157,8 @@
 	// lastContact is when each edge router that holds permits was last in contact.
 	lastContact map[ident.Router]time.Time
 	places      lru[chatPlace]
+	// parents holds the engine that last ran a request with each parent part.
+	parents lru[engineRun]
 	// shardLoads are the loads of the other shards. peerShare holds the shares of this shard that
 	// other homes admitted.
 	shardLoads shardLoads
@@ -160,6 +173,10 @@
 	lastSentShard int
 	health        health
 	backoffs      backoffs
+	// paced is set once the pace of an engine is known. level is the usual pace as of levelAt.
+	paced   bool
+	level   pace.Level
+	levelAt time.Time
 }
 
 // NewHome returns a home without engines or permits. Its digests are numbered from seq on, which
@@ -175,6 +192,7 @@
 		suspectEdges: map[ident.Router]bool{},
 		lastContact:  map[ident.Router]time.Time{},
 		places:       newLRU[chatPlace](bound.MaxPlaces),
+		parents:      newLRU[engineRun](bound.MaxPlaces),
 		peerShare:    map[ident.Router]peerShare{},
 		seq:          seq,
 		health:       newHealth(),
@@ -235,6 +253,8 @@
 		if known && h.engines[i].Incarnation < e.Incarnation {
 			h.forget(e.Hash)
 			h.engines[i].pacer = coldPacer{}
+			h.engines[i].gauge = pace.Gauge{}
+			h.engines[i].readUntil = time.Time{}
 		}
 		h.engines[i].Engine = e
 		h.engines[i].present = true
@@ -271,25 +291,29 @@
 	}
 	h.expire(now)
 	total := h.Total(now)
-	i, result, warm := h.choose(now, req, total)
-	if result != Placed {
+	chosen := h.choose(now, req, total)
+	if chosen.result != Placed {
 		// If another shard takes the request, its engine can copy the cached prefix.
 		at, _ := h.places.get(req.Key)
-		return Decision{Result: result, Holder: h.holder(req, at, 0)}
+		return Decision{Result: chosen.result, Holder: h.holder(req, at, 0)}
 	}
-	e := &h.engines[i]
+	e := &h.engines[chosen.engine]
 	h.hold(Permit{Edge: req.Edge, ID: req.Permit, Engine: e.Hash, Work: req.Work})
 	h.health.sent(now, req.Zone, e.Hash)
 	e.pacer.sent(now, e.Cold, h.ownShare())
-	d := Decision{Result: Placed, Engine: e.Hash, Basis: h.basis(req, total+req.Work, e)}
+	h.recordReading(now, req, e)
+	d := Decision{Result: Placed, Engine: e.Hash, Basis: h.basis(req, chosen.rule, total+req.Work, e)}
 	if req.Once {
 		return d
 	}
-	d.Warm = warm
+	d.Warm = chosen.warm
 	if at := h.remember(now, req.Key, e); e.Hash != at.last().engine {
 		// An engine that ran the chat earlier may have evicted the prefix since.
 		d.Holder = h.holder(req, at, e.Hash)
 	}
+	if h.paced && req.Parent != 0 {
+		h.parents.put(req.Parent, engineRun{engine: e.Hash, incarnation: e.Incarnation})
+	}
 	return d
 }
 
--- a/internal/rule/place/local.go
+++ b/internal/rule/place/local.go
@@ -15,7 +15,11 @@
 	if usable == 0 {
 		return Decision{Result: Empty}
 	}
-	chosen := p.chooseLocal(now, req, routers, p.bound.limit(float64(total+req.Work), usable))
+	limit := p.bound.limit(float64(total+req.Work), usable)
+	chosen := p.chooseLocal(now, p.avoidSlow(now, req), routers, limit)
+	if !chosen.set {
+		chosen = p.chooseLocal(now, req, routers, limit)
+	}
 	if !chosen.set {
 		return Decision{Result: Busy}
 	}
@@ -28,6 +32,17 @@
 	return d
 }
 
+// avoidSlow returns a request that avoids engines which are much slower than others.
+func (p *Pool) avoidSlow(now time.Time, req Request) Request {
+	work := max(req.Effort.Read+req.Effort.Make, minMakeTime)
+	for hash := range p.gauges {
+		if p.isSlow(now, hash, work) {
+			req.Avoid = append(slices.Clip(req.Avoid), hash)
+		}
+	}
+	return req
+}
+
 // lastEngineRank is the shard rank of the engine that has the key's prompt prefix. It precedes all
 // shards in the key's order.
 const lastEngineRank = -1
--- a/internal/rule/place/pool.go
+++ b/internal/rule/place/pool.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"valescale/internal/plat/ident"
+	"valescale/internal/rule/pace"
 )
 
 // Pool is an edge router's view of a pool: its engines, their shards, and the work that this
@@ -21,6 +22,11 @@
 	bound       Bound
 	// last is the engine to which this router sent each chat last.
 	last lru[engineRun]
+	// gauges estimate the paces of engines by this router's own requests. level is their usual pace
+	// as of levelAt.
+	gauges  map[ident.TargetHash]*engineGauge
+	level   pace.Level
+	levelAt time.Time
 }
 
 // maxLastEngines is the number of chats whose last engine a router stores, at 24 bytes each. It
@@ -33,6 +39,7 @@
 		name:   name,
 		roster: NewRoster(shards, nil),
 		own:    map[ident.TargetHash]ident.Work{},
+		gauges: map[ident.TargetHash]*engineGauge{},
 		bound:  bound,
 		last:   newLRU[engineRun](maxLastEngines),
 	}
@@ -43,6 +50,7 @@
 func (p *Pool) Inherit(from *Pool) {
 	p.own = from.own
 	p.last = from.last
+	p.gauges = from.gauges
 }
 
 // SetLast stores the engine to which this router sent a chat.
@@ -70,6 +78,7 @@
 	p.shardLoads.scaleToWeights(p.roster.weights, roster.weights)
 	p.roster = roster
 	p.order = p.orderWeights()
+	p.removeGauges()
 }
 
 // HasRoom reports whether a shard with the given load can run another request.
--- /dev/null
+++ b/internal/rule/place/time.go
@@ -0,0 +1,282 @@
+package place
+
+import (
+	"time"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/pace"
+)
+
+const (
+	// levelInterval is how long the usual pace of the shard is used before it is computed again.
+	levelInterval = 100 * time.Millisecond
+	// copyRatio is the ratio between the time to copy a cached prefix from another engine and the
+	// time to read it.
+	copyRatio = 0.1
+	// minMakeTime is the time to make an answer if it is unknown or shorter. It keeps the load of an
+	// engine relevant for requests without an estimate.
+	minMakeTime = 10 * time.Millisecond
+	// minFullLoad is the minimum load at which work is expected to take twice as long at engines
+	// without a known number of slots.
+	minFullLoad = 8 * ident.OneRequest
+	// moveRatio is the ratio between the lasting time of a request at the best engine and at the one
+	// that has its prefix cached, below which the request leaves the latter. Smaller differences are
+	// within the accuracy of the estimates, and each move copies the prefix.
+	moveRatio = 0.6
+	// minMoveSaving is the minimum saving for which a request leaves the engine that has its prefix
+	// cached. Callers do not notice a smaller one.
+	minMoveSaving = 100 * time.Millisecond
+	// lateRatio is the ratio between the time until the first byte is due and the longest expected
+	// time to the first byte that is safely in time.
+	lateRatio = 2
+	// maxReadingDelay is how much longer than elsewhere the first byte may take for a new chat to go
+	// to one of the first two engines of its own hash order.
+	maxReadingDelay = 100 * time.Millisecond
+)
+
+// forecast is the expected course of a request on an engine.
+type forecast struct {
+	// first is the time to the first byte.
+	first time.Duration
+	// lasting is the time to read the prompt and make the answer, without what is likely to be over
+	// soon: other prompts that are being read, and the present pace.
+	lasting time.Duration
+	// cost is the time until the end of the answer, plus the time by which reading the prompt delays
+	// the requests that run beside it.
+	cost time.Duration
+	// late is set if the first byte may arrive after it is due.
+	late bool
+}
+
+// better reports whether a forecast precedes another one.
+func (f forecast) better(other forecast) bool {
+	if f.late != other.late {
+		return other.late
+	}
+	return f.cost < other.cost
+}
+
+// forecast returns the expected course of a request on an engine that has to read for the given
+// time, at its usual pace, before it makes the answer.
+func (h *Home) forecast(now time.Time, req Request, e *engineLoad, unread time.Duration) forecast {
+	making := time.Duration(float64(max(req.Effort.Make, minMakeTime)) * (1 + h.crowding(e)))
+	estimate := e.gauge.Estimate(now, h.level, unread+making)
+	queued := max(e.readUntil.Sub(now), 0)
+	reading := estimate.Time(queued, unread)
+	return forecast{
+		first:   queued + reading,
+		lasting: time.Duration(float64(unread+making) * float64(estimate.Lasting)),
+		cost:    queued + estimate.Time(queued, unread+making) + time.Duration(e.load().Requests()*float64(reading)),
+		late:    req.Due > 0 && lateRatio*(queued+reading) > req.Due,
+	}
+}
+
+// crowding returns the ratio of an engine's load to the load at which work takes twice as long: its
+// slots, or twice the mean of the shard if its slots are not known.
+func (h *Home) crowding(e *engineLoad) float64 {
+	full := e.Slots
+	if full <= 0 {
+		full = max(2*(h.granted+h.peerWork)/ident.Work(max(len(h.engines), 1)), minFullLoad)
+	}
+	return float64(e.load()) / float64(full)
+}
+
+// unread returns the time that an engine of usual pace needs to read a request's prompt.
+func (r *Request) unread(at chatPlace, hasCached bool) time.Duration {
+	switch {
+	case hasCached:
+		return r.Effort.Read
+	case r.Last != 0 || at.last() != (engineRun{}):
+		return r.Effort.Read + time.Duration(copyRatio*float64(r.Effort.Prefix))
+	default:
+		return r.Effort.Read + r.Effort.Prefix
+	}
+}
+
+// hasCached reports whether an engine has served the request's chat, according to this home or else
+// the edge router.
+func (r *Request) hasCached(at chatPlace, e *engineLoad) bool {
+	for _, s := range at.at {
+		if s.engine == e.Hash && s.incarnation == e.Incarnation {
+			return true
+		}
+	}
+	return r.Last == e.Hash
+}
+
+// timedChoice is an engine with the forecast for a request on it.
+type timedChoice struct {
+	ranked
+	forecast
+}
+
+// precedes reports whether an engine is a better choice than another one.
+func (c timedChoice) precedes(other timedChoice) bool {
+	switch {
+	case !other.set:
+		return true
+	case c.forecast != other.forecast:
+		return c.forecast.better(other.forecast)
+	case c.sameZone != other.sameZone:
+		return c.sameZone
+	default:
+		return c.score > other.score
+	}
+}
+
+// chooseByTime selects the engine on which the request is expected to cost the least time. An engine
+// that has the chat's prefix cached is left for another one only if that saves more than reading the
+// prefix takes.
+func (h *Home) chooseByTime(now time.Time, req Request, limit, maxPreferredLoad float64) choice {
+	h.updateLevel(now)
+	at, _ := h.places.get(req.Key)
+	var best, cached timedChoice
+	var preferred preferredPair
+	outcome := Empty
+	for i := range h.engines {
+		e := &h.engines[i]
+		result := h.admits(now, i, req, limit)
+		if result == Empty {
+			continue
+		}
+		if result != Placed {
+			outcome = mergeRejection(outcome, result)
+			continue
+		}
+		hasCached := req.hasCached(at, e)
+		c := timedChoice{ranked: h.rank(i, req), forecast: h.forecast(now, req, e, req.unread(at, hasCached))}
+		if c.precedes(best) {
+			best = c
+		}
+		if hasCached && c.precedes(cached) {
+			cached = c
+		}
+		if float64(c.load) < maxPreferredLoad {
+			preferred.add(c)
+		}
+	}
+	likely := preferred.better()
+	switch {
+	case !best.set:
+		return choice{result: outcome}
+	case cached.set:
+		return cached.orLeave(best, req.Effort.Prefix)
+	case likely.set && likely.first-best.first <= maxReadingDelay && likely.orLeave(best, 0).engine == likely.index:
+		return choice{result: Placed, engine: likely.index}
+	default:
+		return choice{result: Placed, engine: best.index, rule: Shortest}
+	}
+}
+
+// preferredPair holds the first two engines of a chat's hash order. A new chat goes to the better one
+// of them: two choices spread prompts nearly as evenly as all engines would, and a home that has
+// lost its places finds the cached prefix at one of the two.
+type preferredPair struct{ first, second timedChoice }
+
+// add adds an engine.
+func (p *preferredPair) add(c timedChoice) {
+	switch {
+	case c.preferred(p.first.ranked):
+		p.first, p.second = c, p.first
+	case c.preferred(p.second.ranked):
+		p.second = c
+	}
+}
+
+// better returns the better engine.
+func (p *preferredPair) better() timedChoice {
+	if p.second.set && p.second.precedes(p.first) {
+		return p.second
+	}
+	return p.first
+}
+
+// orLeave returns the engine that has a request's prefix cached, or is likely to have it, or the best
+// one if it is worth leaving the first. prefix is the time to read the prefix again.
+func (c timedChoice) orLeave(best timedChoice, prefix time.Duration) choice {
+	stay, leave := choice{result: Placed, engine: c.index, warm: true}, choice{result: Placed, engine: best.index}
+	if c.late != best.late {
+		if best.late {
+			return stay
+		}
+		leave.rule = LeftLate
+		return leave
+	}
+	saving := c.lasting - best.lasting
+	if saving < max(prefix, minMoveSaving) || float64(best.lasting) >= moveRatio*float64(c.lasting) {
+		return stay
+	}
+	leave.rule = LeftSlow
+	return leave
+}
+
+// recordReading adds the prompt of a placed request to those that its engine is expected to read.
+// It must be called before the engine becomes the chat's place.
+func (h *Home) recordReading(now time.Time, req Request, e *engineLoad) {
+	at, _ := h.places.get(req.Key)
+	unread := req.unread(at, req.hasCached(at, e))
+	if e.readUntil.Before(now) {
+		e.readUntil = now
+	}
+	delay := e.readUntil.Sub(now)
+	e.readUntil = e.readUntil.Add(e.gauge.Estimate(now, h.level, unread).Time(delay, unread))
+	e.gauge.MarkProbe(now)
+}
+
+// RecordPaces records what an edge router learned about the paces of engines.
+func (h *Home) RecordPaces(now time.Time, reports []pace.Report) {
+	for _, r := range reports {
+		if i, known := h.index[r.Target]; known {
+			h.engines[i].gauge.Add(now, r)
+			h.paced = h.paced || h.engines[i].gauge.Known()
+		}
+	}
+}
+
+// updateLevel computes the usual pace of the shard's engines if it is outdated.
+func (h *Home) updateLevel(now time.Time) {
+	if now.Sub(h.levelAt) < levelInterval {
+		return
+	}
+	h.levelAt = now
+	gauges := make([]*pace.Gauge, 0, len(h.engines))
+	for i := range h.engines {
+		if h.engines[i].usable() {
+			gauges = append(gauges, &h.engines[i].gauge)
+		}
+	}
+	h.level = pace.NewLevel(now, gauges)
+}
+
+// EnginePace is the pace of an engine.
+type EnginePace struct {
+	Engine ident.TargetHash
+	Pace   pace.Pace
+}
+
+// Paces returns the lasting paces of the shard's engines, as far as they are known.
+func (h *Home) Paces(now time.Time) []EnginePace {
+	if !h.paced {
+		return nil
+	}
+	h.updateLevel(now)
+	var out []EnginePace
+	for i := range h.engines {
+		e := &h.engines[i]
+		if p := e.gauge.Lasting(now, h.level); p > 0 && e.usable() {
+			out = append(out, EnginePace{Engine: e.Hash, Pace: p})
+		}
+	}
+	return out
+}
+
+// mergePaces adopts the paces that another home published for engines of which this home knows none.
+func (h *Home) mergePaces(now time.Time, paces []EnginePace) {
+	for _, p := range paces {
+		i, known := h.index[p.Engine]
+		if !known || h.engines[i].gauge.Known() {
+			continue
+		}
+		h.RecordPaces(now, []pace.Report{{Target: p.Engine, Told: p.Pace, Age: pace.PresentTTL}})
+	}
+}
--- /dev/null
+++ b/internal/rule/place/time_test.go
@@ -0,0 +1,417 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/rule/pace"
+	"valescale/internal/rule/place"
+)
+
+// The parameters are those of the home of half of 60 engines, which hears of them through 30 edge
+// routers.
+const (
+	paceEngines = 28
+	paceSlots   = 8
+	paceWork    = 400 * time.Millisecond
+	// pacePrefixes is the number of prompt prefixes, 18 for each engine.
+	pacePrefixes = 18 * paceEngines
+	prefixTime   = 20 * time.Millisecond
+)
+
+// pacedShard simulates a home and its engines in virtual time, in steps of a millisecond. The engines
+// work on all their requests at once, each at its own pace.
+type pacedShard struct {
+	now     time.Time
+	rng     *rand.Rand
+	home    *place.Home
+	engines []place.Engine
+	// paceAt returns the pace of an engine.
+	paceAt func(engine int, now time.Time) float64
+	// reports are the paces on their way to the home, by the time of their arrival in ms. If quiet is
+	// set none are sent.
+	reports map[int64][]pace.Report
+	quiet   bool
+	running []*pacedRequest
+	permit  uint64
+	// placed and took are the requests and their total times, by engine. highest is the highest excess
+	// over the bound.
+	placed  []int
+	took    []time.Duration
+	highest float64
+}
+
+// pacedRequest is a request with the part of its work that is left, in usual milliseconds.
+type pacedRequest struct {
+	permit uint64
+	engine int
+	sentAt time.Time
+	left   float64
+}
+
+func newPacedShard(seed uint64, paceAt func(int, time.Time) float64) *pacedShard {
+	m := &pacedShard{
+		now: start, rng: rand.New(rand.NewPCG(seed, seed)), paceAt: paceAt, reports: map[int64][]pace.Report{},
+		engines: engines(paceEngines), placed: make([]int, paceEngines), took: make([]time.Duration, paceEngines),
+	}
+	for i := range m.engines {
+		m.engines[i].Slots = paceSlots * ident.OneRequest
+	}
+	bound := place.BoundOf(1.9)
+	bound.Extra, bound.PreferredFactor, bound.MaxPlaces = 5*ident.OneRequest/2, 1.3, 100_000
+	m.home = place.NewHome(id, "router-a", bound, 0)
+	m.home.SetEngines(m.engines, []int{paceEngines})
+	return m
+}
+
+// arrive places one request with a random prefix.
+func (m *pacedShard) arrive() {
+	m.permit++
+	req := permitRequest(m.permit, ident.ChatKey(1+m.rng.IntN(pacePrefixes)))
+	req.MustPlace = true
+	req.Effort = pace.Effort{Prefix: prefixTime, Make: paceWork}
+	d := m.home.Place(m.now, req)
+	if d.Result != place.Placed {
+		return
+	}
+	for i, e := range m.engines {
+		if e.Hash != d.Engine {
+			continue
+		}
+		left := paceWork * time.Duration(500+m.rng.IntN(1000)) / 1000
+		if !d.Warm {
+			left += prefixTime
+		}
+		m.running = append(m.running, &pacedRequest{permit: m.permit, engine: i, sentAt: m.now, left: float64(left.Milliseconds())})
+		m.placed[i]++
+		m.report(i, pace.Report{Told: pace.Pace(m.paceAt(i, m.now))})
+		total := ident.Work(len(m.running)) * ident.OneRequest
+		limit := 1.9*float64(total)/paceEngines + float64(5*ident.OneRequest/2+ident.OneRequest)
+		m.highest = max(m.highest, float64(m.home.LoadOf(e.Hash))-limit)
+	}
+}
+
+// report sends a report that arrives after 100 to 400 ms, the time until an edge router next requests
+// a permit.
+func (m *pacedShard) report(engine int, r pace.Report) {
+	if m.quiet {
+		return
+	}
+	delay := time.Duration(100+m.rng.IntN(300)) * time.Millisecond
+	r.Target, r.Age = m.engines[engine].Hash, delay
+	at := m.now.Add(delay).UnixMilli()
+	m.reports[at] = append(m.reports[at], r)
+}
+
+// step advances the clock by a millisecond.
+func (m *pacedShard) step() {
+	m.now = m.now.Add(time.Millisecond)
+	m.home.RecordPaces(m.now, m.reports[m.now.UnixMilli()])
+	delete(m.reports, m.now.UnixMilli())
+	kept := m.running[:0]
+	for _, r := range m.running {
+		r.left -= 1 / m.paceAt(r.engine, m.now)
+		if r.left > 0 {
+			kept = append(kept, r)
+			continue
+		}
+		m.home.Release("router-b", r.permit)
+		m.took[r.engine] += m.now.Sub(r.sentAt)
+	}
+	m.running = kept
+}
+
+// runFor sends requests at a ratio to what all engines can serve at the usual pace.
+func (m *pacedShard) runFor(d time.Duration, ratio float64) {
+	perStep := ratio * paceEngines * paceSlots / float64(paceWork.Milliseconds())
+	pending := 0.0
+	for end := m.now.Add(d); m.now.Before(end); m.step() {
+		for pending += perStep; pending >= 1; pending-- {
+			m.arrive()
+		}
+	}
+}
+
+// reset clears the counts.
+func (m *pacedShard) reset() {
+	clear(m.placed)
+	clear(m.took)
+}
+
+// meanTime returns the average time of a request.
+func (m *pacedShard) meanTime() time.Duration {
+	var took time.Duration
+	placed := 0
+	for i := range m.placed {
+		took += m.took[i]
+		placed += m.placed[i]
+	}
+	return took / time.Duration(max(placed, 1))
+}
+
+// slowShare returns the share of the requests that went to the given engines.
+func (m *pacedShard) slowShare(slow func(int) bool) float64 {
+	on, all := 0, 0
+	for i, n := range m.placed {
+		all += n
+		if slow(i) {
+			on += n
+		}
+	}
+	return float64(on) / float64(max(all, 1))
+}
+
+func everyThird(engine int) bool { return engine%3 == 0 }
+
+// slowThird returns the paces of engines a third of which are slower than the others.
+func slowThird(factor float64) func(int, time.Time) float64 {
+	return func(engine int, _ time.Time) float64 {
+		if everyThird(engine) {
+			return factor
+		}
+		return 1
+	}
+}
+
+// Load: a third of the engines is lastingly slower. Callers need their answers as soon as the engines
+// can make them: requests take less time than without known paces, and engines three times slower
+// get few of them while the others have room. The load bound holds throughout.
+func TestSlowEnginesGetLess(t *testing.T) {
+	for _, c := range []struct {
+		factor, ratio, maxShare, maxTime float64
+	}{
+		{1.3, 0.4, 0.34, 1.02}, {1.3, 0.8, 0.34, 1.02}, {3, 0.4, 0.1, 0.75}, {3, 0.6, 0.2, 0.85},
+	} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("factor=%v/ratio=%v/seed=%d", c.factor, c.ratio, seed), func(t *testing.T) {
+				blind, m := newPacedShard(seed, slowThird(c.factor)), newPacedShard(seed, slowThird(c.factor))
+				blind.quiet = true
+				for _, shard := range []*pacedShard{blind, m} {
+					shard.runFor(4*time.Second, c.ratio)
+					shard.reset()
+					shard.runFor(4*time.Second, c.ratio)
+				}
+				share, ratio := m.slowShare(everyThird), float64(m.meanTime())/float64(blind.meanTime())
+				t.Logf("share of slow engines %.3f, without paces %.3f; mean time %v, without paces %v", share, blind.slowShare(everyThird), m.meanTime(), blind.meanTime())
+				if share > c.maxShare || ratio > c.maxTime {
+					t.Errorf("share of slow engines %.3f, want at most %.2f; time %.2f of that without paces, want at most %.2f", share, c.maxShare, ratio, c.maxTime)
+				}
+				if m.highest > 0 {
+					t.Errorf("an engine exceeded the bound by %.1f requests", m.highest/float64(ident.OneRequest))
+				}
+			})
+		}
+	}
+}
+
+// Load: other work slows each engine by 2.5 for 600 ms of every four seconds, and reports are 100 to
+// 400 ms old. Requests must not take longer than without reports, and must not leave their cached
+// prefixes: the disturbance is over before the next request of the chat.
+func TestShortDisturbances(t *testing.T) {
+	disturbed := func(engine int, now time.Time) float64 {
+		if (now.UnixMilli()+int64(engine)*4000/paceEngines)%4000 < 600 {
+			return 2.5
+		}
+		return 1
+	}
+	for seed := range uint64(3) {
+		blind, m := newPacedShard(seed, disturbed), newPacedShard(seed, disturbed)
+		blind.quiet = true
+		for _, shard := range []*pacedShard{blind, m} {
+			shard.runFor(6*time.Second, 0.5)
+			shard.reset()
+			shard.runFor(8*time.Second, 0.5)
+		}
+		if ratio := float64(m.meanTime()) / float64(blind.meanTime()); ratio > 1.01 {
+			t.Errorf("seed %d: requests take %.3f of the time without reports", seed, ratio)
+		}
+		if m.highest > 0 {
+			t.Errorf("seed %d: an engine exceeded the bound by %.1f requests", seed, m.highest/float64(ident.OneRequest))
+		}
+	}
+}
+
+// Load: all engines become three times slower. Nothing may change, because no engine is better than
+// another: each gets about the same share as before.
+func TestAllEnginesSlowAlike(t *testing.T) {
+	shares := func(factor float64) float64 {
+		m := newPacedShard(1, func(int, time.Time) float64 { return factor })
+		m.runFor(3*time.Second, 0.5/factor)
+		m.reset()
+		m.runFor(8*time.Second, 0.5/factor)
+		return m.slowShare(everyThird)
+	}
+	usual, slow := shares(1), shares(3)
+	if diff := usual - slow; diff > 0.05 || diff < -0.05 {
+		t.Errorf("a third of the engines gets %.2f of the requests at the usual pace, %.2f if all are slow", usual, slow)
+	}
+}
+
+// Load: slow engines recover. They get at least half of their share back within two seconds.
+func TestRecoveredEnginesGetTheirShare(t *testing.T) {
+	recoversAt := start.Add(6 * time.Second)
+	m := newPacedShard(1, func(engine int, now time.Time) float64 {
+		if now.Before(recoversAt) {
+			return slowThird(3)(engine, now)
+		}
+		return 1
+	})
+	m.runFor(6*time.Second, 0.5)
+	m.runFor(2*time.Second, 0.5)
+	m.reset()
+	m.runFor(2*time.Second, 0.5)
+	want := 0.5 * float64((paceEngines+2)/3) / paceEngines
+	if got := m.slowShare(everyThird); got < want {
+		t.Errorf("recovered engines get %.2f of the requests after two seconds, want at least %.2f", got, want)
+	}
+}
+
+// newPacedHome returns a home whose first engine is known to be three times slower, and its engines.
+func newPacedHome() (*place.Home, []place.Engine) {
+	h, list := newHome(4)
+	for i, e := range list {
+		told := pace.Usual
+		if i == 0 {
+			told = 3
+		}
+		h.RecordPaces(start, []pace.Report{{Target: e.Hash, Told: told, Age: pace.PresentTTL}})
+	}
+	return h, list
+}
+
+// timedRequest returns a permit request with a usual time of a second.
+func timedRequest(permit uint64) place.Request {
+	req := permitRequest(permit, ident.ChatKey(permit))
+	req.Effort.Make = time.Second
+	return req
+}
+
+// Failure: a home ends. Its standby has its paces from the last digest and places the first request
+// as the home would have.
+func TestStandbyKnowsPaces(t *testing.T) {
+	h, list := newPacedHome()
+	d := h.Digest()
+	d.Paces = h.Paces(start)
+	standby := place.NewHome(id, "router-c", place.DefaultBound, 0)
+	standby.SetEngines(list, []int{4})
+	standby.Merge(start, d)
+	for permit := range uint64(3) {
+		if got := standby.Place(start, timedRequest(permit+1)).Engine; got == list[0].Hash {
+			t.Errorf("request %d went to the slow engine", permit+1)
+		}
+	}
+	if diff := cmp.Diff(h.Paces(start), standby.Paces(start)); diff != "" {
+		t.Error(diff)
+	}
+	// What a home heard itself is more recent than a digest.
+	behind := place.NewHome(id, "router-d", place.DefaultBound, 0)
+	behind.SetEngines(list, []int{4})
+	behind.RecordPaces(start, []pace.Report{{Target: list[0].Hash, Told: 2}})
+	behind.Merge(start, d)
+	if got := behind.Paces(start)[0].Pace; got != 2 {
+		t.Errorf("pace %v after a digest, want the heard 2", got)
+	}
+}
+
+// Failure: an engine starts again under its name. Its pace is not known.
+func TestRestartedEngineHasNoPace(t *testing.T) {
+	h, list := newPacedHome()
+	list[0].Incarnation++
+	h.SetEngines(list, []int{4})
+	for _, p := range h.Paces(start) {
+		if p.Engine == list[0].Hash {
+			t.Errorf("the restarted engine has pace %v", p.Pace)
+		}
+	}
+}
+
+// Failure: two routers act as home of one shard, and only one knows the paces. Together they keep the
+// bound.
+func TestTwoHomesWithDifferentPaces(t *testing.T) {
+	h, list := newPacedHome()
+	other := place.NewHome(id, "router-c", place.DefaultBound, 0)
+	other.SetEngines(list, []int{4})
+	for permit := range uint64(40) {
+		h.Place(start, timedRequest(2*permit+1))
+		other.Place(start, timedRequest(2*permit+2))
+		h.Merge(start, other.Digest())
+		other.Merge(start, h.Digest())
+	}
+	for _, e := range list {
+		if got := excess(h, list, e.Hash); got > 1 {
+			t.Errorf("engine %s exceeds the bound by %.1f requests", e.ID, got)
+		}
+	}
+}
+
+// A request whose first byte would be late goes to another engine than the one with its prefix, and
+// one that is in time stays.
+func TestLateRequestLeavesItsPrefix(t *testing.T) {
+	h, list := newPacedHome()
+	bound := place.DefaultBound
+	bound.Extra = 10 * ident.OneRequest
+	h.SetBound(bound)
+	first := timedRequest(1)
+	warm := h.Place(start, first).Engine
+	long := timedRequest(2)
+	long.Key, long.Effort.Read = first.Key, 200*time.Millisecond
+	h.Place(start, long)
+	for permit, c := range []struct {
+		due  time.Duration
+		want place.Rule
+	}{{2 * time.Second, place.WithinBound}, {200 * time.Millisecond, place.LeftLate}} {
+		req := timedRequest(uint64(permit) + 3)
+		req.Key, req.Due = first.Key, c.due
+		d := h.Place(start, req)
+		if got := d.Basis.Rule; got != c.want {
+			t.Errorf("due in %v: rule %s, want %s", c.due, got, c.want)
+		}
+		if stays := d.Engine == warm; stays != (c.want == place.WithinBound) {
+			t.Errorf("due in %v: engine %d of %v, prefix on %d", c.due, d.Engine, list, warm)
+		}
+		h.Release(req.Edge, req.Permit)
+	}
+}
+
+// Load: many new chats arrive at once on an empty fleet. Each prompt takes 160 ms to read. No engine
+// gets several prompts while another has none.
+func TestPromptsAreSpreadOverEngines(t *testing.T) {
+	h, list := newHome(paceEngines)
+	for _, e := range list {
+		h.RecordPaces(start, []pace.Report{{Target: e.Hash, Told: pace.Usual}})
+	}
+	placed := map[ident.TargetHash]int{}
+	for i := range uint64(paceEngines) {
+		req := timedRequest(i + 1)
+		req.MustPlace, req.Effort.Prefix = true, 160*time.Millisecond
+		placed[h.Place(start, req).Engine]++
+	}
+	for engine, n := range placed {
+		if n > 1 {
+			t.Errorf("engine %d reads %d prompts while others are idle", engine, n)
+		}
+	}
+}
+
+func BenchmarkPlacePaced(b *testing.B) {
+	for _, n := range []int{8, 20, 30} {
+		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
+			h, request := benchmarkHome(n)
+			for _, e := range engines(n) {
+				h.RecordPaces(start, []pace.Report{{Target: e.Hash, Told: 1.3}})
+			}
+			b.ReportAllocs()
+			i := uint64(0)
+			for b.Loop() {
+				i++
+				h.Place(start, request(i))
+				h.Release("router-b", 1_000_000+i)
+			}
+		})
+	}
+}
--- a/internal/share/home/codec.go
+++ b/internal/share/home/codec.go
@@ -1,9 +1,11 @@
 package home
 
 import (
+	"math"
 	"time"
 
 	"valescale/internal/plat/ident"
+	"valescale/internal/rule/pace"
 	"valescale/internal/rule/place"
 	"valescale/internal/share/peerpb"
 )
@@ -34,6 +36,12 @@
 		Sums:      encodeShardLoads(req.ShardLoads),
 		Failed:    encodeHashes(req.Failed),
 		Backoffs:  encodeBackoffs(req.Backoffs),
+		ReadMs:    encodeMs(req.Effort.Read),
+		PrefixMs:  encodeMs(req.Effort.Prefix),
+		MakeMs:    encodeMs(req.Effort.Make),
+		DueMs:     encodeMs(req.Due),
+		Paces:     encodeReports(req.Paces),
+		Parent:    uint32(req.Parent),
 	}
 }
 
@@ -100,6 +108,9 @@
 			Lost:      decodeHashes(m.GetLost()),
 			Last:      ident.TargetHash(m.GetLast()),
 			Once:      m.GetOnce(),
+			Effort:    pace.Effort{Read: decodeMs(m.GetReadMs()), Prefix: decodeMs(m.GetPrefixMs()), Make: decodeMs(m.GetMakeMs())},
+			Due:       decodeMs(m.GetDueMs()),
+			Parent:    ident.ChatKey(m.GetParent()),
 		},
 		Shard:      place.ShardID{Shard: ident.Shard(m.GetShard())},
 		Workspace:  ident.Workspace(m.GetWorkspace()),
@@ -109,9 +120,54 @@
 		ShardLoads: decodeShardLoads(m.GetSums()),
 		Failed:     decodeHashes(m.GetFailed()),
 		Backoffs:   decodeBackoffs(m.GetBackoffs()),
+		Paces:      decodeReports(m.GetPaces()),
 	}
 }
 
+// encodeMs encodes a duration as milliseconds.
+func encodeMs(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
+
+// decodeMs decodes a duration in milliseconds.
+func decodeMs(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// percent is the resolution of encoded paces.
+const percent = 100
+
+// encodePace encodes a pace in percent of the usual time. An implausible pace is encoded as zero,
+// which means none.
+func encodePace(p pace.Pace) uint32 {
+	if !p.Valid() {
+		return 0
+	}
+	return uint32(math.Round(float64(p) * percent))
+}
+
+// decodePace decodes a pace.
+func decodePace(encoded uint32) pace.Pace { return pace.Pace(encoded) / percent }
+
+func encodeReports(reports []pace.Report) []*peerpb.EnginePace {
+	out := make([]*peerpb.EnginePace, 0, len(reports))
+	for _, r := range reports {
+		out = append(out, &peerpb.EnginePace{
+			Engine: uint32(r.Target), Told: encodePace(r.Told), AgeMs: encodeMs(r.Age), TookMs: encodeMs(r.Took), ExpectedMs: encodeMs(r.Expected),
+		})
+	}
+	return out
+}
+
+func decodeReports(in []*peerpb.EnginePace) []pace.Report {
+	var out []pace.Report
+	for _, r := range in {
+		out = append(out, pace.Report{
+			Target: ident.TargetHash(r.GetEngine()), Told: decodePace(r.GetTold()), Age: decodeMs(r.GetAgeMs()),
+			Took: decodeMs(r.GetTookMs()), Expected: decodeMs(r.GetExpectedMs()),
+		})
+	}
+	return out
+}
+
 func encodePermitResponse(resp PermitResponse) *peerpb.PlaceReply {
 	rule, load, mean := encodeBasis(resp.Basis)
 	return &peerpb.PlaceReply{
@@ -193,6 +249,10 @@
 		out.Loads = append(out.Loads, uint32(max(l.Work, 0)))
 	}
 	out.Places = encodePlaces(d.Places)
+	for _, p := range d.Paces {
+		out.Paced = append(out.Paced, uint32(p.Engine))
+		out.Paces = append(out.Paces, encodePace(p.Pace))
+	}
 	return out
 }
 
@@ -230,5 +290,12 @@
 		}
 		d.Loads = append(d.Loads, place.EngineWork{Engine: ident.TargetHash(engine), Work: ident.Work(loads[i])})
 	}
+	paces := in.GetPaces()
+	for i, engine := range in.GetPaced() {
+		if i >= len(paces) {
+			break
+		}
+		d.Paces = append(d.Paces, place.EnginePace{Engine: ident.TargetHash(engine), Pace: decodePace(paces[i])})
+	}
 	return d
 }
--- a/internal/share/home/codec_test.go
+++ b/internal/share/home/codec_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"valescale/internal/plat/ident"
+	"valescale/internal/rule/pace"
 	"valescale/internal/rule/place"
 )
 
@@ -27,3 +29,29 @@
 		t.Error(diff)
 	}
 }
+
+// What an edge router knows of a request's effort and of the engines' paces reaches the home, and a
+// home's paces reach its standby.
+func TestPaceRoundTrip(t *testing.T) {
+	want := PermitRequest{
+		Request: place.Request{
+			Work: ident.OneRequest, Parent: 0xdeadbeef, Due: 400 * time.Millisecond,
+			Effort: pace.Effort{Read: 20 * time.Millisecond, Prefix: 160 * time.Millisecond, Make: 2 * time.Second},
+		},
+		Paces: []pace.Report{
+			{Target: 7, Told: 3.25, Age: 30 * time.Millisecond}, {Target: 8, Took: 3 * time.Second, Expected: time.Second},
+		},
+	}
+	if diff := cmp.Diff(want, decodePermitRequest(encodePermitRequest(want, nil, 0)), cmpopts.EquateEmpty()); diff != "" {
+		t.Error(diff)
+	}
+	digest := place.Digest{ID: place.ShardID{Pool: "p"}, Home: "r", Seq: 3, Paces: []place.EnginePace{{Engine: 7, Pace: 2.5}}}
+	if diff := cmp.Diff(digest, decodeDigest("r", "p", encodeDigest(digest)), cmpopts.EquateEmpty()); diff != "" {
+		t.Error(diff)
+	}
+	for _, implausible := range []pace.Pace{-1, 0, 1e9} {
+		if got := encodePace(implausible); got != 0 {
+			t.Errorf("pace %v is encoded as %d, want none", implausible, got)
+		}
+	}
+}
--- a/internal/share/home/place.go
+++ b/internal/share/home/place.go
@@ -41,6 +41,7 @@
 	s.home.RecordContact(now, req.Edge)
 	s.home.MergeShardLoads(now, req.ShardLoads)
 	h.recordEngineReports(now, s, req)
+	s.home.RecordPaces(now, req.Paces)
 	if s.queue.Len() == 0 {
 		d := s.home.Place(now, req.Request)
 		if d.Result != place.Busy {
--- a/internal/share/home/publish.go
+++ b/internal/share/home/publish.go
@@ -130,6 +130,7 @@
 			continue
 		}
 		d := s.home.Digest()
+		d.Paces = s.home.Paces(now)
 		if age < republishInterval && len(d.Places) == 0 && sameLoads(d, s.published) {
 			continue
 		}
--- a/internal/share/home/request.go
+++ b/internal/share/home/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"valescale/internal/plat/ident"
+	"valescale/internal/rule/pace"
 	"valescale/internal/rule/place"
 )
 
@@ -43,6 +44,9 @@
 	// Backoffs are the engines of the shard that have requested a backoff from the edge router
 	// since its previous permit request.
 	Backoffs []place.Backoff
+	// Paces are what the edge router learned about the engines of the shard since its previous
+	// permit request.
+	Paces []pace.Report
 }
 
 // PermitResponse is the response to a permit request.
