Homes that lost their places expect prompts where hash order puts them

Change: for ten seconds after a router's start its homes expect the prompt of a chat without a place at the first engine of its hash order and copy from there if they place it elsewhere. A new chat goes to the second engine of its order only if that is clearly better.

--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -12,7 +12,7 @@
 // number of shards grows. For a chat without a stored place it returns the last engine to which
 // the edge router sent it, or else the first engine in the chat's hash order, which shares at most
 // the beginning of its prompt.
-func (h *Home) holder(req Request, at chatPlace, other ident.TargetHash) ident.TargetHash {
+func (h *Home) holder(now time.Time, req Request, at chatPlace, other ident.TargetHash) ident.TargetHash {
 	var inOtherShard ident.TargetHash
 	for _, s := range at.at {
 		if s == (engineRun{}) || s.engine == other || slices.Contains(req.Lost, s.engine) {
@@ -37,7 +37,7 @@
 		return 0
 	}
 	preferred := h.firstPreferred(req.Key, 0, req.Lost)
-	if parent, ok := h.parentHolder(req, other); ok && preferred == other {
+	if parent, ok := h.parentHolder(now, req, other); ok && preferred == other {
 		return parent
 	}
 	if preferred == other {
@@ -48,8 +48,8 @@
 
 // parentHolder returns the engine that last ran a request with the same parent part, if that is
 // another engine than the given one. The chat's own part is not cached anywhere as far as is known.
-func (h *Home) parentHolder(req Request, other ident.TargetHash) (ident.TargetHash, bool) {
-	if req.Parent == 0 {
+func (h *Home) parentHolder(now time.Time, req Request, other ident.TargetHash) (ident.TargetHash, bool) {
+	if req.Parent == 0 || now.Before(h.recoveringUntil) {
 		return 0, false
 	}
 	s, known := h.parents.get(req.Parent)
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -173,6 +173,8 @@
 	lastSentShard int
 	health        health
 	backoffs      backoffs
+	// recoveringUntil is the time until which the home may have lost places that it had before.
+	recoveringUntil time.Time
 	// paced is set once the pace of an engine is known. level is the usual pace as of levelAt.
 	paced   bool
 	level   pace.Level
@@ -203,6 +205,11 @@
 // SetBound replaces the bound. The maximum number of stored places does not change.
 func (h *Home) SetBound(bound Bound) { h.bound = bound }
 
+// SetRecovering sets the time until which chats without a stored place may have been placed before by a
+// home that has lost its places. They are placed by their hash order alone, where they find their
+// cached prefixes again, unless that engine is too slow for them.
+func (h *Home) SetRecovering(until time.Time) { h.recoveringUntil = until }
+
 // SetRoster replaces the pool's engines and with them the shard's. The shard's engines are updated
 // only if they differ.
 func (h *Home) SetRoster(roster *Roster) {
@@ -290,12 +297,14 @@
 		return Decision{Result: Placed, Engine: p.Engine}
 	}
 	h.expire(now)
+	known := req.Last
+	req = h.withLikelyEngine(now, req)
 	total := h.Total(now)
 	chosen := h.choose(now, req, total)
 	if chosen.result != Placed {
 		// If another shard takes the request, its engine can copy the cached prefix.
 		at, _ := h.places.get(req.Key)
-		return Decision{Result: chosen.result, Holder: h.holder(req, at, 0)}
+		return Decision{Result: chosen.result, Holder: h.holder(now, req, at, 0)}
 	}
 	e := &h.engines[chosen.engine]
 	h.hold(Permit{Edge: req.Edge, ID: req.Permit, Engine: e.Hash, Work: req.Work})
@@ -306,10 +315,10 @@
 	if req.Once {
 		return d
 	}
-	d.Warm = chosen.warm
+	d.Warm = chosen.warm && known == req.Last
 	if at := h.remember(now, req.Key, e); e.Hash != at.last().engine {
 		// An engine that ran the chat earlier may have evicted the prefix since.
-		d.Holder = h.holder(req, at, e.Hash)
+		d.Holder = h.holder(now, req, at, e.Hash)
 	}
 	if h.paced && req.Parent != 0 {
 		h.parents.put(req.Parent, engineRun{engine: e.Hash, incarnation: e.Incarnation})
--- a/internal/rule/place/time.go
+++ b/internal/rule/place/time.go
@@ -29,6 +29,9 @@
 	// lateRatio is the ratio between the time until the first byte is due and the longest expected
 	// time to the first byte that is safely in time.
 	lateRatio = 2
+	// preferredCostRatio is the ratio between the costs at the first and the second engine of a chat's
+	// hash order up to which a new chat goes to the first.
+	preferredCostRatio = 1.2
 	// maxReadingDelay is how much longer than elsewhere the first byte may take for a new chat to go
 	// to one of the first two engines of its own hash order.
 	maxReadingDelay = 100 * time.Millisecond
@@ -168,9 +171,9 @@
 	}
 }
 
-// preferredPair holds the first two engines of a chat's hash order. A new chat goes to the better one
-// of them: two choices spread prompts nearly as evenly as all engines would, and a home that has
-// lost its places finds the cached prefix at one of the two.
+// preferredPair holds the first two engines of a chat's hash order. A new chat goes to the first one
+// unless the second is clearly better: two choices spread prompts nearly as evenly as all engines
+// would, and a home that has lost its places finds the cached prefix at one of the two.
 type preferredPair struct{ first, second timedChoice }
 
 // add adds an engine.
@@ -185,10 +188,10 @@
 
 // better returns the better engine.
 func (p *preferredPair) better() timedChoice {
-	if p.second.set && p.second.precedes(p.first) {
-		return p.second
+	if !p.second.set || p.first.late == p.second.late && float64(p.first.cost) <= preferredCostRatio*float64(p.second.cost) || p.second.late {
+		return p.first
 	}
-	return p.first
+	return p.second
 }
 
 // orLeave returns the engine that has a request's prefix cached, or is likely to have it, or the best
@@ -210,6 +213,18 @@
 	return leave
 }
 
+// withLikelyEngine returns a request of a chat without a known place with the first engine of its hash
+// order as its last engine, while this home may have lost places: the chat probably ran there.
+func (h *Home) withLikelyEngine(now time.Time, req Request) Request {
+	if !h.paced || req.Once || req.Last != 0 || h.bound.PreferredFactor <= 0 || !now.Before(h.recoveringUntil) {
+		return req
+	}
+	if at, _ := h.places.get(req.Key); at.last() == (engineRun{}) {
+		req.Last = h.firstPreferred(req.Key, 0, req.Lost)
+	}
+	return req
+}
+
 // recordReading adds the prompt of a placed request to those that its engine is expected to read.
 // It must be called before the engine becomes the chat's place.
 func (h *Home) recordReading(now time.Time, req Request, e *engineLoad) {
--- a/internal/rule/place/time_test.go
+++ b/internal/rule/place/time_test.go
@@ -415,3 +415,67 @@
 		})
 	}
 }
+
+// pacedHomeOf returns a home of the given engines, all of usual pace.
+func pacedHomeOf(list []place.Engine) *place.Home {
+	bound := place.DefaultBound
+	bound.Extra, bound.PreferredFactor = 10*ident.OneRequest, 1.3
+	h := place.NewHome(id, "router-a", bound, 0)
+	h.SetEngines(list, []int{len(list)})
+	for _, e := range list {
+		h.RecordPaces(start, []pace.Report{{Target: e.Hash, Told: pace.Usual, Age: pace.PresentTTL}})
+	}
+	return h
+}
+
+// Failure: all routers end at once, and with them the places of all chats. Chats that return find the
+// engine with their prefix, or it is named as the one to copy from: reading all prompts again at once
+// would delay everybody.
+func TestRecoveringHomeFindsPrefixes(t *testing.T) {
+	const chats = 500
+	list := engines(paceEngines)
+	before, after := pacedHomeOf(list), pacedHomeOf(list)
+	after.SetRecovering(start.Add(10 * time.Second))
+	returning := func(permit uint64) place.Request {
+		req := timedRequest(permit)
+		req.Effort.Prefix, req.Parent = 100*time.Millisecond, ident.ChatKey(1+permit%5)
+		return req
+	}
+	found, copied := 0, 0
+	for permit := range uint64(chats) {
+		at := start.Add(time.Duration(permit) * 10 * time.Millisecond)
+		was, now := before.Place(at, returning(permit+1)), after.Place(at, returning(permit+1))
+		before.Release("router-b", permit+1)
+		after.Release("router-b", permit+1)
+		switch was.Engine {
+		case now.Engine:
+			found++
+		case now.Holder:
+			copied++
+		}
+	}
+	if found+copied < chats*95/100 || found < chats/2 {
+		t.Errorf("of %d chats %d found their engine, %d were to copy from it", chats, found, copied)
+	}
+}
+
+// The first part of a prompt is shared by many chats. A new chat copies it from an engine that has it
+// instead of reading it again.
+func TestParentPartIsCopied(t *testing.T) {
+	list := engines(paceEngines)
+	h := pacedHomeOf(list)
+	place := func(permit uint64) (engine, holder ident.TargetHash) {
+		req := timedRequest(permit)
+		req.Parent = 7
+		d := h.Place(start, req)
+		return d.Engine, d.Holder
+	}
+	last, _ := place(1)
+	for permit := range uint64(20) {
+		engine, holder := place(permit + 2)
+		if engine != last && holder == 0 {
+			t.Errorf("chat %d has no engine to copy the first part from", permit+2)
+		}
+		last = engine
+	}
+}
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -28,6 +28,7 @@
 	self        ident.Router
 	limits      Limits
 	clock       ident.Clock
+	startedAt   time.Time
 	shards      map[place.ShardID]*shard
 	pools       map[ident.Pool]*poolInfo
 	names       map[ident.PoolHash]ident.Pool
@@ -84,6 +85,7 @@
 		self:        self,
 		limits:      limits,
 		clock:       clock,
+		startedAt:   clock(),
 		shards:      map[place.ShardID]*shard{},
 		pools:       map[ident.Pool]*poolInfo{},
 		names:       map[ident.PoolHash]ident.Pool{},
@@ -115,6 +117,10 @@
 	}
 }
 
+// placesRecoveryTime is the time after the start of a router for which its homes may lack places that
+// the homes of the same shards had before. Most chats return within it.
+const placesRecoveryTime = 10 * time.Second
+
 // getOrCreate returns the shard with the given id and creates it on first use.
 func (h *Homes) getOrCreate(id place.ShardID) *shard {
 	s, ok := h.shards[id]
@@ -130,6 +136,7 @@
 		home:  place.NewHome(id, h.self, bound, h.seq),
 		queue: quota.NewQueue(h.limits.Queue, h.limits.PerWorkspace),
 	}
+	s.home.SetRecovering(h.startedAt.Add(placesRecoveryTime))
 	if info != nil {
 		s.home.SetRoster(info.roster)
 	}
