Count requests that wait beside room, let the soak slow targets down

Cause: nothing showed whether a request waits in one shard while another has a free slot, and no soak run met targets that report a pace.

Change: two counters of permit requests that waited 20 ms and more, and of those at whose end another shard had a free slot by its latest load; the soak's targets report a pace, turn three times slower for two seconds and report nonsense now and then.

--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -72,7 +72,7 @@
 	t := w.targets[w.rng.IntN(len(w.targets))]
 	mode := fake.Mode(w.rng.IntN(int(fake.Resetting) + 1))
 	w.saveSnapshot()
-	switch w.rng.IntN(15) {
+	switch w.rng.IntN(16) {
 	case 0:
 		printOrder("kill", r)
 	case 1:
@@ -102,6 +102,8 @@
 		t.handler.startBackoff()
 	case 14:
 		w.rollBackStore()
+	case 15:
+		t.handler.startSlowness()
 	}
 }
 
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -25,6 +25,8 @@
 	// backoffUntil the time until which it rejects all requests; both are zero if it does not.
 	leavingSince time.Time
 	backoffUntil time.Time
+	// slowUntil is the time until which the target is slow.
+	slowUntil time.Time
 	// received is the number of requests so far.
 	received int
 }
@@ -46,6 +48,14 @@
 	failPercent   = 3
 	resetPercent  = 2
 	slowPercent   = 2
+	// badPacePercent is the share of responses with an invalid pace.
+	badPacePercent = 1
+)
+
+const (
+	// slowDuration is how long a slow target stays slow, slowFactor how much slower it is.
+	slowDuration = 2 * time.Second
+	slowFactor   = 3
 )
 
 // eventsPerStream is the number of events of a stream.
@@ -81,6 +91,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(fake.HeaderSignature, k.target.id)
+	eventDelay := k.writePace(w)
 	switch fault -= rejectPercent; {
 	case fault < failPercent:
 		w.WriteHeader(http.StatusInternalServerError)
@@ -91,7 +102,7 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 	if k.target.service == engineService {
-		k.serveStream(w, r, id)
+		k.serveStream(w, r, id, eventDelay)
 		return
 	}
 	_, _ = io.WriteString(w, expectedAnswer(id))
@@ -125,7 +136,7 @@
 func (k *handler) reset() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.leavingSince, k.backoffUntil = time.Time{}, time.Time{}
+	k.leavingSince, k.backoffUntil, k.slowUntil = time.Time{}, time.Time{}, time.Time{}
 }
 
 // writeStatus writes the target's status to the response headers and counts a request that arrives
@@ -167,8 +178,31 @@
 	return b.String()
 }
 
+// writePace reports the target's pace in the response headers and returns the delay between two
+// events. Now and then the reported pace is no valid number.
+func (k *handler) writePace(w http.ResponseWriter) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	load, delay := "1,0,16,100", eventInterval
+	if time.Now().Before(k.slowUntil) {
+		load, delay = "1,0,16,300", slowFactor*eventInterval
+	}
+	if k.rng.IntN(100) < badPacePercent {
+		load = "1,0,16,-7e9"
+	}
+	w.Header().Set(fake.HeaderLoad, load)
+	return delay
+}
+
+// startSlowness makes the target slow for slowDuration.
+func (k *handler) startSlowness() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.slowUntil = time.Now().Add(slowDuration)
+}
+
 // serveStream sends the events of a stream and aborts some streams midway.
-func (k *handler) serveStream(w http.ResponseWriter, r *http.Request, id string) {
+func (k *handler) serveStream(w http.ResponseWriter, r *http.Request, id string, eventDelay time.Duration) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	from := 1
 	if after, err := strconv.Atoi(r.Header.Get(fake.HeaderLastEventID)); err == nil {
@@ -188,6 +222,6 @@
 		if _, err := io.WriteString(w, event); err != nil || control.Flush() != nil {
 			return
 		}
-		time.Sleep(eventInterval)
+		time.Sleep(eventDelay)
 	}
 }
--- a/internal/edge/route/permit.go
+++ b/internal/edge/route/permit.go
@@ -178,6 +178,7 @@
 	}
 	r.recordHomeResponse()
 	p.updateShardLoads(r.clock(), step.Shard, resp)
+	r.countWait(p, step, request.Work, r.clock().Sub(now))
 	if p.state.HasRoom(step.Shard, resp.Work) {
 		p.resetThrottles()
 	}
@@ -191,6 +192,21 @@
 	return r.acceptPermit(p, id, to, placeRequest, resp)
 }
 
+// minCountedWait is the time from which a permit request counts as one that waited: several round
+// trips to a home.
+const minCountedWait = 20 * time.Millisecond
+
+// countWait counts a permit request that has waited for a target. The caller holds the lock.
+func (r *Router) countWait(p *pool, step place.Step, work ident.Work, waited time.Duration) {
+	if !step.MustPlace || waited < minCountedWait {
+		return
+	}
+	r.stats.Waited++
+	if p.state.HasRoomElsewhere(r.clock(), step.Shard, work) {
+		r.stats.WaitedBesideRoom++
+	}
+}
+
 // preparePermitRequest returns the permit request with the released permits and the backoffs that
 // are sent with it.
 func (r *Router) preparePermitRequest(p *pool, id place.ShardID, step place.Step, request TargetRequest, now time.Time) (
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -155,6 +155,10 @@
 	PermitRequests  uint64
 	LocalPlacements uint64
 	WaitingRequests uint64
+	// Waited counts the permit requests that waited for a target. WaitedBesideRoom counts those of them
+	// at whose end another shard of the pool had a free slot by its latest load.
+	Waited           uint64
+	WaitedBesideRoom uint64
 	// Throttled counts the requests rejected without a permit request.
 	Throttled uint64
 }
--- a/internal/rule/place/pool.go
+++ b/internal/rule/place/pool.go
@@ -86,6 +86,18 @@
 	return work <= p.roster.slots[shard]-ident.OneRequest
 }
 
+// HasRoomElsewhere reports whether a shard other than the given one can run another request according
+// to its latest load.
+func (p *Pool) HasRoomElsewhere(now time.Time, shard ident.Shard, work ident.Work) bool {
+	for i := range p.roster.Shards() {
+		load := &p.shardLoads[i]
+		if ident.Shard(i) != shard && now.Sub(load.at) <= p.bound.DigestTTL && p.roster.slots[i]-load.work >= work && p.roster.weights[i] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // orderWeights returns the shards' weights in a key's order. With a PreferredFactor, shards have
 // equal weight regardless of their number of engines: a chat that moves to another shard loses its
 // cached prefix, and the bound compensates for the uneven load.
