Bound the time for which an engine counts as reading prompts

Cause: a home adds the reading time of each request that it places to its engine, and does not see requests that end before their prompts are read: an engine that fails twenty of them counted as busy for twenty seconds.

Change: the expected reading of an engine never exceeds three seconds.

--- a/internal/rule/place/time.go
+++ b/internal/rule/place/time.go
@@ -4,12 +4,9 @@
 	"time"
 
 	"valescale/internal/plat/ident"
-	"valescale/internal/rule/pace"
 )
 
 const (
-	// levelInterval is how long the usual pace of the shard is used before it is computed again.
-	levelInterval = 100 * time.Millisecond
 	// copyRatio is the ratio between the time to copy a cached prefix from another engine and the
 	// time to read it.
 	copyRatio = 0.1
@@ -35,6 +32,9 @@
 	// maxReadingDelay is how much longer than elsewhere the first byte may take for a new chat to go
 	// to one of the first two engines of its own hash order.
 	maxReadingDelay = 100 * time.Millisecond
+	// maxQueuedReading is the maximum time for which an engine is expected to read the prompts of
+	// requests placed before. Requests may end unread, which the home does not see.
+	maxQueuedReading = 3 * time.Second
 )
 
 // forecast is the expected course of a request on an engine.
@@ -234,64 +234,7 @@
 		e.readUntil = now
 	}
 	delay := e.readUntil.Sub(now)
-	e.readUntil = e.readUntil.Add(e.gauge.Estimate(now, h.level, unread).Time(delay, unread))
+	delay += e.gauge.Estimate(now, h.level, unread).Time(delay, unread)
+	e.readUntil = now.Add(min(delay, maxQueuedReading))
 	e.gauge.MarkProbe(now)
 }
-
-// RecordPaces records what an edge router learned about the paces of engines.
-func (h *Home) RecordPaces(now time.Time, reports []pace.Report) {
-	for _, r := range reports {
-		if i, known := h.index[r.Target]; known {
-			h.engines[i].gauge.Add(now, r)
-			h.paced = h.paced || h.engines[i].gauge.Known()
-		}
-	}
-}
-
-// updateLevel computes the usual pace of the shard's engines if it is outdated.
-func (h *Home) updateLevel(now time.Time) {
-	if now.Sub(h.levelAt) < levelInterval {
-		return
-	}
-	h.levelAt = now
-	gauges := make([]*pace.Gauge, 0, len(h.engines))
-	for i := range h.engines {
-		if h.engines[i].usable() {
-			gauges = append(gauges, &h.engines[i].gauge)
-		}
-	}
-	h.level = pace.NewLevel(now, gauges)
-}
-
-// EnginePace is the pace of an engine.
-type EnginePace struct {
-	Engine ident.TargetHash
-	Pace   pace.Pace
-}
-
-// Paces returns the lasting paces of the shard's engines, as far as they are known.
-func (h *Home) Paces(now time.Time) []EnginePace {
-	if !h.paced {
-		return nil
-	}
-	h.updateLevel(now)
-	var out []EnginePace
-	for i := range h.engines {
-		e := &h.engines[i]
-		if p := e.gauge.Lasting(now, h.level); p > 0 && e.usable() {
-			out = append(out, EnginePace{Engine: e.Hash, Pace: p})
-		}
-	}
-	return out
-}
-
-// mergePaces adopts the paces that another home published for engines of which this home knows none.
-func (h *Home) mergePaces(now time.Time, paces []EnginePace) {
-	for _, p := range paces {
-		i, known := h.index[p.Engine]
-		if !known || h.engines[i].gauge.Known() {
-			continue
-		}
-		h.RecordPaces(now, []pace.Report{{Target: p.Engine, Told: p.Pace, Age: pace.PresentTTL}})
-	}
-}
--- a/internal/rule/place/time_test.go
+++ b/internal/rule/place/time_test.go
@@ -398,6 +398,30 @@
 	}
 }
 
+// Failure: requests end before an engine has read their prompts, which their home does not see. The
+// engine counts as busy for a bounded time.
+func TestUnreadPromptsAreForgotten(t *testing.T) {
+	list := engines(2)
+	h := pacedHomeOf(list)
+	for permit := range uint64(20) {
+		req := timedRequest(permit + 1)
+		req.Avoid, req.Effort.Prefix = []ident.TargetHash{list[1].Hash}, time.Second
+		if d := h.Place(start, req); d.Engine != list[0].Hash {
+			t.Fatalf("request %d: %+v", permit, d)
+		}
+		h.Release(req.Edge, req.Permit)
+	}
+	req := timedRequest(100)
+	req.Due, req.Avoid = 200*time.Millisecond, []ident.TargetHash{list[1].Hash}
+	first := h.Place(start, req)
+	later := start.Add(3*time.Second + time.Millisecond)
+	req = timedRequest(101)
+	req.Key, req.Due = 100, 200*time.Millisecond
+	if d := h.Place(later, req); d.Engine != first.Engine || d.Basis.Rule != place.WithinBound {
+		t.Errorf("request goes to engine %d by rule %s, want the engine with its prefix", d.Engine, d.Basis.Rule)
+	}
+}
+
 func BenchmarkPlacePaced(b *testing.B) {
 	for _, n := range []int{8, 20, 30} {
 		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
