New chats go to one of two engines, lasting paces come from the better reports

Change: a new chat goes to the better of the first two engines of its hash order unless both are late or much slower. A target's lasting pace is the one that a third of its recent reports reach.

--- a/internal/edge/route/pace_test.go
+++ b/internal/edge/route/pace_test.go
@@ -6,8 +6,10 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"valescale/internal/edge/route"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/pace"
+	"valescale/internal/rule/place"
 )
 
 // Reports reach the home once, with the next permit request. Measured times count only once a target
@@ -36,6 +38,23 @@
 	}
 }
 
+// Failure: a target starts again under its name before its reports are sent. They are about the earlier
+// process.
+func TestPacesOfEarlierIncarnationAreDropped(t *testing.T) {
+	f, r, assigned := newFleet()
+	one := ident.Target("engine-1").Hash()
+	r.ReportPace(pace.Report{Target: one, Told: 3})
+	p := f.pools[0]
+	e, _ := p.Roster.Engine(one)
+	e.Incarnation++
+	p.Roster = p.Roster.With([]place.Engine{e}, nil)
+	r.Set([]route.Pool{p}, assigned)
+	acquire(t, r, 1).Release()
+	if diff := cmp.Diff([]pace.Report(nil), f.paces); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Failure: no home can be reached. The router avoids the engine that it knows to be slow as long as
 // another one is available.
 func TestRouterWithoutHomeAvoidsSlowTarget(t *testing.T) {
--- a/internal/rule/pace/gauge.go
+++ b/internal/rule/pace/gauge.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"slices"
 	"time"
 
 	"valescale/internal/plat/decay"
@@ -13,12 +14,12 @@
 	// PresentTTL is how long a reported pace applies after the target reported it. Other work on a
 	// target's machine comes and goes within some hundred milliseconds.
 	PresentTTL = 500 * time.Millisecond
-	// maxReports is the number of reported paces whose median is the lasting one, and reportInterval
-	// the minimum time between two of them. They cover several times PresentTTL, so that a short
+	// maxReports is the number of reported paces that determine the lasting one, and reportInterval
+	// the minimum time between two of them. They cover more than twice PresentTTL, so that a short
 	// disturbance does not count as lasting.
 	maxReports     = 8
 	reportInterval = 150 * time.Millisecond
-	// reportTTL is how long a reported pace counts in the median while there are later ones.
+	// reportTTL is how long a reported pace counts while there are later ones.
 	reportTTL = 5 * time.Second
 	// minMeasured is the minimum usual time of finished work from which a measured pace is known.
 	// Single answers vary too much.
@@ -45,8 +46,9 @@
 	// reports are the latest reported paces. The next one replaces that at the index next.
 	reports [maxReports]toldPace
 	next    int
-	// median is the median of the reported paces.
-	median Pace
+	// usual is the pace that the target reported in a third of the recent reports or better. Short
+	// disturbances only slow a target down, so the better reports show what it can do.
+	usual Pace
 	// took and expected add up the times of finished work in seconds. They decay with halfLife and
 	// are as of decayedAt.
 	took      float64
@@ -96,18 +98,19 @@
 	}
 	g.reports[g.next] = t
 	g.next = (g.next + 1) % maxReports
-	g.updateMedian(t.at)
+	g.updateUsual(t.at)
 }
 
-// updateMedian computes the median of the recent reported paces.
-func (g *Gauge) updateMedian(now time.Time) {
+// updateUsual computes the usual reported pace from the recent reports.
+func (g *Gauge) updateUsual(now time.Time) {
 	recent := make([]Pace, 0, maxReports)
 	for _, t := range g.reports {
 		if t.pace > 0 && now.Sub(t.at) <= reportTTL {
 			recent = append(recent, t.pace)
 		}
 	}
-	g.median = median(recent)
+	slices.Sort(recent)
+	g.usual = recent[(len(recent)-1)/3]
 }
 
 // averageMeasured returns the average measured pace.
@@ -121,7 +124,7 @@
 // Lasting returns the pace that applies beyond the next fraction of a second, or zero if it is
 // unknown. The measured pace applies in place of the reported one if it contradicts it.
 func (g *Gauge) Lasting(now time.Time, l Level) Pace {
-	told, hasTold := g.median, g.median > 0
+	told, hasTold := g.usual, g.usual > 0
 	measured, hasMeasured := g.averageMeasured(now)
 	ratio := Usual
 	if hasMeasured && l.measured > 0 {
@@ -164,8 +167,8 @@
 	e := Estimate{Lasting: lasting, present: lasting}
 	if age := now.Sub(g.toldAt); g.told > 0 && age < PresentTTL {
 		// A target that reports less than was measured is slow whatever it reports.
-		e.present = g.told * lasting / max(g.median, minPace)
-		if lasting <= g.median {
+		e.present = g.told * lasting / max(g.usual, minPace)
+		if lasting <= g.usual {
 			e.present = g.told
 		}
 		e.presentFor = PresentTTL - age
--- a/internal/rule/pace/pace.go
+++ b/internal/rule/pace/pace.go
@@ -60,8 +60,8 @@
 func NewLevel(now time.Time, gauges []*Gauge) Level {
 	var told, measured []Pace
 	for _, g := range gauges {
-		if g.median > 0 {
-			told = append(told, g.median)
+		if g.usual > 0 {
+			told = append(told, g.usual)
 		}
 		if p, known := g.averageMeasured(now); known {
 			measured = append(measured, p)
--- a/internal/rule/place/time.go
+++ b/internal/rule/place/time.go
@@ -29,9 +29,6 @@
 	// preferredCostRatio is the ratio between the costs at the first and the second engine of a chat's
 	// hash order up to which a new chat goes to the first.
 	preferredCostRatio = 1.2
-	// maxReadingDelay is how much longer than elsewhere the first byte may take for a new chat to go
-	// to one of the first two engines of its own hash order.
-	maxReadingDelay = 100 * time.Millisecond
 	// maxQueuedReading is the maximum time for which an engine is expected to read the prompts of
 	// requests placed before. Requests may end unread, which the home does not see.
 	maxQueuedReading = 3 * time.Second
@@ -39,8 +36,6 @@
 
 // forecast is the expected course of a request on an engine.
 type forecast struct {
-	// first is the time to the first byte.
-	first time.Duration
 	// lasting is the time to read the prompt and make the answer, without what is likely to be over
 	// soon: other prompts that are being read, and the present pace.
 	lasting time.Duration
@@ -67,7 +62,6 @@
 	queued := max(e.readUntil.Sub(now), 0)
 	reading := estimate.Time(queued, unread)
 	return forecast{
-		first:   queued + reading,
 		lasting: time.Duration(float64(unread+making) * float64(estimate.Lasting)),
 		cost:    queued + estimate.Time(queued, unread+making) + time.Duration(e.load().Requests()*float64(reading)),
 		late:    req.Due > 0 && lateRatio*(queued+reading) > req.Due,
@@ -164,7 +158,7 @@
 		return choice{result: outcome}
 	case cached.set:
 		return cached.orLeave(best, req.Effort.Prefix)
-	case likely.set && likely.first-best.first <= maxReadingDelay && likely.orLeave(best, 0).engine == likely.index:
+	case likely.set && likely.orLeave(best, 0).engine == likely.index:
 		return choice{result: Placed, engine: likely.index}
 	default:
 		return choice{result: Placed, engine: best.index, rule: Shortest}
