--- a/internal/edge/route/pace_test.go
+++ b/internal/edge/route/pace_test.go
@@ -76,3 +76,23 @@
 		p.Release()
 	}
 }
+
+// The usual time of a request is sent only once a target has reported its pace: other deployments send
+// the same permit requests as without this.
+func TestEffortIsSentWithPaces(t *testing.T) {
+	f, r, _ := newFleet()
+	effort := pace.Effort{Make: time.Second}
+	find := func() {
+		p, err := r.Acquire(t.Context(), route.TargetRequest{Service: "judge", Key: 1, Work: ident.OneRequest, Deadline: f.now, Effort: effort})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Release()
+	}
+	find()
+	r.ReportPace(pace.Report{Target: ident.Target("engine-1").Hash(), Told: 1})
+	find()
+	if diff := cmp.Diff([]pace.Effort{{}, effort}, f.efforts); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/edge/route/permit.go
+++ b/internal/edge/route/permit.go
@@ -248,13 +248,17 @@
 	return to, placeRequest, released, backoffs
 }
 
-// placeRequest returns the placement constraints of a request. The caller holds the lock.
+// placeRequest returns the placement constraints of a request. What the choice by time needs is left
+// out as long as no target has reported its pace. The caller holds the lock.
 func (r *Router) placeRequest(p *pool, request TargetRequest) place.Request {
-	return place.Request{
+	out := place.Request{
 		Edge: r.self.ID, Key: request.Key, Work: request.Work, Zone: r.self.Zone,
 		Avoid: request.Avoid, Lost: request.unreachable, Last: p.state.Last(request.Key), Once: request.Once,
-		Parent: request.Parent, Effort: request.Effort, Due: r.timeLeft(request.Due),
 	}
+	if r.paced {
+		out.Parent, out.Effort, out.Due = request.Parent, request.Effort, r.timeLeft(request.Due)
+	}
+	return out
 }
 
 // minDue is the smallest time left that is sent with a permit request, where zero means that the
--- a/internal/edge/route/router_test.go
+++ b/internal/edge/route/router_test.go
@@ -24,8 +24,9 @@
 	down  map[ident.Router]bool
 	// failures contains the engines that permit requests reported as failed.
 	failures []ident.TargetHash
-	// paces contains the paces that permit requests reported.
-	paces []pace.Report
+	// paces contains the paces that permit requests reported, and efforts the efforts of all requests.
+	paces   []pace.Report
+	efforts []pace.Effort
 	// backoffs contains the backoffs that permit requests reported.
 	backoffs  []place.Backoff
 	requested []ident.Router
@@ -56,6 +57,7 @@
 	f.failures = append(f.failures, request.Failed...)
 	f.backoffs = append(f.backoffs, request.Backoffs...)
 	f.paces = append(f.paces, request.Paces...)
+	f.efforts = append(f.efforts, request.Effort)
 	h, err := f.homeAt(to)
 	if err != nil {
 		return home.PermitResponse{}, err
