Tests of merged paces fall without their guard

Cause: a standby that adopted paces over what it had heard itself passed. Change: the test uses a figure that the adopted one would replace. Measured: the test fails without the guard.

--- a/internal/rule/place/time_test.go
+++ b/internal/rule/place/time_test.go
@@ -357,10 +357,10 @@
 	// What a home heard itself is more recent than a digest.
 	behind := place.NewHome(id, "router-d", place.DefaultBound, 0)
 	behind.SetEngines(list, []int{4})
-	behind.RecordPaces(start, []pace.Report{{Target: list[0].Hash, Told: 2}})
+	behind.RecordPaces(start, []pace.Report{{Target: list[0].Hash, Told: 4}})
 	behind.Merge(start, d)
-	if got := behind.Paces(start)[0].Pace; got != 2 {
-		t.Errorf("pace %v after a digest, want the heard 2", got)
+	if got := behind.Paces(start)[0].Pace; got != 4 {
+		t.Errorf("pace %v after a digest, want the heard 4", got)
 	}
 }
 
@@ -515,7 +515,9 @@
 	for permit := range uint64(chats) {
 		// Before, the chats came one after the other; now they return at once.
 		at, soon := start.Add(time.Duration(permit)*10*time.Millisecond), start.Add(time.Duration(permit)*time.Millisecond)
-		was, now := before.Place(at, returning(permit+1)), after.Place(soon, returning(permit+1))
+		again := returning(permit + 1)
+		again.Due = 300 * time.Millisecond
+		was, now := before.Place(at, returning(permit+1)), after.Place(soon, again)
 		before.Release("router-b", permit+1)
 		after.Release("router-b", permit+1)
 		switch was.Engine {
