--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -85,7 +85,7 @@
 	end.connBroken = end.cutOff() && ctx.Err() == nil
 	end.complete = end.reason == Served && answer.Framed
 	h.reportResult(ctx, placement, end.succeeded())
-	if end.complete && end.succeeded() && j.sends == 1 {
+	if j.comparable(end) {
 		h.measure(j, placement, began, end.took)
 	}
 	return end
--- a/internal/edge/entry/pace.go
+++ b/internal/edge/entry/pace.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -71,8 +72,15 @@
 	h.Finder.ReportPace(pace.Report{Target: placement.Hash, Told: reply.Pace})
 }
 
-// measure reports how long a complete answer took compared with others. Answers that were resumed at
-// another target or waited for their caller are not comparable.
+// comparable reports whether the time of an answer can be compared with that of others of its route.
+// Failures are not, nor are answers of a second attempt, which may continue a stream, nor those that
+// were too long to be buffered and waited for their caller.
+func (j *job) comparable(attempt result) bool {
+	waited := j.headSent && !j.route.Stream
+	return attempt.complete && attempt.status < http.StatusMultipleChoices && j.sends == 1 && !waited
+}
+
+// measure reports how long a complete answer took compared with others of its route.
 func (h *Handler) measure(j *job, placement *route.Placement, began time.Time, took time.Duration) {
 	f := pace.Finished{
 		Size: j.size(), Cached: placement.Warm, First: took, Whole: took, Events: j.progress.events,
--- a/internal/edge/entry/pace_test.go
+++ b/internal/edge/entry/pace_test.go
@@ -54,6 +54,31 @@
 	}
 }
 
+// Answers whose time says nothing about their target are not measured.
+func TestOnlyComparableAnswersAreMeasured(t *testing.T) {
+	served := result{ended: true, complete: true, reason: Served, status: 200}
+	failed, cut := served, served
+	failed.status, cut.complete = 404, false
+	plain, stream := newRoute(nil), newRoute(func(r *match.Route) { r.Stream = true })
+	for _, c := range []struct {
+		name string
+		job  job
+		end  result
+		want bool
+	}{
+		{"whole answer", job{route: &plain, sends: 1}, served, true},
+		{"whole stream", job{route: &stream, sends: 1, headSent: true}, served, true},
+		{"failure", job{route: &plain, sends: 1}, failed, false},
+		{"broken answer", job{route: &plain, sends: 1}, cut, false},
+		{"second attempt", job{route: &stream, sends: 2, headSent: true}, served, false},
+		{"unbuffered answer", job{route: &plain, sends: 1, headSent: true}, served, false},
+	} {
+		if got := c.job.comparable(c.end); got != c.want {
+			t.Errorf("%s: comparable is %v", c.name, got)
+		}
+	}
+}
+
 // An answer is timely if its first byte and all its events are.
 func TestTimelyAnswers(t *testing.T) {
 	r := newRoute(func(r *match.Route) { r.Stream = true })
