Name what targets report, and the delays of probes, in the usual words

Cause: told, heard and unheard are words of people, not of components. Change: reported, last report, probe delay; names only, the new field of the peer protocol included.

--- a/internal/edge/entry/pace.go
+++ b/internal/edge/entry/pace.go
@@ -69,7 +69,7 @@
 		return
 	}
 	j.progress.pace = reply.Pace
-	h.Finder.ReportPace(pace.Report{Target: placement.Hash, Told: reply.Pace})
+	h.Finder.ReportPace(pace.Report{Target: placement.Hash, Reported: reply.Pace})
 }
 
 // comparable reports whether the time of an answer can be compared with that of others of its route.
@@ -89,8 +89,8 @@
 		f.First, f.Whole = j.progress.firstAt.Sub(began), j.progress.lastAt.Sub(began)
 	}
 	measured, expected := h.meter.Add(j.service, pace.Kind(j.route.Name), f)
-	if told := j.progress.pace; told > 0 {
-		expected = time.Duration(float64(told) * float64(expected))
+	if reported := j.progress.pace; reported > 0 {
+		expected = time.Duration(float64(reported) * float64(expected))
 	}
 	if expected > 0 {
 		h.Finder.ReportPace(pace.Report{Target: placement.Hash, Took: measured, Expected: expected})
--- a/internal/edge/entry/pace_test.go
+++ b/internal/edge/entry/pace_test.go
@@ -24,8 +24,8 @@
 	}
 	s.finder.mu.Lock()
 	defer s.finder.mu.Unlock()
-	told := pace.Report{Target: ident.Target("t0").Hash(), Told: 2.5}
-	if diff := cmp.Diff([]pace.Report{told, told}, s.finder.paces[:2]); diff != "" {
+	reported := pace.Report{Target: ident.Target("t0").Hash(), Reported: 2.5}
+	if diff := cmp.Diff([]pace.Report{reported, reported}, s.finder.paces[:2]); diff != "" {
 		t.Error(diff)
 	}
 	if measured := s.finder.paces[2]; len(s.finder.paces) != 3 || measured.Took <= 0 || measured.Expected <= 0 {
@@ -48,8 +48,8 @@
 	s.finder.mu.Lock()
 	defer s.finder.mu.Unlock()
 	for _, r := range s.finder.paces {
-		if r.Told != 0 {
-			t.Errorf("invalid pace %v was reported", r.Told)
+		if r.Reported != 0 {
+			t.Errorf("invalid pace %v was reported", r.Reported)
 		}
 	}
 }
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -47,9 +47,9 @@
 func (testDialect) Matches(h http.Header, call Call) bool { return h.Get("Id") == string(call.ID) }
 
 func (testDialect) Reply(status int, h http.Header) Reply {
-	told, err := strconv.ParseFloat(h.Get("Pace"), 64)
+	reported, err := strconv.ParseFloat(h.Get("Pace"), 64)
 	return Reply{
-		Pace: pace.Pace(told), HasPace: err == nil,
+		Pace: pace.Pace(reported), HasPace: err == nil,
 		NotRun: h.Get("Not-Run") != "", AddressReassigned: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != "",
 	}
 }
--- a/internal/edge/route/pace.go
+++ b/internal/edge/route/pace.go
@@ -11,7 +11,7 @@
 func (r *Router) ReportPace(report pace.Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.paced = r.paced || report.Told.Valid()
+	r.paced = r.paced || report.Reported.Valid()
 	id, known := r.shardOf(report.Target)
 	if !r.paced || !known {
 		return
--- a/internal/edge/route/pace_test.go
+++ b/internal/edge/route/pace_test.go
@@ -23,13 +23,13 @@
 	if diff := cmp.Diff([]pace.Report(nil), f.paces); diff != "" {
 		t.Errorf("reported without a target that reports its pace: %s", diff)
 	}
-	r.ReportPace(pace.Report{Target: one, Told: 1.3})
+	r.ReportPace(pace.Report{Target: one, Reported: 1.3})
 	r.ReportPace(pace.Report{Target: one, Took: 3 * time.Second, Expected: time.Second})
-	r.ReportPace(pace.Report{Target: ident.Target("unknown").Hash(), Told: 1.3})
+	r.ReportPace(pace.Report{Target: ident.Target("unknown").Hash(), Reported: 1.3})
 	f.now = f.now.Add(40 * time.Millisecond)
 	acquire(t, r, 1).Release()
 	acquire(t, r, 2).Release()
-	want := []pace.Report{{Target: one, Told: 1.3, Age: 40 * time.Millisecond, Took: 3 * time.Second, Expected: time.Second}}
+	want := []pace.Report{{Target: one, Reported: 1.3, Age: 40 * time.Millisecond, Took: 3 * time.Second, Expected: time.Second}}
 	if diff := cmp.Diff(want, f.paces); diff != "" {
 		t.Error(diff)
 	}
@@ -43,7 +43,7 @@
 func TestPacesOfEarlierIncarnationAreDropped(t *testing.T) {
 	f, r, assigned := newFleet()
 	one := ident.Target("engine-1").Hash()
-	r.ReportPace(pace.Report{Target: one, Told: 3})
+	r.ReportPace(pace.Report{Target: one, Reported: 3})
 	p := f.pools[0]
 	e, _ := p.Roster.Engine(one)
 	e.Incarnation++
@@ -61,8 +61,8 @@
 	f, r, _ := newFleet()
 	slow := ident.Target("engine-1").Hash()
 	for range 4 {
-		r.ReportPace(pace.Report{Target: slow, Told: 3})
-		r.ReportPace(pace.Report{Target: ident.Target("engine-2").Hash(), Told: 1})
+		r.ReportPace(pace.Report{Target: slow, Reported: 3})
+		r.ReportPace(pace.Report{Target: ident.Target("engine-2").Hash(), Reported: 1})
 		f.now = f.now.Add(200 * time.Millisecond)
 	}
 	for _, router := range routers {
@@ -90,7 +90,7 @@
 		p.Release()
 	}
 	find()
-	r.ReportPace(pace.Report{Target: ident.Target("engine-1").Hash(), Told: 1})
+	r.ReportPace(pace.Report{Target: ident.Target("engine-1").Hash(), Reported: 1})
 	find()
 	if diff := cmp.Diff([]pace.Effort{{}, effort}, f.efforts); diff != "" {
 		t.Error(diff)
--- a/internal/rule/pace/gauge.go
+++ b/internal/rule/pace/gauge.go
@@ -28,12 +28,12 @@
 	// corrected. Work beside other requests and under short disturbances takes up to half as long again
 	// on a healthy target.
 	contradiction = 1.8
-	// maxUnheard is how long the pace of a slow target is kept without a report. The next short
+	// probeDelay is how long the pace of a slow target is kept without a report. The next short
 	// request is then sent there as if the target were as fast as others, so that its recovery is
 	// seen.
-	maxUnheard = 1200 * time.Millisecond
-	// maxUnheardAny is the same for requests of any length, in case there are no short ones.
-	maxUnheardAny = 1800 * time.Millisecond
+	probeDelay = 1200 * time.Millisecond
+	// probeDelayAny is the same for requests of any length, in case there are no short ones.
+	probeDelayAny = 1800 * time.Millisecond
 	// probeWork is the maximum usual time of a short request. A caller hardly notices if it takes
 	// several times as long.
 	probeWork = 200 * time.Millisecond
@@ -41,11 +41,11 @@
 
 // Gauge estimates the pace of one target. The zero value is a target of unknown pace.
 type Gauge struct {
-	// told is the latest reported pace, as of toldAt.
-	told   Pace
-	toldAt time.Time
+	// reported is the latest reported pace, as of reportedAt.
+	reported   Pace
+	reportedAt time.Time
 	// reports are the latest reported paces. The next one replaces that at the index next.
-	reports [maxReports]toldPace
+	reports [maxReports]reportedPace
 	next    int
 	// usual is the pace that the target reported in a third of the recent reports or better. Short
 	// disturbances only slow a target down, so the better reports show what it can do.
@@ -55,25 +55,25 @@
 	took      float64
 	expected  float64
 	decayedAt time.Time
-	// heardAt is the time of the latest report, or of the request that was sent to see whether the
+	// lastReportAt is the time of the latest report, or of the request that was sent to see whether the
 	// target has recovered.
-	heardAt time.Time
+	lastReportAt time.Time
 }
 
-// toldPace is a pace that a target reported.
-type toldPace struct {
+// reportedPace is a pace that a target reported.
+type reportedPace struct {
 	pace Pace
 	at   time.Time
 }
 
 // Known reports whether anything was reported about the target.
-func (g *Gauge) Known() bool { return !g.heardAt.IsZero() }
+func (g *Gauge) Known() bool { return !g.lastReportAt.IsZero() }
 
 // Add adds a report. Implausible values are ignored.
 func (g *Gauge) Add(now time.Time, r Report) {
-	told := r.Told.Valid()
+	reported := r.Reported.Valid()
 	measured := r.Expected > 0 && (Pace(r.Took) / Pace(r.Expected)).Valid()
-	if !told && !measured {
+	if !reported && !measured {
 		return
 	}
 	if measured {
@@ -82,19 +82,19 @@
 		g.expected = g.expected*kept + r.Expected.Seconds()
 		g.decayedAt = now
 	}
-	if told {
-		g.addTold(toldPace{pace: r.Told, at: now.Add(-max(r.Age, 0))})
+	if reported {
+		g.addReported(reportedPace{pace: r.Reported, at: now.Add(-max(r.Age, 0))})
 	}
-	if told || g.told == 0 {
+	if reported || g.reported == 0 {
 		// The time of finished work does not show the present pace of a target that reports it.
-		g.heardAt = now
+		g.lastReportAt = now
 	}
 }
 
-// addTold adds a reported pace.
-func (g *Gauge) addTold(t toldPace) {
-	if t.at.After(g.toldAt) {
-		g.told, g.toldAt = t.pace, t.at
+// addReported adds a reported pace.
+func (g *Gauge) addReported(t reportedPace) {
+	if t.at.After(g.reportedAt) {
+		g.reported, g.reportedAt = t.pace, t.at
 	}
 	last := g.reports[(g.next+maxReports-1)%maxReports]
 	if last.pace > 0 && t.at.Sub(last.at) < reportInterval {
@@ -128,35 +128,35 @@
 // Lasting returns the pace that applies beyond the next fraction of a second, or zero if it is
 // unknown. The reported pace is corrected if finished work took much longer than it says.
 func (g *Gauge) Lasting(now time.Time, l Level) Pace {
-	told, hasTold := g.usual, g.usual > 0
+	reported, hasReported := g.usual, g.usual > 0
 	measured, hasMeasured := g.averageMeasured(now)
 	ratio := Usual
 	if hasMeasured && l.measured > 0 {
 		ratio = measured / l.measured
 	}
-	if !hasTold {
+	if !hasReported {
 		if !hasMeasured || ratio < contradiction && ratio > 1/contradiction {
 			return 0
 		}
 		return ratio
 	}
 	if ratio >= contradiction {
-		return (told * ratio).clamp()
+		return (reported * ratio).clamp()
 	}
-	return told
+	return reported
 }
 
 // MarkProbe records that a request was sent to the target, which is as good as a report for deciding
 // when to send the next one to a slow target.
 func (g *Gauge) MarkProbe(now time.Time) {
-	if g.Known() && now.Sub(g.heardAt) > maxUnheard {
-		g.heardAt = now
+	if g.Known() && now.Sub(g.lastReportAt) > probeDelay {
+		g.lastReportAt = now
 	}
 }
 
 // Estimate returns the estimated pace for a request that usually takes the given time.
 func (g *Gauge) Estimate(now time.Time, l Level, work time.Duration) Estimate {
-	usual := l.told
+	usual := l.reported
 	if usual == 0 {
 		usual = Usual
 	}
@@ -164,16 +164,16 @@
 	if lasting == 0 {
 		return Estimate{Lasting: usual, present: usual}
 	}
-	unheard := now.Sub(g.heardAt)
-	if unheard > maxUnheardAny || unheard > maxUnheard && work <= probeWork {
+	silence := now.Sub(g.lastReportAt)
+	if silence > probeDelayAny || silence > probeDelay && work <= probeWork {
 		lasting = min(lasting, usual)
 	}
 	e := Estimate{Lasting: lasting, present: lasting}
-	if age := now.Sub(g.toldAt); g.told > 0 && age < PresentTTL {
+	if age := now.Sub(g.reportedAt); g.reported > 0 && age < PresentTTL {
 		// A target that reports less than was measured is slow whatever it reports.
-		e.present = g.told * lasting / max(g.usual, minPace)
+		e.present = g.reported * lasting / max(g.usual, minPace)
 		if lasting <= g.usual {
-			e.present = g.told
+			e.present = g.reported
 		}
 		e.presentFor = PresentTTL - age
 	}
--- a/internal/rule/pace/gauge_test.go
+++ b/internal/rule/pace/gauge_test.go
@@ -11,12 +11,12 @@
 
 var start = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
 
-// tell adds n reports of a pace at an interval and returns the time of the last one.
-func (g *Gauge) tell(from time.Time, n int, interval time.Duration, p Pace) time.Time {
+// report adds n reports of a pace at an interval and returns the time of the last one.
+func (g *Gauge) report(from time.Time, n int, interval time.Duration, p Pace) time.Time {
 	now := from
 	for range n {
 		now = now.Add(interval)
-		g.Add(now, Report{Told: p})
+		g.Add(now, Report{Reported: p})
 	}
 	return now
 }
@@ -26,7 +26,7 @@
 	gauges := []*Gauge{g}
 	for range n {
 		other := &Gauge{}
-		other.Add(now, Report{Told: Usual, Took: time.Second, Expected: time.Second})
+		other.Add(now, Report{Reported: Usual, Took: time.Second, Expected: time.Second})
 		gauges = append(gauges, other)
 	}
 	return NewLevel(now, gauges)
@@ -36,9 +36,9 @@
 // requests would leave their cached prefixes.
 func TestShortDisturbanceIsNotLasting(t *testing.T) {
 	g := &Gauge{}
-	now := g.tell(start, 8, 200*time.Millisecond, 1)
+	now := g.report(start, 8, 200*time.Millisecond, 1)
 	for i := range 3 {
-		now = g.tell(now, 1, 200*time.Millisecond, 2.5)
+		now = g.report(now, 1, 200*time.Millisecond, 2.5)
 		if got := g.Lasting(now, levelOf(now, g, 4)); got != 1 {
 			t.Errorf("lasting pace %v after %d ms, want 1", got, 200*(i+1))
 		}
@@ -52,8 +52,8 @@
 // Many answers at once, as after a burst of requests, are one observation of the target's pace.
 func TestBurstOfAnswersIsOneReport(t *testing.T) {
 	g := &Gauge{}
-	now := g.tell(start, 8, 200*time.Millisecond, 1)
-	now = g.tell(now.Add(200*time.Millisecond), 20, time.Millisecond, 2.5)
+	now := g.report(start, 8, 200*time.Millisecond, 1)
+	now = g.report(now.Add(200*time.Millisecond), 20, time.Millisecond, 2.5)
 	if got := g.Lasting(now, levelOf(now, g, 4)); got != 1 {
 		t.Errorf("lasting pace %v after answers of 20 ms, want 1", got)
 	}
@@ -62,8 +62,8 @@
 // A reported pace says nothing about the present once it is older than PresentTTL.
 func TestReportedPaceExpires(t *testing.T) {
 	g := &Gauge{}
-	now := g.tell(start, 8, 200*time.Millisecond, 1)
-	now = g.tell(now, 1, 200*time.Millisecond, 2.5).Add(PresentTTL)
+	now := g.report(start, 8, 200*time.Millisecond, 1)
+	now = g.report(now, 1, 200*time.Millisecond, 2.5).Add(PresentTTL)
 	if got := g.Estimate(now, levelOf(now, g, 4), time.Second).Time(0, 100*time.Millisecond); got != 100*time.Millisecond {
 		t.Errorf("100 ms of work take %v after the report has expired, want 100ms", got)
 	}
@@ -72,8 +72,8 @@
 // A target that becomes three times slower is seen within 1.2 s of its answers.
 func TestSlowTargetIsSeen(t *testing.T) {
 	g := &Gauge{}
-	now := g.tell(start, 20, 200*time.Millisecond, 1)
-	now = g.tell(now, 6, 200*time.Millisecond, 3)
+	now := g.report(start, 20, 200*time.Millisecond, 1)
+	now = g.report(now, 6, 200*time.Millisecond, 3)
 	if got := g.Lasting(now, levelOf(now, g, 4)); got != 3 {
 		t.Errorf("lasting pace %v after a second, want 3", got)
 	}
@@ -82,13 +82,13 @@
 // A target may report the usual pace and be slow: the time that its requests take goes first.
 func TestMeasuredPaceContradictsReport(t *testing.T) {
 	g := &Gauge{}
-	now := g.tell(start, 8, 200*time.Millisecond, 1)
+	now := g.report(start, 8, 200*time.Millisecond, 1)
 	g.Add(now, Report{Took: 3 * time.Second, Expected: time.Second})
 	if got := g.Lasting(now, levelOf(now, g, 4)); got != 3 {
 		t.Errorf("lasting pace %v, want the measured 3", got)
 	}
 	healthy := &Gauge{}
-	now = healthy.tell(start, 8, 200*time.Millisecond, 1)
+	now = healthy.report(start, 8, 200*time.Millisecond, 1)
 	healthy.Add(now, Report{Took: 1300 * time.Millisecond, Expected: time.Second})
 	if got := healthy.Lasting(now, levelOf(now, healthy, 4)); got != 1 {
 		t.Errorf("lasting pace %v of a target whose requests ran beside others, want 1", got)
@@ -99,9 +99,9 @@
 // with the pace that it reported with them, and do not count against it.
 func TestRecoveryIsNotContradicted(t *testing.T) {
 	g := &Gauge{}
-	now := g.tell(start, 10, 200*time.Millisecond, 3)
+	now := g.report(start, 10, 200*time.Millisecond, 3)
 	g.Add(now, Report{Took: 6 * time.Second, Expected: 6 * time.Second})
-	now = g.tell(now, 4, 200*time.Millisecond, 1)
+	now = g.report(now, 4, 200*time.Millisecond, 1)
 	if got := g.Lasting(now, levelOf(now, g, 4)); got != 1 {
 		t.Errorf("lasting pace %v after the recovery, want 1", got)
 	}
@@ -128,27 +128,27 @@
 	}
 }
 
-// The recovery of a target that gets no requests is seen: after maxUnheard one short request is sent
-// there as if it had recovered, and after maxUnheardAny any request.
-func TestUnheardTargetIsTried(t *testing.T) {
+// The recovery of a target that gets no requests is seen: after probeDelay one short request is sent
+// there as if it had recovered, and after probeDelayAny any request.
+func TestSilentTargetIsTried(t *testing.T) {
 	g := &Gauge{}
-	now := g.tell(start, 20, 200*time.Millisecond, 3)
+	now := g.report(start, 20, 200*time.Millisecond, 3)
 	level := levelOf(now, g, 4)
 	long := func(now time.Time) Pace { return g.Estimate(now, level, time.Second).Lasting }
 	short := func(now time.Time) Pace { return g.Estimate(now, level, 50*time.Millisecond).Lasting }
-	tried := now.Add(maxUnheard + time.Millisecond)
-	got := []Pace{short(now), short(tried), long(tried), long(now.Add(maxUnheardAny + time.Millisecond))}
+	tried := now.Add(probeDelay + time.Millisecond)
+	got := []Pace{short(now), short(tried), long(tried), long(now.Add(probeDelayAny + time.Millisecond))}
 	g.MarkProbe(tried)
 	got = append(got, short(tried.Add(time.Millisecond)))
 	if diff := cmp.Diff([]Pace{3, 1, 3, 1, 3}, got); diff != "" {
 		t.Error(diff)
 	}
 	// Four answers at the usual pace outweigh the earlier ones.
-	after := g.tell(tried, 5, 200*time.Millisecond, 1)
+	after := g.report(tried, 5, 200*time.Millisecond, 1)
 	if got := long(after); got != 1 {
 		t.Errorf("lasting pace %v after %v, want 1", got, after.Sub(tried))
 	}
-	if recovered := maxUnheard + 5*200*time.Millisecond; recovered > 2500*time.Millisecond {
+	if recovered := probeDelay + 5*200*time.Millisecond; recovered > 2500*time.Millisecond {
 		t.Errorf("recovery is seen after %v", recovered)
 	}
 }
@@ -156,7 +156,7 @@
 // Paces out of range carry no information, whatever else the report holds.
 func TestImplausibleReportsAreIgnored(t *testing.T) {
 	g := &Gauge{}
-	for _, r := range []Report{{Told: -1}, {Told: 0.01}, {Told: 1e6}, {Took: time.Hour, Expected: time.Millisecond}, {Took: time.Second}, {}} {
+	for _, r := range []Report{{Reported: -1}, {Reported: 0.01}, {Reported: 1e6}, {Took: time.Hour, Expected: time.Millisecond}, {Took: time.Second}, {}} {
 		g.Add(start, r)
 		if g.Known() {
 			t.Fatalf("report %+v was used", r)
@@ -169,7 +169,7 @@
 	var gauges []*Gauge
 	for range 5 {
 		g := &Gauge{}
-		g.Add(start, Report{Told: Usual, Took: 3 * time.Second, Expected: time.Second})
+		g.Add(start, Report{Reported: Usual, Took: 3 * time.Second, Expected: time.Second})
 		gauges = append(gauges, g)
 	}
 	level := NewLevel(start, gauges)
@@ -194,12 +194,12 @@
 
 func TestUnsentReports(t *testing.T) {
 	var u Unsent
-	u.Add(start, Report{Target: 1, Told: 2})
+	u.Add(start, Report{Target: 1, Reported: 2})
 	u.Add(start.Add(30*time.Millisecond), Report{Target: 1, Took: 3 * time.Second, Expected: time.Second})
 	u.Add(start.Add(30*time.Millisecond), Report{Target: 1, Took: time.Second, Expected: time.Second})
-	u.Add(start, Report{Target: 2, Told: 1})
+	u.Add(start, Report{Target: 2, Reported: 1})
 	u.Remove(func(target ident.TargetHash) bool { return target == 2 })
-	want := []Report{{Target: 1, Told: 2, Age: 50 * time.Millisecond, Took: 4 * time.Second, Expected: 2 * time.Second}}
+	want := []Report{{Target: 1, Reported: 2, Age: 50 * time.Millisecond, Took: 4 * time.Second, Expected: 2 * time.Second}}
 	if diff := cmp.Diff(want, u.Take(start.Add(50*time.Millisecond))); diff != "" {
 		t.Error(diff)
 	}
--- a/internal/rule/pace/pace.go
+++ b/internal/rule/pace/pace.go
@@ -28,10 +28,10 @@
 // Report is what an edge router learned about a target since its previous report.
 type Report struct {
 	Target ident.TargetHash
-	// Told is the latest pace that the target reported, zero if it reported none, and Age the time
+	// Reported is the latest pace that the target reported, zero if it reported none, and Age the time
 	// since then.
-	Told Pace
-	Age  time.Duration
+	Reported Pace
+	Age      time.Duration
 	// Took is the time that finished work took, and Expected the time that it usually takes at the pace
 	// that the target reported with it, or at the usual pace if it reported none.
 	Took     time.Duration
@@ -40,8 +40,8 @@
 
 // merge adds a later report about the same target.
 func (r Report) merge(later Report) Report {
-	if later.Told != 0 {
-		r.Told, r.Age = later.Told, later.Age
+	if later.Reported != 0 {
+		r.Reported, r.Age = later.Reported, later.Age
 	}
 	r.Took += later.Took
 	r.Expected += later.Expected
@@ -51,24 +51,24 @@
 // Level is the usual pace of the targets of a shard. Only differences from it matter: if all targets
 // become slow, none is preferred.
 type Level struct {
-	// told is the median of the reported paces, measured that of the measured ones. Zero means
+	// reported is the median of the reported paces, measured that of the measured ones. Zero means
 	// unknown.
-	told     Pace
+	reported Pace
 	measured Pace
 }
 
 // NewLevel returns the level of the given gauges.
 func NewLevel(now time.Time, gauges []*Gauge) Level {
-	var told, measured []Pace
+	var reported, measured []Pace
 	for _, g := range gauges {
 		if g.usual > 0 {
-			told = append(told, g.usual)
+			reported = append(reported, g.usual)
 		}
 		if p, known := g.averageMeasured(now); known {
 			measured = append(measured, p)
 		}
 	}
-	return Level{told: median(told), measured: median(measured)}
+	return Level{reported: median(reported), measured: median(measured)}
 }
 
 // median returns the median of paces, the lower one of an even number, or zero for none. It sorts
--- a/internal/rule/place/home_pace.go
+++ b/internal/rule/place/home_pace.go
@@ -64,6 +64,6 @@
 		if !known || h.engines[i].gauge.Known() {
 			continue
 		}
-		h.RecordPaces(now, []pace.Report{{Target: p.Engine, Told: p.Pace, Age: pace.PresentTTL}})
+		h.RecordPaces(now, []pace.Report{{Target: p.Engine, Reported: p.Pace, Age: pace.PresentTTL}})
 	}
 }
--- a/internal/rule/place/time.go
+++ b/internal/rule/place/time.go
@@ -157,8 +157,8 @@
 	case !best.set:
 		return choice{result: outcome}
 	case cached.set:
-		return cached.orLeave(best, req.Effort.Prefix)
-	case likely.set && likely.orLeave(best, 0).engine == likely.index:
+		return cached.stayOrMove(best, req.Effort.Prefix)
+	case likely.set && likely.stayOrMove(best, 0).engine == likely.index:
 		return choice{result: Placed, engine: likely.index}
 	default:
 		return choice{result: Placed, engine: best.index, rule: Shortest}
@@ -188,9 +188,9 @@
 	return p.second
 }
 
-// orLeave returns the engine that has a request's prefix cached, or is likely to have it, or the best
+// stayOrMove returns the engine that has a request's prefix cached, or is likely to have it, or the best
 // one if it is worth leaving the first. prefix is the time to read the prefix again.
-func (c timedChoice) orLeave(best timedChoice, prefix time.Duration) choice {
+func (c timedChoice) stayOrMove(best timedChoice, prefix time.Duration) choice {
 	stay, leave := choice{result: Placed, engine: c.index, warm: true}, choice{result: Placed, engine: best.index}
 	if c.late != best.late {
 		if best.late {
--- a/internal/rule/place/time_test.go
+++ b/internal/rule/place/time_test.go
@@ -33,8 +33,8 @@
 	engines []place.Engine
 	// paceAt returns the pace of an engine.
 	paceAt func(engine int, now time.Time) float64
-	// toldBy returns the pace that an engine reports in place of its true one; nil means the true one.
-	toldBy func(engine int) (pace.Pace, bool)
+	// reportedBy returns the pace that an engine reports in place of its true one; nil means the true one.
+	reportedBy func(engine int) (pace.Pace, bool)
 	// reports are the paces on their way to the home, by the time of their arrival in ms. If quiet is
 	// set none are sent.
 	reports map[int64][]pace.Report
@@ -91,19 +91,19 @@
 		if !d.Warm {
 			left += prefixTime
 		}
-		m.running = append(m.running, &pacedRequest{permit: m.permit, engine: i, sentAt: m.now, left: float64(left.Milliseconds()), expected: time.Duration(float64(left) * float64(m.told(i)))})
+		m.running = append(m.running, &pacedRequest{permit: m.permit, engine: i, sentAt: m.now, left: float64(left.Milliseconds()), expected: time.Duration(float64(left) * float64(m.reported(i)))})
 		m.placed[i]++
-		m.report(i, pace.Report{Told: m.told(i)})
+		m.report(i, pace.Report{Reported: m.reported(i)})
 		total := ident.Work(len(m.running)) * ident.OneRequest
 		limit := 1.9*float64(total)/paceEngines + float64(5*ident.OneRequest/2+ident.OneRequest)
 		m.highest = max(m.highest, float64(m.home.LoadOf(e.Hash))-limit)
 	}
 }
 
-// told returns the pace that an engine reports at present.
-func (m *pacedShard) told(engine int) pace.Pace {
-	if m.toldBy != nil {
-		if p, lies := m.toldBy(engine); lies {
+// reported returns the pace that an engine reports at present.
+func (m *pacedShard) reported(engine int) pace.Pace {
+	if m.reportedBy != nil {
+		if p, lies := m.reportedBy(engine); lies {
 			return p
 		}
 	}
@@ -255,24 +255,24 @@
 // claims the usual pace, are three times slower. Their requests show it: they get few, and the bound
 // holds.
 func TestLyingEngines(t *testing.T) {
-	const boaster, silent = 4, 9
+	const tooFast, unchanged = 4, 9
 	for seed := range uint64(3) {
 		m := newPacedShard(seed, func(engine int, _ time.Time) float64 {
-			if engine == boaster || engine == silent {
+			if engine == tooFast || engine == unchanged {
 				return 3
 			}
 			return 1
 		})
-		m.toldBy = func(engine int) (pace.Pace, bool) {
-			if engine == boaster {
+		m.reportedBy = func(engine int) (pace.Pace, bool) {
+			if engine == tooFast {
 				return 0.1, true
 			}
-			return pace.Usual, engine == silent
+			return pace.Usual, engine == unchanged
 		}
 		m.runFor(4*time.Second, 0.4)
 		m.reset()
 		m.runFor(4*time.Second, 0.4)
-		share := m.slowShare(func(engine int) bool { return engine == boaster || engine == silent })
+		share := m.slowShare(func(engine int) bool { return engine == tooFast || engine == unchanged })
 		if share > 0.5*2/paceEngines {
 			t.Errorf("seed %d: two slow engines get %.3f of the requests", seed, share)
 		}
@@ -321,11 +321,11 @@
 func newPacedHome() (*place.Home, []place.Engine) {
 	h, list := newHome(4)
 	for i, e := range list {
-		told := pace.Usual
+		reported := pace.Usual
 		if i == 0 {
-			told = 3
+			reported = 3
 		}
-		h.RecordPaces(start, []pace.Report{{Target: e.Hash, Told: told, Age: pace.PresentTTL}})
+		h.RecordPaces(start, []pace.Report{{Target: e.Hash, Reported: reported, Age: pace.PresentTTL}})
 	}
 	return h, list
 }
@@ -354,13 +354,13 @@
 	if diff := cmp.Diff(h.Paces(start), standby.Paces(start)); diff != "" {
 		t.Error(diff)
 	}
-	// What a home heard itself is more recent than a digest.
+	// What a home received itself is more recent than a digest.
 	behind := place.NewHome(id, "router-d", place.DefaultBound, 0)
 	behind.SetEngines(list, []int{4})
-	behind.RecordPaces(start, []pace.Report{{Target: list[0].Hash, Told: 4}})
+	behind.RecordPaces(start, []pace.Report{{Target: list[0].Hash, Reported: 4}})
 	behind.Merge(start, d)
 	if got := behind.Paces(start)[0].Pace; got != 4 {
-		t.Errorf("pace %v after a digest, want the heard 4", got)
+		t.Errorf("pace %v after a digest, want the received 4", got)
 	}
 }
 
@@ -429,7 +429,7 @@
 func TestPromptsAreSpreadOverEngines(t *testing.T) {
 	h, list := newHome(paceEngines)
 	for _, e := range list {
-		h.RecordPaces(start, []pace.Report{{Target: e.Hash, Told: pace.Usual}})
+		h.RecordPaces(start, []pace.Report{{Target: e.Hash, Reported: pace.Usual}})
 	}
 	placed := map[ident.TargetHash]int{}
 	for i := range uint64(paceEngines) {
@@ -473,7 +473,7 @@
 		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
 			h, request := benchmarkHome(n)
 			for _, e := range engines(n) {
-				h.RecordPaces(start, []pace.Report{{Target: e.Hash, Told: 1.3}})
+				h.RecordPaces(start, []pace.Report{{Target: e.Hash, Reported: 1.3}})
 			}
 			b.ReportAllocs()
 			i := uint64(0)
@@ -493,7 +493,7 @@
 	h := place.NewHome(id, "router-a", bound, 0)
 	h.SetEngines(list, []int{len(list)})
 	for _, e := range list {
-		h.RecordPaces(start, []pace.Report{{Target: e.Hash, Told: pace.Usual, Age: pace.PresentTTL}})
+		h.RecordPaces(start, []pace.Report{{Target: e.Hash, Reported: pace.Usual, Age: pace.PresentTTL}})
 	}
 	return h
 }
--- a/internal/share/home/codec.go
+++ b/internal/share/home/codec.go
@@ -151,7 +151,7 @@
 	out := make([]*peerpb.EnginePace, 0, len(reports))
 	for _, r := range reports {
 		out = append(out, &peerpb.EnginePace{
-			Engine: uint32(r.Target), Told: encodePace(r.Told), AgeMs: encodeMs(r.Age), TookMs: encodeMs(r.Took), ExpectedMs: encodeMs(r.Expected),
+			Engine: uint32(r.Target), Reported: encodePace(r.Reported), AgeMs: encodeMs(r.Age), TookMs: encodeMs(r.Took), ExpectedMs: encodeMs(r.Expected),
 		})
 	}
 	return out
@@ -161,7 +161,7 @@
 	var out []pace.Report
 	for _, r := range in {
 		out = append(out, pace.Report{
-			Target: ident.TargetHash(r.GetEngine()), Told: decodePace(r.GetTold()), Age: decodeMs(r.GetAgeMs()),
+			Target: ident.TargetHash(r.GetEngine()), Reported: decodePace(r.GetReported()), Age: decodeMs(r.GetAgeMs()),
 			Took: decodeMs(r.GetTookMs()), Expected: decodeMs(r.GetExpectedMs()),
 		})
 	}
--- a/internal/share/home/codec_test.go
+++ b/internal/share/home/codec_test.go
@@ -39,7 +39,7 @@
 			Effort: pace.Effort{Read: 20 * time.Millisecond, Prefix: 160 * time.Millisecond, Make: 2 * time.Second},
 		},
 		Paces: []pace.Report{
-			{Target: 7, Told: 3.25, Age: 30 * time.Millisecond}, {Target: 8, Took: 3 * time.Second, Expected: time.Second},
+			{Target: 7, Reported: 3.25, Age: 30 * time.Millisecond}, {Target: 8, Took: 3 * time.Second, Expected: time.Second},
 		},
 	}
 	if diff := cmp.Diff(want, decodePermitRequest(encodePermitRequest(want, nil, 0)), cmpopts.EquateEmpty()); diff != "" {
