--- a/internal/rule/place/local.go
+++ b/internal/rule/place/local.go
@@ -16,10 +16,7 @@
 		return Decision{Result: Empty}
 	}
 	limit := p.bound.limit(float64(total+req.Work), usable)
-	chosen := p.chooseLocal(now, p.avoidSlow(now, req), routers, limit)
-	if !chosen.set {
-		chosen = p.chooseLocal(now, req, routers, limit)
-	}
+	chosen := p.chooseLocalByPace(now, req, routers, limit)
 	if !chosen.set {
 		return Decision{Result: Busy}
 	}
@@ -32,6 +29,23 @@
 	return d
 }
 
+// chooseLocalByPace selects an engine that is not slow if it has room in this router's share of the
+// limit or no work of this router, else any engine with room, else the least loaded one.
+func (p *Pool) chooseLocalByPace(now time.Time, req Request, routers int, limit float64) ranked {
+	first, leastLoaded := p.chooseLocal(now, p.avoidSlow(now, req), routers, limit)
+	if first.set {
+		return first
+	}
+	if leastLoaded.set && leastLoaded.load <= 0 {
+		return leastLoaded
+	}
+	first, leastLoaded = p.chooseLocal(now, req, routers, limit)
+	if first.set {
+		return first
+	}
+	return leastLoaded
+}
+
 // avoidSlow returns a request that avoids engines which are much slower than others.
 func (p *Pool) avoidSlow(now time.Time, req Request) Request {
 	work := max(req.Effort.Read+req.Effort.Make, minMakeTime)
@@ -47,12 +61,12 @@
 // shards in the key's order.
 const lastEngineRank = -1
 
-// chooseLocal selects an engine, given the limit for all routers together.
-func (p *Pool) chooseLocal(now time.Time, req Request, routers int, limit float64) ranked {
+// chooseLocal returns the first engine with room in this router's share of the limit for all routers
+// together, and the least loaded engine.
+func (p *Pool) chooseLocal(now time.Time, req Request, routers int, limit float64) (first, leastLoaded ranked) {
 	shardRanks := p.shardRanks(req.Key)
 	edge := uint64(req.Edge.Hash())
 	localShare := limit / float64(max(routers, 1))
-	var first, leastLoaded ranked
 	for e := range p.roster.all() {
 		load := p.Estimate(e.Hash, routers)
 		pairHash := ident.Mix(edge, uint64(e.Hash))
@@ -69,10 +83,7 @@
 			first = r
 		}
 	}
-	if first.set {
-		return first
-	}
-	return leastLoaded
+	return first, leastLoaded
 }
 
 // withinLocalShare reports whether an engine has room within this router's share of the limit.
