--- a/internal/rule/place/time_test.go
+++ b/internal/rule/place/time_test.go
@@ -558,3 +558,49 @@
 		t.Errorf("%d of 20 chats have the first part or are to copy it", copied)
 	}
 }
+
+// Failure: all routers end at once, and many chats return in the same moment. Their prompts are cached
+// at the first engine of their hash order; a home that took them for unread would expect queues of
+// reading there and send chats away.
+func TestReturningChatsStayInHashOrder(t *testing.T) {
+	const chats = 2 * paceEngines
+	list := engines(paceEngines)
+	recovering := func() *place.Home {
+		h := pacedHomeOf(list)
+		h.SetRecovering(start.Add(10 * time.Second))
+		return h
+	}
+	all, moved := recovering(), 0
+	for permit := range uint64(chats) {
+		req := timedRequest(permit + 1)
+		req.Effort.Prefix, req.Due = 200*time.Millisecond, 450*time.Millisecond
+		if all.Place(start, req).Engine != recovering().Place(start, req).Engine {
+			moved++
+		}
+	}
+	if moved > chats/20 {
+		t.Errorf("%d of %d returning chats left the first engine of their hash order", moved, chats)
+	}
+}
+
+// The counter of waits beside room depends on it: room counts in another shard only, with a recent load.
+func TestHasRoomElsewhere(t *testing.T) {
+	list := engines(8)
+	for i := range list {
+		list[i].Slots = ident.OneRequest
+	}
+	p := place.NewPool("judge@co", 2, place.DefaultBound)
+	p.SetEngines(list)
+	slots := ident.Work(p.Weights()[1]) * ident.OneRequest
+	room := func(now time.Time) bool { return p.HasRoomElsewhere(now, 0, ident.OneRequest) }
+	got := []bool{room(start)}
+	p.UpdateShardLoad(start, place.ShardLoad{Shard: 0})
+	got = append(got, room(start))
+	p.UpdateShardLoad(start, place.ShardLoad{Shard: 1, Work: slots - ident.OneRequest})
+	got = append(got, room(start), room(start.Add(time.Minute)))
+	p.UpdateShardLoad(start.Add(time.Second), place.ShardLoad{Shard: 1, Work: slots})
+	got = append(got, room(start.Add(time.Second)))
+	if diff := cmp.Diff([]bool{false, false, true, false, false}, got); diff != "" {
+		t.Error(diff)
+	}
+}
