Log how much of the retry allowance a router has used

Cause: a failed attempt logged 'again' or 'no_budget', but not what the router had counted, so that a share taken too large and a share used twice could not be told apart.

Change: the line of a failed attempt holds the requests and retries in the window, the limit, and the number of routers that the extra retries are divided by. No decision changes.

--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -63,6 +63,8 @@
 	Request(service ident.Service, now time.Time)
 	// Retry takes one retry from the service's budget, and reports whether one was available.
 	Retry(service ident.Service, now time.Time) bool
+	// Usage returns the state of the service's budget, for logs.
+	Usage(service ident.Service, now time.Time) retry.Usage
 }
 
 // Canaries selects the requests that are sent to the canary version of a service.
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -207,7 +207,9 @@
 
 // logAttempt logs a failed attempt and the retry decision.
 func (h *Handler) logAttempt(j *job, placement *route.Placement, attempt result, decision retryDecision) {
+	usage := h.Budget.Usage(j.service, h.Clock())
 	_ = level.Info(h.Logger).Log("msg", "attempt failed", "request", j.call.ID, "fingerprint", j.fingerprint(), "service", j.service, "target", placement.Target.ID,
 		"addr", placement.Target.Addr, "step", attempt.step, "status", attempt.status, "reason", attempt.reason, "err", attempt.err,
-		"took_ms", attempt.took.Milliseconds(), "sends", j.sends, "next", decision)
+		"took_ms", attempt.took.Milliseconds(), "sends", j.sends, "next", decision,
+		"window_requests", usage.Requests, "window_retries", usage.Retries, "retry_limit", usage.Limit, "routers", usage.Routers)
 }
--- a/internal/oper/node/budget.go
+++ b/internal/oper/node/budget.go
@@ -51,6 +51,13 @@
 	return b.window(service).Retry(now, b.fleetSize())
 }
 
+// Usage returns the state of the service's window, for logs.
+func (b *retryBudget) Usage(service ident.Service, now time.Time) retry.Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.window(service).Usage(now, b.fleetSize())
+}
+
 // setAllowance changes the allowance. Retries consumed under the earlier one are discarded.
 func (b *retryBudget) setAllowance(now time.Time, allowance retry.Allowance) {
 	b.mu.Lock()
--- a/internal/rule/retry/window.go
+++ b/internal/rule/retry/window.go
@@ -77,13 +77,30 @@
 func (w *Window) Retry(now time.Time, routers int) bool {
 	current := w.advance(now)
 	requests, retries := w.totals(current)
-	if float64(retries+1) > w.allowance.Ratio*float64(requests)+w.extra(now, routers) {
+	if float64(retries+1) > w.limit(now, requests, routers) {
 		return false
 	}
 	w.retries[current]++
 	return true
 }
 
+// Usage is the state of one router's window for one service, for logs.
+type Usage struct {
+	// Requests and Retries are those of this router within the window.
+	Requests int
+	Retries  int
+	// Limit is the number of retries that this router may use within the window.
+	Limit float64
+	// Routers is the number of routers that share the extra retries.
+	Routers int
+}
+
+// Usage returns the state of the window.
+func (w *Window) Usage(now time.Time, routers int) Usage {
+	requests, retries := w.totals(w.advance(now))
+	return Usage{Requests: requests, Retries: retries, Limit: w.limit(now, requests, routers), Routers: routers}
+}
+
 // totals returns the requests and retries of the window that ends with the current slot. The
 // oldest slot is only partly within the window: its retries are counted, its requests are
 // not.
@@ -97,6 +114,11 @@
 	return requests, retries
 }
 
+// limit returns the number of retries that this router may use within the window.
+func (w *Window) limit(now time.Time, requests, routers int) float64 {
+	return w.allowance.Ratio*float64(requests) + w.extra(now, routers)
+}
+
 // extra returns this router's share of the extra retries, which grows over the first window.
 func (w *Window) extra(now time.Time, routers int) float64 {
 	elapsedRatio := min(float64(now.Sub(w.started))/float64(w.allowance.Span), 1)
