Failing tests: retries beyond the fleet's allowance

Cause: a share of the extra retries grows from zero over the first window of a process, though the earlier process may have used its share at its very end; and routers divide the extra retries by those of their region that aren't leaving, though leaving ones serve on for seconds and the allowance is one for all.

--- a/internal/rule/retry/window_test.go
+++ b/internal/rule/retry/window_test.go
@@ -62,6 +62,41 @@
 	}
 }
 
+// Guards against a share of the extra retries that is used twice across a restart: targets fail, all
+// routers use their shares at once, restart a second later and go on failing.
+func TestWindowsKeepFleetWithinAllowanceWhenAllRestart(t *testing.T) {
+	allowance := Allowance{Ratio: 0.2, Extra: 56, Span: 10 * time.Second}
+	const routers = 8
+	start := time.Unix(1000, 0)
+	fault := start.Add(30 * time.Second)
+	restart := fault.Add(time.Second)
+	windows := make([]*Window, routers)
+	for i := range windows {
+		windows[i] = NewWindow(start, allowance)
+	}
+	var retries []time.Time
+	for now := fault; now.Before(fault.Add(30 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		for i := range windows {
+			if now.Equal(restart) {
+				windows[i] = NewWindow(now, allowance)
+			}
+			if windows[i].Retry(now, routers) {
+				retries = append(retries, now)
+			}
+		}
+	}
+	from, maxRetries := 0, 0
+	for i, at := range retries {
+		for retries[from].Before(at.Add(-allowance.Span)) {
+			from++
+		}
+		maxRetries = max(maxRetries, i+1-from)
+	}
+	if float64(maxRetries) > allowance.Extra {
+		t.Errorf("%d extra retries in one window, want at most %.0f", maxRetries, allowance.Extra)
+	}
+}
+
 func TestWindowExpiresOldSlots(t *testing.T) {
 	allowance := Allowance{Ratio: 1, Extra: 0, Span: 10 * time.Second}
 	now := time.Unix(1000, 0)
