A router that starts uses no extra retries during its first window

What callers saw: nothing directly; targets received more repeated requests in ten seconds than the fleet is allowed, which under a fault is load that takes room from first attempts.

Cause: the share of a new process grew from zero over the first window. An earlier process that used its whole share just before it ended still counts until the end of that window, by when the new one had nearly a share as well.

Change: the extra retries begin after one whole window. The ratio of a router's own requests applies from the start, as before.

Why it works: whatever an earlier process used has left the window by the time the next one begins, so that no two processes of a router share one window.

--- a/internal/rule/retry/window.go
+++ b/internal/rule/retry/window.go
@@ -42,8 +42,8 @@
 	retries  [slotsPerWindow + 1]int
 }
 
-// NewWindow returns an empty window. Its share of the extra retries grows from zero over the
-// first window, because an earlier process of this router may just have used that share.
+// NewWindow returns an empty window. It uses no extra retries before the first window has passed,
+// because an earlier process of this router may just have used its share.
 func NewWindow(now time.Time, allowance Allowance) *Window {
 	w := &Window{allowance: allowance, slotLength: max(allowance.Span/slotsPerWindow, minSlotLength), started: now}
 	w.current = w.slotNumber(now)
@@ -119,8 +119,10 @@
 	return w.allowance.Ratio*float64(requests) + w.extra(now, routers)
 }
 
-// extra returns this router's share of the extra retries, which grows over the first window.
+// extra returns this router's share of the extra retries.
 func (w *Window) extra(now time.Time, routers int) float64 {
-	elapsedRatio := min(float64(now.Sub(w.started))/float64(w.allowance.Span), 1)
-	return extraUsableRatio * elapsedRatio * w.allowance.Extra / float64(max(routers, 1))
+	if now.Sub(w.started) < w.allowance.Span {
+		return 0
+	}
+	return extraUsableRatio * w.allowance.Extra / float64(max(routers, 1))
 }
