Divide shared allowances by all routers that may serve requests

What callers saw: nothing directly; while several routers stopped at once, targets received more repeated requests than the fleet is allowed.

Cause: a router divided the extra retries, and the idle connections to a target, by the routers of its region that were not leaving. A leaving router still serves the requests and connections that it has for several seconds: when all eight receive SIGTERM together, each of them counts itself as the only one and uses the retries of the whole fleet. With several regions, each region used all of them.

Change: mesh.Set counts the routers of all regions and states, and that count divides what the fleet shares.

Tests of oper, entry and retry pass.

Why it works: whoever may still send a retry, in whatever state its peers consider it, is in the divisor; a router that has really gone only makes shares smaller, until its entry expires.

--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -123,7 +123,7 @@
 // budget allows a fixed number of retries.
 type budget struct{ left int }
 
-func (b *budget) Request(ident.Service, time.Time) {}
+func (b *budget) Request(ident.Service, time.Time)           {}
 func (b *budget) Usage(ident.Service, time.Time) retry.Usage { return retry.Usage{} }
 
 func (b *budget) Retry(ident.Service, time.Time) bool {
--- a/internal/oper/mesh/mesh.go
+++ b/internal/oper/mesh/mesh.go
@@ -65,6 +65,9 @@
 	// membership view that are not leaving.
 	Live  *place.Assignment
 	Known *place.Assignment
+	// FleetSize is the number of routers in the membership view, of all regions and states. Leaving
+	// routers still serve requests, and dead ones may only be unreachable from here.
+	FleetSize int
 	// shards contains the shards that have homes.
 	shards []place.ShardID
 }
@@ -137,8 +140,10 @@
 	routers uint64
 }
 
-// routers contains the routers of a region by membership state.
+// routers contains the routers of a region by membership state, and the size of the whole fleet.
 type routers struct {
+	// count is the number of routers of all regions and states.
+	count   int
 	live    []ident.Router
 	known   []ident.Router
 	suspect []ident.Router
@@ -180,9 +185,10 @@
 	})
 	before, shards := m.Set(), m.shards(next.Pools)
 	if latest.routers == m.applied.routers && slices.Equal(shards, before.shards) {
-		next.Live, next.Known, next.shards = before.Live, before.Known, shards
+		next.Live, next.Known, next.FleetSize, next.shards = before.Live, before.Known, before.FleetSize, shards
 		return next, changed
 	}
+	next.FleetSize = m.current.count
 	next.Live = m.live.Assign(shards, m.current.live, m.capacities)
 	next.Known = m.all.Assign(shards, m.current.known, m.capacities)
 	next.shards = shards
@@ -233,6 +239,7 @@
 	out := routers{live: v.Routers(m.Self.Region), firstPermits: make(map[ident.Router]uint64, len(holders))}
 	m.updateCapacities(v)
 	for r := range v.All() {
+		out.count++
 		m.recordMemberState(r)
 		if r.Region == m.Self.Region && r.State != peer.Leaving {
 			out.known = append(out.known, r.ID)
--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -130,5 +130,6 @@
 // PeerAddr returns the address for peers and metrics.
 func (n *Node) PeerAddr() string { return n.listeners.peers.Addr().String() }
 
-// fleetSize returns the maximum number of routers in the fleet.
-func (n *Node) fleetSize() int { return len(n.mesh.Set().Known.Routers()) }
+// fleetSize returns the maximum number of routers that may serve requests, by which this router
+// divides what the fleet shares.
+func (n *Node) fleetSize() int { return n.mesh.Set().FleetSize }
