Log when a router reaches no target

Cause: a router that loses all paths to targets logged one failed attempt for each target and request, and nothing of itself, so that a lost path and targets that are down could not be told apart from its lines.

Change: connections to targets are made by package reach, which logs 'dependency lost' for 'targets' after three different targets in a row could not be reached, and 'dependency regained' with the first one that is. A router may be given the address that it connects from, by which stand-ins can cut it off. Nothing acts on either yet.

--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log"
 
 	"valescale/internal/edge/guard"
+	"valescale/internal/edge/reach"
 	"valescale/internal/edge/relay"
 	"valescale/internal/edge/route"
 	"valescale/internal/fake/listen"
@@ -248,7 +249,8 @@
 	for i, target := range targets {
 		s.finder.targets = append(s.finder.targets, route.Target{ID: ident.Target(fmt.Sprint("t", i)), Addr: target.addr})
 	}
-	conns, closeConns := relay.NewConns(relay.DefaultConnLimits)
+	conns, closeConns := relay.NewConns(relay.DefaultConnLimits,
+		reach.New(reach.Parts{Timeout: relay.DefaultConnLimits.Dial, Logger: log.NewNopLogger(), Clock: time.Now}))
 	t.Cleanup(closeConns)
 	requestGuard, closeGuard := guard.New(guard.Parts{Prober: conns, Logger: log.NewNopLogger(), Clock: time.Now, TriggerGossip: func() {}})
 	t.Cleanup(closeGuard)
--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -38,7 +38,7 @@
 // request, so that late and surplus answers are skipped.
 type Conns struct {
 	limits ConnLimits
-	dialer net.Dialer
+	dialer Dialer
 	dialed atomic.Uint64
 
 	mu sync.Mutex
@@ -47,9 +47,15 @@
 	closed bool
 }
 
+// Dialer connects to targets.
+type Dialer interface {
+	// Dial connects to the target at an address.
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+}
+
 // NewConns returns a connection pool and the function that closes it.
-func NewConns(limits ConnLimits) (*Conns, func()) {
-	c := &Conns{limits: limits, dialer: net.Dialer{Timeout: limits.Dial, KeepAlive: -1}, idle: map[string][]*conn{}}
+func NewConns(limits ConnLimits, dialer Dialer) (*Conns, func()) {
+	c := &Conns{limits: limits, dialer: dialer, idle: map[string][]*conn{}}
 	return c, c.close
 }
 
@@ -207,7 +213,7 @@
 func (c *Conns) dial(ctx context.Context, addr string) (*conn, error) {
 	const op = "relay.Dial"
 	start := time.Now()
-	raw, err := c.dialer.DialContext(ctx, "tcp", addr)
+	raw, err := c.dialer.Dial(ctx, addr)
 	if err != nil {
 		return nil, newFailure(op, dialErrorKind(err, time.Since(start)-c.limits.Dial), retry.Dialing, err)
 	}
@@ -219,7 +225,7 @@
 // end of its process. A box that does not respond within the dial timeout gives no result and
 // counts as running.
 func (c *Conns) ConnectionRefused(ctx context.Context, addr string) bool {
-	return isRefused(ctx, c.dialer, addr)
+	return isRefused(ctx, net.Dialer{Timeout: c.limits.Dial}, addr)
 }
 
 // isRefused makes a connection to check whether it is refused.
--- a/internal/edge/relay/conns_test.go
+++ b/internal/edge/relay/conns_test.go
@@ -1,16 +1,26 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 )
 
+// directDialer connects to targets directly.
+type directDialer struct{}
+
+// Dial implements Dialer.
+func (directDialer) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: DefaultConnLimits.Dial}
+	return dialer.DialContext(ctx, "tcp", addr)
+}
+
 // newIdleConns returns connections of which one became idle at each of the given times.
 func newIdleConns(t *testing.T, idleTimes ...time.Time) *Conns {
 	t.Helper()
-	c, closeConns := NewConns(DefaultConnLimits)
+	c, closeConns := NewConns(DefaultConnLimits, directDialer{})
 	t.Cleanup(closeConns)
 	for _, idleSince := range idleTimes {
 		near, far := net.Pipe()
--- a/internal/edge/relay/idle_test.go
+++ b/internal/edge/relay/idle_test.go
@@ -18,7 +18,7 @@
 func TestSilentIdleConnectionsAreClosed(t *testing.T) {
 	var silent atomic.Bool
 	addr := listen.Conns(t, func(c net.Conn) { serveUntilSilent(c, &silent, silent.Load()) })
-	conns, closeConns := NewConns(DefaultConnLimits)
+	conns, closeConns := NewConns(DefaultConnLimits, directDialer{})
 	t.Cleanup(closeConns)
 	send := func(limit time.Duration) (*Answer, error) {
 		ctx, cancel := context.WithTimeout(t.Context(), limit)
@@ -59,7 +59,7 @@
 		opened.Add(1)
 		serveUntilSilent(c, &never, false)
 	})
-	conns, closeConns := NewConns(DefaultConnLimits)
+	conns, closeConns := NewConns(DefaultConnLimits, directDialer{})
 	t.Cleanup(closeConns)
 	for _, closeIdle := range []bool{false, false, true} {
 		if closeIdle {
--- a/internal/edge/relay/suspend_test.go
+++ b/internal/edge/relay/suspend_test.go
@@ -12,7 +12,7 @@
 // A target may have closed a connection that was idle while the box was suspended. The idle time of
 // a connection follows the wall clock, since the monotonic clock stops during a suspension.
 func TestIdleTimeIncludesSuspension(t *testing.T) {
-	conns, closeConns := NewConns(DefaultConnLimits)
+	conns, closeConns := NewConns(DefaultConnLimits, directDialer{})
 	defer closeConns()
 	now := time.Now()
 	for range 2 {
--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -7,6 +7,7 @@
 
 	"valescale/internal/edge/entry"
 	"valescale/internal/edge/guard"
+	"valescale/internal/edge/reach"
 	"valescale/internal/edge/relay"
 	"valescale/internal/edge/route"
 	"valescale/internal/oper/mesh"
@@ -43,6 +44,7 @@
 	homes             *home.Homes
 	mesh              *mesh.Mesh
 	router            *route.Router
+	dialer            *reach.Dialer
 	conns             *relay.Conns
 	guard             *guard.Guard
 	retryBudget       *retryBudget
--- a/internal/oper/node/settings.go
+++ b/internal/oper/node/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/go-kit/log"
@@ -45,6 +46,8 @@
 	ReadyPath string
 	// Seeds contains addresses of other routers to contact while no peer is known.
 	Seeds []string
+	// SourceIP is the address that connections to targets are made from; nil leaves it to the kernel.
+	SourceIP net.IP
 	// RetryAllowance is the retry allowance of the whole fleet for each service.
 	RetryAllowance retry.Allowance
 	// Cores is the processor time that this box may use.
