Routers that are cut off from targets connect through peers

What callers saw: at routers that had lost their paths to all targets, no first try was served; each ended as 503 after five attempts to connect, or when the caller's time was over.

Cause: a failed connection was taken for a fault of its target, whatever the others did, and there was no other way to a target. Evidence: five of eight routers logged 310 to 323 failed attempts each, at all targets in turn, while the other three failed 2 to 6 times; peers answered throughout.

Change: package reach connects to targets. If a direct attempt fails, or takes more than 60 ms, peers are asked for a tunnel: an upgraded HTTP/1.1 connection over which the peer copies bytes to and from the target. A target that neither reaches fails at once for half a second. A router that has lost three paths and made no direct connection for a second counts as cut off: it logs that, forgets the failures that it held against targets, and provides no tunnels. A target counts as gone, for the record of requests that end targets, only if a peer is refused as well. A planned stop waits for the tunnels of peers. The soak cuts routers off from targets, keeps sound targets silent for a second, and counts the repeats that arrive in every ten seconds.

Why it works: whose fault it is shows in what a peer sees of the same target at the same moment, not in a timeout; and since a tunnel carries bytes only, the router that accepted a request still decides alone on its deadline, its repeats and what its caller is told.

--- /dev/null
+++ b/cmd/soak/allowance.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"valescale/platform/fake"
+)
+
+// The fleet's allowance of repeated requests, as in the settings of the routers.
+const (
+	repeatWindow = 10 * time.Second
+	repeatRatio  = 0.2
+	repeatExtra  = 56
+)
+
+// traffic contains the times of one service's requests, as sent by callers, and of the arrivals at its
+// targets beyond the first of each request.
+type traffic struct {
+	requests []time.Time
+	repeats  []time.Time
+	arrived  map[string]bool
+}
+
+// of returns the traffic of a service. The caller holds the lock.
+func (l *ledger) of(service string) *traffic {
+	t, ok := l.traffic[service]
+	if !ok {
+		t = &traffic{arrived: map[string]bool{}}
+		l.traffic[service] = t
+	}
+	return t
+}
+
+// countArrivals records every request that arrives at a target of a service, also one that it rejects.
+func (l *ledger) countArrivals(service string, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l.recordArrival(service, r.Header.Get(fake.HeaderID))
+		h.ServeHTTP(w, r)
+	})
+}
+
+// recordArrival records a request that has arrived at a target.
+func (l *ledger) recordArrival(service, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.of(service)
+	if t.arrived[id] {
+		t.repeats = append(t.repeats, time.Now())
+	}
+	t.arrived[id] = true
+}
+
+// checkAllowance checks that in no window more repeats arrived than the allowance permits. The requests
+// counted are those of the window, of the window before or of the one half a window before, whichever
+// are the most.
+func (t *traffic) checkAllowance(service string) (violation string) {
+	for i, end := range t.repeats {
+		start := end.Add(-repeatWindow)
+		first, _ := slices.BinarySearchFunc(t.repeats, start, time.Time.Compare)
+		repeats := i + 1 - first
+		requests := 0
+		for _, back := range []time.Duration{0, repeatWindow / 2, repeatWindow} {
+			requests = max(requests, t.requestsBetween(start.Add(-back), end.Add(-back)))
+		}
+		if allowed := repeatRatio*float64(requests) + repeatExtra; float64(repeats) > allowed {
+			return fmt.Sprintf("service %s: %d repeats in %s for %d requests; allowed %.0f", service, repeats, repeatWindow, requests, allowed)
+		}
+	}
+	return ""
+}
+
+// requestsBetween returns the number of requests that were sent between two times.
+func (t *traffic) requestsBetween(from, to time.Time) int {
+	first, _ := slices.BinarySearchFunc(t.requests, from, time.Time.Compare)
+	last, _ := slices.BinarySearchFunc(t.requests, to, time.Time.Compare)
+	return last - first
+}
+
+// serviceOf returns the service of a path in the configuration.
+func serviceOf(path string) string {
+	if path == streamPath || path == resumePath {
+		return engineService
+	}
+	return plainService
+}
--- a/cmd/soak/harness.go
+++ b/cmd/soak/harness.go
@@ -37,6 +37,10 @@
 	stop      chan struct{}
 	callers   sync.WaitGroup
 	servers   []*http.Server
+
+	mu sync.Mutex
+	// cutOff contains the routers that are cut off from all targets.
+	cutOff map[*router]bool
 }
 
 // router is the name and the addresses of one router.
@@ -44,6 +48,8 @@
 	name    string
 	callers string
 	ready   string
+	// source is the address from which the router connects to targets.
+	source net.IP
 }
 
 // target is a fake target behind connections with fault injection.
@@ -58,6 +64,8 @@
 	faults  *fake.Faults
 	server  *http.Server
 	handler *handler
+	// listener is the one in use. It is replaced after a crash, under the harness's lock.
+	listener *fake.Cuttable
 }
 
 // Services and path prefixes of the configuration.
@@ -78,12 +86,14 @@
 func newHarness(o options) (*harness, func(), error) {
 	w := &harness{
 		options: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: fake.NewStore(), ledger: newLedger(), stop: make(chan struct{}),
+		cutOff: map[*router]bool{},
 	}
 	w.prober = w.newCaller(o.Callers + 1)
-	var err error
-	if w.storeFaults, _, err = w.serve(w.store); err != nil {
-		return nil, nil, err
+	storeListener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, errors.WithStack(err)
 	}
+	w.storeFaults, _ = w.serve(storeListener, w.store)
 	for i := range 2 * o.Targets {
 		if err := w.addTarget(i); err != nil {
 			return nil, nil, err
@@ -102,17 +112,13 @@
 	}
 }
 
-// serve serves on a port chosen by the kernel, behind connections with fault injection.
-func (w *harness) serve(h http.Handler) (*fake.Faults, *http.Server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, nil, errors.WithStack(err)
-	}
+// serve serves on a listener, behind connections with fault injection.
+func (w *harness) serve(l net.Listener, h http.Handler) (*fake.Faults, *http.Server) {
 	faults := fake.NewFaults(l)
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	w.servers = append(w.servers, server)
 	go func() { _ = server.Serve(faults) }()
-	return faults, server, nil
+	return faults, server
 }
 
 func (w *harness) addTarget(i int) error {
@@ -121,10 +127,12 @@
 		t.service = engineService
 	}
 	handler := w.newHandler(t, uint64(i))
-	faults, server, err := w.serve(&fake.Target{ID: t.id, Work: handler.serve})
+	listener, err := fake.ListenCuttable("127.0.0.1:0")
 	if err != nil {
-		return err
+		return errors.WithStack(err)
 	}
+	t.listener = listener
+	faults, server := w.serve(listener, w.ledger.countArrivals(t.service, &fake.Target{ID: t.id, Work: handler.serve}))
 	handler.crash = func() { w.crash(t) }
 	t.handler = handler
 	t.server = server
@@ -144,7 +152,7 @@
 	// before, so the error is ignored.
 	_ = t.server.Close()
 	time.AfterFunc(restartDelay, func() {
-		l, err := net.Listen("tcp", t.addr)
+		l, err := w.relisten(t)
 		if err != nil {
 			w.ledger.addViolation("cannot restart target %s: %v", t.id, err)
 			return
@@ -180,9 +188,10 @@
 	seeds := []string{ports[2], ports[5]}
 	for i := range w.Routers {
 		own := ports[3*i : 3*i+3]
-		r := &router{name: fmt.Sprint("r", i), callers: own[0], ready: own[1]}
+		r := &router{name: fmt.Sprint("r", i), callers: own[0], ready: own[1], source: net.IPv4(127, 0, 1, byte(i+1))}
 		zone := string(rune('a' + i%2))
 		text := fake.Settings(r.name, zone, own[0], own[1], own[2], w.storeFaults.Addr().String(), seeds)
+		text += "Dial.SourceIp=" + r.source.String() + "\n"
 		if err := os.WriteFile(filepath.Join(w.Dir, r.name+".conf"), []byte(text), 0o600); err != nil {
 			return errors.WithStack(err)
 		}
--- a/cmd/soak/ledger.go
+++ b/cmd/soak/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 )
 
 // requestRecord is the state of one request.
@@ -25,15 +26,21 @@
 	crashes int
 	// unwanted is the number of requests that reached targets which had reported that they accept none.
 	unwanted int
+	// traffic contains the requests and repeats of each service.
+	traffic map[string]*traffic
 }
 
-func newLedger() *ledger { return &ledger{sent: map[string]*requestRecord{}} }
+func newLedger() *ledger {
+	return &ledger{sent: map[string]*requestRecord{}, traffic: map[string]*traffic{}}
+}
 
 // recordSent records a request before it is sent.
 func (l *ledger) recordSent(id, path, body string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sent[id] = &requestRecord{path: path, body: body}
+	t := l.of(serviceOf(path))
+	t.requests = append(t.requests, time.Now())
 }
 
 // recordRun records that a target started to execute a request.
@@ -120,5 +127,10 @@
 			l.addViolationLocked("%s was executed on %s although its caller received a not-run response", id, e.path)
 		}
 	}
+	for service, t := range l.traffic {
+		if violation := t.checkAllowance(service); violation != "" {
+			l.addViolationLocked("%s", violation)
+		}
+	}
 	return l.violations, len(l.sent), l.served
 }
--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -72,7 +72,7 @@
 	t := w.targets[w.rng.IntN(len(w.targets))]
 	mode := fake.Mode(w.rng.IntN(int(fake.Resetting) + 1))
 	w.saveSnapshot()
-	switch w.rng.IntN(16) {
+	switch w.rng.IntN(18) {
 	case 0:
 		printOrder("kill", r)
 	case 1:
@@ -104,6 +104,10 @@
 		w.rollBackStore()
 	case 15:
 		t.handler.startSlowness()
+	case 16:
+		w.cutOffForAWhile(r)
+	case 17:
+		silenceForAWhile(t)
 	}
 }
 
@@ -154,6 +158,7 @@
 	}
 	w.writeNextConfig()
 	for _, r := range w.routers {
+		w.setCutOff(r, false)
 		printOrder("wake", r)
 		printOrder("start", r)
 	}
@@ -164,6 +169,7 @@
 func (w *harness) checkRecovery() {
 	c := w.newCaller(w.Callers)
 	w.checkQuarantine(c)
+	w.checkCutOff(c)
 	if got := w.ledger.unwantedCount(); got > maxUnwanted {
 		w.ledger.addViolation("%d requests reached targets that had reported that they accept none", got)
 	}
--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -64,6 +64,7 @@
 	defer answer.Close()
 	h.Finder.ReportReceived(placement.Hash)
 	idleTimeout.reset(j.idleTimeout())
+	j.via = answer.Via()
 	j.sends++
 	reply := h.Dialect.Reply(answer.Status, answer.Header)
 	h.reportNotice(j, placement, answer, reply)
@@ -125,6 +126,7 @@
 		return
 	}
 	if h.Finder.ReportSilent(placement.Hash, since) {
+		h.Sender.ReportSilent(placement.Target.Addr)
 		_ = level.Info(h.Logger).Log("msg", "target sent no data within the expected time", "request", j.call.ID,
 			"target", placement.Target.ID, "silence_ms", j.suspectAfter().Milliseconds())
 	}
--- a/internal/edge/entry/gate.go
+++ b/internal/edge/entry/gate.go
@@ -99,14 +99,14 @@
 func (g *Gate) Accept() (net.Conn, error) {
 	for {
 		c, err := g.Listener.Accept()
-		if err != nil || !g.overloaded() || !g.reject(c) {
+		if err != nil || !g.Overloaded() || !g.reject(c) {
 			return c, err
 		}
 	}
 }
 
-// overloaded reports whether new callers are to be rejected.
-func (g *Gate) overloaded() bool {
+// Overloaded reports whether new callers are to be rejected.
+func (g *Gate) Overloaded() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.clock().Before(g.rejectUntil)
--- a/internal/edge/entry/gate_test.go
+++ b/internal/edge/entry/gate_test.go
@@ -30,7 +30,7 @@
 	now := time.Unix(1000, 0)
 	g := newTestGate(t, func() time.Time { return now })
 	for range 2 * overloadMinRequests {
-		if g.recordRead(time.Minute) || g.recordRead(time.Millisecond) || g.overloaded() {
+		if g.recordRead(time.Minute) || g.recordRead(time.Millisecond) || g.Overloaded() {
 			t.Fatal("callers are rejected although every other request is read without delay")
 		}
 	}
@@ -40,11 +40,11 @@
 		}
 	}
 	now = now.Add(overloadHold - time.Millisecond)
-	if !g.overloaded() {
+	if !g.Overloaded() {
 		t.Error("callers are accepted before the end of overloadHold")
 	}
 	now = now.Add(time.Millisecond)
-	if g.overloaded() {
+	if g.Overloaded() {
 		t.Error("callers are still rejected after overloadHold")
 	}
 }
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -44,6 +44,9 @@
 type Sender interface {
 	// Send makes one attempt and returns once the answer's head is received.
 	Send(ctx context.Context, e relay.Exchange) (*relay.Answer, error)
+	// ReportSilent reports that nothing has arrived from the target at an address for longer than
+	// usual.
+	ReportSilent(addr string)
 }
 
 // Guard quarantines requests under which targets crash.
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -55,6 +55,8 @@
 	streamWriter *streamWriter
 	// lastPlacement is the most recent placement, nil before the first.
 	lastPlacement *route.Placement
+	// via is the router through which the latest answer came, or empty for a direct connection.
+	via ident.Router
 	// lastEvent is the ID of the last event sent to the caller.
 	lastEvent EventID
 	// cachedFingerprint is the fingerprint, or zero until it is computed.
@@ -197,7 +199,7 @@
 	}
 	_ = level.Info(h.Logger).Log("msg", "request", "request", j.call.ID, "route", e.Route, "workspace", e.Workspace,
 		"service", e.Service, "revision", j.revision, "reason", e.Reason, "status", e.Status, "sends", e.Sends, "outcome", j.outcome,
-		"target", target, "key", strconv.FormatUint(uint64(j.placementKey), 16), "warm", warm, "holder", holder, "home", home,
+		"target", target, "key", strconv.FormatUint(uint64(j.placementKey), 16), "warm", warm, "holder", holder, "home", home, "via", j.via,
 		"rule", basis.Rule, "load", basis.Load.Requests(), "mean", basis.Mean.Requests(),
 		"found_ms", e.Found.Milliseconds(), "first_ms", e.First.Milliseconds(), "whole_ms", e.Total.Milliseconds(),
 		"pace", float64(j.progress.pace), "events", j.progress.events, "gap_ms", j.progress.longestGap.Milliseconds(),
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -249,8 +249,9 @@
 	for i, target := range targets {
 		s.finder.targets = append(s.finder.targets, route.Target{ID: ident.Target(fmt.Sprint("t", i)), Addr: target.addr})
 	}
-	conns, closeConns := relay.NewConns(relay.DefaultConnLimits,
-		reach.New(reach.Parts{Timeout: relay.DefaultConnLimits.Dial, Logger: log.NewNopLogger(), Clock: time.Now}))
+	dialer, closeDialer := reach.New(reach.Parts{Timeout: relay.DefaultConnLimits.Dial, Logger: log.NewNopLogger(), Clock: time.Now})
+	t.Cleanup(closeDialer)
+	conns, closeConns := relay.NewConns(relay.DefaultConnLimits, dialer)
 	t.Cleanup(closeConns)
 	requestGuard, closeGuard := guard.New(guard.Parts{Prober: conns, Logger: log.NewNopLogger(), Clock: time.Now, TriggerGossip: func() {}})
 	t.Cleanup(closeGuard)
--- a/internal/edge/reach/dialer.go
+++ b/internal/edge/reach/dialer.go
@@ -3,60 +3,210 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
 
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 )
 
+// Peer is a router that can be asked for a tunnel.
+type Peer struct {
+	ID ident.Router
+	// Addr is its address for other routers.
+	Addr string
+}
+
+// DialFunc makes a TCP connection.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Parts contains the dependencies of a dialer.
 type Parts struct {
 	// Timeout limits a connection attempt, on all paths together.
 	Timeout time.Duration
-	// Source is the address that connections to targets are made from; nil leaves it to the kernel.
-	Source net.IP
-	Logger log.Logger
-	Clock  ident.Clock
+	// Direct connects to targets, Tunnel to peers; nil means the net package.
+	Direct DialFunc
+	Tunnel DialFunc
+	// Peers returns the routers that may be asked for a tunnel, in order of preference; nil means
+	// that there are none.
+	Peers func() []Peer
+	// Targets returns the addresses of all targets, of which some are checked when others cannot be
+	// reached; nil means that none are.
+	Targets func() []string
+	// Changed is called after this router is cut off from the targets, and after it is not any more;
+	// it may be nil.
+	Changed func(cutOff bool)
+	Logger  log.Logger
+	Clock   ident.Clock
 }
 
 // Dialer connects to targets.
 type Dialer struct {
 	Parts
-	direct net.Dialer
-	paths  *paths
+	paths *paths
+	// peers remembers which peers could not help.
+	peers *peerRecord
+	// running contains the targets that are being checked.
+	running *checked
+	// ctx ends when the dialer is closed, and with it what runs in the background.
+	ctx context.Context
 }
 
-// New returns a dialer.
-func New(parts Parts) *Dialer {
-	d := &Dialer{Parts: parts, direct: net.Dialer{Timeout: parts.Timeout, KeepAlive: -1}, paths: newPaths()}
-	if parts.Source != nil {
-		d.direct.LocalAddr = &net.TCPAddr{IP: parts.Source}
+// New returns a dialer and the function that stops its checks.
+func New(parts Parts) (*Dialer, func()) {
+	if parts.Direct == nil {
+		parts.Direct = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
+	if parts.Tunnel == nil {
+		parts.Tunnel = (&net.Dialer{KeepAliveConfig: tunnelKeepAlive}).DialContext
+	}
+	if parts.Peers == nil {
+		parts.Peers = func() []Peer { return nil }
+	}
+	if parts.Targets == nil {
+		parts.Targets = func() []string { return nil }
 	}
-	return d
+	if parts.Changed == nil {
+		parts.Changed = func(bool) {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Dialer{Parts: parts, paths: newPaths(), peers: newPeerRecord(), ctx: ctx, running: &checked{addrs: map[string]bool{}}}
+	return d, cancel
 }
 
-// Dial connects to the target at an address.
+// tunnelDelay is the time after which a peer is asked for a tunnel while a direct attempt is under way:
+// many round trips to a target, and a small part of the objectives.
+const tunnelDelay = 60 * time.Millisecond
+
+// Dial connects to the target at an address, through a peer if this router's own path is lost.
 func (d *Dialer) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	c, err := d.direct.DialContext(ctx, "tcp", addr)
-	switch {
-	case err == nil:
-		d.logChange(d.paths.reached())
-	case ctx.Err() == nil && !fault.IsLocalResourceError(err):
-		d.logChange(d.paths.failed(addr))
-	}
-	return c, err
-}
-
-// logChange logs that this router has lost or regained the targets.
-func (d *Dialer) logChange(change pathChange) {
-	switch change {
-	case pathsLost:
-		_ = level.Warn(d.Logger).Log("msg", "dependency lost", "dependency", "targets", "targets", lostThreshold)
-	case pathsRegained:
+	switch d.paths.route(addr, d.Clock()) {
+	case routeNone:
+		d.Check(addr)
+		return nil, fault.New("reach.Dial", Connect, errRecentlyUnreachable)
+	case routeTunnel:
+		return d.dialLost(ctx, addr)
+	default:
+		return d.startRace(ctx, addr, tunnelDelay)
+	}
+}
+
+// dialLost connects to a target whose direct path is lost. Without a tunnel, that path may be back.
+func (d *Dialer) dialLost(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+	defer cancel()
+	c, err := d.dialTunnel(ctx, addr)
+	if err == nil {
+		return c, nil
+	}
+	if kind := fault.KindOf[Kind](err); kind == Unreachable || kind == Refused {
+		d.paths.down(addr, d.Clock())
+		return nil, err
+	}
+	a := d.dialDirect(ctx, addr)
+	if a.err != nil {
+		d.recordDown(addr, a.err, err)
+	}
+	return a.conn, a.err
+}
+
+// errRecentlyUnreachable fails attempts to connect to a target that neither this router nor a peer
+// could reach a moment ago.
+var errRecentlyUnreachable = errors.New("not reachable a moment ago")
+
+// dialDirect connects without a peer and records a success.
+func (d *Dialer) dialDirect(ctx context.Context, addr string) attempt {
+	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+	defer cancel()
+	c, err := d.Direct(ctx, "tcp", addr)
+	if err != nil {
+		return attempt{err: err}
+	}
+	if d.paths.reached(addr, d.Clock()) {
+		d.changed(false)
+	}
+	return attempt{conn: c}
+}
+
+// recordLost records a target that a peer has reached and this router has not. A failure for want of a
+// local resource does not show that the path is lost.
+func (d *Dialer) recordLost(addr string, err error) {
+	if fault.IsLocalResourceError(err) || d.ctx.Err() != nil {
+		return
+	}
+	first, added := d.paths.lost(addr, d.Clock())
+	if added {
+		_ = level.Info(d.Logger).Log("msg", "target is reachable only through a peer", "addr", addr, "err", err)
+	}
+	if first {
+		d.checkOthers(addr)
+		go d.watchLostPaths()
+	}
+}
+
+// recordDown records a target that neither this router nor a peer could reach. Without peers nothing
+// shows that the target is at fault.
+func (d *Dialer) recordDown(addr string, direct, tunnel error) {
+	if fault.IsLocalResourceError(direct) || fault.KindOf[Kind](tunnel) == NoPeer {
+		return
+	}
+	d.paths.down(addr, d.Clock())
+}
+
+// changed logs and reports that this router is cut off from the targets, or is not any more.
+func (d *Dialer) changed(cutOff bool) {
+	if cutOff {
+		_ = level.Warn(d.Logger).Log("msg", "dependency lost", "dependency", "targets", "peers", len(d.Parts.Peers()))
+	} else {
 		_ = level.Info(d.Logger).Log("msg", "dependency regained", "dependency", "targets")
-	case pathsUnchanged:
 	}
+	d.Changed(cutOff)
+}
+
+// CutOff reports whether this router is cut off from the targets.
+func (d *Dialer) CutOff() bool { return d.paths.isCutOff() }
+
+// Usable reports whether a connection to an address that was idle may still be used: a direct one
+// while no path is in doubt, a tunnel while its path is lost and its peer is live.
+func (d *Dialer) Usable(c net.Conn, addr string) bool {
+	direct := d.paths.route(addr, d.Clock()) == routeDirect
+	if t, ok := c.(*tunnelConn); ok {
+		return !direct && d.isLive(t.peer)
+	}
+	return direct && !d.paths.inDoubt()
+}
+
+// isLive reports whether a peer may still be asked for tunnels.
+func (d *Dialer) isLive(id ident.Router) bool {
+	for _, p := range d.Parts.Peers() {
+		if p.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Refused reports whether nothing listens at a target's address any more. A refusal of this router alone
+// may be due to its own path: it does not count if a peer connects, nor if no peer is refused while
+// paths are lost.
+func (d *Dialer) Refused(ctx context.Context, addr string) bool {
+	c, err := d.Direct(ctx, "tcp", addr)
+	if err == nil {
+		_ = c.Close()
+		return false
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	tunnel, tunnelErr := d.dialTunnel(ctx, addr)
+	if tunnelErr == nil {
+		_ = tunnel.Close()
+		d.recordLost(addr, err)
+		return false
+	}
+	return fault.KindOf[Kind](tunnelErr) == Refused || !d.paths.anyLost()
 }
--- a/internal/edge/reach/paths.go
+++ b/internal/edge/reach/paths.go
@@ -1,49 +1,148 @@
 package reach
 
-import "sync"
+import (
+	"slices"
+	"sync"
+	"time"
+)
 
-// lostThreshold is the number of targets that must fail, with none reached in between, until this
-// router's paths count as lost.
-const lostThreshold = 3
+const (
+	// cutOffTargets is the number of targets that only peers must reach until this router counts as cut
+	// off from all.
+	cutOffTargets = 3
+	// cutOffDelay is the time for which no direct connection must have been made until then. A router
+	// that still reaches some targets makes one more often.
+	cutOffDelay = time.Second
+	// downTTL is how long attempts at a target that nobody reaches fail at once. A check that runs
+	// meanwhile renews or ends it.
+	downTTL = 500 * time.Millisecond
+)
 
-// pathChange is a change of the state of this router's paths.
-type pathChange int
+// route is the path that an attempt takes.
+type route int
 
 const (
-	pathsUnchanged pathChange = iota
-	pathsLost
-	pathsRegained
+	// routeDirect is the usual path; a peer is asked if it takes long.
+	routeDirect route = iota
+	// routeTunnel is the path through a peer.
+	routeTunnel
+	// routeNone fails the attempt: nobody reached the target a moment ago.
+	routeNone
 )
 
-// paths records which targets could not be reached since one was reached.
+// paths records which targets this router reaches.
 type paths struct {
-	mu     sync.Mutex
-	missed map[string]bool
-	lost   bool
+	mu sync.Mutex
+	// reachedAt is when a direct connection was made last, to any target.
+	reachedAt time.Time
+	// lostAt contains the targets that only peers reach, with the time when that was found.
+	lostAt map[string]time.Time
+	// downAt contains the targets that nobody reached, with the time of the last attempt.
+	downAt map[string]time.Time
+	cutOff bool
+}
+
+func newPaths() *paths {
+	return &paths{lostAt: map[string]time.Time{}, downAt: map[string]time.Time{}}
+}
+
+// route returns the path for an attempt at a target.
+func (p *paths) route(addr string, now time.Time) route {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at, down := p.downAt[addr]; down {
+		if now.Sub(at) < downTTL {
+			return routeNone
+		}
+		delete(p.downAt, addr)
+	}
+	if _, lost := p.lostAt[addr]; lost || p.cutOff {
+		return routeTunnel
+	}
+	return routeDirect
+}
+
+// reached records a direct connection. It returns true if this router was cut off until now.
+func (p *paths) reached(addr string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reachedAt = now
+	delete(p.downAt, addr)
+	delete(p.lostAt, addr)
+	wasCutOff := p.cutOff
+	p.cutOff = false
+	return wasCutOff
+}
+
+// lost records a target that a peer reached and this router did not, and returns whether it is the first
+// one and whether it was not known before.
+func (p *paths) lost(addr string, now time.Time) (first, added bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.downAt, addr)
+	if _, known := p.lostAt[addr]; known {
+		return false, false
+	}
+	p.lostAt[addr] = now
+	return len(p.lostAt) == 1, true
 }
 
-func newPaths() *paths { return &paths{missed: map[string]bool{}} }
+// becomesCutOff reports whether this router is cut off from now on, of all targets known to it.
+func (p *paths) becomesCutOff(now time.Time, targets int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cutOff || len(p.lostAt) < min(cutOffTargets, max(targets, 1)) || now.Sub(p.reachedAt) < cutOffDelay {
+		return false
+	}
+	p.cutOff = true
+	return true
+}
 
-// failed records a connection attempt that failed.
-func (p *paths) failed(addr string) pathChange {
+// inDoubt reports whether a path was lost after the latest direct connection. Other connections may be
+// dead as well.
+func (p *paths) inDoubt() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.missed[addr] = true
-	if p.lost || len(p.missed) < lostThreshold {
-		return pathsUnchanged
+	for _, at := range p.lostAt {
+		if at.After(p.reachedAt) {
+			return true
+		}
 	}
-	p.lost = true
-	return pathsLost
+	return false
+}
+
+// down records a target that nobody reached.
+func (p *paths) down(addr string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.downAt[addr] = now
+}
+
+// isCutOff reports whether this router is cut off from all targets.
+func (p *paths) isCutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cutOff
+}
+
+// anyLost reports whether there are targets that only peers reach.
+func (p *paths) anyLost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.lostAt) > 0
 }
 
-// reached records a connection to a target.
-func (p *paths) reached() pathChange {
+// lostTargets returns the targets that only peers reach, without those that do not exist any more.
+func (p *paths) lostTargets(existing []string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	clear(p.missed)
-	if !p.lost {
-		return pathsUnchanged
+	var out []string
+	for addr := range p.lostAt {
+		if !slices.Contains(existing, addr) {
+			delete(p.lostAt, addr)
+			continue
+		}
+		out = append(out, addr)
 	}
-	p.lost = false
-	return pathsRegained
+	return out
 }
--- /dev/null
+++ b/internal/edge/reach/peers.go
@@ -0,0 +1,173 @@
+package reach
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+)
+
+const (
+	// peerMemory is how long a router remembers whether a peer could provide a tunnel.
+	peerMemory = time.Second
+	// parallelPeers is the number of peers that are asked at once while the first of them has provided
+	// no tunnel recently: it may be cut off as well without having found out.
+	parallelPeers = 2
+	// maxPeers is the number of peers that are asked for one tunnel.
+	maxPeers = 4
+)
+
+// peerRecord records which peers could provide a tunnel and which could not.
+type peerRecord struct {
+	mu sync.Mutex
+	// workedAt and failedAt are the times of the latest results.
+	workedAt map[ident.Router]time.Time
+	failedAt map[ident.Router]time.Time
+}
+
+func newPeerRecord() *peerRecord {
+	return &peerRecord{workedAt: map[ident.Router]time.Time{}, failedAt: map[ident.Router]time.Time{}}
+}
+
+// worked records a peer that has provided a tunnel.
+func (r *peerRecord) worked(id ident.Router, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.workedAt[id] = now
+	delete(r.failedAt, id)
+}
+
+// failed records peers that could not provide a tunnel.
+func (r *peerRecord) failed(now time.Time, ids ...ident.Router) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range ids {
+		r.failedAt[id] = now
+		delete(r.workedAt, id)
+	}
+}
+
+// order returns the peers to ask, those that failed recently last, and how many to ask at once.
+func (r *peerRecord) order(peers []Peer, now time.Time) (order []Peer, parallel int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var last []Peer
+	for _, p := range peers {
+		if at, failed := r.failedAt[p.ID]; failed && now.Sub(at) < peerMemory {
+			last = append(last, p)
+			continue
+		}
+		order = append(order, p)
+	}
+	order = append(order, last...)
+	order = order[:min(maxPeers, len(order))]
+	parallel = min(parallelPeers, len(order))
+	if len(order) > 0 && now.Sub(r.workedAt[order[0].ID]) < peerMemory {
+		parallel = 1
+	}
+	return order, parallel
+}
+
+// peerResult is the result of one peer.
+type peerResult struct {
+	peer Peer
+	conn net.Conn
+	err  error
+}
+
+// tunnelSearch asks peers for a tunnel to one target.
+type tunnelSearch struct {
+	dialer  *Dialer
+	addr    string
+	peers   []Peer
+	results chan peerResult
+	// started and ended count the peers that were asked and that have answered.
+	started, ended int
+	// unable contains the peers that could not connect to the target.
+	unable []ident.Router
+	// failure is the most telling answer so far.
+	failure *Error
+}
+
+// dialTunnel connects to a target through a peer. It asks several peers, one or two at a time, and
+// returns the first tunnel.
+func (d *Dialer) dialTunnel(ctx context.Context, addr string) (net.Conn, error) {
+	peers, parallel := d.peers.order(d.Parts.Peers(), d.Clock())
+	ctx, cancel := context.WithCancel(ctx)
+	s := &tunnelSearch{
+		dialer: d, addr: addr, peers: peers, results: make(chan peerResult, len(peers)),
+		failure: fault.New[Kind]("reach.dialTunnel", NoPeer, nil),
+	}
+	defer s.discardRest()
+	defer cancel()
+	for range parallel {
+		s.askNext(ctx)
+	}
+	for s.ended < s.started {
+		r := <-s.results
+		s.ended++
+		if r.err == nil {
+			d.peers.worked(r.peer.ID, d.Clock())
+			d.peers.failed(d.Clock(), s.unable...)
+			return r.conn, nil
+		}
+		s.record(ctx, r)
+		s.askNext(ctx)
+	}
+	return nil, s.failure
+}
+
+// askNext asks the next peer, if there is one and time is left.
+func (s *tunnelSearch) askNext(ctx context.Context) {
+	if s.started == len(s.peers) || ctx.Err() != nil {
+		return
+	}
+	p := s.peers[s.started]
+	s.started++
+	go func() {
+		c, err := s.dialer.openTunnel(ctx, p, s.addr)
+		s.results <- peerResult{peer: p, conn: c, err: err}
+	}()
+}
+
+// record records that a peer provided no tunnel. Whether the peer or the target is at fault shows only
+// if another peer reaches the target.
+func (s *tunnelSearch) record(ctx context.Context, r peerResult) {
+	kind := fault.KindOf[Kind](r.err)
+	s.failure = moreTelling(s.failure, kind, r.err)
+	switch {
+	case ctx.Err() != nil:
+	case kind == NoPeer || kind == Rejected:
+		s.dialer.peers.failed(s.dialer.Clock(), r.peer.ID)
+	default:
+		s.unable = append(s.unable, r.peer.ID)
+	}
+}
+
+// discardRest closes the tunnels that are not used.
+func (s *tunnelSearch) discardRest() {
+	left := s.started - s.ended
+	go func() {
+		for range left {
+			if r := <-s.results; r.err == nil {
+				s.dialer.peers.worked(r.peer.ID, s.dialer.Clock())
+				_ = r.conn.Close()
+			}
+		}
+	}()
+}
+
+// tellingRank orders the kinds of failures by how much they say of the target.
+var tellingRank = map[Kind]int{NoPeer: 0, Rejected: 1, Unreachable: 2, Refused: 3}
+
+// moreTelling returns the failure that says more of the target: that nothing listens there, or that it
+// cannot be reached, rather than that a peer did not try.
+func moreTelling(known *Error, kind Kind, err error) *Error {
+	if tellingRank[kind] < tellingRank[known.Kind] {
+		return known
+	}
+	return fault.New("reach.dialTunnel", kind, err)
+}
--- /dev/null
+++ b/internal/edge/reach/setup_test.go
@@ -0,0 +1,205 @@
+package reach
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"valescale/internal/plat/ident"
+)
+
+// testTimeout is the timeout of a connection attempt in these tests.
+const testTimeout = 250 * time.Millisecond
+
+// fleet is a set of routers with dialers, and of targets.
+type fleet struct {
+	t       *testing.T
+	mu      sync.Mutex
+	targets []string
+	routers []*testRouter
+}
+
+// testRouter is a router whose direct paths to targets can be cut.
+type testRouter struct {
+	fleet  *fleet
+	id     ident.Router
+	addr   string
+	dialer *Dialer
+	server *Server
+	// cut returns the error of direct attempts at a target, if they fail; hang makes them take until
+	// their timeout. Both are guarded by the fleet's lock.
+	cut  map[string]error
+	hang bool
+	// changes contains the reports that the router is cut off, or is not any more.
+	changes []bool
+	// accepting is whether the router provides tunnels.
+	accepting bool
+	// dials counts direct attempts, tunnels the requests for tunnels that it received.
+	dials, tunnels int
+}
+
+// newFleet starts routers and targets that echo what they receive.
+func newFleet(t *testing.T, routers, targets int) *fleet {
+	t.Helper()
+	f := &fleet{t: t}
+	for range targets {
+		f.targets = append(f.targets, echoTarget(t))
+	}
+	for i := range routers {
+		f.addRouter(i)
+	}
+	return f
+}
+
+// echoTarget starts a target that returns the bytes it receives.
+func echoTarget(t *testing.T) string {
+	t.Helper()
+	return startTarget(t, func(c net.Conn) { _, _ = io.Copy(c, c) })
+}
+
+// startTarget starts a target that serves each connection with a function and then closes it.
+func startTarget(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// addRouter starts a router.
+func (f *fleet) addRouter(i int) {
+	r := &testRouter{fleet: f, id: ident.Router(fmt.Sprint("r", i)), cut: map[string]error{}, accepting: true}
+	dialer, closeDialer := New(Parts{
+		Timeout: testTimeout, Direct: r.dial, Peers: r.peers, Targets: f.targetAddrs, Changed: r.changed,
+		Logger: log.NewNopLogger(), Clock: time.Now,
+	})
+	f.t.Cleanup(closeDialer)
+	r.dialer = dialer
+	r.server = NewServer(ServerParts{
+		Dialer: dialer, IsRouter: func(string) bool { return true }, Accepting: r.accepts,
+		IsTarget: func(addr string) bool { return addr != "unknown" },
+	})
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+TunnelPath, func(w http.ResponseWriter, req *http.Request) {
+		f.mu.Lock()
+		r.tunnels++
+		f.mu.Unlock()
+		r.server.ServeHTTP(w, req)
+	})
+	server := httptest.NewServer(mux)
+	f.t.Cleanup(server.Close)
+	r.addr = server.Listener.Addr().String()
+	f.routers = append(f.routers, r)
+}
+
+func (f *fleet) targetAddrs() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.targets...)
+}
+
+// dial connects to a target unless the router's path is cut.
+func (r *testRouter) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	r.fleet.mu.Lock()
+	r.dials++
+	err, hang := r.cut[addr], r.hang
+	r.fleet.mu.Unlock()
+	if err != nil && hang {
+		<-ctx.Done()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return (&net.Dialer{}).DialContext(ctx, network, addr)
+}
+
+func (r *testRouter) peers() []Peer {
+	var out []Peer
+	for _, other := range r.fleet.routers {
+		if other != r {
+			out = append(out, Peer{ID: other.id, Addr: other.addr})
+		}
+	}
+	return out
+}
+
+func (r *testRouter) changed(cutOff bool) {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	r.changes = append(r.changes, cutOff)
+}
+
+func (r *testRouter) accepts() bool {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	return r.accepting
+}
+
+// cutFrom cuts the router's direct paths to targets.
+func (r *testRouter) cutFrom(targets []string, hang bool) {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	r.hang = hang
+	clear(r.cut)
+	for _, addr := range targets {
+		r.cut[addr] = syscall.ECONNREFUSED
+		if hang {
+			r.cut[addr] = syscall.ETIMEDOUT
+		}
+	}
+}
+
+// connects reports whether a connection to a target is made that transfers data both ways, and whether
+// it leads through a peer.
+func (r *testRouter) connects(addr string) (connected, tunneled bool) {
+	r.fleet.t.Helper()
+	c, err := r.dialer.Dial(r.fleet.t.Context(), addr)
+	if err != nil {
+		return false, false
+	}
+	defer c.Close()
+	const text = "hello"
+	if _, err := io.WriteString(c, text); err != nil {
+		return false, false
+	}
+	got := make([]byte, len(text))
+	_, err = io.ReadFull(c, got)
+	_, tunneled = c.(*tunnelConn)
+	return err == nil && string(got) == text, tunneled
+}
+
+// eventually fails the test unless a condition holds within five seconds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.After(5 * time.Second)
+	for !holds() {
+		select {
+		case <-deadline:
+			t.Fatalf("not within 5 s: %s", what)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"valescale/internal/plat/ident"
 	"valescale/internal/rule/retry"
 )
 
@@ -56,6 +57,20 @@
 	closesConn bool
 }
 
+// tunneled is a connection that leads through another router.
+type tunneled interface {
+	// Peer returns that router.
+	Peer() ident.Router
+}
+
+// Via returns the router through which the answer came, or nothing for a direct connection.
+func (a *Answer) Via() ident.Router {
+	if t, ok := a.conn.Conn.(tunneled); ok {
+		return t.Peer()
+	}
+	return ""
+}
+
 // conn is one connection to a target.
 type conn struct {
 	net.Conn
--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -51,6 +51,12 @@
 type Dialer interface {
 	// Dial connects to the target at an address.
 	Dial(ctx context.Context, addr string) (net.Conn, error)
+	// Usable reports whether the path of an idle connection may still be used.
+	Usable(c net.Conn, addr string) bool
+	// Refused reports whether nothing listens at an address any more.
+	Refused(ctx context.Context, addr string) bool
+	// Check finds out in the background whether the target at an address can be reached.
+	Check(addr string)
 }
 
 // NewConns returns a connection pool and the function that closes it.
@@ -73,14 +79,14 @@
 	}
 }
 
-// Sweep closes the idle connections that have expired.
+// Sweep closes the idle connections that have expired, and those whose path is not used any more.
 func (c *Conns) Sweep(now time.Time) {
 	var expired []*conn
 	c.mu.Lock()
 	for addr, list := range c.idle {
 		left := list[:0]
 		for _, cn := range list {
-			if ident.Elapsed(cn.idleSince, now) > cn.keepIdle {
+			if ident.Elapsed(cn.idleSince, now) > cn.keepIdle || !c.dialer.Usable(cn.Conn, addr) {
 				expired = append(expired, cn)
 				continue
 			}
@@ -128,7 +134,7 @@
 	for {
 		found, expired := c.popIdle(addr, now, maxIdle)
 		closeAll(expired)
-		if found == nil || found.usable() {
+		if found == nil || found.usable() && c.dialer.Usable(found.Conn, addr) {
 			return found
 		}
 		_ = found.Close()
@@ -225,7 +231,7 @@
 // end of its process. A box that does not respond within the dial timeout gives no result and
 // counts as running.
 func (c *Conns) ConnectionRefused(ctx context.Context, addr string) bool {
-	return isRefused(ctx, net.Dialer{Timeout: c.limits.Dial}, addr)
+	return c.dialer.Refused(ctx, addr)
 }
 
 // isRefused makes a connection to check whether it is refused.
@@ -238,6 +244,20 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// ReportSilent reports that nothing has arrived from the target at an address for longer than usual.
+func (c *Conns) ReportSilent(addr string) { c.dialer.Check(addr) }
+
+// bufferedConn is a connection that reads ahead.
+type bufferedConn interface {
+	// Buffered returns the number of bytes that were received and not read.
+	Buffered() int
+}
+
 // usable reports whether an idle connection is still open and has no unread bytes: bytes that
 // arrive without a request answer none.
-func (c *conn) usable() bool { return c.reader.Buffered() == 0 && Peek(c.Conn) == Empty }
+func (c *conn) usable() bool {
+	if b, ok := c.Conn.(bufferedConn); ok && b.Buffered() > 0 {
+		return false
+	}
+	return c.reader.Buffered() == 0 && Peek(c.Conn) == Empty
+}
--- a/internal/edge/relay/conns_test.go
+++ b/internal/edge/relay/conns_test.go
@@ -17,6 +17,15 @@
 	return dialer.DialContext(ctx, "tcp", addr)
 }
 
+// Usable implements Dialer.
+func (directDialer) Usable(net.Conn, string) bool { return true }
+
+// Refused implements Dialer.
+func (directDialer) Refused(context.Context, string) bool { return false }
+
+// Check implements Dialer.
+func (directDialer) Check(string) {}
+
 // newIdleConns returns connections of which one became idle at each of the given times.
 func newIdleConns(t *testing.T, idleTimes ...time.Time) *Conns {
 	t.Helper()
--- a/internal/edge/route/health.go
+++ b/internal/edge/route/health.go
@@ -100,3 +100,12 @@
 		b.ReportCancelled()
 	}
 }
+
+// ForgetFailures removes what this router recorded of targets that it could not reach. It is called
+// when the fault turns out to be in this router's own paths.
+func (r *Router) ForgetFailures() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.breakers)
+	clear(r.unsentFailures)
+}
--- a/internal/oper/node/build.go
+++ b/internal/oper/node/build.go
@@ -8,7 +8,6 @@
 
 	"valescale/internal/edge/entry"
 	"valescale/internal/edge/guard"
-	"valescale/internal/edge/reach"
 	"valescale/internal/edge/relay"
 	"valescale/internal/edge/route"
 	"valescale/internal/oper/mesh"
@@ -89,9 +88,7 @@
 
 // buildGuard creates the part that quarantines requests under which targets crash.
 func (n *Node) buildGuard() {
-	n.dialer = reach.New(reach.Parts{
-		Timeout: relay.DefaultConnLimits.Dial, Source: n.settings.Load().SourceIP, Logger: n.Logger, Clock: n.Clock,
-	})
+	n.buildDialer()
 	conns, closeConns := relay.NewConns(relay.DefaultConnLimits, n.dialer)
 	n.conns = conns
 	g, closeGuard := guard.New(guard.Parts{
--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -45,6 +45,7 @@
 	mesh              *mesh.Mesh
 	router            *route.Router
 	dialer            *reach.Dialer
+	tunnels           *reach.Server
 	conns             *relay.Conns
 	guard             *guard.Guard
 	retryBudget       *retryBudget
--- a/internal/oper/node/serve.go
+++ b/internal/oper/node/serve.go
@@ -123,4 +123,7 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		_ = level.Error(n.Logger).Log("msg", "stopped with requests in flight", "err", err)
 	}
+	if err := n.tunnels.Shutdown(ctx); err != nil {
+		_ = level.Error(n.Logger).Log("msg", "stopped with tunnels of peers open", "err", err)
+	}
 }
--- a/internal/oper/node/servers.go
+++ b/internal/oper/node/servers.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"valescale/internal/edge/entry"
+	"valescale/internal/edge/reach"
 	"valescale/internal/oper/telem"
 	"valescale/internal/plat/ident"
 	"valescale/internal/share/home"
@@ -59,6 +60,7 @@
 	service := &peerService{Server: home.NewServer(n.homes, anyRouter), peers: n.peers, replicas: n.replicas, packCache: newPackCache()}
 	mux.Handle(peerpb.NewPeerServiceHandler(service, connect.WithCompressMinBytes(minCompressBytes)))
 	mux.Handle("GET /metrics", n.metrics.Handler())
+	mux.Handle("GET "+reach.TunnelPath, n.tunnels)
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
