Lists of permits leave out those whose response is on its way

What callers saw: rejections by targets that had no room, in bursts of requests.

Cause: a home replaces what it counts of a router's permits by the router's list, up to the latest permit that the router had requested. Permits granted in between were not on the list, and the home forgot them: it then granted more than the targets have room for.

Change: a list applies up to the first permit whose response the router has not processed.

Why it works: what the router does not know yet cannot be missing from its list; permits above the limit are kept, and released or listed later.

--- a/internal/edge/route/permit.go
+++ b/internal/edge/route/permit.go
@@ -170,6 +170,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	delete(r.inTransit[id], placeRequest.Permit)
 	if err != nil {
 		r.unsentFailures[id] = append(placeRequest.Failed, r.unsentFailures[id]...)
 		r.queueBackoffs(id, backoffs)
@@ -215,6 +216,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.permit++
+	if r.inTransit[id] == nil {
+		r.inTransit[id] = map[uint64]bool{}
+	}
+	r.inTransit[id][r.permit] = true
 	to = r.homeOf(id)
 	if m, moved := r.updateCountingHome(id, to); moved {
 		// A home that was skipped receives requests again. It needs the permits that the standby
--- a/internal/edge/route/placement.go
+++ b/internal/edge/route/placement.go
@@ -155,6 +155,16 @@
 	r.retryWithdrawals(ctx)
 }
 
+// lastProcessed returns a permit up to which the responses to all requests for permits of a shard were
+// processed. The caller holds the lock.
+func (r *Router) lastProcessed(id place.ShardID) uint64 {
+	last := r.permit
+	for permit := range r.inTransit[id] {
+		last = min(last, permit-1)
+	}
+	return last
+}
+
 // syncPermits sends all permits held for a shard to its home, with the home that counted them
 // before.
 func (r *Router) syncPermits(ctx context.Context, id place.ShardID, from ident.Router) {
@@ -164,7 +174,7 @@
 	for _, p := range r.held[id] {
 		held = append(held, p)
 	}
-	maxID := r.permit
+	maxID := r.lastProcessed(id)
 	r.mu.Unlock()
 	if to == "" {
 		return
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -93,9 +93,11 @@
 	assigned *place.Assignment
 	// skipped contains the homes that did not respond recently, with the time until which they are
 	// skipped.
-	skipped         map[ident.Router]time.Time
-	permit          uint64
-	held            map[place.ShardID]map[uint64]place.Permit
+	skipped map[ident.Router]time.Time
+	permit  uint64
+	held    map[place.ShardID]map[uint64]place.Permit
+	// inTransit contains the permits that were requested and whose response was not processed yet.
+	inTransit       map[place.ShardID]map[uint64]bool
 	countingHome    map[place.ShardID]ident.Router
 	pendingReleases map[place.ShardID][]uint64
 	driftCount      map[place.ShardID]int
@@ -176,6 +178,7 @@
 		permit:             self.FirstPermit,
 		assigned:           place.Assign(nil, nil),
 		held:               map[place.ShardID]map[uint64]place.Permit{},
+		inTransit:          map[place.ShardID]map[uint64]bool{},
 		countingHome:       map[place.ShardID]ident.Router{},
 		pendingReleases:    map[place.ShardID][]uint64{},
 		driftCount:         map[place.ShardID]int{},
