Brittle targets get no more requests than they have slots

Cause: what a target reports of its brittleness was not read. A plain target got two requests for each of its slots, half of which wait there, and a rejection for want of room changed nothing for the next request.

Change: the platform's header is read. While targets of a service report it, plain ones get as many requests as they have slots; a target that rejects a request gets none from that router for a second, and its home is told as of any backoff. A value that is no number is ignored, and logged once for each target. The report counts for two seconds. The soak makes targets brittle and counts falls.

Why it works: what waits at a target for a slot is what it rejects when it lets fewer wait; it waits at the home instead, which counts exactly.

--- a/cmd/soak/harness.go
+++ b/cmd/soak/harness.go
@@ -66,6 +66,8 @@
 	handler *handler
 	// listener is the one in use. It is replaced after a crash, under the harness's lock.
 	listener *fake.Cuttable
+	// down is set while the target has crashed, under the harness's lock.
+	down bool
 }
 
 // Services and path prefixes of the configuration.
@@ -85,7 +87,7 @@
 
 func newHarness(o options) (*harness, func(), error) {
 	w := &harness{
-		options: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: fake.NewStore(), ledger: newLedger(), stop: make(chan struct{}),
+		options: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: fake.NewStore(), ledger: newLedger(o.Targets), stop: make(chan struct{}),
 		cutOff: map[*router]bool{},
 	}
 	w.prober = w.newCaller(o.Callers + 1)
@@ -148,8 +150,10 @@
 // crash closes a target with all its connections and starts it again after restartDelay. Its
 // heartbeats in the store continue until then, since a crashed target's row expires only later.
 func (w *harness) crash(t *target) {
-	// The restarted target listens on a new socket. A target that is closed already has crashed
-	// before, so the error is ignored.
+	if !w.markDown(t, true) {
+		return
+	}
+	// The restarted target listens on a new socket.
 	_ = t.server.Close()
 	time.AfterFunc(restartDelay, func() {
 		l, err := w.relisten(t)
@@ -160,13 +164,23 @@
 		server := &http.Server{Handler: t.server.Handler, ReadHeaderTimeout: time.Minute}
 		t.server = server
 		go func() { _ = server.Serve(t.faults.Share(l)) }()
+		w.markDown(t, false)
 	})
 }
 
+// markDown records whether a target is down, and reports whether that changed.
+func (w *harness) markDown(t *target, down bool) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	changed := t.down != down
+	t.down = down
+	return changed
+}
+
 func (w *harness) announce(t *target, state string) {
 	t.state = state
 	fake.PutTarget(w.store, fake.TargetRow{
-		ID: t.id, Service: t.service, Addr: t.addr, Zone: "a", State: state, Slots: 16, StartedAtMs: t.startedMs,
+		ID: t.id, Service: t.service, Addr: t.addr, Zone: "a", State: state, Slots: targetSlots, StartedAtMs: t.startedMs,
 	})
 }
 
--- a/cmd/soak/ledger.go
+++ b/cmd/soak/ledger.go
@@ -28,10 +28,14 @@
 	unwanted int
 	// traffic contains the requests and repeats of each service.
 	traffic map[string]*traffic
+	// targets is the number of targets of each service, falls counts those that fell over while they
+	// were brittle.
+	targets int
+	falls   map[string]int
 }
 
-func newLedger() *ledger {
-	return &ledger{sent: map[string]*requestRecord{}, traffic: map[string]*traffic{}}
+func newLedger(targets int) *ledger {
+	return &ledger{sent: map[string]*requestRecord{}, traffic: map[string]*traffic{}, targets: targets, falls: map[string]int{}}
 }
 
 // recordSent records a request before it is sent.
--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -72,7 +72,7 @@
 	t := w.targets[w.rng.IntN(len(w.targets))]
 	mode := fake.Mode(w.rng.IntN(int(fake.Resetting) + 1))
 	w.saveSnapshot()
-	switch w.rng.IntN(18) {
+	switch w.rng.IntN(19) {
 	case 0:
 		printOrder("kill", r)
 	case 1:
@@ -108,6 +108,8 @@
 		w.cutOffForAWhile(r)
 	case 17:
 		silenceForAWhile(t)
+	case 18:
+		w.startBrittleness(t.service)
 	}
 }
 
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -21,6 +21,8 @@
 	rng    *rand.Rand
 	// crash takes the target down.
 	crash func()
+	// room limits how many requests run at the target at once.
+	room *fake.Brittle
 	// leavingSince is the time from which the target reports in its responses that it is leaving, and
 	// backoffUntil the time until which it rejects all requests; both are zero if it does not.
 	leavingSince time.Time
@@ -39,7 +41,44 @@
 }
 
 func (w *harness) newHandler(t *target, n uint64) *handler {
-	return &handler{target: t, ledger: w.ledger, rng: rand.New(rand.NewPCG(w.Seed, n))}
+	k := &handler{target: t, ledger: w.ledger, rng: rand.New(rand.NewPCG(w.Seed, n))}
+	k.room = &fake.Brittle{Slots: targetSlots, Waiting: targetSlots, Fall: k.fall}
+	return k
+}
+
+// targetSlots is the number of requests that a target runs at once; as many may wait.
+const targetSlots = 16
+
+const (
+	// brittleLimit is the number of rejections in one second beyond which a brittle target falls over.
+	brittleLimit = 5
+	// brittleWarning is the time after which brittle targets let no requests wait, and brittleDuration
+	// how long they are brittle.
+	brittleWarning  = 3 * time.Second
+	brittleDuration = 6 * time.Second
+)
+
+// startBrittleness makes the targets of a service brittle for brittleDuration.
+func (w *harness) startBrittleness(service string) {
+	w.ledger.startBrittleness(service)
+	for _, t := range w.targets {
+		if t.service != service {
+			continue
+		}
+		room := t.handler.room
+		room.SetLimit(brittleLimit)
+		time.AfterFunc(brittleWarning, func() { room.SetWaiting(0) })
+		time.AfterFunc(brittleDuration, func() {
+			room.SetWaiting(targetSlots)
+			room.SetLimit(0)
+		})
+	}
+}
+
+// fall takes the target down because it had to reject too many requests.
+func (k *handler) fall() {
+	k.ledger.recordFall(k.target.service)
+	k.crash()
 }
 
 // Shares of requests with an injected fault, in percent.
@@ -72,7 +111,11 @@
 	return k.rng.IntN(100)
 }
 
-func (k *handler) serve(w http.ResponseWriter, r *http.Request) {
+// serve serves a request if the target has room for it.
+func (k *handler) serve(w http.ResponseWriter, r *http.Request) { k.room.Serve(w, r, k.work) }
+
+// work serves a request in a slot of the target.
+func (k *handler) work(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(fake.HeaderID)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -137,6 +180,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.leavingSince, k.backoffUntil, k.slowUntil = time.Time{}, time.Time{}, time.Time{}
+	k.room.SetLimit(0)
+	k.room.SetWaiting(targetSlots)
 }
 
 // writeStatus writes the target's status to the response headers and counts a request that arrives
--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -101,10 +101,31 @@
 	}
 	h.Finder.ReportNotice(placement.Target, route.Notice{
 		Request: string(j.call.ID), Status: answer.Status, Leaving: reply.Leaving,
-		Backoff: relay.BackoffOf(answer.Status, answer.Header, h.Clock()),
+		Backoff: max(relay.BackoffOf(answer.Status, answer.Header, h.Clock()), h.recordBrittle(j, placement, answer.Status, reply)),
 	})
 }
 
+// brittleBackoff is how long a brittle target that had to reject a request receives no others from this
+// router: the period in which its rejections count.
+const brittleBackoff = time.Second
+
+// recordBrittle records a target that reports that it is brittle, and returns the backoff that it needs
+// after an answer with the given status.
+func (h *Handler) recordBrittle(j *job, placement *route.Placement, status int, reply Reply) time.Duration {
+	if reply.BadBrittle && h.invalidBrittles.first(placement.Target.ID) {
+		_ = level.Warn(h.Logger).Log("msg", "target reported an invalid limit of rejections", "request", j.call.ID,
+			"target", placement.Target.ID)
+	}
+	if !reply.Brittle {
+		return 0
+	}
+	h.Rules.ReportBrittle(j.service)
+	if !reply.NotRun || status != http.StatusServiceUnavailable {
+		return 0
+	}
+	return brittleBackoff
+}
+
 // discardsFailure reports whether a 5xx answer is discarded in favor of a retry. If so, a retry
 // has been taken from the budget.
 func (h *Handler) discardsFailure(j *job, status int) bool {
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -143,6 +143,8 @@
 	meter *pace.Meter
 	// invalidPaces limits the log lines about targets that report an invalid pace.
 	invalidPaces logged
+	// invalidBrittles limits those about targets that report an invalid limit of rejections.
+	invalidBrittles logged
 	// unreadBytes is the total size of the stream data buffered for slow callers.
 	unreadBytes atomic.Int64
 }
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -65,6 +65,7 @@
 func (r rules) Fresh() bool         { return r.fresh }
 
 func (r rules) IdleConns(ident.Service) int { return 0 }
+func (r rules) ReportBrittle(ident.Service) {}
 
 // finder returns the first target that is not to be avoided.
 type finder struct {
--- a/internal/edge/entry/types.go
+++ b/internal/edge/entry/types.go
@@ -62,6 +62,10 @@
 	// which may be out of range.
 	Pace    pace.Pace
 	HasPace bool
+	// Brittle is set when the target falls over if it has to reject too many requests. BadBrittle is set
+	// if the answer says so with a value that is not valid.
+	Brittle    bool
+	BadBrittle bool
 	// Leaving is set when the server that answered is draining and must receive no new work.
 	Leaving bool
 }
@@ -88,4 +92,6 @@
 	// IdleConns returns the maximum number of idle connections that this router may keep to a
 	// target of a service; zero means no limit.
 	IdleConns(service ident.Service) int
+	// ReportBrittle records that a target of a service reported that it is brittle.
+	ReportBrittle(service ident.Service)
 }
--- a/internal/edge/reach/reach_test.go
+++ b/internal/edge/reach/reach_test.go
@@ -9,7 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sys/unix"
 
 	"valescale/internal/plat/fault"
 )
@@ -290,3 +292,30 @@
 		t.Error("the path counts as lost")
 	}
 }
+
+// Guards against connections to sound targets that break when the target is silent for a second: a user
+// timeout would decide when unacknowledged data and keep-alive probes give up, whatever their number.
+func TestConnectionsHaveNoUserTimeout(t *testing.T) {
+	addr := echoTarget(t)
+	d, closeDialer := New(Parts{Timeout: testTimeout, Logger: log.NewNopLogger(), Clock: time.Now})
+	t.Cleanup(closeDialer)
+	for name, dial := range map[string]DialFunc{"direct": d.Direct, "tunnel": d.Tunnel} {
+		c, err := dial(t.Context(), "tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw, err := c.(syscall.Conn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = raw.Control(func(fd uintptr) {
+			if got, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT); err != nil || got != 0 {
+				t.Errorf("%s: user timeout %d, error %v", name, got, err)
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.Close()
+	}
+}
--- a/internal/oper/node/serve.go
+++ b/internal/oper/node/serve.go
@@ -82,6 +82,7 @@
 	wg.Go(func() { n.puller.Run(ctx) })
 	wg.Go(func() { n.catchUp(ctx) })
 	wg.Go(func() { mesh.RunEvery(ctx, sweepInterval, func(context.Context) { n.replicas.Sweep() }) })
+	wg.Go(func() { mesh.RunEvery(ctx, sweepInterval, func(context.Context) { n.sweepBrittle() }) })
 	wg.Go(func() { mesh.RunEvery(ctx, connSweepInterval, func(context.Context) { n.conns.Sweep(n.Clock()) }) })
 	wg.Go(func() {
 		n.waitForDiscovery(ctx)
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -44,12 +44,13 @@
 	// generation counts the changes that affect all targets.
 	generation uint64
 	zones      *zones
+	brittle    *brittleServices
 }
 
 // newState returns a state without rows.
 func newState(rows Rows, logger log.Logger, clock ident.Clock) *state {
 	return &state{
-		rows: rows, logger: logger, clock: clock, zones: newZones(logger, clock),
+		rows: rows, logger: logger, clock: clock, zones: newZones(logger, clock), brittle: newBrittleServices(logger, clock),
 		serviceName: func(service ident.Service, _ ident.Version) ident.Service { return service },
 		hasCanary:   func(ident.Service) bool { return false }, targetRows: map[table.Key]targetRow{}, liveTargets: map[ident.Service]int{}, cold: map[ident.Target]coldTarget{},
 	}
@@ -163,7 +164,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	slots := s.targetRows[table.Key(t.ID)].target.Slots
-	if service.Kind == policy.PlainTargets {
+	if service.Kind == policy.PlainTargets && !s.brittle.has(service.Name) {
 		slots *= plainRequestsPerSlot
 	}
 	closed, reopened := s.zones.stateOf(t.Zone)
