Test the shares of the retry allowance under random faults; one watch of lost paths

Cause: shares were tested with restarts of one router at a time; and each loss of a path after all were back could start one more loop that tries them.

Change: a random test in which routers restart one at a time or all at once, count four fifths of the others and more, and traffic stops and starts; lost paths are watched by one loop.

--- a/internal/edge/reach/check.go
+++ b/internal/edge/reach/check.go
@@ -67,7 +67,7 @@
 func (d *Dialer) watchLostPaths() {
 	ticker := time.NewTicker(pathCheckInterval)
 	defer ticker.Stop()
-	for d.paths.anyLost() {
+	for !d.paths.watchEnds() {
 		select {
 		case <-d.ctx.Done():
 			return
--- a/internal/edge/reach/dialer.go
+++ b/internal/edge/reach/dialer.go
@@ -138,11 +138,11 @@
 	if fault.IsLocalResourceError(err) || d.ctx.Err() != nil {
 		return
 	}
-	first, added := d.paths.lost(addr, d.Clock())
+	added, watch := d.paths.lost(addr, d.Clock())
 	if added {
 		_ = level.Info(d.Logger).Log("msg", "target is reachable only through a peer", "addr", addr, "err", err)
 	}
-	if first {
+	if watch {
 		d.checkOthers(addr)
 		go d.watchLostPaths()
 	}
--- a/internal/edge/reach/paths.go
+++ b/internal/edge/reach/paths.go
@@ -40,6 +40,8 @@
 	// downAt contains the targets that nobody reached, with the time of the last attempt.
 	downAt map[string]time.Time
 	cutOff bool
+	// watched is set while lost paths are tried at intervals.
+	watched bool
 }
 
 func newPaths() *paths {
@@ -74,9 +76,9 @@
 	return wasCutOff
 }
 
-// lost records a target that a peer reached and this router did not, and returns whether it is the first
-// one and whether it was not known before.
-func (p *paths) lost(addr string, now time.Time) (first, added bool) {
+// lost records a target that a peer reached and this router did not. It returns whether that is new, and
+// whether lost paths have to be watched from now on.
+func (p *paths) lost(addr string, now time.Time) (added, watch bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.downAt, addr)
@@ -84,7 +86,17 @@
 		return false, false
 	}
 	p.lostAt[addr] = now
-	return len(p.lostAt) == 1, true
+	watch = !p.watched
+	p.watched = true
+	return true, watch
+}
+
+// watchEnds reports whether no path is lost any more, so that the watch ends.
+func (p *paths) watchEnds() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.watched = len(p.lostAt) > 0
+	return !p.watched
 }
 
 // becomesCutOff reports whether this router is cut off from now on, of all targets known to it.
--- a/internal/rule/retry/window_test.go
+++ b/internal/rule/retry/window_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -97,6 +98,66 @@
 	}
 }
 
+// Guards against shares that add up to more than the allowance in some order of faults: routers are
+// killed one at a time or all at once and start again, count four fifths of the routers and more, and
+// the traffic bursts and stops, while all of them retry as often as they may.
+func TestWindowsKeepFleetWithinAllowanceUnderFaults(t *testing.T) {
+	const routers, seeds = 10, 20
+	allowance := Allowance{Ratio: 0.2, Extra: 56, Span: 10 * time.Second}
+	start := time.Unix(1000, 0)
+	for seed := range uint64(seeds) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		windows := make([]*Window, routers)
+		for i := range windows {
+			windows[i] = NewWindow(start, allowance)
+		}
+		var requests, retries []time.Time
+		busy := true
+		for now := start; now.Before(start.Add(time.Minute)); now = now.Add(10 * time.Millisecond) {
+			if rng.IntN(300) == 0 {
+				busy = !busy
+			}
+			killAll := rng.IntN(400) == 0
+			for i := range windows {
+				if killAll || rng.IntN(1000) == 0 {
+					windows[i] = NewWindow(now, allowance)
+				}
+				if busy && rng.IntN(3) == 0 {
+					windows[i].Request(now)
+					requests = append(requests, now)
+				}
+				counted := routers - rng.IntN(routers/5+1)
+				if windows[i].Retry(now, counted) {
+					retries = append(retries, now)
+				}
+			}
+		}
+		checkAllowance(t, seed, allowance, requests, retries)
+	}
+}
+
+// checkAllowance checks that retries stay within the allowance in every window. The requests counted are
+// those of the window, the one before, or the one half a window before, whichever are the most.
+func checkAllowance(t *testing.T, seed uint64, allowance Allowance, requests, retries []time.Time) {
+	t.Helper()
+	between := func(list []time.Time, from, to time.Time) int {
+		first, _ := slices.BinarySearchFunc(list, from, time.Time.Compare)
+		last, _ := slices.BinarySearchFunc(list, to.Add(1), time.Time.Compare)
+		return last - first
+	}
+	for _, end := range retries {
+		begin := end.Add(-allowance.Span)
+		most := 0
+		for _, back := range []time.Duration{0, allowance.Span / 2, allowance.Span} {
+			most = max(most, between(requests, begin.Add(-back), end.Add(-back)))
+		}
+		allowed := allowance.Ratio*float64(most) + allowance.Extra
+		if got := between(retries, begin, end); float64(got) > allowed {
+			t.Fatalf("seed %d: %d retries for %d requests in the window until %s, want at most %.0f", seed, got, most, end, allowed)
+		}
+	}
+}
+
 func TestWindowExpiresOldSlots(t *testing.T) {
 	allowance := Allowance{Ratio: 1, Extra: 0, Span: 10 * time.Second}
 	now := time.Unix(1000, 0)
