--- a/internal/edge/reach/setup_test.go
+++ b/internal/edge/reach/setup_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-kit/log"
 
+	"valescale/internal/fake/listen"
 	"valescale/internal/plat/ident"
 )
 
@@ -69,24 +70,10 @@
 // startTarget starts a target that serves each connection with a function and then closes it.
 func startTarget(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c)
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return listen.Conns(t, func(c net.Conn) {
+		defer c.Close()
+		serve(c)
+	})
 }
 
 // addRouter starts a router.
