--- a/internal/edge/reach/reach_test.go
+++ b/internal/edge/reach/reach_test.go
@@ -319,3 +319,33 @@
 		_ = c.Close()
 	}
 }
+
+// BenchmarkRoundTrip measures the processor time of a round trip of 1 kB over an open connection.
+func BenchmarkRoundTrip(b *testing.B) {
+	for _, tunneled := range []bool{false, true} {
+		name := "direct"
+		if tunneled {
+			name = "tunnel"
+		}
+		b.Run(name, func(b *testing.B) {
+			f := newFleet(b, 2, 1)
+			if tunneled {
+				f.routers[0].cutFrom(f.targets, false)
+			}
+			c, err := f.routers[0].dialer.Dial(b.Context(), f.targets[0])
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer c.Close()
+			message := make([]byte, 1<<10)
+			for b.Loop() {
+				if _, err := c.Write(message); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := io.ReadFull(c, message); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/edge/reach/setup_test.go
+++ b/internal/edge/reach/setup_test.go
@@ -23,7 +23,7 @@
 
 // fleet is a set of routers with dialers, and of targets.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	mu      sync.Mutex
 	targets []string
 	routers []*testRouter
@@ -49,7 +49,7 @@
 }
 
 // newFleet starts routers and targets that echo what they receive.
-func newFleet(t *testing.T, routers, targets int) *fleet {
+func newFleet(t testing.TB, routers, targets int) *fleet {
 	t.Helper()
 	f := &fleet{t: t}
 	for range targets {
@@ -62,13 +62,13 @@
 }
 
 // echoTarget starts a target that returns the bytes it receives.
-func echoTarget(t *testing.T) string {
+func echoTarget(t testing.TB) string {
 	t.Helper()
 	return startTarget(t, func(c net.Conn) { _, _ = io.Copy(c, c) })
 }
 
 // startTarget starts a target that serves each connection with a function and then closes it.
-func startTarget(t *testing.T, serve func(net.Conn)) string {
+func startTarget(t testing.TB, serve func(net.Conn)) string {
 	t.Helper()
 	return listen.Conns(t, func(c net.Conn) {
 		defer c.Close()
--- a/internal/fake/listen/listen.go
+++ b/internal/fake/listen/listen.go
@@ -7,7 +7,7 @@
 
 // Conns listens on a new loopback address until the test ends, and returns the address. It calls
 // serve for each connection, in a goroutine of its own; serve closes the connection.
-func Conns(t *testing.T, serve func(net.Conn)) string {
+func Conns(t testing.TB, serve func(net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
