Tests of peers that accept no tunnels, of their order, and of when a router is cut off

Cause: with these guards taken out one at a time, the tests of reach stayed green.

Change: a test of each.

Measured: they pass with the race detector.

--- a/internal/edge/reach/reach_test.go
+++ b/internal/edge/reach/reach_test.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
 )
 
 // Guards against a router that serves nobody while only its own paths are lost, whether new connections
@@ -349,3 +350,68 @@
 		})
 	}
 }
+
+// A router counts as cut off only after several targets, none of which it has reached for a while.
+func TestCutOffNeedsSeveralTargets(t *testing.T) {
+	const targets = 10
+	now := time.Unix(1000, 0)
+	p := newPaths()
+	p.reached("a", now)
+	var got []bool
+	for _, addr := range []string{"a", "b", "c"} {
+		now = now.Add(cutOffDelay)
+		p.lost(addr, now)
+		got = append(got, p.becomesCutOff(now, targets))
+	}
+	got = append(got, p.becomesCutOff(now, targets), p.reached("d", now), p.isCutOff())
+	if diff := cmp.Diff([]bool{false, false, true, false, true, false}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A peer that is stopping or overloaded, or cut off itself, rejects tunnels.
+func TestPeersThatAcceptNoTunnels(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	peer := f.routers[1]
+	open := func() Kind {
+		c, err := f.routers[0].dialer.openTunnel(t.Context(), Peer{ID: peer.id, Addr: peer.addr}, f.targets[0])
+		if err == nil {
+			_ = c.Close()
+		}
+		return fault.KindOf[Kind](err)
+	}
+	got := []Kind{open()}
+	peer.accepting = false
+	got = append(got, open())
+	peer.accepting = true
+	peer.dialer.paths.cutOff = true
+	got = append(got, open())
+	if diff := cmp.Diff([]Kind{"", Rejected, Rejected}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Peers that could not provide a tunnel are asked last for a while; one that could is asked alone.
+func TestOrderOfPeers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	peers := []Peer{{ID: "failed"}, {ID: "worked"}, {ID: "other"}}
+	r := newPeerRecord()
+	ids := func() (out []ident.Router, parallel int) {
+		order, parallel := r.order(peers, now)
+		for _, p := range order {
+			out = append(out, p.ID)
+		}
+		return out, parallel
+	}
+	r.failed(now, "failed")
+	r.worked("worked", now)
+	order, parallel := ids()
+	if diff := cmp.Diff([]ident.Router{"worked", "other", "failed"}, order); diff != "" || parallel != 1 {
+		t.Errorf("%d at once: %s", parallel, diff)
+	}
+	now = now.Add(peerMemory)
+	order, parallel = ids()
+	if diff := cmp.Diff([]ident.Router{"failed", "worked", "other"}, order); diff != "" || parallel != parallelPeers {
+		t.Errorf("after a while, %d at once: %s", parallel, diff)
+	}
+}
