--- a/internal/edge/reach/server.go
+++ b/internal/edge/reach/server.go
@@ -114,7 +114,7 @@
 	requests.Go(func() {
 		// The end of the caller's side ends the request, so the target must see it at once.
 		defer target.Close()
-		_, _ = io.Copy(onlyWriter{target}, onlyReader{buffered.Reader})
+		_, _ = io.CopyBuffer(onlyWriter{target}, onlyReader{buffered.Reader}, make([]byte, copyBufferBytes))
 	})
 	copyAnswers(c, target)
 	_ = c.Close()
@@ -122,7 +122,7 @@
 	requests.Wait()
 }
 
-// onlyReader and onlyWriter hide the type of a connection, so that io.Copy uses a small buffer.
+// onlyReader and onlyWriter hide the type of a connection, so that io.CopyBuffer uses its buffer.
 type (
 	onlyReader struct{ io.Reader }
 	onlyWriter struct{ io.Writer }
