Name the record of peers for what it is

Cause: a dialer had two members that read as its peers.

Change: the record of which peers provided tunnels has a name of its own; a test that a tunnel is not used again once its peer leaves.

Measured: tests of reach pass.

--- a/internal/edge/reach/dialer.go
+++ b/internal/edge/reach/dialer.go
@@ -48,8 +48,8 @@
 type Dialer struct {
 	Parts
 	paths *paths
-	// peers remembers which peers could not help.
-	peers *peerRecord
+	// peerRecord remembers which peers could provide a tunnel.
+	peerRecord *peerRecord
 	// running contains the targets that are being checked.
 	running *checked
 	// ctx ends when the dialer is closed, and with it what runs in the background.
@@ -74,7 +74,7 @@
 		parts.Changed = func(bool) {}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Dialer{Parts: parts, paths: newPaths(), peers: newPeerRecord(), ctx: ctx, running: &checked{addrs: map[string]bool{}}}
+	d := &Dialer{Parts: parts, paths: newPaths(), peerRecord: newPeerRecord(), ctx: ctx, running: &checked{addrs: map[string]bool{}}}
 	return d, cancel
 }
 
@@ -160,7 +160,7 @@
 // changed logs and reports that this router is cut off from the targets, or is not any more.
 func (d *Dialer) changed(cutOff bool) {
 	if cutOff {
-		_ = level.Warn(d.Logger).Log("msg", "dependency lost", "dependency", "targets", "peers", len(d.Parts.Peers()))
+		_ = level.Warn(d.Logger).Log("msg", "dependency lost", "dependency", "targets", "peers", len(d.Peers()))
 	} else {
 		_ = level.Info(d.Logger).Log("msg", "dependency regained", "dependency", "targets")
 	}
@@ -182,7 +182,7 @@
 
 // isLive reports whether a peer may still be asked for tunnels.
 func (d *Dialer) isLive(id ident.Router) bool {
-	for _, p := range d.Parts.Peers() {
+	for _, p := range d.Peers() {
 		if p.ID == id {
 			return true
 		}
--- a/internal/edge/reach/peers.go
+++ b/internal/edge/reach/peers.go
@@ -95,7 +95,7 @@
 // dialTunnel connects to a target through a peer. It asks several peers, one or two at a time, and
 // returns the first tunnel.
 func (d *Dialer) dialTunnel(ctx context.Context, addr string) (net.Conn, error) {
-	peers, parallel := d.peers.order(d.Parts.Peers(), d.Clock())
+	peers, parallel := d.peerRecord.order(d.Peers(), d.Clock())
 	ctx, cancel := context.WithCancel(ctx)
 	s := &tunnelSearch{
 		dialer: d, addr: addr, peers: peers, results: make(chan peerResult, len(peers)),
@@ -110,8 +110,8 @@
 		r := <-s.results
 		s.ended++
 		if r.err == nil {
-			d.peers.worked(r.peer.ID, d.Clock())
-			d.peers.failed(d.Clock(), s.unable...)
+			d.peerRecord.worked(r.peer.ID, d.Clock())
+			d.peerRecord.failed(d.Clock(), s.unable...)
 			return r.conn, nil
 		}
 		s.record(ctx, r)
@@ -141,7 +141,7 @@
 	switch {
 	case ctx.Err() != nil:
 	case kind == NoPeer || kind == Rejected:
-		s.dialer.peers.failed(s.dialer.Clock(), r.peer.ID)
+		s.dialer.peerRecord.failed(s.dialer.Clock(), r.peer.ID)
 	default:
 		s.unable = append(s.unable, r.peer.ID)
 	}
@@ -153,7 +153,7 @@
 	go func() {
 		for range left {
 			if r := <-s.results; r.err == nil {
-				s.dialer.peers.worked(r.peer.ID, s.dialer.Clock())
+				s.dialer.peerRecord.worked(r.peer.ID, s.dialer.Clock())
 				_ = r.conn.Close()
 			}
 		}
--- a/internal/edge/reach/reach_test.go
+++ b/internal/edge/reach/reach_test.go
@@ -256,7 +256,7 @@
 	}
 }
 
-// Idle connections are used again only on the path that is in use.
+// Idle connections are used again only on the path that is in use, and not through a peer that leaves.
 func TestIdleConnectionsFollowThePath(t *testing.T) {
 	f := newFleet(t, 2, 4)
 	r := f.routers[0]
@@ -273,10 +273,14 @@
 	}
 	defer tunnel.Close()
 	got = append(got, r.dialer.Usable(direct, f.targets[0]), r.dialer.Usable(direct, f.targets[1]), r.dialer.Usable(tunnel, f.targets[0]))
+	peer := f.routers[1].id
+	f.routers[1].id = "another router"
+	got = append(got, r.dialer.Usable(tunnel, f.targets[0]))
+	f.routers[1].id = peer
 	r.cutFrom(nil, false)
 	eventually(t, "the path is back", func() bool { return !r.dialer.paths.anyLost() })
 	got = append(got, r.dialer.Usable(direct, f.targets[0]), r.dialer.Usable(tunnel, f.targets[0]))
-	if diff := cmp.Diff([]bool{true, false, false, true, true, false}, got); diff != "" {
+	if diff := cmp.Diff([]bool{true, false, false, true, false, true, false}, got); diff != "" {
 		t.Error(diff)
 	}
 }
