--- a/internal/edge/entry/notice_test.go
+++ b/internal/edge/entry/notice_test.go
@@ -43,6 +43,9 @@
 		"served with Retry-After":            {answer(200, "Retry-After: 3\r\n", "x"), nil},
 		"failed with Retry-After":            {answer(503, "Retry-After: 3\r\n", "x"), []string{backoff}},
 		"from another target at the address": {answer(421, leavingHeader+"Not-Run: 1\r\n", ""), nil},
+		"rejected by a brittle target":       {answer(503, "Brittle: 1\r\nNot-Run: full\r\n", ""), []string{"backoff t0 1s"}},
+		"rejected by one, not for its room":  {answer(429, "Brittle: 1\r\nNot-Run: full\r\n", ""), nil},
+		"served by a brittle target":         {answer(200, "Brittle: 1\r\n", "x"), nil},
 		"to another request": {func(w *bufio.Writer, r *http.Request) bool {
 			writeResponse(w, "other", 503, leavingHeader+backoffHeader, "")
 			writeResponse(w, r.Header.Get("Id"), 200, "", "x")
@@ -60,3 +63,36 @@
 		}
 	}
 }
+
+// silenceCounter counts the targets that are reported as silent.
+type silenceCounter struct {
+	Sender
+	addrs chan string
+}
+
+// ReportSilent implements Sender.
+func (c silenceCounter) ReportSilent(addr string) { c.addrs <- addr }
+
+// Guards against requests that wait on dead connections while the path to their targets is lost: a
+// target that is silent to all requests has its path checked.
+func TestSilentTargetHasItsPathChecked(t *testing.T) {
+	proceed := make(chan struct{})
+	target := newFakeTarget(t, func(w *bufio.Writer, r *http.Request) bool {
+		<-proceed
+		writeResponse(w, r.Header.Get("Id"), 200, "", "x")
+		return true
+	})
+	s := newSetup(t, newRoute(nil), target)
+	s.finder.silent = true
+	counter := silenceCounter{Sender: s.handler.Sender, addrs: make(chan string, 1)}
+	s.handler.Sender = counter
+	go func() {
+		defer close(proceed)
+		if got := <-counter.addrs; got != target.addr {
+			t.Errorf("the path to %s is checked, want %s", got, target.addr)
+		}
+	}()
+	if got, _ := s.call(t, "GET", "/", ""); got.Status != 200 {
+		t.Errorf("the caller got %+v", got)
+	}
+}
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -52,6 +52,7 @@
 	return Reply{
 		Pace: pace.Pace(reported), HasPace: err == nil,
 		NotRun: h.Get("Not-Run") != "", AddressReassigned: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != "",
+		Brittle: h.Get("Brittle") != "",
 	}
 }
 
@@ -69,6 +70,8 @@
 
 // finder returns the first target that is not to be avoided.
 type finder struct {
+	// silent is whether a silent target has sent nothing to other requests either.
+	silent  bool
 	mu      sync.Mutex
 	targets []route.Target
 	reports []string
@@ -104,7 +107,7 @@
 func (f *finder) Report(_ ident.TargetHash, ok bool)            { f.record(fmt.Sprint("ok ", ok)) }
 func (f *finder) ReportCancelled(ident.TargetHash)              { f.record("cancelled") }
 func (f *finder) ReportReceived(ident.TargetHash)               {}
-func (f *finder) ReportSilent(ident.TargetHash, time.Time) bool { return false }
+func (f *finder) ReportSilent(ident.TargetHash, time.Time) bool { return f.silent }
 func (f *finder) ReportUnreachable(ident.TargetHash)            { f.record("unreachable") }
 
 func (f *finder) ReportPace(report pace.Report) {
