--- a/internal/edge/reach/reach_test.go
+++ b/internal/edge/reach/reach_test.go
@@ -419,3 +419,16 @@
 		t.Errorf("after a while, %d at once: %s", parallel, diff)
 	}
 }
+
+// A router without peers tries a target again at once: nothing shows that the target is at fault.
+func TestFailureWithoutPeersIsNotRemembered(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	r := f.routers[0]
+	r.cutFrom(f.targets, false)
+	before, _ := r.connects(f.targets[0])
+	r.cutFrom(nil, false)
+	after, _ := r.connects(f.targets[0])
+	if diff := cmp.Diff([]bool{false, true}, []bool{before, after}); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/edge/relay/conns_test.go
+++ b/internal/edge/relay/conns_test.go
@@ -55,6 +55,26 @@
 	}
 }
 
+// readAheadConn is a connection that has read bytes ahead.
+type readAheadConn struct {
+	net.Conn
+	buffered int
+}
+
+// Buffered implements bufferedConn.
+func (c readAheadConn) Buffered() int { return c.buffered }
+
+// A connection with bytes that answer no request is not used again, wherever they are buffered.
+func TestBufferedBytesMakeConnectionsUnusable(t *testing.T) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = near.Close(); _ = far.Close() })
+	for buffered, want := range map[int]bool{0: true, 1: false} {
+		if got := newConn("a", readAheadConn{near, buffered}, DefaultConnLimits.Header).usable(); got != want {
+			t.Errorf("with %d bytes buffered: usable %v, want %v", buffered, got, want)
+		}
+	}
+}
+
 // A target with a low connection limit keeps few idle connections.
 func TestIdleConnectionLimit(t *testing.T) {
 	c := newIdleConns(t)
