Attempts that are given up drop what was not sent

What callers saw: nothing directly; targets received requests whose callers had been answered, when a link that had been cut worked again.

Cause: an attempt that was given up closed its connection, and the kernel goes on sending what it holds until the other end confirms it. The repeat had run elsewhere by then, so that these arrivals counted as repeats, on top of those that the allowance counts at that time.

Change: a connection whose answer is not complete is reset instead, also behind a tunnel.

Why it works: a reset makes both ends drop what was not delivered, so a request that its router has given up can only run if it had arrived by then.

--- a/internal/edge/reach/server.go
+++ b/internal/edge/reach/server.go
@@ -114,7 +114,11 @@
 	requests.Go(func() {
 		// The end of the caller's side ends the request, so the target must see it at once.
 		defer target.Close()
-		_, _ = io.CopyBuffer(onlyWriter{target}, onlyReader{buffered.Reader}, make([]byte, copyBufferBytes))
+		_, err := io.CopyBuffer(onlyWriter{target}, onlyReader{buffered.Reader}, make([]byte, copyBufferBytes))
+		if err != nil {
+			// The request was given up. If the option cannot be set, the connection is closed normally.
+			_ = setLinger(target, 0)
+		}
 	})
 	copyAnswers(c, target)
 	_ = c.Close()
--- a/internal/edge/reach/tunnel.go
+++ b/internal/edge/reach/tunnel.go
@@ -60,6 +60,17 @@
 // Buffered returns the number of bytes that were received and not read.
 func (t *tunnelConn) Buffered() int { return t.buffer.Buffered() }
 
+// SetLinger sets what happens to unsent bytes when the connection to the peer is closed.
+func (t *tunnelConn) SetLinger(seconds int) error { return setLinger(t.Conn, seconds) }
+
+// setLinger sets what happens to unsent bytes when a connection is closed, if it is a TCP connection.
+func setLinger(c net.Conn, seconds int) error {
+	if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
 // SyscallConn implements syscall.Conn for the connection to the peer.
 func (t *tunnelConn) SyscallConn() (syscall.RawConn, error) {
 	c, ok := t.Conn.(syscall.Conn)
--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -130,18 +130,18 @@
 		}
 	}
 	cn.maxIdle = e.MaxIdleConns
-	stopContextWatch := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	stopContextWatch := context.AfterFunc(ctx, cn.abort)
 	written, err := cn.write(e)
 	if err != nil {
 		stopContextWatch()
-		_ = cn.Close()
+		cn.abort()
 		return nil, newFailure(op, Broken, writeErrorStep(err), err)
 	}
 	sentAt := time.Now()
 	resp, err := cn.readMatchingHead(e)
 	if err != nil {
 		stopContextWatch()
-		_ = cn.Close()
+		cn.abort()
 		if ctx.Err() != nil {
 			c.closeSilent(e.Addr, time.Since(sentAt))
 			err = ctx.Err()
@@ -154,6 +154,22 @@
 	}, nil
 }
 
+// lingerer is a connection that can drop what was not sent yet when it is closed.
+type lingerer interface {
+	// SetLinger with zero makes Close drop it and reset the connection.
+	SetLinger(seconds int) error
+}
+
+// abort closes the connection of an attempt that has failed or was given up. The request must not arrive
+// once the link works again, so what the kernel still holds of it is dropped.
+func (c *conn) abort() {
+	if l, ok := c.Conn.(lingerer); ok {
+		// If the option cannot be set, the connection is closed normally.
+		_ = l.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // writeNotStarted is an error before the first byte was written.
 type writeNotStarted struct{ error }
 
@@ -290,7 +306,11 @@
 // request, with no unread bytes.
 func (a *Answer) Close() {
 	active := a.stopContextWatch()
-	if !active || !a.reusable() {
+	switch {
+	case !a.complete:
+		a.conn.abort()
+		return
+	case !active || !a.reusable():
 		_ = a.conn.Close()
 		return
 	}
