Log how answers end and how their ends are marked

What callers saw: broken answers that ended as complete; the router's line says 'served' for them as for whole ones. Cause not yet shown; the hypotheses differ in how the target's answer was framed and how it ended, which no line holds. Change: fields framing, ending, bytes (and events) of the lines 'request' and 'attempt failed', a counter of endings. No decision is changed. Run: go test of edge/entry, edge/relay, oper/telem, all pass.

--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -68,7 +68,7 @@
 	j.sends++
 	reply := h.Dialect.Reply(answer.Status, answer.Header)
 	h.reportNotice(j, placement, answer, reply)
-	j.progress = progress{}
+	j.progress = progress{framing: answer.Framing}
 	h.reportPace(j, placement, reply)
 	if reply.NotRun {
 		if reply.AddressReassigned {
@@ -81,10 +81,10 @@
 		h.Finder.Report(placement.Hash, false)
 		return result{step: retry.Answering, reason: Failed, status: answer.Status, took: h.Clock().Sub(began), budgetUsed: true}
 	}
-	end := h.forward(w, j, answer, idleTimeout)
+	end := h.forward(w, j, receivedAnswer{answer, &j.progress}, idleTimeout)
 	end.took = h.Clock().Sub(began)
 	end.connBroken = end.cutOff() && ctx.Err() == nil
-	end.complete = end.reason == Served && answer.Framed
+	end.complete = end.reason == Served && answer.Framing.Marked()
 	h.reportResult(ctx, placement, end.succeeded())
 	if j.comparable(end) {
 		h.measure(j, placement, began, end.took)
@@ -223,7 +223,7 @@
 
 // forward sends an answer to the caller. Events are sent as they arrive; other answers are sent
 // once they are complete, unless they exceed maxBufferedAnswer.
-func (h *Handler) forward(w http.ResponseWriter, j *job, answer *relay.Answer, idleTimeout *idleTimeout) result {
+func (h *Handler) forward(w http.ResponseWriter, j *job, answer receivedAnswer, idleTimeout *idleTimeout) result {
 	if j.route.Stream && answer.Status < http.StatusMultipleChoices {
 		return h.forwardEvents(w, j, answer, idleTimeout)
 	}
@@ -252,7 +252,7 @@
 }
 
 // forwardUnbuffered forwards an answer that is too long to be buffered.
-func (h *Handler) forwardUnbuffered(w http.ResponseWriter, j *job, answer *relay.Answer, firstPart []byte) result {
+func (h *Handler) forwardUnbuffered(w http.ResponseWriter, j *job, answer receivedAnswer, firstPart []byte) result {
 	header := h.copyHeader(w, answer)
 	if answer.Length >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
@@ -289,7 +289,7 @@
 }
 
 // copyHeader copies the answer's headers to the caller, except for Content-Length.
-func (h *Handler) copyHeader(w http.ResponseWriter, answer *relay.Answer) http.Header {
+func (h *Handler) copyHeader(w http.ResponseWriter, answer receivedAnswer) http.Header {
 	header := w.Header()
 	for name, values := range relay.EndToEnd(answer.Header) {
 		header[name] = values
--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 
-	"valescale/internal/edge/relay"
 	"valescale/internal/rule/retry"
 )
 
@@ -21,7 +20,7 @@
 // forwardEvents forwards the events of a stream as they arrive. Only complete events are
 // forwarded, so that the stream can be resumed at another target if this one stops in the middle
 // of an event.
-func (h *Handler) forwardEvents(w http.ResponseWriter, j *job, answer *relay.Answer, idleTimeout *idleTimeout) result {
+func (h *Handler) forwardEvents(w http.ResponseWriter, j *job, answer receivedAnswer, idleTimeout *idleTimeout) result {
 	if j.streamWriter == nil {
 		j.streamWriter = newStreamWriter(w, &h.unreadBytes)
 	}
@@ -55,7 +54,7 @@
 
 // waitDelivered waits until the caller has received the whole stream. The target holds none of it
 // at this point and can serve other requests.
-func (h *Handler) waitDelivered(j *job, answer *relay.Answer) result {
+func (h *Handler) waitDelivered(j *job, answer receivedAnswer) result {
 	if !j.streamWriter.wait() {
 		return result{ended: true, reason: CallerGone, status: answer.Status}
 	}
@@ -65,7 +64,7 @@
 // forwardComplete forwards complete events. It returns the reason for which the request ends if
 // the caller has disconnected or does not read, and an empty reason otherwise. Of a stream that is
 // resumed at another target, it skips events that the caller already has.
-func (h *Handler) forwardComplete(w http.ResponseWriter, j *job, answer *relay.Answer, events []byte) Reason {
+func (h *Handler) forwardComplete(w http.ResponseWriter, j *job, answer receivedAnswer, events []byte) Reason {
 	if j.headSent && j.sends > 1 {
 		events = eventsAfter(events, j.lastEvent)
 	}
@@ -90,7 +89,7 @@
 
 // writeHead writes the head of the first answer once. It sets no Content-Length, since another
 // target may send the rest.
-func (h *Handler) writeHead(w http.ResponseWriter, j *job, answer *relay.Answer) {
+func (h *Handler) writeHead(w http.ResponseWriter, j *job, answer receivedAnswer) {
 	if j.headSent {
 		return
 	}
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -112,6 +112,8 @@
 	Total time.Duration
 	// Rule is the rule by which the last target was selected, or zero.
 	Rule place.Rule
+	// Ending is how the latest answer of a target ended, empty without one.
+	Ending Ending
 	// Timely is set if the answer met the objectives of the route.
 	Timely bool
 }
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -169,7 +169,7 @@
 
 // newEnd returns the end of the request at the given time, without reason and status.
 func (j *job) newEnd(now time.Time) End {
-	e := End{Service: j.service, Sends: j.sends, Found: j.found, First: j.first, Total: now.Sub(j.arrived)}
+	e := End{Service: j.service, Ending: j.progress.ending, Sends: j.sends, Found: j.found, First: j.first, Total: now.Sub(j.arrived)}
 	if j.route != nil {
 		e.Route = j.route.Name
 		e.Timely = j.timely()
@@ -202,6 +202,7 @@
 		"target", target, "key", strconv.FormatUint(uint64(j.placementKey), 16), "warm", warm, "holder", holder, "home", home, "via", j.via,
 		"rule", basis.Rule, "load", basis.Load.Requests(), "mean", basis.Mean.Requests(),
 		"found_ms", e.Found.Milliseconds(), "first_ms", e.First.Milliseconds(), "whole_ms", e.Total.Milliseconds(),
+		"framing", j.progress.framing, "ending", j.progress.ending, "bytes", j.progress.bytes,
 		"pace", float64(j.progress.pace), "events", j.progress.events, "gap_ms", j.progress.longestGap.Milliseconds(),
 		"own_tokens", size.Own, "prefix_tokens", size.Prefix, "output_tokens", size.Output,
 		"err", j.placementErr)
@@ -212,6 +213,7 @@
 	usage := h.Budget.Usage(j.service, h.Clock())
 	_ = level.Info(h.Logger).Log("msg", "attempt failed", "request", j.call.ID, "fingerprint", j.fingerprint(), "service", j.service, "target", placement.Target.ID,
 		"addr", placement.Target.Addr, "step", attempt.step, "status", attempt.status, "reason", attempt.reason, "err", attempt.err,
+		"framing", j.progress.framing, "ending", j.progress.ending, "bytes", j.progress.bytes, "events", j.progress.events,
 		"took_ms", attempt.took.Milliseconds(), "sends", j.sends, "next", decision,
 		"window_requests", usage.Requests, "window_retries", usage.Retries, "retry_limit", usage.Limit, "routers", usage.Routers)
 }
--- a/internal/edge/entry/pace.go
+++ b/internal/edge/entry/pace.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"valescale/internal/edge/relay"
 	"valescale/internal/edge/route"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/pace"
@@ -16,6 +17,11 @@
 type progress struct {
 	// pace is the pace that the target reported, zero for none.
 	pace pace.Pace
+	// framing is how the end of the answer is marked, bytes the received size of its body, and ending how
+	// it ended, or empty while it has not.
+	framing relay.BodyFraming
+	bytes   int64
+	ending  Ending
 	// events is the number of events of a stream, longestGap the longest time between two reads of
 	// them.
 	events     int
--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -41,11 +41,11 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1.
 	Length int64
-	// Framed means that the end of the answer can be distinguished from a broken connection.
-	Framed bool
-	body   io.ReadCloser
-	conn   *conn
-	conns  *Conns
+	// Framing is how the end of the body is marked.
+	Framing BodyFraming
+	body    io.ReadCloser
+	conn    *conn
+	conns   *Conns
 	// stopContextWatch stops closing the connection at the end of the context, and returns false if
 	// the connection was closed already.
 	stopContextWatch func() bool
@@ -149,7 +149,7 @@
 		return nil, newFailure(op, readErrorKind(err), retry.Sending, err)
 	}
 	return &Answer{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framed: isFramed(resp), body: resp.Body,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp, e.Method), body: resp.Body,
 		conn: cn, conns: c, stopContextWatch: stopContextWatch, written: written, closesConn: resp.Close,
 	}, nil
 }
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -198,7 +198,7 @@
 		Header:   resp.Header,
 		Leaving:  resp.Header.Get(engine.LeavingHeader) == "true",
 		StreamID: resp.Header.Get(engine.StreamHeader),
-		body:     requireFraming(resp),
+		body:     requireFraming(resp, call.Method),
 		limits:   r.limits,
 		cancel:   cancel,
 	}, nil
@@ -244,18 +244,13 @@
 
 // requireFraming returns the body of an answer, which fails at its end if only the end of the
 // connection marks it.
-func requireFraming(resp *http.Response) io.ReadCloser {
-	if !isFramed(resp) {
+func requireFraming(resp *http.Response, method string) io.ReadCloser {
+	if !framingOf(resp, method).Marked() {
 		return unframedBody{resp.Body}
 	}
 	return resp.Body
 }
 
-// isFramed reports whether an answer has a length or a terminated chunked body.
-func isFramed(resp *http.Response) bool {
-	return resp.ProtoMajor != 1 || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
-
 // ConnectionRefused reports whether nothing listens at a target's address any more, as after the
 // end of its process.
 func (r *Relay) ConnectionRefused(ctx context.Context, addr string) bool {
--- a/internal/oper/telem/routed.go
+++ b/internal/oper/telem/routed.go
@@ -20,6 +20,7 @@
 	duration  *prometheus.HistogramVec
 	timely    *prometheus.CounterVec
 	rules     *prometheus.CounterVec
+	endings   *prometheus.CounterVec
 }
 
 // FuncMetric is a metric whose value is read from a function when metrics are collected.
@@ -112,7 +113,10 @@
 	m.rules = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "valescale_routed_placements_total", Help: "Placed requests by service and the rule that selected the target.",
 	}, []string{"service", "rule"})
-	m.registry.MustRegister(m.requests, m.sends, m.findTime, m.firstByte, m.duration, m.timely, m.rules)
+	m.endings = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "valescale_routed_endings_total", Help: "Answers of targets by service and how they ended.",
+	}, []string{"service", "ending"})
+	m.registry.MustRegister(m.endings, m.requests, m.sends, m.findTime, m.firstByte, m.duration, m.timely, m.rules)
 	for _, r := range readings {
 		m.registry.MustRegister(r.collector())
 	}
@@ -142,6 +146,9 @@
 	if e.Rule != 0 {
 		m.rules.WithLabelValues(service, e.Rule.String()).Inc()
 	}
+	if e.Ending != "" {
+		m.endings.WithLabelValues(service, string(e.Ending)).Inc()
+	}
 	if e.Reason == entry.Served {
 		m.timely.WithLabelValues(service, strconv.FormatBool(e.Timely)).Inc()
 	}
