Answers end as complete only if their target marks the end

What callers saw: streams that an engine broke off, framed as complete, 4 to 5 ms after the crash. Cause: an answer with neither length nor chunks ends with its connection, so a process that ends looks like the end of the answer. The reader returned the same end of file for both; the router forwarded the rest of a broken event and marked an end of its own (a last chunk, or a length that it had worked out). Class: the end of a connection is taken for the end of the data, and what is not known is stated as known. Change: a stream that ends inside an event is broken whatever its framing; one without a marked end and without any event, too. After an unmarked end the router connects to the target once: if nothing listens there, the answer is broken; the connection is kept for the next request, since the answer has used one up. Broken answers are retried or resumed within attempts and allowance, or cut off. What remains may be whole or not and goes on as it came: without length or chunks. A break of such an answer (also for HTTP/1.0 callers) resets the caller's connection, since a close would be its end. A resumed stream that promised a marked end and gets none is cut off. TestAnswerWithoutLength demanded a length that the router added, which is the fault; it now demands the whole body without a marked end, twice, so that a reused connection would show.

--- a/internal/edge/entry/answer.go
+++ b/internal/edge/entry/answer.go
@@ -1,7 +1,13 @@
 package entry
 
 import (
+	"bytes"
+	"context"
 	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
 
 	"valescale/internal/edge/relay"
 )
@@ -12,8 +18,15 @@
 const (
 	// EndMarked means that the answer was received up to the end that its framing marks.
 	EndMarked Ending = "marked"
-	// EndUnmarked means that the target closed the connection of an answer whose framing marks no end.
+	// EndUnmarked means that the target closed the connection of an answer whose framing marks no end, and
+	// that nothing shows that the answer is not complete.
 	EndUnmarked Ending = "unmarked"
+	// EndInsideEvent means that a stream ended inside an event.
+	EndInsideEvent Ending = "inside_event"
+	// EndWithoutEvent means that a stream without a marked end had no event.
+	EndWithoutEvent Ending = "without_event"
+	// EndTargetGone means that an answer without a marked end closed and its target's process has ended.
+	EndTargetGone Ending = "target_gone"
 	// EndBroken means that the connection broke, or the attempt was given up.
 	EndBroken Ending = "broken"
 )
@@ -38,3 +51,63 @@
 	}
 	return n, err
 }
+
+// Reasons for which an answer that ended without an error of its connection is not complete.
+var (
+	errInsideEvent  = errors.New("stream ended inside an event")
+	errWithoutEvent = errors.New("stream ended without an event and without a marked end")
+	errTargetGone   = errors.New("target's process ended with an answer that has no marked end")
+)
+
+// checkStreamEnd returns an error if a stream that has ended is broken. The rest is what was received after
+// the last complete event.
+func (h *Handler) checkStreamEnd(ctx context.Context, j *job, answer receivedAnswer, rest []byte) error {
+	switch {
+	case isEventStream(answer.Header) && insideEvent(rest):
+		j.progress.ending = EndInsideEvent
+		return errInsideEvent
+	case !answer.Framing.Marked() && j.progress.events == 0 && j.lastEvent == "" && j.call.LastEvent == "":
+		j.progress.ending = EndWithoutEvent
+		return errWithoutEvent
+	default:
+		return h.checkEnd(ctx, j, answer)
+	}
+}
+
+// checkEnd returns an error if an answer that has ended is broken. Without a marked end, the close of the
+// connection may be the end of the answer or that of the target's process.
+func (h *Handler) checkEnd(ctx context.Context, j *job, answer receivedAnswer) error {
+	if answer.Framing.Marked() || !h.Sender.HasEnded(ctx, j.lastPlacement.Target.Addr, h.Rules.IdleConns(j.service)) {
+		return nil
+	}
+	j.progress.ending = EndTargetGone
+	return errTargetGone
+}
+
+// setFraming prepares the header of the caller's answer so that its end is marked only if the target
+// marks it. Without a length, the HTTP server marks it by chunks.
+func (j *job) setFraming(header http.Header, framing relay.BodyFraming) {
+	if framing.Marked() {
+		return
+	}
+	j.marksEnd = false
+	header.Set("Transfer-Encoding", "identity")
+}
+
+// isEventStream reports whether an answer contains events, which is assumed if it has no type.
+func isEventStream(header http.Header) bool {
+	contentType := header.Get("Content-Type")
+	return contentType == "" || strings.HasPrefix(contentType, "text/event-stream")
+}
+
+// insideEvent reports whether what follows the last complete event contains a part of another one.
+// Comments are none.
+func insideEvent(rest []byte) bool {
+	for line := range bytes.Lines(rest) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -81,7 +81,7 @@
 		h.Finder.Report(placement.Hash, false)
 		return result{step: retry.Answering, reason: Failed, status: answer.Status, took: h.Clock().Sub(began), budgetUsed: true}
 	}
-	end := h.forward(w, j, receivedAnswer{answer, &j.progress}, idleTimeout)
+	end := h.forward(ctx, w, j, receivedAnswer{answer, &j.progress}, idleTimeout)
 	end.took = h.Clock().Sub(began)
 	end.connBroken = end.cutOff() && ctx.Err() == nil
 	end.complete = end.reason == Served && answer.Framing.Marked()
@@ -223,9 +223,9 @@
 
 // forward sends an answer to the caller. Events are sent as they arrive; other answers are sent
 // once they are complete, unless they exceed maxBufferedAnswer.
-func (h *Handler) forward(w http.ResponseWriter, j *job, answer receivedAnswer, idleTimeout *idleTimeout) result {
+func (h *Handler) forward(ctx context.Context, w http.ResponseWriter, j *job, answer receivedAnswer, idleTimeout *idleTimeout) result {
 	if j.route.Stream && answer.Status < http.StatusMultipleChoices {
-		return h.forwardEvents(w, j, answer, idleTimeout)
+		return h.forwardEvents(ctx, w, j, answer, idleTimeout)
 	}
 	if j.headSent {
 		// The caller has already received a part of a stream, which this answer cannot continue.
@@ -236,15 +236,20 @@
 		return result{step: retry.Answering, reason: Lost, status: answer.Status, err: err}
 	}
 	if len(body) == maxBufferedAnswer {
-		return h.forwardUnbuffered(w, j, answer, body)
+		return h.forwardUnbuffered(ctx, w, j, answer, body)
+	}
+	if err := h.checkEnd(ctx, j, answer); err != nil {
+		return result{step: retry.Answering, reason: Lost, status: answer.Status, err: err}
 	}
 	j.first = h.Clock().Sub(j.arrived)
 	header := h.copyHeader(w, answer)
-	length := int64(len(body))
-	if j.method == http.MethodHead && answer.Length > 0 {
-		length = answer.Length
+	switch {
+	case answer.Framing == relay.NoBody && answer.Length >= 0:
+		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	case answer.Framing == relay.Length || answer.Framing == relay.Chunks:
+		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	header.Set("Content-Length", strconv.FormatInt(length, 10))
+	j.setFraming(header, answer.Framing)
 	w.WriteHeader(answer.Status)
 	// A caller that has disconnected needs no answer.
 	_ = writeAll(w, body)
@@ -252,11 +257,12 @@
 }
 
 // forwardUnbuffered forwards an answer that is too long to be buffered.
-func (h *Handler) forwardUnbuffered(w http.ResponseWriter, j *job, answer receivedAnswer, firstPart []byte) result {
+func (h *Handler) forwardUnbuffered(ctx context.Context, w http.ResponseWriter, j *job, answer receivedAnswer, firstPart []byte) result {
 	header := h.copyHeader(w, answer)
 	if answer.Length >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
+	j.setFraming(header, answer.Framing)
 	j.headSent = true
 	j.first = h.Clock().Sub(j.arrived)
 	w.WriteHeader(answer.Status)
@@ -268,6 +274,9 @@
 	case err != nil:
 		return result{ended: true, reason: CutOff, status: answer.Status, err: err}
 	}
+	if err := h.checkEnd(ctx, j, answer); err != nil {
+		return result{ended: true, reason: CutOff, status: answer.Status, err: err}
+	}
 	return result{ended: true, reason: Served, status: answer.Status}
 }
 
--- a/internal/edge/entry/caller.go
+++ b/internal/edge/entry/caller.go
@@ -26,6 +26,24 @@
 	return context.WithValue(ctx, connContextKey{}, &callerConn{Conn: c, acceptedAt: time.Now()})
 }
 
+// lingerer is a connection that can drop what was not sent yet when it is closed.
+type lingerer interface {
+	// SetLinger with zero makes Close drop it and reset the connection.
+	SetLinger(seconds int) error
+}
+
+// resetOnClose makes the close of the caller's connection a reset.
+func resetOnClose(ctx context.Context) {
+	c, known := ctx.Value(connContextKey{}).(*callerConn)
+	if !known {
+		return
+	}
+	if l, ok := c.Conn.(lingerer); ok {
+		// The option cannot be set only on a connection that is closed already.
+		_ = l.SetLinger(0)
+	}
+}
+
 // unreadTime returns how long the first request of a connection waited between accept and read.
 // For later requests it returns zero, because their arrival time is unknown. With many requests on
 // reused connections, the few connections that are opened ahead of their first request must not be
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -229,19 +229,16 @@
 	}
 }
 
-// An answer without a length ends with the connection, which must not be reused.
+// An answer without a length ends with the connection, which must not be reused, and reaches the caller in
+// the same way.
 func TestAnswerWithoutLength(t *testing.T) {
-	target := newFakeTarget(t, func(w *bufio.Writer, r *http.Request) bool {
-		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nall of it", r.Header.Get("Id"))
-		return false
-	})
+	target := newFakeTarget(t, unmarked("all of it"))
 	s := newSetup(t, newRoute(nil), target)
-	answer, header := s.call(t, "POST", "/", "x")
-	if diff := cmp.Diff(response{Status: 200, Body: "all of it"}, answer); diff != "" {
-		t.Error(diff)
-	}
-	if header.Get("Content-Length") != "9" {
-		t.Errorf("Content-Length is %q, want 9", header.Get("Content-Length"))
+	for range 2 {
+		got := s.callRaw(t, "POST", "HTTP/1.1")
+		if diff := cmp.Diff(rawResponse{Status: 200, Body: "all of it"}, got); diff != "" {
+			t.Error(diff)
+		}
 	}
 }
 
--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -20,7 +21,7 @@
 // forwardEvents forwards the events of a stream as they arrive. Only complete events are
 // forwarded, so that the stream can be resumed at another target if this one stops in the middle
 // of an event.
-func (h *Handler) forwardEvents(w http.ResponseWriter, j *job, answer receivedAnswer, idleTimeout *idleTimeout) result {
+func (h *Handler) forwardEvents(ctx context.Context, w http.ResponseWriter, j *job, answer receivedAnswer, idleTimeout *idleTimeout) result {
 	if j.streamWriter == nil {
 		j.streamWriter = newStreamWriter(w, &h.unreadBytes)
 	}
@@ -29,11 +30,7 @@
 	for {
 		n, err := answer.Read(buffer)
 		pending = append(pending, buffer[:n]...)
-		end := completeLen(pending)
-		if err == io.EOF {
-			end = len(pending)
-		}
-		if end > 0 {
+		if end := completeLen(pending); end > 0 {
 			j.progress.add(h.Clock(), pending[:end])
 			idleTimeout.reset(j.eventTimeout())
 			h.Finder.ReportReceived(j.lastPlacement.Hash)
@@ -44,20 +41,35 @@
 		}
 		switch {
 		case err == io.EOF:
-			h.writeHead(w, j, answer)
-			return h.waitDelivered(j, answer)
+			return h.endStream(ctx, w, j, answer, pending)
 		case err != nil || len(pending) > maxEventBytes:
 			return result{step: retry.Answering, reason: Lost, status: answer.Status, err: err}
 		}
 	}
 }
 
+// endStream ends a stream of which everything was received. The rest is what follows its last complete
+// event.
+func (h *Handler) endStream(ctx context.Context, w http.ResponseWriter, j *job, answer receivedAnswer, rest []byte) result {
+	if err := h.checkStreamEnd(ctx, j, answer, rest); err != nil {
+		return result{step: retry.Answering, reason: Lost, status: answer.Status, err: err}
+	}
+	if reason := h.forwardComplete(w, j, answer, rest); reason != "" {
+		return result{ended: true, reason: reason, status: answer.Status}
+	}
+	return h.waitDelivered(j, answer)
+}
+
 // waitDelivered waits until the caller has received the whole stream. The target holds none of it
 // at this point and can serve other requests.
 func (h *Handler) waitDelivered(j *job, answer receivedAnswer) result {
 	if !j.streamWriter.wait() {
 		return result{ended: true, reason: CallerGone, status: answer.Status}
 	}
+	if j.marksEnd && !answer.Framing.Marked() {
+		// The stream began at another target, with a marked end that this one does not confirm.
+		return result{ended: true, reason: CutOff, status: answer.Status}
+	}
 	return result{ended: true, reason: Served, status: answer.Status}
 }
 
@@ -95,12 +107,12 @@
 	}
 	j.headSent = true
 	j.first = h.Clock().Sub(j.arrived)
-	h.copyHeader(w, answer)
+	j.setFraming(h.copyHeader(w, answer), answer.Framing)
 	w.WriteHeader(answer.Status)
 }
 
-// eventTerminators are the blank lines that end an event.
-var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
+// eventTerminators are the blank lines that end an event, with the end of the line before.
+var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
 
 // completeLen returns the length of the complete events at the start of b.
 func completeLen(b []byte) int {
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -47,6 +47,9 @@
 	// ReportSilent reports that nothing has arrived from the target at an address for longer than
 	// usual.
 	ReportSilent(addr string)
+	// HasEnded reports whether the process of the target at an address is known to have ended. The
+	// connection made to find out stays idle, among at most maxIdleConns.
+	HasEnded(ctx context.Context, addr string, maxIdleConns int) bool
 }
 
 // Guard quarantines requests under which targets crash.
@@ -162,6 +165,7 @@
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j, p := h.accept(r)
+	j.marksEnd = r.ProtoAtLeast(1, 1)
 	if p == nil {
 		p = h.readBody(w, r, j)
 	}
@@ -211,7 +215,7 @@
 		}
 		if p := h.quarantineProblem(j); p != nil {
 			placement.Release()
-			h.endWithProblem(w, j, p)
+			h.endWithProblem(ctx, w, j, p)
 			return
 		}
 		began := h.Clock()
@@ -224,7 +228,7 @@
 		}
 		if result.ended {
 			h.ended(j, result.reason, result.status)
-			abortConnection(result.reason)
+			abortConnection(ctx, j, result.reason)
 			return
 		}
 		if !h.shouldRetry(ctx, j, placement, result) {
@@ -312,7 +316,7 @@
 	if j.outcome == retry.Unknown {
 		p = noAnswer(j.outcome, p.reason, false)
 	}
-	h.endWithProblem(w, j, p)
+	h.endWithProblem(ctx, w, j, p)
 }
 
 // endFailed ends a request whose last attempt failed.
@@ -321,15 +325,15 @@
 		h.ended(j, CallerGone, 0)
 		return
 	}
-	h.endWithProblem(w, j, noAnswer(j.outcome, attempt.reason, ctx.Err() != nil))
+	h.endWithProblem(ctx, w, j, noAnswer(j.outcome, attempt.reason, ctx.Err() != nil))
 }
 
 // endWithProblem sends a final answer of the router itself. If a part of a target's answer has
 // already been sent, only closing the connection can signal the failure to the caller.
-func (h *Handler) endWithProblem(w http.ResponseWriter, j *job, p *problem) {
+func (h *Handler) endWithProblem(ctx context.Context, w http.ResponseWriter, j *job, p *problem) {
 	if j.headSent {
 		h.ended(j, CutOff, 0)
-		abortConnection(CutOff)
+		abortConnection(ctx, j, CutOff)
 		return
 	}
 	h.writeProblem(w, j, p)
@@ -337,8 +341,13 @@
 
 // abortConnection closes the caller's connection if the answer was cut off or is not read. It does
 // not return, so it must be called last, after the placement has been released.
-func abortConnection(reason Reason) {
-	if reason == CutOff || reason == Unread {
-		panic(http.ErrAbortHandler)
+func abortConnection(ctx context.Context, j *job, reason Reason) {
+	if reason != CutOff && reason != Unread {
+		return
+	}
+	if !j.marksEnd {
+		// A connection that is closed in order would be the end of the answer.
+		resetOnClose(ctx)
 	}
+	panic(http.ErrAbortHandler)
 }
--- a/internal/edge/entry/types.go
+++ b/internal/edge/entry/types.go
@@ -27,6 +27,8 @@
 	ID RequestID
 	// Wait is the time until the caller expects the end of the answer; zero means unknown.
 	Wait time.Duration
+	// LastEvent is the ID of the last event that the caller has of a stream which it resumes, or empty.
+	LastEvent EventID
 	// Key is the caller's API key.
 	Key string
 	// Parts are the parts of the prompt in order; the last part is specific to this request.
--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -234,6 +234,19 @@
 	return c.dialer.Refused(ctx, addr)
 }
 
+// HasEnded connects to a target and reports whether nothing listens at its address any more. It returns
+// false if that cannot be found out. The connection is kept for a later request, among at most maxIdleConns
+// idle ones; zero means the limit for all targets.
+func (c *Conns) HasEnded(ctx context.Context, addr string, maxIdleConns int) bool {
+	cn, err := c.dial(ctx, addr)
+	if err != nil {
+		return c.dialer.Refused(ctx, addr)
+	}
+	cn.maxIdle = maxIdleConns
+	c.keepIdle(cn, nil, time.Now())
+	return false
+}
+
 // isRefused makes a connection to check whether it is refused.
 func isRefused(ctx context.Context, dialer net.Dialer, addr string) bool {
 	raw, err := dialer.DialContext(ctx, "tcp", addr)
