Log the versions of targets, and the streams that callers resume

What callers saw: streams that changed version. The lines of a request hold neither the version of its target nor that the caller goes on with a stream, and of which request: the hypotheses cannot be told apart. Change: fields target_version, last_event and resumes of the line 'request', target_version of 'attempt failed'. The version of a target's row reaches its engine in the pool. No decision is changed. Run: go test of edge/entry, edge/route and oper, all pass.

--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -188,6 +188,7 @@
 // logEnd logs the end of a request.
 func (h *Handler) logEnd(j *job, e End) {
 	var target, holder ident.Target
+	var version ident.Version
 	var home ident.Router
 	var basis place.Basis
 	warm := false
@@ -195,13 +196,14 @@
 	if j.lastPlacement != nil {
 		basis = j.lastPlacement.Basis
 		target, warm, home = j.lastPlacement.Target.ID, j.lastPlacement.Warm, j.lastPlacement.Home
+		version = j.lastPlacement.Target.Version
 		if j.lastPlacement.Holder != nil {
 			holder = j.lastPlacement.Holder.ID
 		}
 	}
 	_ = level.Info(h.Logger).Log("msg", "request", "request", j.call.ID, "route", e.Route, "workspace", e.Workspace,
 		"service", e.Service, "revision", j.revision, "reason", e.Reason, "status", e.Status, "sends", e.Sends, "outcome", j.outcome,
-		"target", target, "key", strconv.FormatUint(uint64(j.placementKey), 16), "warm", warm, "holder", holder, "home", home, "via", j.via,
+		"target", target, "target_version", version, "last_event", j.call.LastEvent, "resumes", j.call.Resumes, "key", strconv.FormatUint(uint64(j.placementKey), 16), "warm", warm, "holder", holder, "home", home, "via", j.via,
 		"rule", basis.Rule, "load", basis.Load.Requests(), "mean", basis.Mean.Requests(),
 		"found_ms", e.Found.Milliseconds(), "first_ms", e.First.Milliseconds(), "whole_ms", e.Total.Milliseconds(),
 		"framing", j.progress.framing, "ending", j.progress.ending, "bytes", j.progress.bytes,
@@ -214,7 +216,7 @@
 func (h *Handler) logAttempt(j *job, placement *route.Placement, attempt result, decision retryDecision) {
 	usage := h.Budget.Usage(j.service, h.Clock())
 	_ = level.Info(h.Logger).Log("msg", "attempt failed", "request", j.call.ID, "fingerprint", j.fingerprint(), "service", j.service, "target", placement.Target.ID,
-		"addr", placement.Target.Addr, "step", attempt.step, "status", attempt.status, "reason", attempt.reason, "err", attempt.err,
+		"target_version", placement.Target.Version, "addr", placement.Target.Addr, "step", attempt.step, "status", attempt.status, "reason", attempt.reason, "err", attempt.err,
 		"framing", j.progress.framing, "ending", j.progress.ending, "bytes", j.progress.bytes, "events", j.progress.events,
 		"took_ms", attempt.took.Milliseconds(), "sends", j.sends, "next", decision,
 		"window_requests", usage.Requests, "window_retries", usage.Retries, "retry_limit", usage.Limit, "routers", usage.Routers)
--- a/internal/edge/entry/types.go
+++ b/internal/edge/entry/types.go
@@ -29,6 +29,8 @@
 	Wait time.Duration
 	// LastEvent is the ID of the last event that the caller has of a stream which it resumes, or empty.
 	LastEvent EventID
+	// Resumes is the ID of the request that brought the first event of that stream, or empty.
+	Resumes RequestID
 	// Key is the caller's API key.
 	Key string
 	// Parts are the parts of the prompt in order; the last part is specific to this request.
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -32,6 +32,8 @@
 	Addr        string
 	Zone        ident.Zone
 	Incarnation ident.Incarnation
+	// Version is the version of the target's software, empty if it reports none.
+	Version ident.Version
 }
 
 // Pool is a pool as given by the membership view and the configuration.
@@ -244,7 +246,7 @@
 
 // TargetOf returns the target of an engine.
 func TargetOf(e place.Engine) Target {
-	return Target{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Incarnation: e.Incarnation}
+	return Target{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Incarnation: e.Incarnation, Version: e.Version}
 }
 
 // has reports whether the pool contains a target.
--- a/internal/oper/mesh/mesh.go
+++ b/internal/oper/mesh/mesh.go
@@ -29,6 +29,8 @@
 
 // Capacity is the capacity of one target.
 type Capacity struct {
+	// Version is the version of the target's software, empty if it reports none.
+	Version ident.Version
 	// Slots is the number of requests that the target runs at once; zero means no limit.
 	Slots int
 	// Closed targets receive no new requests.
--- a/internal/oper/mesh/pools.go
+++ b/internal/oper/mesh/pools.go
@@ -140,6 +140,7 @@
 	return place.Engine{
 		ID: t.ID, Hash: t.ID.Hash(), Addr: t.Addr, Zone: t.Zone, Incarnation: t.Incarnation, Joined: later(t.Joined, capacity.Reopened),
 		Slots: ident.Work(slots) * ident.OneRequest, Leaving: t.Leaving || capacity.Closed, Cold: capacity.Cold,
+		Version: capacity.Version,
 	}
 }
 
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -163,12 +163,13 @@
 func (s *state) capacity(service policy.Service, t peer.Target) mesh.Capacity {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	slots := s.targetRows[table.Key(t.ID)].target.Slots
+	target := s.targetRows[table.Key(t.ID)].target
+	slots := target.Slots
 	if service.Kind == policy.PlainTargets && !s.brittle.has(service.Name) {
 		slots *= plainRequestsPerSlot
 	}
 	closed, reopened := s.zones.stateOf(t.Zone)
-	return mesh.Capacity{Slots: slots, Closed: closed, Reopened: reopened, Cold: s.coldOf(t, reopened)}
+	return mesh.Capacity{Version: target.Version, Slots: slots, Closed: closed, Reopened: reopened, Cold: s.coldOf(t, reopened)}
 }
 
 // poolConfig returns the services for which the mesh has to maintain pools.
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -49,6 +49,8 @@
 	Addr        string
 	Zone        ident.Zone
 	Incarnation ident.Incarnation
+	// Version is the version of the engine's software, empty if it reports none.
+	Version ident.Version
 	// Slots is the work that the engine can run at once. Zero means no limit.
 	Slots ident.Work
 	// Joined is when this incarnation was first listed. Zero means no slow start.
