Targets that failed a request and blocked ones are counted together

What callers saw: in the test of streams that are resumed within one answer, 6 of 24 were cut off with 'timed out' in 1 ms while targets were idle. Cause: a router avoids targets that have just failed the request, and those with an open circuit breaker, each only as long as others remain; the two were counted apart, and together they may be all targets. Evidence: TestFailedAndBlockedTargetsTogether fails without the change (no target: timed out), passes with it. Change: targets that failed the request come first; blocked ones are avoided only if others remain besides those. Result: go test of edge/route passes.

--- a/internal/edge/route/choose.go
+++ b/internal/edge/route/choose.go
@@ -65,9 +65,10 @@
 	available := p.state.Usable() - len(out)
 	out = append(out, request.excluded...)
 	failed := without(request.Avoid, out)
-	if len(failed) >= available {
+	failedAvailable := len(p.accepting(failed))
+	if failedAvailable >= available {
 		// Every target has failed this request once. Try one of them again.
-		failed = nil
+		failed, failedAvailable = nil, 0
 	}
 	var blocked []ident.TargetHash
 	for hash, b := range r.breakers {
@@ -81,14 +82,25 @@
 			blocked = append(blocked, hash)
 		}
 	}
-	blocked = without(blocked, out)
-	if len(blocked) >= available {
+	blocked = without(without(blocked, out), failed)
+	if len(p.accepting(blocked)) >= available-failedAvailable {
 		// If every circuit breaker is open, an attempt is better than rejecting all requests.
 		blocked = nil
 	}
 	return slices.Concat(failed, blocked, out), unreachable
 }
 
+// accepting returns those of the targets that accept new work. The caller holds the lock.
+func (p *pool) accepting(targets []ident.TargetHash) []ident.TargetHash {
+	var out []ident.TargetHash
+	for _, hash := range targets {
+		if p.state.AcceptsWork(hash) {
+			out = append(out, hash)
+		}
+	}
+	return out
+}
+
 // without returns the targets that are not among others.
 func without(targets, others []ident.TargetHash) []ident.TargetHash {
 	var out []ident.TargetHash
