Streams go on only at the version of their service that began them

What callers saw: streams that hold events of two software versions, within one answer or over their tries. Cause: where a stream goes on was decided as for a new request. Class: a decision that depends on an earlier one is made without it. The permit request held no version, and no router but the first knew at which version a stream began. Change: the version of the target that sends the first part of an answer binds the rest of it: homes, routers that decide alone and the search of shards consider only its targets; what an older home offers is checked. The origin of a stream is kept by its router and, while its service has several versions, by three routers in different availability zones, sent before the first event goes to the caller and without waiting; what began before a version was added is sent when that shows. A router where a caller resumes asks those that may have it, 100 ms at most. Without an origin the stream goes on only if the service had one version for a minute, as far as any router knows; else it is rejected, truly not run. Resumed streams wait beside the queue of their shard, so that they do not hold back others, and go before it. Canaries are found under the name of their version.

--- a/cmd/measure/capacity.go
+++ b/cmd/measure/capacity.go
@@ -208,7 +208,7 @@
 		_, list := homeWith(124, 1)
 		p.SetEngines(list)
 		micros := meanMicros(200_000, func(i int) {
-			s := p.NewSearch(ident.ChatKey(i), false)
+			s := p.NewSearch(ident.ChatKey(i), "", false)
 			s.Next(epoch, p)
 		})
 		rows = append(rows, capacityRow("edge: order of shards", "shards", shards, micros, 0))
--- a/cmd/measure/control.go
+++ b/cmd/measure/control.go
@@ -312,6 +312,11 @@
 	return l.Server.Grant(ctx, r)
 }
 
+// FindOrigin is served by the home.
+func (l linkServer) FindOrigin(ctx context.Context, r *connect.Request[peerpb.FindOriginRequest]) (*connect.Response[peerpb.FindOriginReply], error) {
+	return l.Server.FindOrigin(ctx, r)
+}
+
 // measureLink acquires permits over a real link and releases them in separate messages. Each request
 // and response includes the loads of the pool's other shards.
 func measureLink(shards int, secure bool) linkCosts {
@@ -323,7 +328,7 @@
 	pool := ident.NewPool(service, region)
 	_, engines := homeWith(124, 1)
 	homes.SetPool(pool, place.DefaultBound, place.NewRoster(shards, engines))
-	path, handler := peerpb.NewPeerServiceHandler(linkServer{Server: home.NewServer(homes, func(context.Context) ident.Router { return "" })})
+	path, handler := peerpb.NewPeerServiceHandler(linkServer{Server: home.NewServer(homes, nil, func(context.Context) ident.Router { return "" })})
 	client, stop := serve(meter, path, handler, secure)
 	defer stop()
 	// A process that has run for some time has permit numbers this far above its base.
--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -107,6 +107,7 @@
 	}
 	j.headSent = true
 	j.first = h.Clock().Sub(j.arrived)
+	h.beginStream(j)
 	j.setFraming(h.copyHeader(w, answer), answer.Framing)
 	w.WriteHeader(answer.Status)
 }
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -17,6 +17,7 @@
 	"valescale/internal/rule/pace"
 	"valescale/internal/rule/place"
 	"valescale/internal/rule/retry"
+	"valescale/internal/share/origin"
 )
 
 // Finder places requests at targets.
@@ -82,13 +83,34 @@
 	RecordSent(service, as ident.Service)
 	// Finished records the result of a request to a target that was found under a name.
 	Finished(service, as ident.Service, route match.RouteName, ok bool, took time.Duration)
+	// NameOf returns the name used to find targets of a version of a service.
+	NameOf(service ident.Service, version ident.Version) (as ident.Service)
+}
+
+// Origins keeps at which versions streams began.
+type Origins interface {
+	// Began records the origin of a stream before its first event is sent to the caller.
+	Began(r origin.Record)
+	// Find returns the origin of a stream of a service.
+	Find(ctx context.Context, key origin.Key, service ident.Service) origin.Found
+}
+
+// noOrigins is used when targets have no versions. Streams go on at any target.
+type noOrigins struct{}
+
+func (noOrigins) Began(origin.Record) {}
+func (noOrigins) Find(_ context.Context, _ origin.Key, service ident.Service) origin.Found {
+	return origin.Found{Origin: origin.Origin{Service: service}, Source: origin.SingleVersion}
 }
 
 // noCanaries is used when there are no canary versions.
 type noCanaries struct{}
 
 func (noCanaries) Choose(service ident.Service) ident.Service { return service }
-func (noCanaries) RecordSent(_, _ ident.Service)              {}
+func (noCanaries) NameOf(service ident.Service, _ ident.Version) ident.Service {
+	return service
+}
+func (noCanaries) RecordSent(_, _ ident.Service) {}
 func (noCanaries) Finished(_, _ ident.Service, _ match.RouteName, _ bool, _ time.Duration) {
 }
 
@@ -136,6 +158,8 @@
 	Gate *Gate
 	// Canaries may be nil.
 	Canaries Canaries
+	// Origins may be nil.
+	Origins Origins
 }
 
 // Handler serves the requests of callers.
@@ -159,6 +183,9 @@
 	if parts.Canaries == nil {
 		parts.Canaries = noCanaries{}
 	}
+	if parts.Origins == nil {
+		parts.Origins = noOrigins{}
+	}
 	return &Handler{Parts: parts, startedAt: parts.Clock(), latency: newLatencyEstimates(), meter: pace.NewMeter(parts.Clock)}
 }
 
@@ -180,6 +207,10 @@
 		h.writeProblem(w, j, p)
 		return
 	}
+	if p := h.findOrigin(ctx, j); p != nil {
+		h.writeProblem(w, j, p)
+		return
+	}
 	defer func() {
 		if j.streamWriter != nil {
 			j.streamWriter.close()
@@ -239,17 +270,20 @@
 }
 
 // acquire finds a target. The first attempt may use the canary version if one of its targets has a
-// free slot.
+// free slot. A stream that has begun stays at its version.
 func (h *Handler) acquire(ctx context.Context, j *job) (*route.Placement, error) {
 	placementRequest := j.placementRequest(h.latency.firstByteTime(j.route.Name))
 	placementRequest.Effort = h.meter.Effort(j.service, pace.Kind(j.route.Name), j.size())
 	j.lookupName = j.service
-	if j.sends+j.unreached == 0 {
+	switch {
+	case j.version != "":
+		j.lookupName = h.Canaries.NameOf(j.service, j.version)
+	case j.sends+j.unreached == 0:
 		j.lookupName = h.Canaries.Choose(j.service)
 	}
-	placementRequest.Service = j.lookupName
+	placementRequest.Service, placementRequest.Version = j.lookupName, j.version
 	placement, err := h.Finder.Acquire(ctx, placementRequest)
-	if err != nil && j.lookupName != j.service {
+	if err != nil && j.lookupName != j.service && j.version == "" {
 		j.lookupName, placementRequest.Service = j.service, j.service
 		placement, err = h.Finder.Acquire(ctx, placementRequest)
 	}
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"math"
 	"net/http"
 	"strconv"
@@ -13,6 +14,7 @@
 	"valescale/internal/rule/match"
 	"valescale/internal/rule/place"
 	"valescale/internal/rule/retry"
+	"valescale/internal/share/origin"
 )
 
 // job is the state of one request.
@@ -28,6 +30,10 @@
 	route     *match.Route
 	workspace *match.Workspace
 	service   ident.Service
+	// origin is that of a stream that the caller resumes. version is the only version of the service that may
+	// go on with the answer, empty until its first part is sent.
+	origin  origin.Found
+	version ident.Version
 	// lookupName is the name under which the last target was sought: that of the service or of its
 	// canary version.
 	lookupName ident.Service
@@ -79,7 +85,7 @@
 func (j *job) newPlacementKey() ident.ChatKey {
 	parts := j.call.Parts
 	if !j.sharesPrefix() {
-		return ident.NewChatKey(j.workspace.Name, string(j.call.ID))
+		return ident.NewChatKey(j.workspace.Name, string(cmp.Or(j.streamID(), j.call.ID)))
 	}
 	shared := parts[max(len(parts)-2, 0)]
 	return ident.NewChatKey("", shared.ID)
@@ -203,7 +209,9 @@
 	}
 	_ = level.Info(h.Logger).Log("msg", "request", "request", j.call.ID, "route", e.Route, "workspace", e.Workspace,
 		"service", e.Service, "revision", j.revision, "reason", e.Reason, "status", e.Status, "sends", e.Sends, "outcome", j.outcome,
-		"target", target, "target_version", version, "last_event", j.call.LastEvent, "resumes", j.call.Resumes, "key", strconv.FormatUint(uint64(j.placementKey), 16), "warm", warm, "holder", holder, "home", home, "via", j.via,
+		"target", target, "target_version", version, "last_event", j.call.LastEvent, "resumes", j.call.Resumes,
+		"origin", j.origin.Source, "origin_version", j.origin.Version, "origin_from", j.origin.From, "asked", j.origin.Asked, "answered", j.origin.Answered,
+		"key", strconv.FormatUint(uint64(j.placementKey), 16), "warm", warm, "holder", holder, "home", home, "via", j.via,
 		"rule", basis.Rule, "load", basis.Load.Requests(), "mean", basis.Mean.Requests(),
 		"found_ms", e.Found.Milliseconds(), "first_ms", e.First.Milliseconds(), "whole_ms", e.Total.Milliseconds(),
 		"framing", j.progress.framing, "ending", j.progress.ending, "bytes", j.progress.bytes,
--- /dev/null
+++ b/internal/edge/entry/origin.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"valescale/internal/share/origin"
+)
+
+// originRetryAfter is the Retry-After delay of a caller that resumes a stream of which nothing is known. The
+// routers that keep its origin may not respond at present.
+const originRetryAfter = 500 * time.Millisecond
+
+// resumes reports whether the caller goes on with a stream that began with an earlier request.
+func (j *job) resumes() bool { return j.route.Stream && j.call.LastEvent != "" }
+
+// streamID returns the ID of the request that brought the first event of the stream, or will bring it. It is
+// empty if the caller does not name it.
+func (j *job) streamID() RequestID {
+	if j.resumes() {
+		return j.call.Resumes
+	}
+	return j.call.ID
+}
+
+// streamKey returns the key of the stream, or zero if the caller does not name its first request.
+func (j *job) streamKey() origin.Key {
+	id := j.streamID()
+	if id == "" {
+		return 0
+	}
+	return origin.NewKey(j.workspace.Name, string(id))
+}
+
+// findOrigin finds out at which version a stream began that the caller resumes. If that is unknown, the
+// request is rejected: at another version the rest would not fit to what the caller has.
+func (h *Handler) findOrigin(ctx context.Context, j *job) *problem {
+	if !j.resumes() {
+		return nil
+	}
+	j.origin = h.Origins.Find(ctx, j.streamKey(), j.service)
+	if !j.origin.Resumable() {
+		return rejection(UnknownOrigin, originRetryAfter)
+	}
+	j.version = j.origin.Version
+	if j.origin.Service != j.service && j.route.SendsTo(j.origin.Service) {
+		j.service = j.origin.Service
+		j.copiesCache = h.Rules.Table().Service(j.service).CopiesPrefixes
+	}
+	return nil
+}
+
+// beginStream binds the rest of a stream to the version of the target that sends its first part, and records
+// its origin. It is called before that part is sent to the caller.
+func (h *Handler) beginStream(j *job) {
+	j.version = j.lastPlacement.Target.Version
+	if key := j.streamKey(); key != 0 && j.version != "" && j.route.Resumable {
+		h.Origins.Began(origin.Record{Key: key, Origin: origin.Origin{Service: j.service, Version: j.version}})
+	}
+}
--- a/internal/edge/entry/problem.go
+++ b/internal/edge/entry/problem.go
@@ -37,6 +37,9 @@
 	Unread Reason = "unread"
 	// NoTarget means that the service has no target.
 	NoTarget Reason = "no_target"
+	// UnknownOrigin means that the caller resumes a stream, and that no router knows at which of several
+	// versions it began.
+	UnknownOrigin Reason = "unknown_origin"
 	// Overloaded means that no target accepted the request in time.
 	Overloaded Reason = "overloaded"
 	// Quarantined means that targets crashed under the request, which is quarantined for some
--- a/internal/edge/route/backoff.go
+++ b/internal/edge/route/backoff.go
@@ -156,14 +156,15 @@
 	}
 }
 
-// excluded returns nil if the target of a placement accepts new work. Otherwise it returns that
-// target and the leaving ones of the pool, so that none of them is offered again. The home that
-// granted the permit may not have this state yet: it receives it from another router, from the
-// store or from the target, each with its own delay.
-func (r *Router) excluded(p *pool, placement *Placement) []ident.TargetHash {
+// excluded returns nil if the target of a placement accepts new work and has the version that the request
+// needs, if any. Otherwise it returns that target and the unsuited ones of the pool, so that none of them is
+// offered again. The home that granted the permit may not have this state yet: it receives it from another
+// router, from the store or from the target, each with its own delay.
+func (r *Router) excluded(p *pool, version ident.Version, placement *Placement) []ident.TargetHash {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p.state.AcceptsWork(placement.Hash) {
+	matches := version == "" || placement.Target.Version == version
+	if matches && p.state.AcceptsWork(placement.Hash) {
 		// An answer may have reported otherwise while the request waited for its permit.
 		unavailable, _ := r.unavailable(p)
 		if !slices.Contains(unavailable, placement.Hash) {
@@ -172,35 +173,43 @@
 	}
 	out := []ident.TargetHash{placement.Hash}
 	for _, e := range p.state.Engines() {
-		if e.Leaving && e.Hash != placement.Hash {
+		unsuited := e.Leaving || version != "" && e.Version != version
+		if unsuited && e.Hash != placement.Hash {
 			out = append(out, e.Hash)
 		}
 	}
 	return out
 }
 
-// poolFor returns the first pool of a service that has a target which accepts new work, with the
-// pool of the own region first. If all targets of the service are in backoff, the error contains
+// versionRetryAfter is the Retry-After delay of a request whose version has no target that accepts new work.
+// A target that has crashed is back after some seconds, if at all.
+const versionRetryAfter = time.Second
+
+// poolFor returns the first pool of a service that has a target of the version which accepts new work, with
+// the pool of the own region first. An empty version stands for all. If all targets of the service are in backoff, the error contains
 // the time until the first backoff ends.
-func (r *Router) poolFor(service ident.Service) (*pool, error) {
+func (r *Router) poolFor(service ident.Service, version ident.Version) (*pool, error) {
 	const op = "route.Acquire"
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var earliest time.Time
 	for _, p := range r.pools[service] {
-		usable := p.state.Usable()
+		usable := p.state.UsableOf(version)
 		if usable == 0 {
 			continue
 		}
 		unavailable, first := r.unavailable(p)
-		if len(unavailable) < usable {
+		if len(p.ofVersion(unavailable, version)) < usable {
 			return p, nil
 		}
 		if earliest.IsZero() || !first.IsZero() && first.Before(earliest) {
 			earliest = first
 		}
 	}
-	if earliest.IsZero() {
+	switch {
+	case earliest.IsZero() && version != "":
+		return nil, fault.New(op, NoTarget, RetryAfter{Wait: versionRetryAfter})
+	case earliest.IsZero():
 		return nil, fault.Newf(op, NoTarget, "service %s", service)
 	}
 	return nil, fault.New(op, BackingOff, RetryAfter{Wait: earliest.Sub(r.clock())})
--- a/internal/edge/route/choose.go
+++ b/internal/edge/route/choose.go
@@ -56,16 +56,16 @@
 // avoidedTargets returns the targets that a placement must avoid and those that are unreachable.
 // Targets that accept no requests or are excluded are always avoided. Targets that failed this
 // request before and those with an open circuit breaker are avoided only as long as other targets
-// remain.
+// remain that may run the request.
 func (r *Router) avoidedTargets(p *pool, request TargetRequest) (avoid, unreachable []ident.TargetHash) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock()
 	out, _ := r.unavailable(p)
-	available := p.state.Usable() - len(out)
+	available := p.state.UsableOf(request.Version) - len(p.ofVersion(out, request.Version))
 	out = append(out, request.excluded...)
 	failed := without(request.Avoid, out)
-	failedAvailable := len(p.accepting(failed))
+	failedAvailable := len(p.ofVersion(failed, request.Version))
 	if failedAvailable >= available {
 		// Every target has failed this request once. Try one of them again.
 		failed, failedAvailable = nil, 0
@@ -83,18 +83,20 @@
 		}
 	}
 	blocked = without(without(blocked, out), failed)
-	if len(p.accepting(blocked)) >= available-failedAvailable {
+	if len(p.ofVersion(blocked, request.Version)) >= available-failedAvailable {
 		// If every circuit breaker is open, an attempt is better than rejecting all requests.
 		blocked = nil
 	}
 	return slices.Concat(failed, blocked, out), unreachable
 }
 
-// accepting returns those of the targets that accept new work. The caller holds the lock.
-func (p *pool) accepting(targets []ident.TargetHash) []ident.TargetHash {
+// ofVersion returns those of the targets that accept new work and have a version; an empty version stands for
+// all. The caller holds the lock.
+func (p *pool) ofVersion(targets []ident.TargetHash, version ident.Version) []ident.TargetHash {
 	var out []ident.TargetHash
 	for _, hash := range targets {
-		if p.state.AcceptsWork(hash) {
+		e, known := p.Roster.Engine(hash)
+		if known && !e.Leaving && (version == "" || e.Version == version) {
 			out = append(out, hash)
 		}
 	}
--- a/internal/edge/route/permit.go
+++ b/internal/edge/route/permit.go
@@ -19,7 +19,7 @@
 // It returns retry as true if a shard's home changed in the meantime.
 func (r *Router) searchShards(ctx context.Context, p *pool, request TargetRequest) (placement *Placement, retry bool, err error) {
 	r.mu.Lock()
-	search := p.state.NewSearch(request.Key, r.clock().Before(p.saturatedUntil))
+	search := p.state.NewSearch(request.Key, request.Version, r.clock().Before(p.saturatedUntil))
 	skipHomes := r.isolated()
 	r.mu.Unlock()
 	if skipHomes {
@@ -258,7 +258,7 @@
 func (r *Router) placeRequest(p *pool, request TargetRequest) place.Request {
 	out := place.Request{
 		Edge: r.self.ID, Key: request.Key, Work: request.Work, Zone: r.self.Zone,
-		Avoid: request.Avoid, Lost: request.unreachable, Last: p.state.Last(request.Key), Once: request.Once,
+		Avoid: request.Avoid, Version: request.Version, Lost: request.unreachable, Last: p.state.Last(request.Key), Once: request.Once,
 	}
 	if r.paced {
 		out.Parent, out.Effort, out.Due = request.Parent, request.Effort, r.timeLeft(request.Due)
--- a/internal/edge/route/router.go
+++ b/internal/edge/route/router.go
@@ -68,6 +68,8 @@
 	Work      ident.Work
 	// Deadline is the time until which the request may wait.
 	Deadline time.Time
+	// Version is the only version of the service whose targets may run the request, or empty.
+	Version ident.Version
 	// Avoid contains the targets that have just failed this request.
 	Avoid []ident.TargetHash
 	// Once means that no other request has this key.
@@ -335,7 +337,7 @@
 func (r *Router) Acquire(ctx context.Context, request TargetRequest) (*Placement, error) {
 	const op = "route.Acquire"
 	for range maxOffers {
-		p, err := r.poolFor(request.Service)
+		p, err := r.poolFor(request.Service, request.Version)
 		if err != nil {
 			return nil, err
 		}
@@ -343,7 +345,7 @@
 		if err != nil {
 			return nil, err
 		}
-		excluded := r.excluded(p, placement)
+		excluded := r.excluded(p, request.Version, placement)
 		if excluded == nil {
 			return placement, nil
 		}
--- a/internal/oper/daemon/servers.go
+++ b/internal/oper/daemon/servers.go
@@ -42,7 +42,7 @@
 		return nil, err
 	}
 	mux := http.NewServeMux()
-	mux.Handle(peerpb.NewPeerServiceHandler(&peerService{Server: home.NewServer(d.homes, authenticatedPeer), daemon: d},
+	mux.Handle(peerpb.NewPeerServiceHandler(&peerService{Server: home.NewServer(d.homes, nil, authenticatedPeer), daemon: d},
 		connect.WithReadMaxBytes(maxPeerMessageBytes)))
 	protocols := &http.Protocols{}
 	protocols.SetHTTP2(true)
--- a/internal/oper/node/build.go
+++ b/internal/oper/node/build.go
@@ -18,6 +18,7 @@
 	"valescale/internal/rule/policy"
 	"valescale/internal/share/feed"
 	"valescale/internal/share/home"
+	"valescale/internal/share/origin"
 	"valescale/internal/share/peer"
 )
 
@@ -122,6 +123,10 @@
 	remote, closeLinks := home.NewRemote(home.Edge{ID: s.ID, Zone: s.Zone, Base: firstPermit}, n.homes, n.peers, permitTimeout)
 	n.cleanups = append(n.cleanups, closeLinks)
 	n.router = route.New(route.Self{ID: s.ID, Zone: s.Zone, Region: s.Region, FirstPermit: firstPermit}, remote, n.Clock)
+	n.origins = origin.New(origin.Parts{
+		Self: s.ID, Region: s.Region, Peers: remote, Routers: n.originRouters, Logger: n.Logger, Clock: n.Clock,
+	})
+	n.state.origins = n.origins
 	n.mesh = mesh.New(mesh.Parts{
 		Self: n.self, Node: n.peers, Homes: n.homes, Remote: remote, Router: n.router, Logger: n.Logger, Clock: n.Clock,
 		Desired: n.state.poolConfig, Capacity: n.state.capacity, Bound: n.bound,
@@ -137,7 +142,7 @@
 	n.gate = entry.NewGate(n.listeners.callers, n.Logger, n.Clock)
 	n.handler = entry.New(entry.Parts{
 		Dialect: n.Dialect, Rules: n, Finder: n.router, Sender: n.conns, Budget: n.retryBudget, Guard: n.guard,
-		Observer: n.metrics, Logger: n.Logger, Clock: n.Clock, Gate: n.gate, Canaries: n.rollouts,
+		Observer: n.metrics, Logger: n.Logger, Clock: n.Clock, Gate: n.gate, Canaries: n.rollouts, Origins: n.origins,
 	})
 }
 
--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -17,6 +17,7 @@
 	"valescale/internal/plat/table"
 	"valescale/internal/share/feed"
 	"valescale/internal/share/home"
+	"valescale/internal/share/origin"
 	"valescale/internal/share/peer"
 )
 
@@ -43,6 +44,7 @@
 	roleMemberVersion atomic.Uint64
 	homes             *home.Homes
 	mesh              *mesh.Mesh
+	origins           *origin.Origins
 	router            *route.Router
 	dialer            *reach.Dialer
 	tunnels           *reach.Server
--- /dev/null
+++ b/internal/oper/node/origins.go
@@ -0,0 +1,19 @@
+package node
+
+import (
+	"valescale/internal/share/origin"
+	"valescale/internal/share/peer"
+)
+
+// originRouters returns the routers that may keep the origins of streams. Dead ones are left out.
+func (n *Node) originRouters() []origin.Router {
+	var out []origin.Router
+	n.peers.Read(func(v *peer.View) {
+		for m := range v.All() {
+			if m.State != peer.Dead {
+				out = append(out, origin.Router{ID: m.ID, Zone: m.Zone, Region: m.Region, Accepts: m.State == peer.Live})
+			}
+		}
+	})
+	return out
+}
--- a/internal/oper/node/rollouts.go
+++ b/internal/oper/node/rollouts.go
@@ -177,6 +177,14 @@
 	return service
 }
 
+// NameOf implements entry.Canaries.
+func (r *rollouts) NameOf(service ident.Service, version ident.Version) ident.Service {
+	if !r.enabled() {
+		return service
+	}
+	return r.serviceName(service, version)
+}
+
 // hasCanary reports whether a service has a canary version.
 func (r *rollouts) hasCanary(service ident.Service) bool {
 	r.mu.Lock()
--- a/internal/oper/node/servers.go
+++ b/internal/oper/node/servers.go
@@ -57,7 +57,7 @@
 func (n *Node) peerServer() *http.Server {
 	mux := http.NewServeMux()
 	anyRouter := func(context.Context) ident.Router { return "" }
-	service := &peerService{Server: home.NewServer(n.homes, anyRouter), peers: n.peers, replicas: n.replicas, packCache: newPackCache()}
+	service := &peerService{Server: home.NewServer(n.homes, n.origins, anyRouter), peers: n.peers, replicas: n.replicas, packCache: newPackCache()}
 	mux.Handle(peerpb.NewPeerServiceHandler(service, connect.WithCompressMinBytes(minCompressBytes)))
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.Handle("GET "+reach.TunnelPath, n.tunnels)
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -15,6 +15,7 @@
 	"valescale/internal/rule/match"
 	"valescale/internal/rule/place"
 	"valescale/internal/rule/policy"
+	"valescale/internal/share/origin"
 	"valescale/internal/share/peer"
 )
 
@@ -41,6 +42,8 @@
 	// whether a service has a canary version, whose targets are kept separately.
 	serviceName func(ident.Service, ident.Version) ident.Service
 	hasCanary   func(ident.Service) bool
+	// origins counts the versions of targets; it may be nil.
+	origins *origin.Origins
 	// generation counts the changes that affect all targets.
 	generation uint64
 	zones      *zones
--- a/internal/oper/node/targets.go
+++ b/internal/oper/node/targets.go
@@ -10,6 +10,7 @@
 	"valescale/internal/plat/ident"
 	"valescale/internal/plat/table"
 	"valescale/internal/share/feed"
+	"valescale/internal/share/origin"
 	"valescale/internal/share/peer"
 )
 
@@ -93,6 +94,7 @@
 	s.targetRows[key] = after
 	s.countTarget(before, -1)
 	s.countTarget(after, 1)
+	s.countVersion(before, after)
 	s.updateCold(ident.Target(key), after)
 	switch {
 	case after.valid() && (!before.valid() || before.target.Box != after.target.Box):
@@ -111,6 +113,24 @@
 	}
 }
 
+// countVersion counts the versions of the targets before and after a change of a row.
+func (s *state) countVersion(before, after targetRow) {
+	if s.origins == nil {
+		return
+	}
+	if after.valid() {
+		s.origins.TargetAdded(after.origin())
+	}
+	if before.valid() {
+		s.origins.TargetRemoved(before.origin())
+	}
+}
+
+// origin returns the origin of the streams that begin at the target.
+func (r targetRow) origin() origin.Origin {
+	return origin.Origin{Service: r.service, Version: r.target.Version}
+}
+
 // evictRemoved evicts rows that were removed more than removedRowTTL ago. The caller holds the
 // lock.
 func (s *state) evictRemoved(now time.Time) {
--- a/internal/rule/match/table.go
+++ b/internal/rule/match/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -104,6 +105,11 @@
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return len(t.routes) }
 
+// SendsTo reports whether requests of the route may be sent to a service.
+func (r *Route) SendsTo(service ident.Service) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
+}
+
 // ServiceOf selects the service of a request by the weights of the route's shares. A key is
 // assigned to the same service until a weight changes, and then the minimum number of keys is
 // reassigned.
--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -186,7 +186,7 @@
 
 // hasSlot reports whether a usable engine that the request does not avoid can run it at once.
 func (e *engineLoad) hasSlot(req Request) bool {
-	return e.usable() && !slices.Contains(req.Avoid, e.Hash) && (e.Slots <= 0 || e.load()+req.Work <= e.Slots || e.load() <= 0)
+	return e.usable() && req.accepts(&e.Engine) && (e.Slots <= 0 || e.load()+req.Work <= e.Slots || e.load() <= 0)
 }
 
 // preferredLimit returns the load below which an engine accepts new chats that prefer it.
@@ -269,7 +269,7 @@
 // admits returns whether an engine may receive the request now, as a Result.
 func (h *Home) admits(now time.Time, i int, req Request, limit float64) Result {
 	e := &h.engines[i]
-	if !e.usable() || slices.Contains(req.Avoid, e.Hash) {
+	if !e.usable() || !req.accepts(&e.Engine) {
 		return Empty
 	}
 	load := e.load()
@@ -322,7 +322,7 @@
 	engines := 0
 	for i := range h.engines {
 		e := &h.engines[i]
-		if e.usable() && (e.load() > 0 || !slices.Contains(req.Avoid, e.Hash)) {
+		if e.usable() && (e.load() > 0 || req.accepts(&e.Engine)) {
 			engines++
 		}
 	}
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -90,6 +90,8 @@
 	Over bool
 	// Avoid lists engines that have just failed this request or fail many requests.
 	Avoid []ident.TargetHash
+	// Version is the only version whose engines may run the request, or empty.
+	Version ident.Version
 	// Lost lists unreachable engines, from which no cache can be copied.
 	Lost []ident.TargetHash
 	// Last is the last engine to which the edge router sent the key, or zero if unknown. A new
@@ -106,6 +108,11 @@
 	Due    time.Duration
 }
 
+// accepts reports whether the request may run on an engine, as far as that depends on the request.
+func (r *Request) accepts(e *Engine) bool {
+	return (r.Version == "" || r.Version == e.Version) && !slices.Contains(r.Avoid, e.Hash)
+}
+
 // Decision is the result of a Request.
 type Decision struct {
 	Result Result
--- a/internal/rule/place/local.go
+++ b/internal/rule/place/local.go
@@ -122,7 +122,7 @@
 
 // canRun reports whether an engine with the given load may run another request.
 func (e *Engine) canRun(req Request, load ident.Work) bool {
-	if e.Leaving || slices.Contains(req.Avoid, e.Hash) {
+	if e.Leaving || !req.accepts(e) {
 		return false
 	}
 	return e.Slots == 0 || load <= 0 || load+req.Work <= e.Slots
--- a/internal/rule/place/pool.go
+++ b/internal/rule/place/pool.go
@@ -122,6 +122,19 @@
 // Usable returns the number of engines that may receive new requests.
 func (p *Pool) Usable() int { return p.roster.usable }
 
+// UsableOf returns the number of engines of a version that may receive new requests. An empty version
+// stands for all.
+func (p *Pool) UsableOf(version ident.Version) int {
+	if version == "" {
+		return p.Usable()
+	}
+	count := 0
+	for shard := range p.Shards() {
+		count += p.roster.usableInShard(ident.Shard(shard), version)
+	}
+	return count
+}
+
 // Shards returns the number of shards.
 func (p *Pool) Shards() int { return p.roster.Shards() }
 
--- a/internal/rule/place/roster.go
+++ b/internal/rule/place/roster.go
@@ -128,6 +128,17 @@
 // Usable returns the number of engines that may receive new requests.
 func (r *Roster) Usable() int { return r.usable }
 
+// usableInShard returns the number of a shard's engines of a version that may receive new requests.
+func (r *Roster) usableInShard(shard ident.Shard, version ident.Version) int {
+	count := 0
+	for _, e := range r.shard(shard) {
+		if e.Version == version && !e.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
 // Engine returns one of the engines.
 func (r *Roster) Engine(hash ident.TargetHash) (Engine, bool) {
 	e := r.find(hash)
--- a/internal/rule/place/search.go
+++ b/internal/rule/place/search.go
@@ -27,12 +27,17 @@
 }
 
 // NewSearch starts a search for a key. If the pool is known to be saturated, trying several shards
-// is useless, and the request waits in the first shard.
-func (p *Pool) NewSearch(key ident.ChatKey, saturated bool) Search {
+// is useless, and the request waits in the first shard. If the version is not empty, only shards with
+// usable engines of that version are tried.
+func (p *Pool) NewSearch(key ident.ChatKey, version ident.Version, saturated bool) Search {
 	var all [MaxShards]ident.Shard
 	var s Search
-	s.n = min(p.Order(key, all[:]), maxShardAttempts)
-	copy(s.order[:], all[:s.n])
+	for _, shard := range all[:p.Order(key, all[:])] {
+		if s.n < maxShardAttempts && (version == "" || p.roster.usableInShard(shard, version) > 0) {
+			s.order[s.n] = shard
+			s.n++
+		}
+	}
 	if saturated {
 		s.next = s.n
 		s.n = min(s.n, 1)
--- a/internal/share/home/codec.go
+++ b/internal/share/home/codec.go
@@ -42,6 +42,7 @@
 		DueMs:     encodeMs(req.Due),
 		Paces:     encodeReports(req.Paces),
 		Parent:    uint32(req.Parent),
+		Version:   string(req.Version),
 	}
 }
 
@@ -111,6 +112,7 @@
 			Effort:    pace.Effort{Read: decodeMs(m.GetReadMs()), Prefix: decodeMs(m.GetPrefixMs()), Make: decodeMs(m.GetMakeMs())},
 			Due:       decodeMs(m.GetDueMs()),
 			Parent:    ident.ChatKey(m.GetParent()),
+			Version:   ident.Version(m.GetVersion()),
 		},
 		Shard:      place.ShardID{Shard: ident.Shard(m.GetShard())},
 		Workspace:  ident.Workspace(m.GetWorkspace()),
--- a/internal/share/home/homes.go
+++ b/internal/share/home/homes.go
@@ -62,7 +62,9 @@
 type shard struct {
 	home  *place.Home
 	queue *quota.Queue
-	rate  releaseRate
+	// resumed are the waiting requests that only engines of one version may run.
+	resumed []*queuedRequest
+	rate    releaseRate
 	// retryDelays spreads the Retry-After delays of rejected requests.
 	retryDelays quota.RetryDelays
 	published   place.Digest
--- a/internal/share/home/link.go
+++ b/internal/share/home/link.go
@@ -38,6 +38,7 @@
 	place   *peerpb.PlaceRequest
 	release *peerpb.ReleaseRequest
 	load    *peerpb.ShardLoad
+	origins []*peerpb.Origin
 	cancel  uint64
 }
 
@@ -50,6 +51,8 @@
 		message.Releases = append(message.Releases, i.release)
 	case i.load != nil:
 		message.Loads = append(message.Loads, i.load)
+	case i.origins != nil:
+		message.Origins = append(message.Origins, i.origins...)
 	default:
 		message.Cancels = append(message.Cancels, i.cancel)
 	}
--- /dev/null
+++ b/internal/share/home/origins.go
@@ -0,0 +1,79 @@
+package home
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"valescale/internal/plat/ident"
+	"valescale/internal/share/origin"
+	"valescale/internal/share/peerpb"
+)
+
+// PublishOrigins implements origin.Peers. Origins that do not fit into the queue of the link are dropped:
+// the router has other keepers.
+func (r *Remote) PublishOrigins(to ident.Router, records []origin.Record) {
+	l, err := r.links.to(to)
+	if err != nil {
+		return
+	}
+	l.enqueue(linkItem{origins: encodeOrigins(records)})
+}
+
+// FindOrigin implements origin.Peers.
+func (r *Remote) FindOrigin(ctx context.Context, to ident.Router, key origin.Key, service ident.Service) (answer origin.Answer, err error) {
+	err = r.call(ctx, "home.FindOrigin", to, func(ctx context.Context, client peerpb.PeerServiceClient) error {
+		reply, err := client.FindOrigin(ctx, connect.NewRequest(&peerpb.FindOriginRequest{Key: uint64(key), Service: string(service)}))
+		if err != nil {
+			return err
+		}
+		answer = decodeAnswer(reply.Msg)
+		return nil
+	})
+	return answer, err
+}
+
+// FindOrigin returns what this router knows about a stream.
+func (s *Server) FindOrigin(_ context.Context, req *connect.Request[peerpb.FindOriginRequest]) (*connect.Response[peerpb.FindOriginReply], error) {
+	if s.origins == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, nil)
+	}
+	answer := s.origins.Answer(origin.Key(req.Msg.GetKey()), ident.Service(req.Msg.GetService()))
+	return connect.NewResponse(encodeAnswer(origin.Key(req.Msg.GetKey()), answer)), nil
+}
+
+func encodeOrigins(records []origin.Record) []*peerpb.Origin {
+	out := make([]*peerpb.Origin, 0, len(records))
+	for _, r := range records {
+		out = append(out, &peerpb.Origin{Key: uint64(r.Key), Service: string(r.Service), Version: string(r.Version)})
+	}
+	return out
+}
+
+func decodeOrigins(in []*peerpb.Origin) []origin.Record {
+	out := make([]origin.Record, 0, len(in))
+	for _, o := range in {
+		out = append(out, origin.Record{Key: origin.Key(o.GetKey()), Origin: decodeOrigin(o)})
+	}
+	return out
+}
+
+func decodeOrigin(in *peerpb.Origin) origin.Origin {
+	return origin.Origin{Service: ident.Service(in.GetService()), Version: ident.Version(in.GetVersion())}
+}
+
+func encodeAnswer(key origin.Key, a origin.Answer) *peerpb.FindOriginReply {
+	out := &peerpb.FindOriginReply{Several: a.Several}
+	if a.Known {
+		out.Origin = encodeOrigins([]origin.Record{{Key: key, Origin: a.Origin}})[0]
+	}
+	return out
+}
+
+func decodeAnswer(in *peerpb.FindOriginReply) origin.Answer {
+	out := origin.Answer{Several: in.GetSeveral()}
+	if in.GetOrigin() != nil {
+		out.Origin, out.Known = decodeOrigin(in.GetOrigin()), true
+	}
+	return out
+}
--- a/internal/share/home/place.go
+++ b/internal/share/home/place.go
@@ -42,7 +42,7 @@
 	s.home.MergeShardLoads(now, req.ShardLoads)
 	h.recordEngineReports(now, s, req)
 	s.home.RecordPaces(now, req.Paces)
-	if s.queue.Len() == 0 {
+	if s.queue.Len() == 0 || req.Version != "" {
 		d := s.home.Place(now, req.Request)
 		if d.Result != place.Busy {
 			return s.decisionResponse(now, req, d), nil
@@ -52,6 +52,9 @@
 		return s.rejection(now, req, Full), nil
 	}
 	w := s.newQueuedRequest(now, req)
+	if req.Version != "" {
+		return s.enqueueResumed(now, w)
+	}
 	if s.wouldExpire(w) {
 		return s.rejection(now, req, Shed), nil
 	}
@@ -115,6 +118,7 @@
 	default:
 	}
 	s.queue.Remove(w.entry)
+	s.removeResumed(w)
 	if !callerGone && s.rate.noReleaseSince(w.queuedAt) {
 		// After a change of homes, counted permits that no edge router holds may take up the slots
 		// of the shard for a short time.
@@ -164,6 +168,7 @@
 // dispatch places queued requests while engines have room.
 func (h *Homes) dispatch(s *shard) {
 	now := h.clock()
+	s.dispatchResumed(now)
 	for {
 		next, expired := s.queue.PopSuited(now, func(w *quota.Waiter) bool { return s.home.HasWarmSlot(w.Value.(*queuedRequest).req.Request) })
 		for _, e := range expired {
--- a/internal/share/home/server.go
+++ b/internal/share/home/server.go
@@ -7,20 +7,30 @@
 
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
+	"valescale/internal/share/origin"
 	"valescale/internal/share/peerpb"
 )
 
 // Server serves other routers' calls to the homes of this router.
 type Server struct {
-	homes *Homes
+	homes   *Homes
+	origins Origins
 	// identify returns the router that made a call, or the empty id when connections are not
 	// authenticated.
 	identify func(context.Context) ident.Router
 }
 
-// NewServer returns a Server for the given homes.
-func NewServer(homes *Homes, identify func(context.Context) ident.Router) *Server {
-	return &Server{homes: homes, identify: identify}
+// Origins holds the origins of streams of which this router is a keeper.
+type Origins interface {
+	// Merge records origins that another router has published.
+	Merge(records []origin.Record)
+	// Answer returns what this router knows about a stream of a service.
+	Answer(key origin.Key, service ident.Service) origin.Answer
+}
+
+// NewServer returns a Server for the given homes and origins. The origins may be nil.
+func NewServer(homes *Homes, origins Origins, identify func(context.Context) ident.Router) *Server {
+	return &Server{homes: homes, origins: origins, identify: identify}
 }
 
 // checkEdge rejects a call in which a router uses the id of another.
--- a/internal/share/home/session.go
+++ b/internal/share/home/session.go
@@ -57,6 +57,9 @@
 	for _, m := range message.GetLoads() {
 		s.server.homes.Merge([]place.Digest{decodeDigest(s.edge, s.server.homes.poolByHash(ident.PoolHash(m.GetPool())), m)})
 	}
+	if s.server.origins != nil && len(message.GetOrigins()) > 0 {
+		s.server.origins.Merge(decodeOrigins(message.GetOrigins()))
+	}
 	for _, permit := range message.GetCancels() {
 		s.cancel(permit + s.base)
 	}
--- a/internal/share/home/stats.go
+++ b/internal/share/home/stats.go
@@ -11,7 +11,7 @@
 	defer h.mu.Unlock()
 	for _, s := range h.shards {
 		permits += s.home.Len()
-		waiting += s.queue.Len()
+		waiting += s.waiting()
 	}
 	return permits, waiting
 }
--- a/internal/share/home/transfer.go
+++ b/internal/share/home/transfer.go
@@ -39,7 +39,7 @@
 			s.movedTo = ""
 		case s.movedTo != to:
 			out = append(out, Transfer{ID: id, To: to, Places: s.home.Places(maxTransferPlaces)})
-		case s.home.Len() == 0 && s.queue.Len() == 0:
+		case s.home.Len() == 0 && s.waiting() == 0:
 			h.removeShard(id, s)
 		}
 	}
@@ -89,6 +89,7 @@
 		return
 	}
 	s.movedTo = to
+	s.redirectResumed()
 	for {
 		next, expired := s.queue.Pop(time.Time{})
 		for _, w := range expired {
--- /dev/null
+++ b/internal/share/origin/versions.go
@@ -0,0 +1,65 @@
+package origin
+
+import (
+	"slices"
+	"time"
+
+	"valescale/internal/plat/ident"
+)
+
+// presence is the presence of a version among the targets of a service.
+type presence struct {
+	targets int
+	// goneAt is when the last target went.
+	goneAt time.Time
+}
+
+// versions counts the targets of each version of each service. It is not safe for concurrent use.
+type versions struct {
+	services map[ident.Service]map[ident.Version]presence
+}
+
+func newVersions() *versions {
+	return &versions{services: map[ident.Service]map[ident.Version]presence{}}
+}
+
+// add counts a target.
+func (v *versions) add(o Origin) {
+	known := v.services[o.Service]
+	if known == nil {
+		known = map[ident.Version]presence{}
+		v.services[o.Service] = known
+	}
+	p := known[o.Version]
+	p.targets++
+	known[o.Version] = p
+}
+
+// remove no longer counts a target.
+func (v *versions) remove(now time.Time, o Origin) {
+	p, exists := v.services[o.Service][o.Version]
+	if !exists {
+		return
+	}
+	p.targets--
+	p.goneAt = now
+	v.services[o.Service][o.Version] = p
+}
+
+// recent returns the versions that a service had within Lifetime, in order, and evicts earlier ones.
+func (v *versions) recent(now time.Time, service ident.Service) []ident.Version {
+	known := v.services[service]
+	var out []ident.Version
+	for version, p := range known {
+		if p.targets <= 0 && now.Sub(p.goneAt) >= Lifetime {
+			delete(known, version)
+			continue
+		}
+		out = append(out, version)
+	}
+	if len(known) == 0 {
+		delete(v.services, service)
+	}
+	slices.Sort(out)
+	return out
+}
--- a/internal/share/peer/address.go
+++ b/internal/share/peer/address.go
@@ -77,3 +77,8 @@
 func (c *client) Grant(ctx context.Context, req *connect.Request[peerpb.GrantRequest]) (*connect.Response[peerpb.GrantReply], error) {
 	return c.calls.Grant(c.withAddr(ctx), req)
 }
+
+// FindOrigin implements peerpb.PeerServiceClient.
+func (c *client) FindOrigin(ctx context.Context, req *connect.Request[peerpb.FindOriginRequest]) (*connect.Response[peerpb.FindOriginReply], error) {
+	return c.calls.FindOrigin(c.withAddr(ctx), req)
+}
--- a/internal/share/peerpb/peer.connect.go
+++ b/internal/share/peerpb/peer.connect.go
@@ -51,6 +51,8 @@
 	PeerServiceRowsProcedure = "/valescale.v1.PeerService/Rows"
 	// PeerServiceGrantProcedure is the fully-qualified name of the PeerService's Grant RPC.
 	PeerServiceGrantProcedure = "/valescale.v1.PeerService/Grant"
+	// PeerServiceFindOriginProcedure is the fully-qualified name of the PeerService's FindOrigin RPC.
+	PeerServiceFindOriginProcedure = "/valescale.v1.PeerService/FindOrigin"
 	// AdminServiceCheckProcedure is the fully-qualified name of the AdminService's Check RPC.
 	AdminServiceCheckProcedure = "/valescale.v1.AdminService/Check"
 	// AdminServiceApplyProcedure is the fully-qualified name of the AdminService's Apply RPC.
@@ -88,6 +90,8 @@
 	Rows(context.Context, *connect.Request[RowsRequest]) (*connect.Response[RowsReply], error)
 	// Grant allocates rate-limit tokens of a workspace to an edge router.
 	Grant(context.Context, *connect.Request[GrantRequest]) (*connect.Response[GrantReply], error)
+	// FindOrigin returns at which version of its service a stream began.
+	FindOrigin(context.Context, *connect.Request[FindOriginRequest]) (*connect.Response[FindOriginReply], error)
 }
 
 // NewPeerServiceClient constructs a client for the valescale.v1.PeerService service. By default, it
@@ -143,18 +147,25 @@
 			connect.WithSchema(peerServiceMethods.ByName("Grant")),
 			connect.WithClientOptions(opts...),
 		),
+		findOrigin: connect.NewClient[FindOriginRequest, FindOriginReply](
+			httpClient,
+			baseURL+PeerServiceFindOriginProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("FindOrigin")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	gossip  *connect.Client[Digest, Digest]
-	link    *connect.Client[LinkRequest, LinkReply]
-	sync    *connect.Client[SyncRequest, SyncReply]
-	handoff *connect.Client[HandoffRequest, HandoffReply]
-	fetch   *connect.Client[FetchRequest, FetchReply]
-	rows    *connect.Client[RowsRequest, RowsReply]
-	grant   *connect.Client[GrantRequest, GrantReply]
+	gossip     *connect.Client[Digest, Digest]
+	link       *connect.Client[LinkRequest, LinkReply]
+	sync       *connect.Client[SyncRequest, SyncReply]
+	handoff    *connect.Client[HandoffRequest, HandoffReply]
+	fetch      *connect.Client[FetchRequest, FetchReply]
+	rows       *connect.Client[RowsRequest, RowsReply]
+	grant      *connect.Client[GrantRequest, GrantReply]
+	findOrigin *connect.Client[FindOriginRequest, FindOriginReply]
 }
 
 // Gossip calls valescale.v1.PeerService.Gossip.
@@ -192,6 +203,11 @@
 	return c.grant.CallUnary(ctx, req)
 }
 
+// FindOrigin calls valescale.v1.PeerService.FindOrigin.
+func (c *peerServiceClient) FindOrigin(ctx context.Context, req *connect.Request[FindOriginRequest]) (*connect.Response[FindOriginReply], error) {
+	return c.findOrigin.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the valescale.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Gossip exchanges gossip digests of bounded size, one in each direction.
@@ -209,6 +225,8 @@
 	Rows(context.Context, *connect.Request[RowsRequest]) (*connect.Response[RowsReply], error)
 	// Grant allocates rate-limit tokens of a workspace to an edge router.
 	Grant(context.Context, *connect.Request[GrantRequest]) (*connect.Response[GrantReply], error)
+	// FindOrigin returns at which version of its service a stream began.
+	FindOrigin(context.Context, *connect.Request[FindOriginRequest]) (*connect.Response[FindOriginReply], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -260,6 +278,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Grant")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceFindOriginHandler := connect.NewUnaryHandler(
+		PeerServiceFindOriginProcedure,
+		svc.FindOrigin,
+		connect.WithSchema(peerServiceMethods.ByName("FindOrigin")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/valescale.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceGossipProcedure:
@@ -276,6 +300,8 @@
 			peerServiceRowsHandler.ServeHTTP(w, r)
 		case PeerServiceGrantProcedure:
 			peerServiceGrantHandler.ServeHTTP(w, r)
+		case PeerServiceFindOriginProcedure:
+			peerServiceFindOriginHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -313,6 +339,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("valescale.v1.PeerService.Grant is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) FindOrigin(context.Context, *connect.Request[FindOriginRequest]) (*connect.Response[FindOriginReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("valescale.v1.PeerService.FindOrigin is not implemented"))
+}
+
 // AdminServiceClient is a client for the valescale.v1.AdminService service.
 type AdminServiceClient interface {
 	Check(context.Context, *connect.Request[CheckRequest]) (*connect.Response[CheckReply], error)
