--- /dev/null
+++ b/internal/edge/entry/ending_test.go
@@ -0,0 +1,248 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/go-cmp/cmp"
+
+	"valescale/internal/edge/reach"
+	"valescale/internal/edge/relay"
+	"valescale/internal/rule/match"
+)
+
+// Guards against a stream that is given up halfway and ends as complete: a caller that ends its own side of
+// the connection after its request still reads the answer.
+func TestStreamGivenUpForAHalfClosedCallerIsNotComplete(t *testing.T) {
+	release := make(chan struct{})
+	target := newFakeTarget(t, func(w *bufio.Writer, r *http.Request) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		event := eventText(1, 1)
+		_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
+		_ = w.Flush()
+		<-release
+		return false
+	})
+	s := newSetup(t, newRoute(plainStream), target)
+	defer close(release)
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nId: caller-1\r\nKey: k\r\nContent-Length: 1\r\n\r\nx")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := make([]byte, len(eventText(1, 1)))
+	if _, err := io.ReadFull(resp.Body, first); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if rest, err := io.ReadAll(resp.Body); err == nil {
+		t.Errorf("the stream ended as complete after event 1 and %q", rest)
+	}
+}
+
+// Guards against whole answers that are taken for broken because they are not events: a target may answer a
+// request of a stream route with another type of content, and without a length.
+func TestUnmarkedAnswerOfAnotherTypeOnAStreamRoute(t *testing.T) {
+	target := newFakeTarget(t, func(w *bufio.Writer, r *http.Request) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: application/json\r\n\r\n{}", r.Header.Get("Id"))
+		return false
+	})
+	s := newSetup(t, newRoute(plainStream), target)
+	got := s.callRaw(t, "POST", "HTTP/1.1")
+	if diff := cmp.Diff(rawResponse{Status: 200, Body: "{}"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a stream that ends in order although an event is known to be missing: it broke off inside
+// that event, and the target that took it up closed without any.
+func TestStreamTakenUpWithoutTheBrokenEventIsNotComplete(t *testing.T) {
+	second := newFakeTarget(t, unmarked(""))
+	s := newSetup(t, newRoute(resumableRoute), newFakeTarget(t, unmarked(eventText(1, 3)+"id: 4\ndata: pie")), second)
+	got := s.callRaw(t, "POST", "HTTP/1.1")
+	if diff := cmp.Diff(rawResponse{Status: 200, Body: eventText(1, 3), Broken: true}, got); diff != "" {
+		t.Error(diff)
+	}
+	if second.count() != 1 {
+		t.Errorf("the second target got %d requests, want 1", second.count())
+	}
+}
+
+// Guards against a broken event that is taken for a comment: lines may end with a carriage return only.
+func TestStreamClosedInsideAnEventAfterACommentIsNotComplete(t *testing.T) {
+	const whole = "id: 1\rdata: piece 1\r\r"
+	s := newSetup(t, newRoute(plainStream), newFakeTarget(t, unmarked(whole+": note\rid: 2\rdata: pie")))
+	got := s.callRaw(t, "POST", "HTTP/1.1")
+	if diff := cmp.Diff(rawResponse{Status: 200, Body: whole, Broken: true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// newLeavingTarget returns a target that accepts no connection any more while it finishes its last answer,
+// which says that it is leaving and has neither a length nor chunks.
+func newLeavingTarget(t *testing.T, body string) *fakeTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	target := &fakeTarget{addr: l.Addr().String(), closed: make(chan struct{}, 1)}
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_ = l.Close()
+		target.serve(c, func(w *bufio.Writer, r *http.Request) bool {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nLeaving: 1\r\nConnection: close\r\n\r\n%s", r.Header.Get("Id"), body)
+			return false
+		})
+	}()
+	return target
+}
+
+// Guards against whole answers that are taken for broken, and repeated, because their target is leaving and
+// accepts no connection any more.
+func TestUnmarkedAnswerOfALeavingTargetIsDelivered(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		route func(*match.Route)
+		body  string
+	}{
+		{"plain answer", nil, "all of it"},
+		{"plain answer that may be repeated", safeRoute, "all of it"},
+		{"stream", plainStream, eventText(1, 3)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			other := newFakeTarget(t, unmarked("other"))
+			s := newSetup(t, newRoute(c.route), newLeavingTarget(t, c.body), other)
+			got := s.callRaw(t, "POST", "HTTP/1.1")
+			if diff := cmp.Diff(rawResponse{Status: 200, Body: c.body}, got); diff != "" {
+				t.Error(diff)
+			}
+			if other.count() != 0 {
+				t.Error("a whole answer was requested again")
+			}
+		})
+	}
+}
+
+// Guards against a target that counts as failing for a whole answer without a marked end, because another
+// target had begun the stream with one.
+func TestTargetOfAnUnmarkedRestIsNotReportedAsFailing(t *testing.T) {
+	s := newSetup(t, newRoute(resumableRoute), newFakeTarget(t, streamEvents(1, 3, 5)), newFakeTarget(t, unmarked(eventText(4, 5))))
+	_ = s.callRaw(t, "POST", "HTTP/1.1")
+	if diff := cmp.Diff([]string{"ok false", "ok true"}, s.finder.reports); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against whole answers that are held until their deadline: the path to their target is lost, with no
+// answer to connections, when they end without a marked end.
+func TestCheckOfALostPathDoesNotHoldAnAnswer(t *testing.T) {
+	s := newSetup(t, newRoute(nil), newFakeTarget(t, unmarked("all of it")))
+	var dials atomic.Int32
+	dialer, closeDialer := reach.New(reach.Parts{
+		Timeout: relay.DefaultConnLimits.Dial, Logger: log.NewNopLogger(), Clock: time.Now,
+		Direct: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if dials.Add(1) > 1 {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, addr)
+		},
+	})
+	t.Cleanup(closeDialer)
+	conns, closeConns := relay.NewConns(relay.DefaultConnLimits, dialer)
+	t.Cleanup(closeConns)
+	s.handler.Sender = conns
+	began := time.Now()
+	got := s.callRaw(t, "POST", "HTTP/1.1")
+	if diff := cmp.Diff(rawResponse{Status: 200, Body: "all of it"}, got); diff != "" {
+		t.Error(diff)
+	}
+	// The deadline of the route is two seconds.
+	const limit = 4 * 250 * time.Millisecond
+	if took := time.Since(began); took > limit {
+		t.Errorf("the caller waited for %s, want at most %s", took, limit)
+	}
+}
+
+// Guards against a crash that is taken for the end of an answer because the target's process still listens
+// for a moment: the connection of the check is accepted by the kernel and reset at once.
+func TestTargetThatEndsDuringTheCheckOfItsAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	target := &fakeTarget{addr: l.Addr().String(), closed: make(chan struct{}, 1)}
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		target.serve(c, unmarked(eventText(1, 3)))
+		check, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_ = check.(*net.TCPConn).SetLinger(0)
+		_ = check.Close()
+		_ = l.Close()
+	}()
+	s := newSetup(t, newRoute(plainStream), target)
+	got := s.callRaw(t, "POST", "HTTP/1.1")
+	if diff := cmp.Diff(rawResponse{Status: 200, Body: eventText(1, 3), Broken: true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against whole events that a caller loses to the reset of its connection: what was sent before the
+// break must arrive, also at a caller that reads it later.
+func TestBreakWithoutMarkedEndKeepsWholeEvents(t *testing.T) {
+	text := eventText(1, 8000)
+	s := newSetup(t, newRoute(plainStream), newFakeTarget(t, unmarked(text+"id: 8001\ndata: pie")))
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nId: caller-1\r\nKey: k\r\nContent-Length: 1\r\n\r\nx")
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The caller does not read while the stream is sent and breaks.
+	<-time.After(500 * time.Millisecond)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if len(body) != len(text) || err == nil {
+		t.Errorf("the caller got %d bytes of %d, and error %v, want all events and an error", len(body), len(text), err)
+	}
+}
