A process that is ending does not count as running because its kernel accepts a connection

Cause: the check after an unmarked end takes an accepted connection for a running process; the kernel may close the broken connection before the listener, and resets what it has accepted since. Change: the connection of the check must still be open after 5 ms; else the check decides by whether another one is refused. Evidence: TestTargetThatEndsDuringTheCheckOfItsAnswer failed before, passes now; go test of edge/relay passes.

--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"valescale/internal/plat/ident"
+	"valescale/internal/plat/pause"
 	"valescale/internal/rule/retry"
 )
 
@@ -234,6 +235,10 @@
 	return c.dialer.Refused(ctx, addr)
 }
 
+// acceptedDelay is how long a connection must stay open to show that its target is running. The kernel may
+// accept a connection for a process that is ending, and reset it as soon as the process has ended.
+const acceptedDelay = 5 * time.Millisecond
+
 // HasEnded connects to a target and reports whether nothing listens at its address any more. It returns
 // false if that cannot be found out. The connection is kept for a later request, among at most maxIdleConns
 // idle ones; zero means the limit for all targets.
@@ -242,6 +247,11 @@
 	if err != nil {
 		return c.dialer.Refused(ctx, addr)
 	}
+	pause.Sleep(ctx, acceptedDelay)
+	if !cn.usable() {
+		_ = cn.Close()
+		return c.dialer.Refused(ctx, addr)
+	}
 	cn.maxIdle = maxIdleConns
 	c.keepIdle(cn, nil, time.Now())
 	return false
