The check of an unmarked end is limited in time

What callers saw: whole answers without a marked end held until their deadline, 2.00 s of 2 s in the test, while their target's path was lost. Change: 400 ms for the whole check, an attempt on each path; what cannot be found out by then speaks against nothing. Evidence: TestCheckOfALostPathDoesNotHoldAnAnswer failed before, passes now.

--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -239,10 +239,16 @@
 // accept a connection for a process that is ending, and reset it as soon as the process has ended.
 const acceptedDelay = 5 * time.Millisecond
 
+// endTimeout limits the search for the end of a target's process: an attempt to connect on each path. An
+// answer that may be whole waits for it.
+const endTimeout = 400 * time.Millisecond
+
 // HasEnded connects to a target and reports whether nothing listens at its address any more. It returns
 // false if that cannot be found out. The connection is kept for a later request, among at most maxIdleConns
 // idle ones; zero means the limit for all targets.
 func (c *Conns) HasEnded(ctx context.Context, addr string, maxIdleConns int) bool {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
 	cn, err := c.dial(ctx, addr)
 	if err != nil {
 		return c.dialer.Refused(ctx, addr)
