The end of a target's process is known through a peer

What callers saw: with the direct path to a target lost, a stream whose target had ended could end in order, since the check found nothing out; crash records lacked such ends too. Cause: only a refusal of the router's own attempt counted, confirmed by a peer; on a lost path there is none. Change: where the own path is lost or in doubt, a peer that is refused decides. Evidence: TestEndOfTargetIsKnownThroughAPeer failed before, passes now; go test of edge/reach passes.

--- a/internal/edge/reach/dialer.go
+++ b/internal/edge/reach/dialer.go
@@ -192,8 +192,11 @@
 
 // Refused reports whether nothing listens at a target's address any more. A refusal of this router alone
 // may be due to its own path: it does not count if a peer connects, nor if no peer is refused while
-// paths are lost.
+// paths are lost. Where this router's own path is lost or in doubt, a peer alone decides.
 func (d *Dialer) Refused(ctx context.Context, addr string) bool {
+	if d.paths.route(addr, d.Clock()) != routeDirect {
+		return d.refusedAtPeer(ctx, addr)
+	}
 	c, err := d.Direct(ctx, "tcp", addr)
 	if err == nil {
 		_ = c.Close()
@@ -210,3 +213,12 @@
 	}
 	return fault.KindOf[Kind](tunnelErr) == Refused || !d.paths.anyLost()
 }
+
+// refusedAtPeer reports whether nothing listens at a target's address according to a peer.
+func (d *Dialer) refusedAtPeer(ctx context.Context, addr string) bool {
+	tunnel, err := d.dialTunnel(ctx, addr)
+	if err == nil {
+		_ = tunnel.Close()
+	}
+	return fault.KindOf[Kind](err) == Refused
+}
