Answers of stream routes that are no events need no event

What callers saw: a whole answer of another type, without a marked end, on a stream route as 502. Cause: the check for an event did not look at the type of the answer, as the one for a broken event does. Evidence: TestUnmarkedAnswerOfAnotherTypeOnAStreamRoute failed before, passes now.

--- a/internal/edge/entry/answer.go
+++ b/internal/edge/entry/answer.go
@@ -63,7 +63,9 @@
 // the last complete event.
 func (h *Handler) checkStreamEnd(ctx context.Context, j *job, answer receivedAnswer, rest []byte) error {
 	switch {
-	case isEventStream(answer.Header) && insideEvent(rest):
+	case !isEventStream(answer.Header):
+		return h.checkEnd(ctx, j, answer)
+	case insideEvent(rest):
 		j.progress.ending = EndInsideEvent
 		return errInsideEvent
 	case !answer.Framing.Marked() && j.progress.events == 0 && j.lastEvent == "" && j.call.LastEvent == "":
