A stream without the event that an earlier target had begun is not complete

What callers saw: a stream that broke inside an event and was resumed at a target that closed without any event, ended in order: the broken event was missing. Cause: a resumed stream may end without another event, since its first target may have ended right after its last one; here the begun event shows that one is missing. Evidence: TestStreamTakenUpWithoutTheBrokenEventIsNotComplete failed before, passes now.

--- a/internal/edge/entry/answer.go
+++ b/internal/edge/entry/answer.go
@@ -68,7 +68,7 @@
 	case insideEvent(rest):
 		j.progress.ending = EndInsideEvent
 		return errInsideEvent
-	case !answer.Framing.Marked() && j.progress.events == 0 && j.lastEvent == "" && j.call.LastEvent == "":
+	case !answer.Framing.Marked() && j.progress.events == 0 && (j.eventMissing || j.lastEvent == "" && j.call.LastEvent == ""):
 		j.progress.ending = EndWithoutEvent
 		return errWithoutEvent
 	default:
--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -32,6 +32,7 @@
 		pending = append(pending, buffer[:n]...)
 		if end := completeLen(pending); end > 0 {
 			j.progress.add(h.Clock(), pending[:end])
+			j.eventMissing = false
 			idleTimeout.reset(j.eventTimeout())
 			h.Finder.ReportReceived(j.lastPlacement.Hash)
 			if reason := h.forwardComplete(w, j, answer, pending[:end]); reason != "" {
@@ -43,6 +44,7 @@
 		case err == io.EOF:
 			return h.endStream(ctx, w, j, answer, pending)
 		case err != nil || len(pending) > maxEventBytes:
+			j.eventMissing = j.eventMissing || insideEvent(pending)
 			return result{step: retry.Answering, reason: Lost, status: answer.Status, err: err}
 		}
 	}
@@ -52,6 +54,7 @@
 // event.
 func (h *Handler) endStream(ctx context.Context, w http.ResponseWriter, j *job, answer receivedAnswer, rest []byte) result {
 	if err := h.checkStreamEnd(ctx, j, answer, rest); err != nil {
+		j.eventMissing = j.eventMissing || insideEvent(rest)
 		return result{step: retry.Answering, reason: Lost, status: answer.Status, err: err}
 	}
 	if reason := h.forwardComplete(w, j, answer, rest); reason != "" {
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -67,6 +67,8 @@
 	via ident.Router
 	// lastEvent is the ID of the last event sent to the caller.
 	lastEvent EventID
+	// eventMissing is set once an attempt has ended inside an event, which the rest of the stream must bring.
+	eventMissing bool
 	// cachedFingerprint is the fingerprint, or zero until it is computed.
 	cachedFingerprint ident.Fingerprint
 	// found and first are the times until a target was found and until the first byte of the
