A line of a stream may end with a carriage return only

What callers saw: a broken event that followed a comment, with lines that end in carriage returns, as a proper end. Cause: the search for a begun event split lines at line feeds only and took all of it for the comment. Evidence: TestStreamClosedInsideAnEventAfterACommentIsNotComplete failed before, passes now.

--- a/internal/edge/entry/answer.go
+++ b/internal/edge/entry/answer.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -105,11 +106,6 @@
 // insideEvent reports whether what follows the last complete event contains a part of another one.
 // Comments are none.
 func insideEvent(rest []byte) bool {
-	for line := range bytes.Lines(rest) {
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) > 0 && line[0] != ':' {
-			return true
-		}
-	}
-	return false
+	lines := bytes.FieldsFunc(rest, func(r rune) bool { return r == '\r' || r == '\n' })
+	return slices.ContainsFunc(lines, func(line []byte) bool { return line[0] != ':' })
 }
