The end of a leaving target's process does not break its last answers

What callers saw: whole answers without a marked end of a target that is leaving, as 502, requested again, or reset. Cause: a leaving target accepts no connections any more while it finishes, and ends right after its last answer; the check of an unmarked end took that for a crash. Change: for a target that is leaving, by its row or its own word, or not listed any more, the end of the process says nothing. A leaving target that crashes between two events is not found out any more; its caller gets an answer without a marked end. Evidence: TestUnmarkedAnswerOfALeavingTargetIsDelivered failed in 3 cases before, passes now; TestIsLeaving.

--- a/internal/edge/entry/answer.go
+++ b/internal/edge/entry/answer.go
@@ -78,9 +78,13 @@
 }
 
 // checkEnd returns an error if an answer that has ended is broken. Without a marked end, the close of the
-// connection may be the end of the answer or that of the target's process.
+// connection may be the end of the answer or that of the target's process. A target that is leaving may end
+// after its last answer.
 func (h *Handler) checkEnd(ctx context.Context, j *job, answer receivedAnswer) error {
-	if answer.Framing.Marked() || !h.Sender.HasEnded(ctx, j.lastPlacement.Target.Addr, h.Rules.IdleConns(j.service)) {
+	if answer.Framing.Marked() || h.Finder.IsLeaving(j.lastPlacement.Target) {
+		return nil
+	}
+	if !h.Sender.HasEnded(ctx, j.lastPlacement.Target.Addr, h.Rules.IdleConns(j.service)) {
 		return nil
 	}
 	j.progress.ending = EndTargetGone
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -39,6 +39,8 @@
 	ReportPace(report pace.Report)
 	// ReportNotice records the draining state and backoff that a target reported in an answer.
 	ReportNotice(target route.Target, n route.Notice)
+	// IsLeaving reports whether a target is leaving or is not listed any more.
+	IsLeaving(target route.Target) bool
 }
 
 // Sender sends requests to targets.
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -125,6 +126,12 @@
 	}
 }
 
+func (f *finder) IsLeaving(target route.Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Contains(f.reports, fmt.Sprint("leaving ", target.ID))
+}
+
 // budget allows a fixed number of retries.
 type budget struct{ left int }
 
--- a/internal/edge/route/backoff.go
+++ b/internal/edge/route/backoff.go
@@ -50,6 +50,24 @@
 	}
 }
 
+// IsLeaving reports whether an incarnation of a target is leaving, or is not listed any more.
+func (r *Router) IsLeaving(target Target) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hash := target.ID.Hash()
+	if incarnation, reported := r.leaving[hash]; reported && incarnation == target.Incarnation {
+		return true
+	}
+	for _, pools := range r.pools {
+		for _, p := range pools {
+			if t, known := p.Target(hash); known && t.Incarnation == target.Incarnation {
+				return !p.state.AcceptsWork(hash)
+			}
+		}
+	}
+	return true
+}
+
 // recordBackoff records that one incarnation of a target rejected a request and accepts none from
 // this router until the wait is over. The next permit request reports it to the target's home. The
 // backoff applies to this router only, but once several routers have reported the same target, its
--- a/internal/edge/route/leaving_test.go
+++ b/internal/edge/route/leaving_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"valescale/internal/edge/route"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/place"
@@ -104,3 +106,21 @@
 		t.Errorf("the target got %d probes in 20 requests, want more while none has a result", probes)
 	}
 }
+
+// Guards against whole answers of leaving targets that count as broken, and broken ones of running targets
+// that do not: a target is leaving if it is listed so, has said so, or is not listed any more.
+func TestIsLeaving(t *testing.T) {
+	f, r, assigned := newFleet()
+	one, _ := f.pools[0].Target(ident.Target("engine-1").Hash())
+	two, _ := f.pools[0].Target(ident.Target("engine-2").Hash())
+	earlier := one
+	earlier.Incarnation--
+	got := []bool{r.IsLeaving(one), r.IsLeaving(two), r.IsLeaving(earlier), r.IsLeaving(route.Target{ID: "engine-3", Incarnation: 1})}
+	r.ReportNotice(one, route.Notice{Leaving: true})
+	f.markLeaving("engine-2")
+	r.Set(f.pools, assigned)
+	got = append(got, r.IsLeaving(one), r.IsLeaving(two))
+	if diff := cmp.Diff([]bool{false, false, true, true, true, true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
