A target is not blamed for a rest without a marked end

What callers saw: nothing directly; a sound target counted as failing, and got less work. Cause: a resumed stream that promised a marked end and gets none is cut off, and was recorded as a failure of its target. Evidence: TestTargetOfAnUnmarkedRestIsNotReportedAsFailing failed before, passes now.

--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -33,6 +33,8 @@
 	connBroken bool
 	// complete is set when the answer was received up to an end that its framing marks.
 	complete bool
+	// unconfirmed is set when the answer is cut off for its caller only because its end is not marked.
+	unconfirmed bool
 	// budgetUsed is set when a retry was already taken from the retry budget.
 	budgetUsed bool
 }
@@ -134,7 +136,7 @@
 
 // succeeded reports whether the target answered correctly.
 func (r result) succeeded() bool {
-	return r.ended && r.reason != CutOff && r.status < http.StatusInternalServerError
+	return r.ended && (r.reason != CutOff || r.unconfirmed) && r.status < http.StatusInternalServerError
 }
 
 // cutOff reports whether an answer ended before it was complete.
--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -71,7 +71,7 @@
 	}
 	if j.marksEnd && !answer.Framing.Marked() {
 		// The stream began at another target, with a marked end that this one does not confirm.
-		return result{ended: true, reason: CutOff, status: answer.Status}
+		return result{ended: true, reason: CutOff, status: answer.Status, unconfirmed: true}
 	}
 	return result{ended: true, reason: Served, status: answer.Status}
 }
