A caller that ends its own side of the connection gets no made-up end

What callers saw: one that half-closes its connection after its request counts as gone; a stream that was given up for it ended with a last chunk, and without an answer so far it got an empty 200. Cause: the handler returned normally, and the HTTP server completes what a handler that returns has written. Change: the connection of a caller that counts as gone is closed without an end.

--- a/internal/edge/entry/ending_test.go
+++ b/internal/edge/entry/ending_test.go
@@ -246,3 +246,29 @@
 		t.Errorf("the caller got %d bytes of %d, and error %v, want all events and an error", len(body), len(text), err)
 	}
 }
+
+// Guards against an empty answer with status 200 for a caller that ends its own side of the connection before
+// its answer: the server writes one for a handler that returns without an answer.
+func TestHalfClosedCallerGetsNoEmptyAnswer(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	s := newSetup(t, newRoute(nil), newFakeTarget(t, func(*bufio.Writer, *http.Request) bool {
+		<-release
+		return false
+	}))
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nId: caller-1\r\nKey: k\r\nContent-Length: 1\r\n\r\nx")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(c); len(got) > 0 {
+		t.Errorf("the caller got %q and error %v, want no answer", got, err)
+	}
+}
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -230,7 +230,8 @@
 // serve makes attempts until one succeeds or no further attempt is allowed.
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, j *job) {
 	for {
-		if h.endIfDisconnected(ctx, j) {
+		if callerDisconnected(ctx) {
+			h.endCallerGone(ctx, j)
 			return
 		}
 		placement, err := h.acquire(ctx, j)
@@ -242,8 +243,9 @@
 			j.found = h.Clock().Sub(j.arrived)
 		}
 		j.lastPlacement = placement
-		if h.endIfDisconnected(ctx, j) {
+		if callerDisconnected(ctx) {
 			placement.Release()
+			h.endCallerGone(ctx, j)
 			return
 		}
 		if p := h.quarantineProblem(j); p != nil {
@@ -332,19 +334,17 @@
 	}
 }
 
-// endIfDisconnected ends a request whose caller has disconnected, and reports whether it has.
-func (h *Handler) endIfDisconnected(ctx context.Context, j *job) bool {
-	if !callerDisconnected(ctx) {
-		return false
-	}
+// endCallerGone ends a request whose caller has disconnected. A caller that has only ended its own side of the
+// connection may still read, and must not take what it gets for the end of an answer. It does not return.
+func (h *Handler) endCallerGone(ctx context.Context, j *job) {
 	h.ended(j, CallerGone, 0)
-	return true
+	abortConnection(ctx, j, CallerGone)
 }
 
 // endUnplaced ends a request for which no target was found.
 func (h *Handler) endUnplaced(ctx context.Context, w http.ResponseWriter, j *job, err error) {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		h.ended(j, CallerGone, 0)
+		h.endCallerGone(ctx, j)
 		return
 	}
 	p := placementProblem(err)
@@ -358,7 +358,7 @@
 // endFailed ends a request whose last attempt failed.
 func (h *Handler) endFailed(ctx context.Context, w http.ResponseWriter, j *job, attempt result) {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		h.ended(j, CallerGone, 0)
+		h.endCallerGone(ctx, j)
 		return
 	}
 	h.endWithProblem(ctx, w, j, noAnswer(j.outcome, attempt.reason, ctx.Err() != nil))
@@ -375,10 +375,10 @@
 	h.writeProblem(w, j, p)
 }
 
-// abortConnection closes the caller's connection if the answer was cut off or is not read. It does
-// not return, so it must be called last, after the placement has been released.
+// abortConnection closes the caller's connection if the answer was cut off or is not read, or if the caller
+// has disconnected. It does not return then, so it must be called last, after the placement has been released.
 func abortConnection(ctx context.Context, j *job, reason Reason) {
-	if reason != CutOff && reason != Unread {
+	if reason != CutOff && reason != Unread && reason != CallerGone {
 		return
 	}
 	if !j.marksEnd {
