A reset that shows a break waits for what was sent before

What callers saw: of a stream without a marked end that broke off, a caller that read late got 8,159 of 213,786 bytes. Cause: the reset of the connection drops what the caller's system had not received yet, whole events among it. Change: the router waits before the reset as long as the caller receives, and 2 s at most in which it receives nothing. Evidence: TestBreakWithoutMarkedEndKeepsWholeEvents failed before, passes now.

--- a/internal/edge/entry/caller.go
+++ b/internal/edge/entry/caller.go
@@ -4,8 +4,11 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"valescale/internal/edge/relay"
 )
 
@@ -32,18 +35,58 @@
 	SetLinger(seconds int) error
 }
 
-// resetOnClose makes the close of the caller's connection a reset.
+const (
+	// deliveryTimeout limits how long a caller may receive nothing of what was sent before its connection is
+	// reset: the time for which callers wait for the next event.
+	deliveryTimeout = 2 * time.Second
+	// deliveryPollInterval is the interval at which the rest is checked, some round trips to a caller.
+	deliveryPollInterval = 10 * time.Millisecond
+)
+
+// resetOnClose makes the close of the caller's connection a reset, which drops what the caller has not
+// received. It waits until that is nothing, as long as it gets less.
 func resetOnClose(ctx context.Context) {
 	c, known := ctx.Value(connContextKey{}).(*callerConn)
 	if !known {
 		return
 	}
+	waitDelivery(c.Conn)
 	if l, ok := c.Conn.(lingerer); ok {
 		// The option cannot be set only on a connection that is closed already.
 		_ = l.SetLinger(0)
 	}
 }
 
+// waitDelivery waits until the other end of a connection has received everything, or has received nothing for
+// deliveryTimeout.
+func waitDelivery(c net.Conn) {
+	left := unreceived(c)
+	for progressAt := time.Now(); left > 0 && time.Since(progressAt) < deliveryTimeout; {
+		time.Sleep(deliveryPollInterval)
+		if now := unreceived(c); now < left {
+			left, progressAt = now, time.Now()
+		}
+	}
+}
+
+// unreceived returns the number of bytes that were written to a connection and not acknowledged by the other
+// end, or zero if the system does not report it.
+func unreceived(c net.Conn) int {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	count := 0
+	if raw.Control(func(fd uintptr) { count, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) != nil || err != nil {
+		return 0
+	}
+	return count
+}
+
 // unreadTime returns how long the first request of a connection waited between accept and read.
 // For later requests it returns zero, because their arrival time is unknown. With many requests on
 // reused connections, the few connections that are opened ahead of their first request must not be
