Count the ending of each answer, and log the progress of the attempt that failed

What operators saw: the counter of endings held the last answer of a request only, so that a break that was resumed was missing; a line 'attempt failed' of an attempt without an answer showed framing, bytes and events of the one before; no ending for an event over the limit. Change: the counter counts each answer; the progress starts anew with each attempt; an answer whose caller did not read it to its end has the ending 'unread'.

--- a/internal/edge/entry/answer.go
+++ b/internal/edge/entry/answer.go
@@ -28,6 +28,8 @@
 	EndWithoutEvent Ending = "without_event"
 	// EndTargetGone means that an answer without a marked end closed and its target's process has ended.
 	EndTargetGone Ending = "target_gone"
+	// EndUnread means that the caller disconnected, or did not read, before the end.
+	EndUnread Ending = "unread"
 	// EndBroken means that the connection broke, or the attempt was given up.
 	EndBroken Ending = "broken"
 )
--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -57,6 +57,7 @@
 // attempt sends the request to one target and forwards the answer.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, j *job, placement *route.Placement) result {
 	began := h.Clock()
+	j.progress = progress{}
 	ctx, idleTimeout := newIdleTimeout(ctx, h.Clock, j.idleTimeout(), j.suspectAfter(), func(since time.Time) { h.reportSilence(j, placement, since) })
 	defer idleTimeout.stop()
 	answer, err := h.Sender.Send(ctx, h.newExchange(j, placement))
@@ -70,7 +71,7 @@
 	j.sends++
 	reply := h.Dialect.Reply(answer.Status, answer.Header)
 	h.reportNotice(j, placement, answer, reply)
-	j.progress = progress{framing: answer.Framing}
+	j.progress.framing = answer.Framing
 	h.reportPace(j, placement, reply)
 	if reply.NotRun {
 		if reply.AddressReassigned {
@@ -85,6 +86,10 @@
 	}
 	end := h.forward(ctx, w, j, receivedAnswer{answer, &j.progress}, idleTimeout)
 	end.took = h.Clock().Sub(began)
+	if j.progress.ending == "" {
+		j.progress.ending = EndUnread
+	}
+	h.Observer.AnswerEnded(j.service, j.progress.ending)
 	end.connBroken = end.cutOff() && ctx.Err() == nil
 	end.complete = end.reason == Served && answer.Framing.Marked()
 	h.reportResult(ctx, placement, end.succeeded())
--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -44,6 +44,7 @@
 		case err == io.EOF:
 			return h.endStream(ctx, w, j, answer, pending)
 		case err != nil || len(pending) > maxEventBytes:
+			j.progress.ending = EndBroken
 			j.eventMissing = j.eventMissing || insideEvent(pending)
 			return result{step: retry.Answering, reason: Lost, status: answer.Status, err: err}
 		}
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -120,6 +120,8 @@
 type Observer interface {
 	// Ended is called once per request.
 	Ended(e End)
+	// AnswerEnded is called once per answer of a target that is forwarded.
+	AnswerEnded(service ident.Service, ending Ending)
 }
 
 // End describes the end of a request.
@@ -139,8 +141,6 @@
 	Total time.Duration
 	// Rule is the rule by which the last target was selected, or zero.
 	Rule place.Rule
-	// Ending is how the latest answer of a target ended, empty without one.
-	Ending Ending
 	// Timely is set if the answer met the objectives of the route.
 	Timely bool
 }
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -179,7 +179,7 @@
 
 // newEnd returns the end of the request at the given time, without reason and status.
 func (j *job) newEnd(now time.Time) End {
-	e := End{Service: j.service, Ending: j.progress.ending, Sends: j.sends, Found: j.found, First: j.first, Total: now.Sub(j.arrived)}
+	e := End{Service: j.service, Sends: j.sends, Found: j.found, First: j.first, Total: now.Sub(j.arrived)}
 	if j.route != nil {
 		e.Route = j.route.Name
 		e.Timely = j.timely()
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -147,6 +147,14 @@
 type recorder struct {
 	mu      sync.Mutex
 	reasons []Reason
+	// endings are those of the targets' answers.
+	endings []Ending
+}
+
+func (r *recorder) AnswerEnded(_ ident.Service, ending Ending) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endings = append(r.endings, ending)
 }
 
 func (r *recorder) Ended(end End) {
--- a/internal/edge/entry/unmarked_test.go
+++ b/internal/edge/entry/unmarked_test.go
@@ -133,6 +133,9 @@
 			if second.count() != 1 || second.headers[0].Get("After") != "3" {
 				t.Errorf("the second target got %d requests, want one after event 3", second.count())
 			}
+			if diff := cmp.Diff([]Ending{EndInsideEvent, EndMarked}, s.recorder.endings); diff != "" {
+				t.Errorf("endings: %s", diff)
+			}
 		})
 	}
 }
--- a/internal/oper/telem/routed.go
+++ b/internal/oper/telem/routed.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"valescale/internal/edge/entry"
+	"valescale/internal/plat/ident"
 )
 
 // RouteMetrics contains the metrics of a router that serves requests by routes.
@@ -146,14 +147,16 @@
 	if e.Rule != 0 {
 		m.rules.WithLabelValues(service, e.Rule.String()).Inc()
 	}
-	if e.Ending != "" {
-		m.endings.WithLabelValues(service, string(e.Ending)).Inc()
-	}
 	if e.Reason == entry.Served {
 		m.timely.WithLabelValues(service, strconv.FormatBool(e.Timely)).Inc()
 	}
 }
 
+// AnswerEnded counts an answer of a target.
+func (m *RouteMetrics) AnswerEnded(service ident.Service, ending entry.Ending) {
+	m.endings.WithLabelValues(string(service), string(ending)).Inc()
+}
+
 // Handler returns the HTTP handler of the metrics endpoint.
 func (m *RouteMetrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
