cmds: one function calls the admin service for all commands that call it once

Seven commands repeated the same ten lines around one call: create the client, check the error, defer the cancel, send, wrap the error. Only the method and the operation differed.

call takes the method as a method expression of the client and returns the reply's message. diff and apply, which make several calls under one timeout, keep their client.

--- a/internal/oper/cmds/change.go
+++ b/internal/oper/cmds/change.go
@@ -71,16 +71,11 @@
 		}
 		return c.report(found, len(documents))
 	}
-	client, ctx, cancel, err := c.client()
+	reply, err := call(&c.routerOptions, "cmds.check", peerpb.AdminServiceClient.Check, &peerpb.CheckRequest{Documents: admin.EncodeDocuments(documents)})
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	reply, err := client.Check(ctx, connect.NewRequest(&peerpb.CheckRequest{Documents: admin.EncodeDocuments(documents)}))
-	if err != nil {
-		return fault.New("cmds.check", Refused, err)
-	}
-	return c.report(reply.Msg.GetProblems(), len(documents))
+	return c.report(reply.GetProblems(), len(documents))
 }
 
 func (c *checkCommand) report(problems []*peerpb.Problem, documents int) error {
--- a/internal/oper/cmds/client.go
+++ b/internal/oper/cmds/client.go
@@ -53,6 +53,24 @@
 	return c, ctx, cancel, nil
 }
 
+// call calls one method of the router's admin service and returns the reply.
+func call[Request, Reply any](
+	r *routerOptions, op string,
+	method func(peerpb.AdminServiceClient, context.Context, *connect.Request[Request]) (*connect.Response[Reply], error),
+	request *Request,
+) (*Reply, error) {
+	client, ctx, cancel, err := r.client()
+	if err != nil {
+		return nil, err
+	}
+	defer cancel()
+	reply, err := method(client, ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, fault.New(op, Refused, err)
+	}
+	return reply.Msg, nil
+}
+
 // readDocuments reads the documents of files and of the .ini files in directories. It fails if a
 // document is defined twice or if there are no documents.
 func readDocuments(paths []string) ([]policy.Document, error) {
--- a/internal/oper/cmds/inspect.go
+++ b/internal/oper/cmds/inspect.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"connectrpc.com/connect"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
@@ -36,20 +35,15 @@
 
 // Execute implements flags.Commander.
 func (s *showCommand) Execute([]string) error {
-	client, ctx, cancel, err := s.client()
+	reply, err := call(&s.routerOptions, "cmds.show", peerpb.AdminServiceClient.Show, &peerpb.ShowRequest{Kind: s.Args.Kind, Name: s.Args.Name})
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	reply, err := client.Show(ctx, connect.NewRequest(&peerpb.ShowRequest{Kind: s.Args.Kind, Name: s.Args.Name}))
-	if err != nil {
-		return fault.New("cmds.show", Refused, err)
-	}
 	if s.JSON {
-		return s.console.printMessage(reply.Msg)
+		return s.console.printMessage(reply)
 	}
-	s.console.printLine("; revision %d", reply.Msg.GetRevision())
-	for _, d := range admin.DecodeDocuments(reply.Msg.GetDocuments()) {
+	s.console.printLine("; revision %d", reply.GetRevision())
+	for _, d := range admin.DecodeDocuments(reply.GetDocuments()) {
 		s.console.printLine("[%s %s]\n%s", d.ID.Kind, d.ID.Name, d.Text)
 	}
 	return nil
@@ -64,16 +58,11 @@
 
 // Execute implements flags.Commander.
 func (h *historyCommand) Execute([]string) error {
-	client, ctx, cancel, err := h.client()
+	reply, err := call(&h.routerOptions, "cmds.history", peerpb.AdminServiceClient.History, &peerpb.HistoryRequest{Before: h.Before, Limit: h.Limit})
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	reply, err := client.History(ctx, connect.NewRequest(&peerpb.HistoryRequest{Before: h.Before, Limit: h.Limit}))
-	if err != nil {
-		return fault.New("cmds.history", Refused, err)
-	}
-	for _, c := range reply.Msg.GetChanges() {
+	for _, c := range reply.GetChanges() {
 		if h.JSON {
 			if err := h.console.printMessage(c); err != nil {
 				return err
@@ -94,16 +83,11 @@
 
 // Execute implements flags.Commander.
 func (a *auditCommand) Execute([]string) error {
-	client, ctx, cancel, err := a.client()
+	reply, err := call(&a.routerOptions, "cmds.audit", peerpb.AdminServiceClient.Audit, &peerpb.AuditRequest{Before: a.Before, Limit: a.Limit})
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	reply, err := client.Audit(ctx, connect.NewRequest(&peerpb.AuditRequest{Before: a.Before, Limit: a.Limit}))
-	if err != nil {
-		return fault.New("cmds.audit", Refused, err)
-	}
-	for _, row := range reply.Msg.GetRows() {
+	for _, row := range reply.GetRows() {
 		if a.JSON {
 			if err := a.console.printMessage(row); err != nil {
 				return err
@@ -123,28 +107,22 @@
 
 // Execute implements flags.Commander.
 func (s *statusCommand) Execute([]string) error {
-	client, ctx, cancel, err := s.client()
+	reply, err := call(&s.routerOptions, "cmds.status", peerpb.AdminServiceClient.Status, &peerpb.StatusRequest{})
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	reply, err := client.Status(ctx, connect.NewRequest(&peerpb.StatusRequest{}))
-	if err != nil {
-		return fault.New("cmds.status", Refused, err)
-	}
-	m := reply.Msg
 	if s.JSON {
-		return s.console.printMessage(m)
+		return s.console.printMessage(reply)
 	}
-	s.console.printLine("router %s  revision %d  ready %v  store up %v", m.GetRouter(), m.GetRevision(), m.GetReady(), m.GetStoreUp())
-	for _, a := range m.GetAlarms() {
+	s.console.printLine("router %s  revision %d  ready %v  store up %v", reply.GetRouter(), reply.GetRevision(), reply.GetReady(), reply.GetStoreUp())
+	for _, a := range reply.GetAlarms() {
 		s.console.printLine("ALARM %s", a)
 	}
-	for _, member := range m.GetMembers() {
+	for _, member := range reply.GetMembers() {
 		s.console.printLine("  router %s  %s  %s  %s  revision %d", member.GetMember().GetId(), member.GetMember().GetZone(),
 			member.GetMember().GetAddr(), stateName(member.GetMember().GetState()), member.GetRevision())
 	}
-	for _, e := range m.GetEngines() {
+	for _, e := range reply.GetEngines() {
 		s.console.printLine("  target %s  %s  %s  %s  in flight %d", e.GetId(), e.GetPool(), e.GetZone(), e.GetState(), e.GetInFlight())
 	}
 	return nil
@@ -185,20 +163,15 @@
 		}
 		request.Documents = admin.EncodeDocuments(documents)
 	}
-	client, ctx, cancel, err := s.client()
+	reply, err := call(&s.routerOptions, "cmds.shadow", peerpb.AdminServiceClient.Shadow, request)
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	reply, err := client.Shadow(ctx, connect.NewRequest(request))
-	if err != nil {
-		return fault.New("cmds.shadow", Refused, err)
-	}
 	if s.JSON {
-		return s.console.printMessage(reply.Msg)
+		return s.console.printMessage(reply)
 	}
-	s.console.printLine("%d of %d decisions differ on this router", reply.Msg.GetDiffering(), reply.Msg.GetDecisions())
-	for _, e := range reply.Msg.GetExamples() {
+	s.console.printLine("%d of %d decisions differ on this router", reply.GetDiffering(), reply.GetDecisions())
+	for _, e := range reply.GetExamples() {
 		s.console.printLine("  %s", e)
 	}
 	return nil
@@ -217,20 +190,15 @@
 
 // Execute implements flags.Commander.
 func (c *claimCommand) Execute([]string) error {
-	client, ctx, cancel, err := c.client()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	reply, err := client.Claim(ctx, connect.NewRequest(&peerpb.ClaimRequest{
+	reply, err := call(&c.routerOptions, "cmds.claim", peerpb.AdminServiceClient.Claim, &peerpb.ClaimRequest{
 		Workspace: c.Args.Workspace, Key: c.Args.Key, GiveBack: c.GiveBack, Note: c.Note,
-	}))
+	})
 	if err != nil {
-		return fault.New("cmds.claim", Refused, err)
+		return err
 	}
 	if c.JSON {
-		return c.console.printMessage(reply.Msg)
+		return c.console.printMessage(reply)
 	}
-	c.console.printLine("%s  %s  attempt %s", reply.Msg.GetState(), formatTime(reply.Msg.GetUnixMs()), reply.Msg.GetAttempt())
+	c.console.printLine("%s  %s  attempt %s", reply.GetState(), formatTime(reply.GetUnixMs()), reply.GetAttempt())
 	return nil
 }
