cmds: apply waits for a change and prints it in two functions

awaitAccepted polled the router, set the exit status and printed the result, with three breaks of different reach in one loop. Execute held the call that records the change among the rest.

record sends the change, awaitAccepted returns its latest state, print prints it, and Execute sets the exit status.

--- a/internal/oper/cmds/change.go
+++ b/internal/oper/cmds/change.go
@@ -176,40 +176,52 @@
 	if err != nil {
 		return err
 	}
+	changed := changedDocuments(documents, current, a.Prune)
+	if len(changed) == 0 {
+		a.console.printLine("no differences from revision %d", revision)
+		return nil
+	}
 	if a.Base == 0 {
 		a.Base = revision
 	}
 	if a.ChangeID == "" {
 		a.ChangeID = string(claim.NewAttempt())
 	}
-	changed := changedDocuments(documents, current, a.Prune)
-	if len(changed) == 0 {
-		a.console.printLine("no differences from revision %d", revision)
-		return nil
+	reply, err := a.record(ctx, client, changed)
+	if err != nil {
+		return err
+	}
+	switch {
+	case len(reply.GetProblems()) > 0:
+		return a.printProblems(reply.GetProblems())
+	case reply.GetConflict():
+		a.console.fail(ExitConflict, "documents changed since revision %d; differences from revision %d:", a.Base, reply.GetHead())
+		return a.printChanges(changed, admin.DecodeDocuments(reply.GetTheirs()))
+	}
+	line := a.awaitAccepted(ctx, client, reply.GetRevision())
+	if !line.Accepted {
+		a.console.status = ExitNotAccepted
 	}
+	return a.print(line)
+}
+
+// record sends the changed documents to the router, which records them as one change.
+func (a *applyCommand) record(ctx context.Context, client peerpb.AdminServiceClient, changed []policy.Document) (*peerpb.ApplyReply, error) {
 	reply, err := client.Apply(ctx, connect.NewRequest(&peerpb.ApplyRequest{
 		Documents: admin.EncodeDocuments(changed), Base: a.Base, ChangeId: a.ChangeID, Note: a.Note,
 	}))
 	if err != nil {
-		return fault.Newf("cmds.apply", Refused, "%v; to retry safely, repeat the command with --change-id %s", err, a.ChangeID)
-	}
-	m := reply.Msg
-	switch {
-	case len(m.GetProblems()) > 0:
-		return a.printProblems(m.GetProblems())
-	case m.GetConflict():
-		a.console.fail(ExitConflict, "documents changed since revision %d; differences from revision %d:", a.Base, m.GetHead())
-		return a.printChanges(changed, admin.DecodeDocuments(m.GetTheirs()))
+		return nil, fault.Newf("cmds.apply", Refused, "%v; to retry safely, repeat the command with --change-id %s", err, a.ChangeID)
 	}
-	return a.awaitAccepted(ctx, client, m.GetRevision())
+	return reply.Msg, nil
 }
 
 // acceptedPollInterval is the interval at which the command checks whether a change is accepted.
 const acceptedPollInterval = 100 * time.Millisecond
 
 // awaitAccepted waits until a revision is in force on every router, or until the wait time is
-// over, and prints the result.
-func (a *applyCommand) awaitAccepted(ctx context.Context, client peerpb.AdminServiceClient, revision uint64) error {
+// over, and returns the latest state of the change.
+func (a *applyCommand) awaitAccepted(ctx context.Context, client peerpb.AdminServiceClient, revision uint64) applyLine {
 	ctx, cancel := context.WithTimeout(ctx, a.Wait)
 	defer cancel()
 	ticker := time.NewTicker(acceptedPollInterval)
@@ -221,23 +233,25 @@
 			line.Accepted, line.Outstanding = reply.Msg.GetAccepted(), reply.Msg.GetOutstanding()
 		}
 		if line.Accepted {
-			break
+			return line
 		}
 		select {
 		case <-ctx.Done():
-			a.console.status = ExitNotAccepted
+			return line
 		case <-ticker.C:
-			continue
 		}
-		break
 	}
-	if a.JSON {
+}
+
+// print prints the state of an applied change.
+func (a *applyCommand) print(line applyLine) error {
+	switch {
+	case a.JSON:
 		return a.console.printJSON(line)
+	case line.Accepted:
+		a.console.printLine("revision %d is in force on every router", line.Revision)
+	default:
+		a.console.printLine("revision %d is recorded; outstanding routers: %s", line.Revision, strings.Join(line.Outstanding, ", "))
 	}
-	if line.Accepted {
-		a.console.printLine("revision %d is in force on every router", revision)
-		return nil
-	}
-	a.console.printLine("revision %d is recorded; outstanding routers: %s", revision, strings.Join(line.Outstanding, ", "))
 	return nil
 }
