--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -184,19 +184,6 @@
 	return false
 }
 
-// hasSlot reports whether a usable engine that the request does not avoid can run it at once.
-func (e *engineLoad) hasSlot(req Request) bool {
-	return e.usable() && !slices.Contains(req.Avoid, e.Hash) && (e.Slots <= 0 || e.load()+req.Work <= e.Slots || e.load() <= 0)
-}
-
-// preferredLimit returns the load below which an engine accepts new chats that prefer it.
-func (h *Home) preferredLimit(total ident.Work) float64 {
-	if h.bound.PreferredFactor <= 0 {
-		return 0
-	}
-	return h.bound.PreferredFactor*float64(total)/float64(max(h.poolEngines, 1)) + float64(h.bound.Extra)
-}
-
 // rank returns the rank of an engine for a chat without a stored place: by load, then by zone,
 // then by the chat's hash order, so that a home without stored places tends to choose the same
 // engine again.
@@ -252,20 +239,6 @@
 	return r
 }
 
-// mergeRejection returns Full if either result is Full, because only then another shard may have
-// room.
-func mergeRejection(old, found Result) Result {
-	if old == Full || found == Full {
-		return Full
-	}
-	return found
-}
-
-// finalShard reports whether no other shard is tried after this one. Such a request keeps within
-// the bound like any other, but the bound may be based on the mean of this shard, and the slow
-// start of joined engines does not apply.
-func (r *Request) finalShard() bool { return r.MustPlace || r.Over }
-
 // admits returns whether an engine may receive the request now, as a Result.
 func (h *Home) admits(now time.Time, i int, req Request, limit float64) Result {
 	e := &h.engines[i]
@@ -292,56 +265,3 @@
 	}
 	return Placed
 }
-
-// ownShare returns the fraction of the shard's work that this home admitted itself. While several
-// routers act as home of a shard, each keeps the work that it admitted within its share of the
-// bound. The total then stays within the bound even if the counts from the other homes are stale
-// or counted twice. In a model of seven routers with different views, 1 to 2 in 100 requests
-// reached engines above twice the mean without this rule, and 1 in 1,000 with it.
-func (h *Home) ownShare() float64 {
-	if h.peerWork <= 0 {
-		return 1
-	}
-	// Including the new request gives a home without permits a share above zero.
-	own := h.granted + ident.OneRequest
-	return float64(own) / float64(own+h.peerWork)
-}
-
-// limit returns the load below which an engine may receive more work: the bound's factor times the
-// pool's mean, with the new request included.
-func (h *Home) limit(total ident.Work) float64 {
-	return h.bound.limit((1-pendingReleaseRatio)*float64(total), h.poolEngines)
-}
-
-// shardLimit returns the limit based on the mean of this shard's engines, for requests that must
-// be placed here: the pool's mean may be lower, or unknown. Engines that the request avoids count
-// while they have work, because other edge routers use them. Otherwise the few engines that one
-// router considers healthy would receive all of its requests. Avoided engines without work may have
-// stopped, and would only lower the limit of the others.
-func (h *Home) shardLimit(req Request) float64 {
-	engines := 0
-	for i := range h.engines {
-		e := &h.engines[i]
-		if e.usable() && (e.load() > 0 || !slices.Contains(req.Avoid, e.Hash)) {
-			engines++
-		}
-	}
-	return h.bound.limit((1-pendingReleaseRatio)*float64(h.Work()+req.Work), engines)
-}
-
-// pendingReleaseRatio is the estimated fraction of permits whose requests have ended but whose
-// releases have not arrived yet.
-const pendingReleaseRatio = 0.03
-
-// minRampShare is the fraction of the limit that an engine has when it joins.
-const minRampShare = 0.1
-
-// ramp returns the fraction of the limit that applies to an engine during its slow start, and 1
-// afterwards.
-func (h *Home) ramp(now time.Time, e *engineLoad) float64 {
-	if e.Joined.IsZero() || h.bound.Ramp <= 0 {
-		return 1
-	}
-	share := float64(now.Sub(e.Joined)) / float64(h.bound.Ramp)
-	return min(max(share, minRampShare), 1)
-}
