place: engine incarnations are compared in one place

Whether an engine of a chat's place still has the same incarnation was written out three times as an index lookup and a comparison, and the pair of engine and incarnation was put together by hand in three more. holder had the search through the place and three fallbacks in one body. Both loops over engines skipped Empty results before they called mergeRejection, which gave a wrong result without.

Engine.run and Home.find serve all of them; placeHolder is the search through the place; mergeRejection handles Empty itself. Decisions stay the same.

--- a/internal/rule/place/chat_places.go
+++ b/internal/rule/place/chat_places.go
@@ -26,6 +26,16 @@
 	engine      ident.TargetHash
 }
 
+// run returns the current incarnation of an engine.
+func (e *Engine) run() engineRun { return engineRun{incarnation: e.Incarnation, engine: e.Hash} }
+
+// find returns the position of an engine in the home's engines, and whether it still has the given
+// incarnation.
+func (h *Home) find(run engineRun) (int, bool) {
+	i, known := h.index[run.engine]
+	return i, known && h.engines[i].Incarnation == run.incarnation
+}
+
 // movedTo returns the place after the chat ran on an engine.
 func (p chatPlace) movedTo(to engineRun, seen int64) chatPlace {
 	p.seen = seen
--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -8,27 +8,11 @@
 )
 
 // holder returns an engine, other than the given one, that served the chat before and still runs.
-// The engine may now be in another shard, because half of a pool's engines change shards when the
-// number of shards grows. For a chat without a stored place it returns the last engine to which
-// the edge router sent it, or else the first engine in the chat's hash order, which shares at most
-// the beginning of its prompt.
+// For a chat without a stored place it returns the last engine to which the edge router sent it, or
+// else the first engine in the chat's hash order, which shares at most the beginning of its prompt.
 func (h *Home) holder(now time.Time, req Request, at chatPlace, other ident.TargetHash) ident.TargetHash {
-	var inOtherShard ident.TargetHash
-	for _, s := range at.at {
-		if s == (engineRun{}) || s.engine == other || slices.Contains(req.Lost, s.engine) {
-			continue
-		}
-		i, known := h.index[s.engine]
-		inShard := known && h.engines[i].present
-		if inShard && h.engines[i].Incarnation == s.incarnation {
-			return s.engine
-		}
-		if !inShard && inOtherShard == 0 && h.inPool(s) {
-			inOtherShard = s.engine
-		}
-	}
-	if inOtherShard != 0 {
-		return inOtherShard
+	if engine := h.placeHolder(at, req, other); engine != 0 {
+		return engine
 	}
 	if req.Last != 0 && req.Last != other && !slices.Contains(req.Lost, req.Last) {
 		return req.Last
@@ -46,27 +30,48 @@
 	return preferred
 }
 
+// placeHolder returns the latest engine of a chat's place that still runs, other than the given one,
+// or zero. It prefers those of this shard. The engine may now be in another shard, because half of a
+// pool's engines change shards when the number of shards grows.
+func (h *Home) placeHolder(at chatPlace, req Request, other ident.TargetHash) ident.TargetHash {
+	var inOtherShard ident.TargetHash
+	for _, run := range at.at {
+		if run == (engineRun{}) || run.engine == other || slices.Contains(req.Lost, run.engine) {
+			continue
+		}
+		i, known := h.index[run.engine]
+		inShard := known && h.engines[i].present
+		if inShard && h.engines[i].Incarnation == run.incarnation {
+			return run.engine
+		}
+		if !inShard && inOtherShard == 0 && h.inPool(run) {
+			inOtherShard = run.engine
+		}
+	}
+	return inOtherShard
+}
+
 // parentHolder returns the engine that last ran a request with the same parent part, if that is
 // another engine than the given one. The chat's own part is not cached anywhere as far as is known.
 func (h *Home) parentHolder(now time.Time, req Request, other ident.TargetHash) (ident.TargetHash, bool) {
 	if req.Parent == 0 || now.Before(h.recoveringUntil) {
 		return 0, false
 	}
-	s, known := h.parents.get(req.Parent)
-	if !known || s.engine == other || slices.Contains(req.Lost, s.engine) {
+	run, known := h.parents.get(req.Parent)
+	if !known || run.engine == other || slices.Contains(req.Lost, run.engine) {
 		return 0, false
 	}
-	i, present := h.index[s.engine]
-	return s.engine, present && h.engines[i].present && h.engines[i].Incarnation == s.incarnation
+	i, current := h.find(run)
+	return run.engine, current && h.engines[i].present
 }
 
 // inPool reports whether an engine incarnation is still present in any shard of the pool.
-func (h *Home) inPool(s engineRun) bool {
+func (h *Home) inPool(run engineRun) bool {
 	if h.roster == nil {
 		return false
 	}
-	e := h.roster.find(s.engine)
-	return e != nil && e.Incarnation == s.incarnation
+	e := h.roster.find(run.engine)
+	return e != nil && e.Incarnation == run.incarnation
 }
 
 // firstPreferred returns the first engine in a chat's hash order, other than the given one.
@@ -130,11 +135,7 @@
 	var best, first ranked
 	outcome := Empty
 	for i := range h.engines {
-		result := h.admits(now, i, req, limit)
-		if result == Empty {
-			continue
-		}
-		if result != Placed {
+		if result := h.admits(now, i, req, limit); result != Placed {
 			outcome = mergeRejection(outcome, result)
 			continue
 		}
@@ -158,9 +159,8 @@
 // router, and admits the request.
 func (h *Home) findWarm(now time.Time, req Request, limit float64) (int, bool) {
 	at, _ := h.places.get(req.Key)
-	for _, s := range at.at {
-		i, known := h.index[s.engine]
-		if known && h.engines[i].Incarnation == s.incarnation && h.admits(now, i, req, limit) == Placed {
+	for _, run := range at.at {
+		if i, current := h.find(run); current && h.admits(now, i, req, limit) == Placed {
 			return i, true
 		}
 	}
@@ -175,9 +175,8 @@
 		return true
 	}
 	at, _ := h.places.get(req.Key)
-	for _, s := range at.at {
-		i, known := h.index[s.engine]
-		if known && h.engines[i].Incarnation == s.incarnation && h.engines[i].hasSlot(req) {
+	for _, run := range at.at {
+		if i, current := h.find(run); current && h.engines[i].hasSlot(req) {
 			return true
 		}
 	}
--- a/internal/rule/place/export.go
+++ b/internal/rule/place/export.go
@@ -59,7 +59,7 @@
 	if !ok {
 		return
 	}
-	to := engineRun{engine: e.To, incarnation: h.engines[i].Incarnation}
+	to := h.engines[i].run()
 	for _, key := range e.Keys {
 		at, _ := h.places.get(key)
 		next := at.movedTo(to, now.Unix())
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -193,7 +193,7 @@
 		d.Holder = h.holder(now, req, at, e.Hash)
 	}
 	if h.paced && req.Parent != 0 {
-		h.parents.put(req.Parent, engineRun{engine: e.Hash, incarnation: e.Incarnation})
+		h.parents.put(req.Parent, e.run())
 	}
 	return d
 }
@@ -201,7 +201,7 @@
 // remember stores a chat's engine and returns the previous place.
 func (h *Home) remember(now time.Time, key ident.ChatKey, e *engineLoad) chatPlace {
 	at, _ := h.places.get(key)
-	next := at.movedTo(engineRun{engine: e.Hash, incarnation: e.Incarnation}, now.Unix())
+	next := at.movedTo(e.run(), now.Unix())
 	h.places.put(key, next)
 	if next.last() != at.last() {
 		h.recordPlace(key, next)
--- a/internal/rule/place/request.go
+++ b/internal/rule/place/request.go
@@ -21,11 +21,12 @@
 	Empty
 )
 
-// mergeRejection returns Full if either result is Full, because only then another shard may have
-// room.
-func mergeRejection(old, found Result) Result {
-	if old == Full || found == Full {
-		return Full
+// mergeRejection returns the outcome for a shard with a further engine that does not admit the
+// request: Full if any engine is at the bound, because only then another shard may have room. An
+// engine that is not usable does not change the outcome.
+func mergeRejection(outcome, found Result) Result {
+	if outcome == Full || found == Empty {
+		return outcome
 	}
 	return found
 }
--- a/internal/rule/place/time.go
+++ b/internal/rule/place/time.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"valescale/internal/plat/ident"
@@ -93,12 +94,7 @@
 // hasCached reports whether an engine has served the request's chat, according to this home or else
 // the edge router.
 func (r *Request) hasCached(at chatPlace, e *engineLoad) bool {
-	for _, s := range at.at {
-		if s.engine == e.Hash && s.incarnation == e.Incarnation {
-			return true
-		}
-	}
-	return r.Last == e.Hash
+	return r.Last == e.Hash || slices.Contains(at.at[:], e.run())
 }
 
 // timedChoice is an engine with the forecast for a request on it.
@@ -132,11 +128,7 @@
 	outcome := Empty
 	for i := range h.engines {
 		e := &h.engines[i]
-		result := h.admits(now, i, req, limit)
-		if result == Empty {
-			continue
-		}
-		if result != Placed {
+		if result := h.admits(now, i, req, limit); result != Placed {
 			outcome = mergeRejection(outcome, result)
 			continue
 		}
