--- a/internal/share/config/change.go
+++ b/internal/share/config/change.go
@@ -109,9 +109,24 @@
 	return data
 }
 
-func decode(row table.Row, into any) error {
-	if err := json.Unmarshal(row.Value, into); err != nil {
-		return fault.Newf("config.decode", Damaged, "%s/%s: %v", row.Table, row.Key, err)
+// decode returns the value of a row.
+func decode[T any](row table.Row) (T, error) {
+	var value T
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return value, fault.Newf("config.decode", Damaged, "%s/%s: %v", row.Table, row.Key, err)
 	}
-	return nil
+	return value, nil
+}
+
+// decodeAll returns the values of rows.
+func decodeAll[T any](rows []table.Row) ([]T, error) {
+	out := make([]T, 0, len(rows))
+	for _, row := range rows {
+		value, err := decode[T](row)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, value)
+	}
+	return out, nil
 }
--- a/internal/share/config/record.go
+++ b/internal/share/config/record.go
@@ -74,31 +74,6 @@
 	return Outcome{}, fault.Newf(op, Conflict, "other changes came first %d times", maxRecordAttempts)
 }
 
-// findRecorded returns the recorded change with an ID, or an empty Outcome if there is none.
-func (r *Recorder) findRecorded(ctx context.Context, id string) (Outcome, error) {
-	const op = "config.recorded"
-	row, err := r.store.Get(ctx, IDTable, table.Key(id))
-	if table.KindOf(err) == table.Missing {
-		return Outcome{}, nil
-	}
-	if err != nil {
-		return Outcome{}, fault.New(op, Unavailable, err)
-	}
-	var at head
-	if err := decode(row, &at); err != nil {
-		return Outcome{}, err
-	}
-	row, err = r.store.Get(ctx, ChangeTable, revisionKey(at.Revision))
-	if err != nil {
-		return Outcome{}, fault.New(op, Unknown, err)
-	}
-	var change Change
-	if err := decode(row, &change); err != nil {
-		return Outcome{}, err
-	}
-	return Outcome{Change: change, Head: change.Revision}, nil
-}
-
 // resolveLostCommit determines whether a commit without a response took effect.
 func (r *Recorder) resolveLostCommit(ctx context.Context, id string, cause error) (Outcome, error) {
 	const op = "config.Record"
@@ -115,55 +90,6 @@
 	}
 }
 
-// storeState contains the store's current head and the stored versions of the documents in a
-// proposal.
-type storeState struct {
-	head     table.Row
-	revision ident.Revision
-	rows     []table.Row
-	before   []storedDocument
-}
-
-func (r *Recorder) readState(ctx context.Context, documents []policy.Document) (storeState, error) {
-	const op = "config.Record"
-	var s storeState
-	row, revision, err := r.readHead(ctx)
-	if err != nil {
-		return s, err
-	}
-	s.head, s.revision = row, revision
-	for _, d := range documents {
-		row, err := r.store.Get(ctx, DocTable, docKey(d.ID))
-		if err != nil && table.KindOf(err) != table.Missing {
-			return s, fault.New(op, Unavailable, err)
-		}
-		var before storedDocument
-		if row.Version > 0 {
-			if err := decode(row, &before); err != nil {
-				return s, err
-			}
-		}
-		s.rows = append(s.rows, row)
-		s.before = append(s.before, before)
-	}
-	return s, nil
-}
-
-func (r *Recorder) readHead(ctx context.Context) (table.Row, ident.Revision, error) {
-	row, err := r.store.Get(ctx, HeadTable, headKey)
-	if table.KindOf(err) == table.Missing {
-		return table.Row{Era: row.Era}, 0, nil
-	}
-	if err != nil {
-		return row, 0, fault.New("config.readHead", Unavailable, err)
-	}
-	var h head
-	if err := decode(row, &h); err != nil {
-		return row, 0, err
-	}
-	return row, h.Revision, nil
-}
-
 // tryRecord checks a proposal against the store's state and commits it.
 func (r *Recorder) tryRecord(ctx context.Context, p Proposal) (Outcome, error) {
 	const op = "config.Record"
@@ -177,7 +103,7 @@
 	if s.revision < minRevision {
 		return Outcome{}, fault.Newf(op, Behind, "store has %d, in force is %d", s.revision, minRevision)
 	}
-	if conflicting := changedSince(s.before, p.Base); len(conflicting) > 0 {
+	if conflicting := changedSince(s.documents, p.Base); len(conflicting) > 0 {
 		return Outcome{Theirs: conflicting, Head: s.revision}, fault.New(op, Conflict, nil)
 	}
 	if problems, err := r.check(ctx, s.revision, p.Documents); err != nil || len(problems) > 0 {
@@ -193,11 +119,11 @@
 }
 
 // changedSince returns the documents that were changed after a revision.
-func changedSince(before []storedDocument, base ident.Revision) []policy.Document {
+func changedSince(documents []documentState, base ident.Revision) []policy.Document {
 	var conflicting []policy.Document
-	for _, b := range before {
-		if b.Revision > base {
-			conflicting = append(conflicting, b.Document)
+	for _, d := range documents {
+		if d.stored.Revision > base {
+			conflicting = append(conflicting, d.stored.Document)
 		}
 	}
 	return conflicting
@@ -260,55 +186,14 @@
 		},
 	}
 	for i, d := range c.Documents {
-		txn.Checks = append(txn.Checks, table.Check{Table: DocTable, Key: docKey(d.ID), Version: s.rows[i].Version})
+		before := s.documents[i]
+		txn.Checks = append(txn.Checks, table.Check{Table: DocTable, Key: docKey(d.ID), Version: before.version})
 		txn.Puts = append(txn.Puts,
 			table.Put{Table: DocTable, Key: docKey(d.ID), Value: encode(storedDocument{Document: d, Revision: c.Revision})},
 			table.Put{Table: AuditTable, Key: auditKey(c.Revision, i), Value: encode(AuditRow{
 				Revision: c.Revision, Operator: c.Operator, At: c.At, Document: d.ID,
-				Before: s.before[i].Document.Text, After: d.Text, Note: c.Note,
+				Before: before.stored.Document.Text, After: d.Text, Note: c.Note,
 			})})
 	}
 	return txn
 }
-
-// maxScanRows limits the number of rows in one scan of the store.
-const maxScanRows = 500
-
-// Changes returns the recorded changes after a revision.
-func (r *Recorder) Changes(ctx context.Context, after ident.Revision) ([]Change, error) {
-	rows, err := r.store.Scan(ctx, table.Range{Table: ChangeTable, From: revisionKey(after + 1), Limit: maxScanRows})
-	if err != nil {
-		return nil, fault.New("config.Changes", Unavailable, err)
-	}
-	out := make([]Change, 0, len(rows))
-	for _, row := range rows {
-		var c Change
-		if err := decode(row, &c); err != nil {
-			return nil, err
-		}
-		out = append(out, c)
-	}
-	return out, nil
-}
-
-// Audit returns audit rows of revisions before the given one, the latest first. Zero starts at the
-// latest revision.
-func (r *Recorder) Audit(ctx context.Context, before ident.Revision, limit int) ([]AuditRow, error) {
-	from := table.Key("")
-	if before > 0 {
-		from = auditKey(before-1, 0)
-	}
-	rows, err := r.store.Scan(ctx, table.Range{Table: AuditTable, From: from, Limit: min(max(limit, 1), maxScanRows)})
-	if err != nil {
-		return nil, fault.New("config.Audit", Unavailable, err)
-	}
-	out := make([]AuditRow, 0, len(rows))
-	for _, row := range rows {
-		var a AuditRow
-		if err := decode(row, &a); err != nil {
-			return nil, err
-		}
-		out = append(out, a)
-	}
-	return out, nil
-}
--- a/internal/share/config/restore.go
+++ b/internal/share/config/restore.go
@@ -57,8 +57,8 @@
 	if err != nil {
 		return fault.New(op, Unavailable, err)
 	}
-	var stored Change
-	if err := decode(row, &stored); err != nil {
+	stored, err := decode[Change](row)
+	if err != nil {
 		return err
 	}
 	if stored.ID != c.ID {
