--- a/internal/share/feed/replica.go
+++ b/internal/share/feed/replica.go
@@ -99,11 +99,6 @@
 	removedAt time.Time
 }
 
-// row returns the tombstone as a deleted row.
-func (d tombstone) row(name table.Name, key table.Key) table.Row {
-	return table.Row{Table: name, Key: key, Era: d.position.Era, Version: d.position.Version, Deleted: true}
-}
-
 const (
 	// RemovalGracePeriod is how long after the store's recovery a row stays effective that was removed
 	// in the meantime. The platform makes live targets rewrite their rows within about two seconds.
@@ -297,69 +292,6 @@
 	return r.recoveredAt.Add(RemovalGracePeriod)
 }
 
-// since returns the changes since the state of a peer's replica. A peer in a later era gets only
-// ranked rows.
-func (r *replica) since(have State) table.Page {
-	page := table.Page{At: r.position}
-	for _, o := range r.override {
-		if !o.row.Deleted && r.rankOf(o.row) > have.Rank {
-			page.Kept = append(page.Kept, o.row)
-		}
-	}
-	if have.Known && r.position.Era < have.At.Era {
-		for _, row := range r.rows {
-			if r.rankOf(row) > have.Rank {
-				page.Kept = append(page.Kept, row)
-			}
-		}
-		return page
-	}
-	page.Full = !have.Known || have.At.Before(r.deltaFloor)
-	if keys, complete := r.changeLog.since(have.At); complete && !page.Full {
-		page.Rows = r.filterChanged(have, keys)
-		return page
-	}
-	if page.Full {
-		page.Rows = make([]table.Row, 0, len(r.rows))
-		for _, row := range r.rows {
-			page.Rows = append(page.Rows, row)
-		}
-		return page
-	}
-	page.Rows = r.scanSince(have)
-	return page
-}
-
-// scanSince returns the rows and tombstones later than a state by scanning the whole table.
-func (r *replica) scanSince(have State) []table.Row {
-	var out []table.Row
-	for _, row := range r.rows {
-		if have.At.Before(row.Position()) {
-			out = append(out, row)
-		}
-	}
-	for key, d := range r.deleted {
-		if have.At.Before(d.position) {
-			out = append(out, d.row(have.Table, key))
-		}
-	}
-	return out
-}
-
-// filterChanged returns the rows and tombstones of some keys that are later than a state.
-func (r *replica) filterChanged(have State, keys []table.Key) []table.Row {
-	var out []table.Row
-	for _, key := range keys {
-		if row, exists := r.rows[key]; exists && have.At.Before(row.Position()) {
-			out = append(out, row)
-		}
-		if d, removed := r.deleted[key]; removed && have.At.Before(d.position) {
-			out = append(out, d.row(have.Table, key))
-		}
-	}
-	return out
-}
-
 // later returns the later of two positions.
 func later(a, b table.Position) table.Position {
 	if a.Before(b) {
