measure: random times, percentiles and zones are computed in one place

The lognormal service time with its sigma, the time between arrivals, the 99th percentile and the zone of an index each stood in two or three files; itoa was strconv.Itoa written out, contains was slices.Contains, and the sorted insertion was slices.Insert.

Random numbers are drawn in the same order.

--- a/cmd/measure/capacity.go
+++ b/cmd/measure/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"strconv"
 	"strings"
 	"time"
 
@@ -75,7 +76,7 @@
 	h := place.NewHome(place.ShardID{Pool: "judge@r"}, "router-a", bound, 0)
 	var list []place.Engine
 	for i := range engines {
-		id := ident.Target("engine-" + itoa(i))
+		id := ident.Target("engine-" + strconv.Itoa(i))
 		list = append(list, place.Engine{ID: id, Hash: id.Hash(), Incarnation: 1})
 	}
 	h.SetEngines(list, []int{engines})
@@ -119,7 +120,7 @@
 	built, bytes := measureMemory(func() map[ident.Workspace]*quota.Bucket {
 		out := map[ident.Workspace]*quota.Bucket{}
 		for i := range n {
-			out[ident.Workspace("workspace-"+itoa(i))] = quota.NewBucket(epoch, 10, 100)
+			out[ident.Workspace("workspace-"+strconv.Itoa(i))] = quota.NewBucket(epoch, 10, 100)
 		}
 		return out
 	})
@@ -137,7 +138,7 @@
 		fmt.Fprintf(&text, "[policy p%d]\nservice = request.path.startsWith(\"/v1/\") ? \"judge\" : \"board\"\npriority = %d\n", i, i%10)
 	}
 	for i := range n {
-		fmt.Fprintf(&text, "[workspace w%d]\npolicy = p%d\nrate = 50\ntoken_sha256 = %s\n", i, i%policies, policy.HashToken(itoa(i)))
+		fmt.Fprintf(&text, "[workspace w%d]\npolicy = p%d\nrate = 50\ntoken_sha256 = %s\n", i, i%policies, policy.HashToken(strconv.Itoa(i)))
 	}
 	documents, err := policy.Split("capacity.ini", []byte(text.String()))
 	if err != nil {
@@ -177,13 +178,13 @@
 	var list []boxes.Box
 	for i := range routers {
 		list = append(list, boxes.Box{
-			ID: "router-" + itoa(i), Role: boxes.RouterRole, Addr: "10.0.0.1:8081", Zone: "zone-a", Region: "region-a", State: boxes.Live,
+			ID: "router-" + strconv.Itoa(i), Role: boxes.RouterRole, Addr: "10.0.0.1:8081", Zone: "zone-a", Region: "region-a", State: boxes.Live,
 		})
 	}
 	for i := range targets {
 		list = append(list, boxes.Box{
-			ID: "engine-" + itoa(i), Role: boxes.TargetRole, Addr: "10.0.0.1:9000", Service: "judge", Zone: "zone-a",
-			Region: ident.Region("region-" + itoa(i%5)), State: boxes.Live, Incarnation: 1,
+			ID: "engine-" + strconv.Itoa(i), Role: boxes.TargetRole, Addr: "10.0.0.1:9000", Service: "judge", Zone: "zone-a",
+			Region: ident.Region("region-" + strconv.Itoa(i%5)), State: boxes.Live, Incarnation: 1,
 		})
 	}
 	v, bytes := measureMemory(func() *peer.View {
--- a/cmd/measure/control.go
+++ b/cmd/measure/control.go
@@ -12,6 +12,7 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -119,7 +120,7 @@
 	}
 	var ids []place.ShardID
 	for i := range s.shards {
-		pool := ident.NewPool(ident.Service("judge-"+itoa(i/16)), region)
+		pool := ident.NewPool(ident.Service("judge-"+strconv.Itoa(i/16)), region)
 		ids = append(ids, place.ShardID{Pool: pool, Shard: ident.Shard(i % 16)})
 	}
 	return place.Assign(ids, routers).MaxShardsPerRouter()
--- a/cmd/measure/fair.go
+++ b/cmd/measure/fair.go
@@ -1,9 +1,10 @@
 package main
 
 import (
-	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
+	"strconv"
 	"time"
 
 	"valescale/internal/plat/ident"
@@ -74,7 +75,7 @@
 	rates := make([]float64, fairWorkspaces)
 	for i := range next {
 		rates[i] = base
-		next[i] = w.now.Add(w.interarrival(base))
+		next[i] = w.now.Add(interarrivalTime(w.rng, base))
 	}
 	rates[0] = base * f.surge
 	end := epoch.Add(f.run)
@@ -90,7 +91,7 @@
 		if w.now.After(end) {
 			break
 		}
-		next[first] = w.now.Add(w.interarrival(rates[first]))
+		next[first] = w.now.Add(interarrivalTime(w.rng, rates[first]))
 		w.arrive(first)
 	}
 	sort.Float64s(w.waits)
@@ -98,15 +99,11 @@
 	for _, q := range w.quiet {
 		sum += q
 	}
-	return sum / float64(len(w.quiet)), w.waits[len(w.waits)*99/100]
-}
-
-func (w *fairSimulation) interarrival(rate float64) time.Duration {
-	return time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
+	return sum / float64(len(w.quiet)), percentile(w.waits, 99)
 }
 
 func (w *fairSimulation) arrive(workspace int) {
-	name := ident.Workspace("workspace-" + itoa(workspace))
+	name := ident.Workspace("workspace-" + strconv.Itoa(workspace))
 	if w.fifo {
 		// A single flow for all workspaces is served in order of arrival.
 		name = "all"
@@ -123,13 +120,10 @@
 			return
 		}
 		w.free--
-		const sigma = 0.8
-		d := time.Duration(math.Exp(w.rng.NormFloat64()*sigma-sigma*sigma/2) * float64(w.service))
+		d := serviceTime(w.rng, w.service)
 		at := w.now.Add(d)
 		i := sort.Search(len(w.ends), func(i int) bool { return w.ends[i].After(at) })
-		w.ends = append(w.ends, time.Time{})
-		copy(w.ends[i+1:], w.ends[i:])
-		w.ends[i] = at
+		w.ends = slices.Insert(w.ends, i, at)
 		if next.Value.(int) != 0 && w.now.Sub(epoch) > w.run/5 {
 			wait := w.now.Sub(next.Arrived)
 			w.waits = append(w.waits, wait.Seconds())
--- a/cmd/measure/homes.go
+++ b/cmd/measure/homes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"time"
 
 	"valescale/internal/edge/route"
@@ -64,7 +65,7 @@
 		h.byHash[e.hash] = e
 	}
 	for i := range w.routers {
-		h.nodes = append(h.nodes, h.newNode(i, ident.Router("router-"+itoa(i))))
+		h.nodes = append(h.nodes, h.newNode(i, ident.Router("router-"+strconv.Itoa(i))))
 	}
 	h.enginesChanged(w)
 	for i := range h.nodes {
@@ -89,7 +90,7 @@
 // newReplacement returns a new router in the place of one that has stopped.
 func (h *homesStrategy) newReplacement(i int) *node {
 	h.replacements++
-	return h.newNode(i, ident.Router("router-"+itoa(i)+"-"+itoa(h.replacements)))
+	return h.newNode(i, ident.Router("router-"+strconv.Itoa(i)+"-"+strconv.Itoa(h.replacements)))
 }
 
 // replacePlanned replaces a router that stops gracefully: the views of the other routers change at
@@ -149,7 +150,7 @@
 		return policy.Workspace{}, false
 	})
 	n.router = route.New(route.Self{
-		ID: id, Region: region, Zone: ident.Zone("zone-" + itoa(i%3)),
+		ID: id, Region: region, Zone: zoneOf(i),
 		AfterFunc: func(d time.Duration, f func()) { h.w.schedule(d, f) },
 	}, network{h, id}, clock)
 	return n
@@ -321,7 +322,7 @@
 		return "0"
 	}
 	permille := part * 1000 / whole
-	return itoa(int(permille/10)) + "." + itoa(int(permille%10)) + "%"
+	return strconv.Itoa(int(permille/10)) + "." + strconv.Itoa(int(permille%10)) + "%"
 }
 
 func (h *homesStrategy) countMessage(message int) { h.bytes += float64(message) + messageOverhead }
--- a/cmd/measure/path.go
+++ b/cmd/measure/path.go
@@ -103,7 +103,7 @@
 	spent := cpuTime() - started
 	sort.Float64s(times)
 	return burstResult{
-		p50: times[len(times)/2], p99: times[len(times)*99/100],
+		p50: percentile(times, 50), p99: percentile(times, 99),
 		micros: float64(spent.Microseconds()) / float64(len(times)),
 	}
 }
--- a/cmd/measure/plot.go
+++ b/cmd/measure/plot.go
@@ -4,6 +4,7 @@
 	"image/color"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/pkg/errors"
 	"gonum.org/v1/plot"
@@ -68,7 +69,7 @@
 			values[r.Case] = map[string]float64{}
 			cases = append(cases, r.Case)
 		}
-		if !contains(strategies, r.Strategy) {
+		if !slices.Contains(strategies, r.Strategy) {
 			strategies = append(strategies, r.Strategy)
 		}
 		values[r.Case][r.Strategy] = p.value(r)
@@ -99,12 +100,3 @@
 	}
 	return errors.Wrap(chart.Save(caseWidth*vg.Length(len(cases))+extraWidth, figureHeight, path), "plot")
 }
-
-func contains(list []string, value string) bool {
-	for _, v := range list {
-		if v == value {
-			return true
-		}
-	}
-	return false
-}
--- a/cmd/measure/simulation.go
+++ b/cmd/measure/simulation.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strconv"
 	"time"
 
 	"valescale/internal/plat/ident"
@@ -153,12 +154,18 @@
 
 const workspaceCount = 10
 
+// zoneCount is the number of availability zones over which routers and engines are spread in turn.
+const zoneCount = 3
+
+// zoneOf returns the availability zone of the router or engine with index i.
+func zoneOf(i int) ident.Zone { return ident.Zone("zone-" + strconv.Itoa(i%zoneCount)) }
+
 func newSimulation(s scenario, strategy strategy, seed uint64) *simulation {
 	w := &simulation{scenario: s, now: epoch, rng: rand.New(rand.NewPCG(seed, 7)), strategy: strategy, bound: 1.25}
 	for i := range s.engines {
-		id := ident.Target("engine-" + itoa(i))
+		id := ident.Target("engine-" + strconv.Itoa(i))
 		w.engines = append(w.engines, &engine{
-			index: i, id: id, hash: id.Hash(), zone: ident.Zone("zone-" + itoa(i%3)), incarnation: 1, up: true,
+			index: i, id: id, hash: id.Hash(), zone: zoneOf(i), incarnation: 1, up: true,
 			active: map[*request]bool{}, lru: list.New(), cached: map[int]*list.Element{},
 			capacity: int(s.cacheRatio * float64(s.chats) / float64(s.engines)),
 		})
@@ -167,7 +174,7 @@
 		workspace := i % workspaceCount
 		w.chats = append(w.chats, &chat{
 			id: i, workspace: workspace,
-			key: ident.NewChatKey(ident.Workspace("workspace-"+itoa(workspace)), itoa(i)),
+			key: ident.NewChatKey(ident.Workspace("workspace-"+strconv.Itoa(workspace)), strconv.Itoa(i)),
 		})
 	}
 	sum := 0.0
@@ -178,14 +185,6 @@
 	return w
 }
 
-func itoa(i int) string {
-	const digits = "0123456789"
-	if i < 10 {
-		return digits[i : i+1]
-	}
-	return itoa(i/10) + digits[i%10:i%10+1]
-}
-
 func (w *simulation) schedule(d time.Duration, run func()) {
 	w.seq++
 	heap.Push(&w.events, event{at: w.now.Add(d), seq: w.seq, run: run})
@@ -235,7 +234,7 @@
 }
 
 func (w *simulation) arrive() {
-	w.schedule(time.Duration(w.rng.ExpFloat64()/w.rate()*float64(time.Second)), w.arrive)
+	w.schedule(interarrivalTime(w.rng, w.rate()), w.arrive)
 	c := w.pickChat()
 	if c == nil {
 		return
@@ -249,12 +248,8 @@
 	r.engine = e
 	e.running++
 	w.recordAdmission(e, c)
-	// The duration is lognormal with the given mean; sigma 0.8 gives a long tail without extreme
-	// values.
-	const sigma = 0.8
-	d := time.Duration(math.Exp(w.rng.NormFloat64()*sigma-sigma*sigma/2) * float64(w.duration))
 	e.active[r] = true
-	w.schedule(d, func() { w.finish(r) })
+	w.schedule(serviceTime(w.rng, w.duration), func() { w.finish(r) })
 }
 
 // finish ends a request when it has completed or its engine has failed; a second call does nothing.
@@ -382,7 +377,7 @@
 // failZone makes the engines of one zone fail.
 func (w *simulation) failZone() {
 	for _, e := range w.engines {
-		if e.zone == "zone-0" {
+		if e.zone == zoneOf(0) {
 			w.failEngine(e)
 		}
 	}
@@ -403,7 +398,7 @@
 	}
 	sort.Float64s(w.sample.ratios)
 	r.MaxRatio = w.sample.ratios[len(w.sample.ratios)-1]
-	r.P99Ratio = w.sample.ratios[len(w.sample.ratios)*99/100]
+	r.P99Ratio = percentile(w.sample.ratios, 99)
 	r.OverShare = float64(w.sample.over) / float64(w.sample.all)
 	r.Reuse = float64(w.sample.warm) / float64(w.sample.all)
 	return r
