measure: the simulation's events and engines have files of their own

Delays, shares and limits stood in the code as bare numbers, the interval of reports twice, and the load of all engines was summed in two files.

event.go has the queue, engine.go an engine and what happens to it; the numbers are constants with a sentence each; simulation.load sums the load. The sequence of random numbers stays.

--- a/cmd/measure/simulation.go
+++ b/cmd/measure/simulation.go
@@ -2,11 +2,8 @@
 
 import (
 	"container/heap"
-	"container/list"
-	"maps"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -16,23 +13,26 @@
 
 // scenario is the size and the load of a fleet, and the faults that are injected into it.
 type scenario struct {
-	name     string
-	routers  int
-	engines  int
-	shards   int
+	name    string
+	routers int
+	engines int
+	shards  int
+	// mean is the mean number of requests in flight on an engine, duration the mean time of one.
 	mean     float64
 	duration time.Duration
 	chats    int
 	// cacheRatio is the capacity of all caches together as a multiple of the number of chats.
 	cacheRatio float64
-	skew       float64
-	run        time.Duration
+	// skew is the exponent of the Zipf distribution of requests over chats.
+	skew float64
+	// run is the simulated time.
+	run time.Duration
 	// flap is the interval at which an engine fails and restarts with an empty cache.
 	flap time.Duration
 	// viewsDiffer periodically removes a router from the membership view of half of the routers for
 	// five seconds.
 	viewsDiffer bool
-	// surge doubles the arrival rate for a fifth of the run.
+	// surge raises the arrival rate for a part of the run.
 	surge bool
 	// heavyShare is the share of the arrivals that belong to a single workspace.
 	heavyShare float64
@@ -46,8 +46,21 @@
 	crash bool
 }
 
-const warmUpShare = 0.4
+const (
+	// warmUpShare is the share of the run before measurements start.
+	warmUpShare = 0.4
+	// surgeStart and surgeEnd are the shares of the run between which the arrival rate is multiplied
+	// by surgeFactor.
+	surgeStart  = 0.6
+	surgeEnd    = 0.8
+	surgeFactor = 2
+	// zoneLossTenths is the tenths of the run after which a zone fails.
+	zoneLossTenths = 6
+	// maxPicks limits the draws of a chat that has no request in flight.
+	maxPicks = 50
+)
 
+// epoch is the time at which simulations start.
 var epoch = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
 
 // simulation is one run: a clock, engines, chats and one placement strategy.
@@ -60,28 +73,14 @@
 	engines  []*engine
 	chats    []*chat
 	strategy strategy
-	bound    float64
-	sample   sample
-	zipf     []float64
-}
-
-type engine struct {
-	index       int
-	id          ident.Target
-	hash        ident.TargetHash
-	zone        ident.Zone
-	incarnation ident.Incarnation
-	up          bool
-	joined      time.Time
-	running     int
-	// active holds the requests in flight on this engine.
-	active   map[*request]bool
-	lru      *list.List
-	cached   map[int]*list.Element
-	capacity int
-	history  []int
+	// bound is the multiple of the mean load that strategies keep to and excess is measured from.
+	bound  float64
+	sample sample
+	// zipf holds the cumulative weights of the chats.
+	zipf []float64
 }
 
+// chat is one simulated chat. It is busy while it has a request in flight.
 type chat struct {
 	id        int
 	key       ident.ChatKey
@@ -128,30 +127,7 @@
 	all    int
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at.Equal(h[j].at) {
-		return h[i].seq < h[j].seq
-	}
-	return h[i].at.Before(h[j].at)
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
+// workspaceCount is the number of workspaces that the chats belong to in turn.
 const workspaceCount = 10
 
 // zoneCount is the number of availability zones over which routers and engines are spread in turn.
@@ -160,44 +136,29 @@
 // zoneOf returns the availability zone of the router or engine with index i.
 func zoneOf(i int) ident.Zone { return ident.Zone("zone-" + strconv.Itoa(i%zoneCount)) }
 
+// newSimulation returns a simulation of a scenario, with all engines up and their caches empty.
 func newSimulation(s scenario, strategy strategy, seed uint64) *simulation {
 	w := &simulation{scenario: s, now: epoch, rng: rand.New(rand.NewPCG(seed, 7)), strategy: strategy, bound: 1.25}
+	capacity := int(s.cacheRatio * float64(s.chats) / float64(s.engines))
 	for i := range s.engines {
-		id := ident.Target("engine-" + strconv.Itoa(i))
-		w.engines = append(w.engines, &engine{
-			index: i, id: id, hash: id.Hash(), zone: zoneOf(i), incarnation: 1, up: true,
-			active: map[*request]bool{}, lru: list.New(), cached: map[int]*list.Element{},
-			capacity: int(s.cacheRatio * float64(s.chats) / float64(s.engines)),
-		})
-	}
-	for i := range s.chats {
-		workspace := i % workspaceCount
-		w.chats = append(w.chats, &chat{
-			id: i, workspace: workspace,
-			key: ident.NewChatKey(ident.Workspace("workspace-"+strconv.Itoa(workspace)), strconv.Itoa(i)),
-		})
+		w.engines = append(w.engines, newEngine(i, capacity))
 	}
 	sum := 0.0
-	for i := range w.chats {
+	for i := range s.chats {
+		w.chats = append(w.chats, newChat(i))
 		sum += 1 / math.Pow(float64(i+1), s.skew)
 		w.zipf = append(w.zipf, sum)
 	}
 	return w
 }
 
-func (w *simulation) schedule(d time.Duration, run func()) {
-	w.seq++
-	heap.Push(&w.events, event{at: w.now.Add(d), seq: w.seq, run: run})
-}
-
-// schedulePeriodic runs a function at an interval.
-func (w *simulation) schedulePeriodic(d time.Duration, run func()) {
-	var again func()
-	again = func() {
-		run()
-		w.schedule(d, again)
+// newChat returns the chat with index i.
+func newChat(i int) *chat {
+	workspace := i % workspaceCount
+	return &chat{
+		id: i, workspace: workspace,
+		key: ident.NewChatKey(ident.Workspace("workspace-"+strconv.Itoa(workspace)), strconv.Itoa(i)),
 	}
-	w.schedule(d, again)
 }
 
 // simulate runs the simulation to its end.
@@ -205,12 +166,12 @@
 	end := w.now.Add(w.run)
 	w.strategy.start(w)
 	w.schedule(0, w.arrive)
-	w.schedulePeriodic(100*time.Millisecond, w.recordReports)
+	w.schedulePeriodic(reportInterval, w.recordReports)
 	if w.flap > 0 {
 		w.schedulePeriodic(w.flap, w.flapEngine)
 	}
 	if w.zoneLost {
-		w.schedule(w.run*6/10, w.failZone)
+		w.schedule(w.run*zoneLossTenths/10, w.failZone)
 	}
 	for len(w.events) > 0 {
 		e := heap.Pop(&w.events).(event)
@@ -222,17 +183,19 @@
 	}
 }
 
+// progress returns the share of the run that is over.
 func (w *simulation) progress() float64 { return float64(w.now.Sub(epoch)) / float64(w.run) }
 
 // rate returns the present arrival rate per second.
 func (w *simulation) rate() float64 {
 	rate := w.mean * float64(w.scenario.engines) / w.duration.Seconds()
-	if p := w.progress(); w.surge && p > 0.6 && p < 0.8 {
-		rate *= 2
+	if p := w.progress(); w.surge && p > surgeStart && p < surgeEnd {
+		rate *= surgeFactor
 	}
 	return rate
 }
 
+// arrive sends a request of a chat without a request in flight, and schedules the next arrival.
 func (w *simulation) arrive() {
 	w.schedule(interarrivalTime(w.rng, w.rate()), w.arrive)
 	c := w.pickChat()
@@ -267,7 +230,7 @@
 
 // pickChat draws a chat that has no request in flight.
 func (w *simulation) pickChat() *chat {
-	for range 50 {
+	for range maxPicks {
 		x := w.rng.Float64() * w.zipf[len(w.zipf)-1]
 		c := w.chats[sort.SearchFloat64s(w.zipf, x)]
 		if w.heavyShare > 0 && w.rng.Float64() < w.heavyShare && c.workspace != 0 {
@@ -286,14 +249,8 @@
 	if w.progress() < warmUpShare {
 		return
 	}
-	total, n := 0, 0
-	for _, other := range w.engines {
-		if other.up {
-			total += other.running
-			n++
-		}
-	}
-	mean := float64(total) / float64(n)
+	running, up := w.load()
+	mean := float64(running) / float64(up)
 	w.sample.ratios = append(w.sample.ratios, float64(e.running)/mean)
 	excess := float64(e.running) - w.bound*mean
 	w.sample.excess = max(w.sample.excess, excess)
@@ -306,81 +263,15 @@
 	}
 }
 
-// usePrefix marks a chat's prefix as used at an engine and reports whether it was cached.
-func (w *simulation) usePrefix(e *engine, c *chat) bool {
-	if el, ok := e.cached[c.id]; ok {
-		e.lru.MoveToFront(el)
-		return true
-	}
-	e.cached[c.id] = e.lru.PushFront(c)
-	if e.lru.Len() > e.capacity {
-		gone := e.lru.Remove(e.lru.Back()).(*chat)
-		delete(e.cached, gone.id)
-		// Cache events arrive late, and one in ten is lost.
-		if w.rng.IntN(10) > 0 {
-			w.schedule(2*time.Second, func() { w.strategy.evicted(w, e, gone) })
-		}
-	}
-	return false
-}
-
-// recordReports records the load of each engine, to be reported after reportDelay.
-func (w *simulation) recordReports() {
-	keep := int(w.reportDelay/(100*time.Millisecond)) + 1
-	for _, e := range w.engines {
-		e.history = append(e.history, e.running)
-		if len(e.history) > keep {
-			e.history = e.history[1:]
-		}
-	}
-}
-
-// reportedLoad returns the load in the engine's latest report.
-func (e *engine) reportedLoad() int {
-	if len(e.history) == 0 {
-		return 0
-	}
-	return e.history[0]
-}
-
-// flapEngine makes an engine fail and restart with an empty cache.
-func (w *simulation) flapEngine() {
-	e := w.engines[w.rng.IntN(len(w.engines))]
-	if !e.up {
-		return
-	}
-	w.failEngine(e)
-	w.schedule(5*time.Second, func() {
-		e.up = true
-		e.joined = w.now
-		w.strategy.enginesChanged(w)
-	})
-}
-
-// sortedRequests returns the requests on an engine in a fixed order, so that the random iteration
-// order of maps does not change the figures.
-func (e *engine) sortedRequests() []*request {
-	return slices.SortedFunc(maps.Keys(e.active), func(a, b *request) int { return a.chat.id - b.chat.id })
-}
-
-func (w *simulation) failEngine(e *engine) {
-	e.up = false
-	e.incarnation++
-	for _, r := range e.sortedRequests() {
-		w.finish(r)
-	}
-	e.lru.Init()
-	clear(e.cached)
-	w.strategy.enginesChanged(w)
-}
-
-// failZone makes the engines of one zone fail.
-func (w *simulation) failZone() {
+// load returns the number of requests on all engines that are up, and the number of these engines.
+func (w *simulation) load() (running, up int) {
 	for _, e := range w.engines {
-		if e.zone == zoneOf(0) {
-			w.failEngine(e)
+		if e.up {
+			running += e.running
+			up++
 		}
 	}
+	return running, up
 }
 
 // result returns the figures of a run as a row.
--- a/cmd/measure/strategies.go
+++ b/cmd/measure/strategies.go
@@ -178,14 +178,8 @@
 
 func (oracle) name() string { return "oracle" }
 func (oracle) choose(w *simulation, r *request) *engine {
-	total, n := 0, 0
-	for _, e := range w.engines {
-		if e.up {
-			total += e.running
-			n++
-		}
-	}
-	limit := w.bound * float64(total+1) / float64(n)
+	running, up := w.load()
+	limit := w.bound * float64(running+1) / float64(up)
 	var warm, cold *engine
 	for _, e := range w.engines {
 		if !e.up || float64(e.running) >= limit {
