fleet: one function sends a caller's requests

Chat, Resume, Order and Get each built a request, returned its error and set headers before they called do; do and readStream read whole bodies and events in nested conditions. The operator stood in the same file.

Requests and results stay the same.

--- a/internal/fake/fleet/caller.go
+++ b/internal/fake/fleet/caller.go
@@ -10,17 +10,10 @@
 	"net/http"
 	"strings"
 
-	"connectrpc.com/connect"
-	"github.com/pkg/errors"
-
 	"valescale/internal/edge/front"
 	"valescale/internal/edge/relay"
 	"valescale/internal/fake/target"
-	"valescale/internal/oper/admin"
-	"valescale/internal/plat/ident"
-	"valescale/internal/rule/policy"
 	"valescale/internal/rule/retry"
-	"valescale/internal/share/peerpb"
 )
 
 var discardLog = stdlog.New(io.Discard, "", 0)
@@ -70,46 +63,37 @@
 // Chat sends a question in a chat and reads the answer, as a stream of events or as one JSON body.
 func (c *Caller) Chat(ctx context.Context, addr, chat, question string, words int, stream bool) Result {
 	body, _ := json.Marshal(chatBody{Model: "m", Stream: stream, MaxTokens: words, Messages: []chatMessage{{"user", question}}})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+front.ChatPath, bytes.NewReader(body))
-	if err != nil {
-		return Result{Err: err}
-	}
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(front.ChatHeader, chat)
-	return c.do(req)
+	return c.do(ctx, http.MethodPost, addr, front.ChatPath, body, header{"Content-Type": "application/json", front.ChatHeader: chat})
 }
 
 // Resume continues a stream after the event with the id lastID.
 func (c *Caller) Resume(ctx context.Context, addr, lastID string) Result {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+front.ChatPath, nil)
-	if err != nil {
-		return Result{Err: err}
-	}
-	req.Header.Set("Last-Event-ID", lastID)
-	return c.do(req)
+	return c.do(ctx, http.MethodGet, addr, front.ChatPath, nil, header{"Last-Event-ID": lastID})
 }
 
 // Order sends an order, which must not run twice, with an idempotency key.
 func (c *Caller) Order(ctx context.Context, addr, key, body string) Result {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/orders", strings.NewReader(body))
-	if err != nil {
-		return Result{Err: err}
-	}
-	req.Header.Set("Idempotency-Key", key)
-	return c.do(req)
+	return c.do(ctx, http.MethodPost, addr, "/orders", []byte(body), header{"Idempotency-Key": key})
 }
 
 // Get reads a path of a plain service.
 func (c *Caller) Get(ctx context.Context, addr, path string) Result {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	return c.do(ctx, http.MethodGet, addr, path, nil, nil)
+}
+
+// header contains the header fields of a request, by name.
+type header map[string]string
+
+// do sends a request with the caller's token and reads the response.
+func (c *Caller) do(ctx context.Context, method, addr, path string, body []byte, fields header) Result {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return Result{Err: err}
 	}
-	return c.do(req)
-}
-
-func (c *Caller) do(req *http.Request) Result {
 	req.Header.Set("Authorization", "Bearer "+c.Token)
+	for name, value := range fields {
+		req.Header.Set(name, value)
+	}
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
 		return Result{Err: err}
@@ -118,6 +102,11 @@
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return readStream(resp)
 	}
+	return readBody(resp)
+}
+
+// readBody reads an answer or an error as one JSON body. Another body is its text.
+func readBody(resp *http.Response) Result {
 	data, err := io.ReadAll(resp.Body)
 	r := Result{Status: resp.StatusCode, Outcome: retry.Outcome(resp.Header.Get(front.OutcomeHeader)), Err: err, Complete: err == nil}
 	var decoded completion
@@ -132,31 +121,24 @@
 	return r
 }
 
+// readStream reads an answer as a stream of events.
 func readStream(resp *http.Response) Result {
 	r := Result{Status: resp.StatusCode}
 	scanner := bufio.NewScanner(resp.Body)
 	failed := false
 	for scanner.Scan() {
 		line := scanner.Text()
+		id, isID := strings.CutPrefix(line, "id: ")
+		data, isData := strings.CutPrefix(line, "data: ")
 		switch {
-		case strings.HasPrefix(line, "id: "):
-			r.IDs = append(r.IDs, line[len("id: "):])
+		case isID:
+			r.IDs = append(r.IDs, id)
 		case line == "event: error":
 			failed = true
-		case line == "data: "+relay.EndMark:
+		case isData && data == relay.EndMark:
 			r.Complete = true
-		case strings.HasPrefix(line, "data: "):
-			var decoded completion
-			if json.Unmarshal([]byte(line[len("data: "):]), &decoded) != nil {
-				continue
-			}
-			if failed {
-				r.Code, r.Outcome = decoded.Error.Code, decoded.Error.Outcome
-				continue
-			}
-			if len(decoded.Choices) > 0 {
-				r.Text += decoded.Choices[0].Delta.Content
-			}
+		case isData:
+			r.addEvent(data, failed)
 		}
 	}
 	r.Err = scanner.Err()
@@ -166,41 +148,19 @@
 	return r
 }
 
+// addEvent adds the data of an event: a part of the text, or an error after the event that announces it.
+func (r *Result) addEvent(data string, failed bool) {
+	var decoded completion
+	switch {
+	case json.Unmarshal([]byte(data), &decoded) != nil:
+	case failed:
+		r.Code, r.Outcome = decoded.Error.Code, decoded.Error.Outcome
+	case len(decoded.Choices) > 0:
+		r.Text += decoded.Choices[0].Delta.Content
+	}
+}
+
 // Correct reports whether a result is the complete and correct answer to a question.
 func (r Result) Correct(question string, words int) bool {
 	return r.Complete && r.Status == http.StatusOK && r.Text == target.Answer(question, words)
 }
-
-// Operator changes the fleet's configuration through the admin service of a router.
-type Operator struct {
-	Client peerpb.AdminServiceClient
-}
-
-// NewOperator returns an operator whose client calls the router with the given admin address.
-func NewOperator(client *http.Client, addr string) *Operator {
-	auth := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
-		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-			req.Header().Set("Authorization", "Bearer "+OperatorToken)
-			return next(ctx, req)
-		}
-	})
-	return &Operator{Client: peerpb.NewAdminServiceClient(client, "http://"+addr, connect.WithInterceptors(auth))}
-}
-
-// Apply submits the documents in text as one change and returns its revision.
-func (o *Operator) Apply(ctx context.Context, id, text string) (ident.Revision, error) {
-	documents, err := policy.Split("fleet.ini", []byte(text))
-	if err != nil {
-		return 0, err
-	}
-	reply, err := o.Client.Apply(ctx, connect.NewRequest(&peerpb.ApplyRequest{
-		ChangeId: id, Documents: admin.EncodeDocuments(documents), Note: "fleet",
-	}))
-	if err != nil {
-		return 0, err
-	}
-	if len(reply.Msg.GetProblems()) > 0 {
-		return 0, connect.NewError(connect.CodeInvalidArgument, errors.New(reply.Msg.GetProblems()[0].GetMessage()))
-	}
-	return ident.Revision(reply.Msg.GetRevision()), nil
-}
