--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -42,9 +43,18 @@
 	}
 }
 
-// timePerWord is the time that an engine takes for one word of an answer.
-const timePerWord = 20 * time.Millisecond
+const (
+	// timePerWord is the time that an engine takes for one word of an answer.
+	timePerWord = 20 * time.Millisecond
+	// engineSlots is the number of requests that an engine runs at once, and cachedChats the number
+	// of chats whose prefixes it caches.
+	engineSlots = 24
+	cachedChats = 100
+	// zoneCount is the number of availability zones over which the targets are spread in turn.
+	zoneCount = 3
+)
 
+// run serves the platform and the targets until the process is interrupted.
 func run(o options) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
@@ -52,7 +62,7 @@
 	var targets []boxes.Box
 	var plain []*target.Plain
 	for i := range o.Engines {
-		e := target.NewEngine(target.EngineOptions{PerWord: timePerWord, CacheSize: 100, Slots: 24})
+		e := target.NewEngine(target.EngineOptions{PerWord: timePerWord, CacheSize: cachedChats, Slots: engineSlots})
 		box, err := serveTarget(fmt.Sprintf("engine-%02d", i), "judge", i, e.Handler())
 		if err != nil {
 			return err
@@ -80,6 +90,7 @@
 	return server.Close()
 }
 
+// serveTarget serves the target with index i on a free port and returns its entry in the list of boxes.
 func serveTarget(id string, service ident.Service, i int, h http.Handler) (boxes.Box, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -87,11 +98,12 @@
 	}
 	go func() { _ = http.Serve(l, h) }()
 	return boxes.Box{
-		ID: id, Role: boxes.TargetRole, Addr: l.Addr().String(), Service: service, Zone: ident.Zone(fmt.Sprint("zone-", i%3)),
+		ID: id, Role: boxes.TargetRole, Addr: l.Addr().String(), Service: service, Zone: ident.Zone(fmt.Sprint("zone-", i%zoneCount)),
 		Region: "co-central", State: boxes.Live, Incarnation: 1,
 	}, nil
 }
 
+// handler serves the platform's protocols and the commands that the package comment lists.
 func handler(platform *store.Store, targets []boxes.Box, plain []*target.Plain) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", platform.Handler())
@@ -101,18 +113,12 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		platform.SetBoxes(append(append([]boxes.Box(nil), targets...), routers...))
+		platform.SetBoxes(slices.Concat(targets, routers))
 	})
 	mux.HandleFunc("PUT /down", func(http.ResponseWriter, *http.Request) { platform.SetDown(true) })
 	mux.HandleFunc("DELETE /down", func(http.ResponseWriter, *http.Request) { platform.SetDown(false) })
 	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) {
-		runs := map[string]int{}
-		for _, p := range plain {
-			for key, n := range p.Runs() {
-				runs[key] += n
-			}
-		}
-		_ = json.NewEncoder(w).Encode(runs)
+		_ = json.NewEncoder(w).Encode(target.TotalRuns(plain))
 	})
 	return mux
 }
--- a/internal/fake/target/plain.go
+++ b/internal/fake/target/plain.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -32,11 +33,18 @@
 func (p *Plain) Runs() map[string]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make(map[string]int, len(p.runs))
-	for k, n := range p.runs {
-		out[k] = n
+	return maps.Clone(p.runs)
+}
+
+// TotalRuns returns the number of runs of each idempotency key's order at all replicas together.
+func TotalRuns(replicas []*Plain) map[string]int {
+	total := map[string]int{}
+	for _, p := range replicas {
+		for key, n := range p.Runs() {
+			total[key] += n
+		}
 	}
-	return out
+	return total
 }
 
 // Reply is the body of a response.
@@ -53,7 +61,7 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		simulateWork(r.Context(), p.delay)
-		p.reply(w, Reply{Path: r.URL.Path, Body: string(body)})
+		writeReply(w, Reply{Path: r.URL.Path, Body: string(body)})
 	})
 	return mux
 }
@@ -75,10 +83,11 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	p.reply(w, Reply{Key: key, Path: r.URL.Path, Body: string(body)})
+	writeReply(w, Reply{Key: key, Path: r.URL.Path, Body: string(body)})
 }
 
-func (p *Plain) reply(w http.ResponseWriter, reply Reply) {
+// writeReply writes a response.
+func writeReply(w http.ResponseWriter, reply Reply) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(reply)
 }
