demo: phases, results and the load tracker are separate steps

run started the fleet, ran the phases, waited and summed up in one body; close printed failures as well as it summed up; a phase had the name of a constant. Most constants had no unit or reason, and the tracker of loads stood in the file of the summary.

runPhases runs the phases under load, summarize and printFailures follow it, addOrder judges one order, recordChat counts one question; tracker.go has the tracker; constants and fields say what they count.

--- a/cmd/demo/load.go
+++ b/cmd/demo/load.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"valescale/internal/fake/fleet"
+	"valescale/internal/fake/target"
 	"valescale/internal/plat/pause"
 	"valescale/internal/rule/retry"
 )
@@ -17,23 +19,33 @@
 var workspaces = []string{"bogota", "medellin", "cali"}
 
 const (
-	chats     = 100
+	// chats is the number of chats, some of which return far more often than others.
+	chats = 100
+	// chatWords is the mean number of words of an answer.
 	chatWords = 80
+	// rampUpTime is the time over which the callers of a workload start.
+	rampUpTime = time.Second
 )
 
 // workload sends requests and counts the outcomes.
 type workload struct {
-	fleet    *fleet.Fleet
-	callers  []*fleet.Caller
-	mu       sync.Mutex
+	fleet *fleet.Fleet
+	// callers are the callers of each workspace.
+	callers []*fleet.Caller
+	mu      sync.Mutex
+	// addrs are the routers' addresses that the load balancer sends to.
 	addrs    []string
 	sent     int
 	complete int
 	wrong    int
-	cutOff   int
-	notRun   []string
-	unknown  int
-	orders   map[string][]retry.Outcome
+	// cutOff is the number of incomplete answers without an outcome that marks them.
+	cutOff int
+	// notRun contains the questions whose callers received a not-run outcome.
+	notRun  []string
+	unknown int
+	// orders contains the outcomes that callers received, by order.
+	orders map[string][]retry.Outcome
+	// failures counts the unsuccessful requests by description.
 	failures map[string]int
 }
 
@@ -60,17 +72,11 @@
 func (l *workload) removeFromBalancer(addr string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	kept := l.addrs[:0]
-	for _, a := range l.addrs {
-		if a != addr {
-			kept = append(kept, a)
-		}
-	}
-	l.addrs = kept
+	l.addrs = slices.DeleteFunc(l.addrs, func(a string) bool { return a == addr })
 }
 
-// start keeps a number of concurrent chats running until the context is cancelled: chats of one
-// workspace, or of all workspaces alike if the index is negative. The returned function waits until
+// start keeps a number of concurrent chats running until the context is cancelled: chats of the
+// workspace with an index, or of all alike if that is allWorkspaces. The returned function waits until
 // the last request has ended.
 func (l *workload) start(ctx context.Context, concurrency, workspace int, seed uint64) (wait func()) {
 	var wg sync.WaitGroup
@@ -88,12 +94,10 @@
 	return wg.Wait
 }
 
-// rampUpTime is the time over which the callers of a workload start.
-const rampUpTime = time.Second
-
+// chat sends one question of a random chat and counts its outcome.
 func (l *workload) chat(ctx context.Context, rng *rand.Rand, workspace int, id string) {
 	caller := workspace
-	if workspace < 0 {
+	if workspace == allWorkspaces {
 		caller = rng.IntN(len(l.callers))
 	}
 	// Squaring makes some chats return far more often than others.
@@ -102,6 +106,11 @@
 	question := "question " + id + " of " + chat
 	words := chatWords/2 + rng.IntN(chatWords)
 	r := l.callers[caller].Chat(ctx, l.routerAddr(rng), chat, question, words, rng.IntN(4) > 0)
+	l.recordChat(r, question, words)
+}
+
+// recordChat counts the outcome of a question.
+func (l *workload) recordChat(r fleet.Result, question string, words int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sent++
@@ -165,32 +174,28 @@
 			}
 		}
 	}
-	runs := map[string]int{}
-	for _, p := range l.fleet.Plain {
-		for key, n := range p.Runs() {
-			runs[key] += n
-		}
-	}
+	runs := target.TotalRuns(l.fleet.Plain)
 	for key, outcomes := range l.orders {
-		if runs[key] > 1 {
-			s.Repeated++
-		}
-		allNotRun := true
-		for _, o := range outcomes {
-			s.ToldNotRun += boolToInt(o == retry.NotRun)
-			allNotRun = allNotRun && o == retry.NotRun
-		}
-		if allNotRun && runs[key] > 0 {
-			s.FalseNotRun++
-		}
+		s.addOrder(outcomes, runs[key])
 	}
 }
 
-func boolToInt(b bool) int {
-	if b {
-		return 1
+// addOrder compares the outcomes that the callers of one order received with how often it was
+// executed.
+func (s *summary) addOrder(outcomes []retry.Outcome, runs int) {
+	notRun := 0
+	for _, o := range outcomes {
+		if o == retry.NotRun {
+			notRun++
+		}
+	}
+	s.ToldNotRun += notRun
+	if runs > 1 {
+		s.Repeated++
+	}
+	if notRun == len(outcomes) && runs > 0 {
+		s.FalseNotRun++
 	}
-	return 0
 }
 
 // cutOffCount returns the number of incomplete answers without an outcome that marks them.
--- a/cmd/demo/run.go
+++ b/cmd/demo/run.go
@@ -16,24 +16,41 @@
 	"valescale/internal/rule/policy"
 )
 
+// The size of the fleet.
 const (
-	routers      = 8
-	engines      = 20
-	plain        = 4
-	slots        = 24
-	steadyLoad   = 160
-	surgeCallers = 120
+	routers = 8
+	engines = 20
+	plain   = 4
+	// slots is the number of requests that an engine runs at once, and cachedChats the number of chats
+	// whose prefixes it caches.
+	slots       = 24
+	cachedChats = 60
 	// wordInterval is the time per word at which the engines generate answers, coldDelay the extra
 	// delay of an answer when the engine does not have the chat's prefix cached.
-	wordInterval  = 32 * time.Millisecond
-	coldDelay     = 300 * time.Millisecond
-	settleTime    = 3500 * time.Millisecond
-	measureTime   = 3500 * time.Millisecond
+	wordInterval = 32 * time.Millisecond
+	coldDelay    = 300 * time.Millisecond
+	// plainTime is the duration of a request to the plain service.
+	plainTime = 5 * time.Millisecond
+)
+
+// The workload and its phases.
+const (
+	// steadyCallers is the number of concurrent chats of all workspaces together, surgeCallers the
+	// number that one workspace adds for a while.
+	steadyCallers = 160
+	surgeCallers  = 120
+	// settleTime is the time before the steady load is measured, for measureTime.
+	settleTime  = 3500 * time.Millisecond
+	measureTime = 3500 * time.Millisecond
+	// phaseDuration is the duration of the surge, and of the count of requests to the leaving engine.
 	phaseDuration = 1200 * time.Millisecond
 	// leavingGrace is the time for which a leaving engine may still get new requests.
-	leavingGrace  = 3 * time.Second
-	orderCount    = 40
+	leavingGrace = 3 * time.Second
+	orderCount   = 40
+	// allWorkspaces is the index that stands for all workspaces.
 	allWorkspaces = -1
+	// maxListedFailures limits the kinds of failed requests that are printed.
+	maxListedFailures = 10
 )
 
 // documents returns the demo's configuration; replacePolicy changes only the priority.
@@ -60,6 +77,7 @@
 	return text
 }
 
+// demo is one run.
 type demo struct {
 	fleet       *fleet.Fleet
 	workload    *workload
@@ -70,12 +88,14 @@
 	pendingWaits []func()
 }
 
+// logf prints a line.
 func logf(format string, args ...any) { fmt.Printf(format+"\n", args...) }
 
+// run starts the fleet, runs all phases under load and returns the results.
 func run(ctx context.Context) (summary, error) {
 	f, stop, err := fleet.New(fleet.Options{
-		Routers: routers, Engines: engines, Plain: plain, PlainTime: 5 * time.Millisecond,
-		Engine:     target.EngineOptions{PerWord: wordInterval, ColdDelay: coldDelay, CacheSize: 60, Slots: slots, Fenced: true},
+		Routers: routers, Engines: engines, Plain: plain, PlainTime: plainTime,
+		Engine:     target.EngineOptions{PerWord: wordInterval, ColdDelay: coldDelay, CacheSize: cachedChats, Slots: slots, Fenced: true},
 		DrainDelay: 300 * time.Millisecond,
 		Pace:       conf.Pace{Head: 2 * time.Second},
 	})
@@ -90,14 +110,25 @@
 	if err := d.configure(ctx); err != nil {
 		return summary{}, err
 	}
+	if err := d.runPhases(ctx); err != nil {
+		return summary{}, err
+	}
+	d.summarize()
+	d.printFailures()
+	return d.summary, nil
+}
+
+// runPhases runs the phases one after the other under a steady load, and waits until the last
+// request has ended.
+func (d *demo) runPhases(ctx context.Context) error {
 	serving, end := context.WithCancel(ctx)
 	defer end()
-	wait := l.start(serving, steadyLoad, allWorkspaces, 1)
+	wait := d.workload.start(serving, steadyCallers, allWorkspaces, 1)
 	for _, phase := range []func(context.Context) error{
 		d.steadyLoad, d.surge, d.replacePolicy, d.engineLeaves, d.routerStops, d.ordersAndLostAnswers, d.storeDown,
 	} {
 		if err := phase(ctx); err != nil {
-			return summary{}, err
+			return err
 		}
 	}
 	end()
@@ -105,10 +136,10 @@
 	for _, w := range d.pendingWaits {
 		w()
 	}
-	d.close()
-	return d.summary, nil
+	return nil
 }
 
+// configure puts the first configuration in force on all routers.
 func (d *demo) configure(ctx context.Context) error {
 	if err := d.fleet.AwaitReady(ctx, 0); err != nil {
 		return err
@@ -121,18 +152,20 @@
 	return d.fleet.AwaitReady(ctx, revision)
 }
 
+// steadyLoad measures the control traffic and the reuse of caches.
 func (d *demo) steadyLoad(ctx context.Context) error {
 	pause.Sleep(ctx, settleTime)
-	before, served, warm := d.controlTraffic(), 0, 0
+	trafficBefore := d.controlTraffic()
 	servedBefore, warmBefore := d.served()
 	started := time.Now()
 	pause.Sleep(ctx, measureTime)
-	bytesPerSecond := float64(d.controlTraffic()-before) / time.Since(started).Seconds() / routers
-	served, warm = d.served()
+	bytesPerSecond := float64(d.controlTraffic()-trafficBefore) / time.Since(started).Seconds() / routers
+	servedAfter, warmAfter := d.served()
+	served, warm := servedAfter-servedBefore, warmAfter-warmBefore
 	d.summary.ControlBytes = bytesPerSecond
-	d.summary.CacheReuse = float64(warm-warmBefore) / float64(max(served-servedBefore, 1))
+	d.summary.CacheReuse = float64(warm) / float64(max(served, 1))
 	logf("steady traffic, %.0f requests/s: %.0f %% found their prefix cached; control traffic %.0f bytes/s per router",
-		float64(served-servedBefore)/measureTime.Seconds(), 100*d.summary.CacheReuse, bytesPerSecond)
+		float64(served)/measureTime.Seconds(), 100*d.summary.CacheReuse, bytesPerSecond)
 	return nil
 }
 
@@ -157,6 +190,7 @@
 	return served, warm
 }
 
+// surge adds many chats of one workspace.
 func (d *demo) surge(ctx context.Context) error {
 	surge, end := context.WithCancel(ctx)
 	defer end()
@@ -168,6 +202,7 @@
 	return nil
 }
 
+// replacePolicy changes the configuration under load, and measures the time until it is in force.
 func (d *demo) replacePolicy(ctx context.Context) error {
 	started := time.Now()
 	revision, err := d.operator.Apply(ctx, "second", documents(4))
@@ -182,6 +217,7 @@
 	return nil
 }
 
+// engineLeaves makes an engine report that it is leaving, and counts the requests that it gets later.
 func (d *demo) engineLeaves(ctx context.Context) error {
 	leaving := d.fleet.Engines[3]
 	leaving.Leave()
@@ -194,6 +230,7 @@
 	return nil
 }
 
+// routerStops stops a router gracefully under load.
 func (d *demo) routerStops(context.Context) error {
 	r := d.fleet.Routers[len(d.fleet.Routers)-1]
 	// The load balancer sees that the router is no longer ready and stops sending to it.
@@ -204,6 +241,7 @@
 	return nil
 }
 
+// ordersAndLostAnswers sends each order three times while responses are lost.
 func (d *demo) ordersAndLostAnswers(ctx context.Context) error {
 	rng := rand.New(rand.NewPCG(7, 7))
 	d.fleet.Store.LoseResponses(orderCount)
@@ -218,6 +256,7 @@
 	return nil
 }
 
+// storeDown sends an order while the store does not respond.
 func (d *demo) storeDown(ctx context.Context) error {
 	d.fleet.Store.SetDown(true)
 	before := d.workload.completeCount()
@@ -229,7 +268,8 @@
 	return nil
 }
 
-func (d *demo) close() {
+// summarize completes the summary after the last request has ended.
+func (d *demo) summarize() {
 	d.workload.fillSummary(&d.summary)
 	d.summary.MaxLoadRatio = round(d.loadTracker.maxRatio())
 	d.summary.MaxExcess = round(d.loadTracker.maxExcess())
@@ -242,14 +282,19 @@
 		placed += s.Placed
 	}
 	d.summary.PermitRequestsPerRequest = round(float64(permitRequests) / float64(max(placed, 1)))
+}
+
+// printFailures prints the kinds of requests that did not succeed, with their number.
+func (d *demo) printFailures() {
 	var kinds []string
 	for kind, n := range d.workload.failures {
 		kinds = append(kinds, fmt.Sprintf("%d times %s", n, kind))
 	}
 	sort.Strings(kinds)
-	for _, k := range kinds[:min(len(kinds), 10)] {
+	for _, k := range kinds[:min(len(kinds), maxListedFailures)] {
 		logf("  %s", k)
 	}
 }
 
+// round rounds a figure to three decimals.
 func round(x float64) float64 { return float64(int(x*1000+0.5)) / 1000 }
--- a/cmd/demo/summary.go
+++ b/cmd/demo/summary.go
@@ -2,15 +2,8 @@
 
 import (
 	"fmt"
-	"sync"
-	"time"
-
-	"valescale/internal/fake/fleet"
 )
 
-// loadFactor is the multiple of the mean load that no engine may exceed by more than one request.
-const loadFactor = 1.25
-
 // summary is the last line of the output.
 type summary struct {
 	Requests        int     `json:"requests"`
@@ -31,12 +24,14 @@
 	PermitRequestsPerRequest float64 `json:"permit_asks_per_request"`
 }
 
-// maxControlBytes is the maximum of control traffic of one router, in bytes per second.
-const maxControlBytes = 5000
-
-// maxInForceMs is the maximum time until a change is in force on all routers, in milliseconds.
-const maxInForceMs = 6000
+const (
+	// maxControlBytes is the maximum of control traffic of one router, in bytes per second.
+	maxControlBytes = 5000
+	// maxInForceMs is the maximum time until a change is in force on all routers, in milliseconds.
+	maxInForceMs = 6000
+)
 
+// violations describes the guarantees that were violated.
 func (s summary) violations() []string {
 	var out []string
 	check := func(ok bool, format string, args ...any) {
@@ -55,113 +50,3 @@
 	check(s.RequestsToLeaving == 0, "a leaving engine got %d new requests", s.RequestsToLeaving)
 	return out
 }
-
-// loadTracker observes the running requests of the engines and keeps the maximum load.
-type loadTracker struct {
-	mu          sync.Mutex
-	running     map[*fleet.Engine]int
-	usable      map[*fleet.Engine]bool
-	worstRatio  float64
-	worstExcess float64
-	late        int
-	means       []meanSample
-}
-
-// meanSample is the mean load at one time.
-type meanSample struct {
-	at   time.Time
-	mean float64
-}
-
-// maxTransit is the maximum time from the placement of a request to its arrival at the engine.
-// The load at the arrival is compared with the highest mean within that time.
-const maxTransit = 250 * time.Millisecond
-
-// recentMax adds the present mean and returns the highest within maxTransit.
-func (g *loadTracker) recentMax(mean float64) float64 {
-	now := time.Now()
-	g.means = append(g.means, meanSample{now, mean})
-	old := 0
-	for old < len(g.means) && now.Sub(g.means[old].at) > maxTransit {
-		old++
-	}
-	g.means = g.means[old:]
-	highest := 0.0
-	for _, m := range g.means {
-		highest = max(highest, m.mean)
-	}
-	return highest
-}
-
-// minMean is the mean load below which the ratio is not recorded: there, one request is a large
-// share of the load.
-const minMean = 4
-
-func newLoadTracker(engines []*fleet.Engine) *loadTracker {
-	g := &loadTracker{running: map[*fleet.Engine]int{}, usable: map[*fleet.Engine]bool{}}
-	for _, e := range engines {
-		g.usable[e] = true
-		e.Watch(func(running int) { g.record(e, running) })
-	}
-	return g
-}
-
-func (g *loadTracker) record(e *fleet.Engine, running int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	began := running > g.running[e]
-	g.running[e] = running
-	total, n := 0, 0
-	for engine, usable := range g.usable {
-		if usable {
-			total += g.running[engine]
-			n++
-		}
-	}
-	mean := g.recentMax(float64(total) / float64(n))
-	if !began {
-		return
-	}
-	if !g.usable[e] {
-		g.late++
-		return
-	}
-	g.worstExcess = max(g.worstExcess, float64(running)-loadFactor*mean)
-	if mean >= minMean {
-		g.worstRatio = max(g.worstRatio, float64(running)/mean)
-	}
-}
-
-// exclude removes an engine from the mean, because it accepts no new work or soon won't.
-func (g *loadTracker) exclude(e *fleet.Engine) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.usable[e] = false
-}
-
-// resetLate restarts the count of requests that leaving engines get.
-func (g *loadTracker) resetLate() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.late = 0
-}
-
-func (g *loadTracker) lateCount() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.late
-}
-
-// maxRatio returns the maximum ratio of load to mean load at an admission.
-func (g *loadTracker) maxRatio() float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.worstRatio
-}
-
-// maxExcess returns the maximum load of an engine above the bound, in requests.
-func (g *loadTracker) maxExcess() float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.worstExcess
-}
