--- a/internal/rule/policy/policy.go
+++ b/internal/rule/policy/policy.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"time"
 
 	"cel.dev/cel-go/cel"
@@ -88,7 +89,7 @@
 		}
 		*s.field(p) = compiled
 		if s.allowed != nil {
-			f.checkLiterals(s.key, compiled, func(v string) bool { return contains(s.allowed, v) })
+			f.checkLiterals(s.key, compiled, func(v string) bool { return slices.Contains(s.allowed, v) })
 		}
 	}
 	if p.service != nil {
@@ -100,52 +101,54 @@
 	return p, f.done()
 }
 
-// checkLiterals rejects a program that can return a string constant that is not permitted.
-func (f *fields) checkLiterals(key string, p *program, allowed func(string) bool) {
-	values, _ := p.literals()
-	for _, v := range values {
-		if !allowed(v) {
-			f.fail(key, "gives %q, which does not exist", v)
-		}
+// Decide evaluates the policy's programs for a request.
+func (p *Policy) Decide(r *Request) Decision {
+	service, validService := p.service.text(r)
+	repeat, validRepeat := p.decideRepeat(r)
+	priority, validPriority := p.decidePriority(r)
+	wait, validWait := p.decideWait(r)
+	onLoss, validOnLoss := p.decideOnLoss(r)
+	return Decision{
+		Service: ident.Service(service), Repeat: repeat, Priority: priority, Wait: wait, OnLoss: onLoss,
+		Faulty: !validService || !validRepeat || !validPriority || !validWait || !validOnLoss,
 	}
 }
 
-func contains(list []string, value string) bool {
-	for _, v := range list {
-		if v == value {
-			return true
-		}
+// decideRepeat returns whether the request may be repeated, never if the program failed.
+func (p *Policy) decideRepeat(r *Request) (repeat retry.Repeat, valid bool) {
+	v, ok := p.repeat.text(r)
+	repeat = retry.Repeat(v)
+	if !ok || repeat != retry.Safe && repeat != retry.Unstarted && repeat != retry.Never {
+		return retry.Never, false
 	}
-	return false
+	return repeat, true
 }
 
-// Decide evaluates the policy's programs for a request.
-func (p *Policy) Decide(r *Request) Decision {
-	d := Decision{Repeat: retry.Never, Priority: MinPriority, OnLoss: Fail}
-	service, ok := p.service.text(r)
-	d.Service = ident.Service(service)
-	d.Faulty = !ok
-	if v, ok := p.repeat.text(r); ok && (v == string(retry.Safe) || v == string(retry.Unstarted) || v == string(retry.Never)) {
-		d.Repeat = retry.Repeat(v)
-	} else {
-		d.Faulty = true
+// decidePriority returns the request's priority, the lowest if the program failed.
+func (p *Policy) decidePriority(r *Request) (priority int, valid bool) {
+	v, ok := p.priority.integer(r)
+	if !ok {
+		return MinPriority, false
 	}
-	if v, ok := p.priority.integer(r); ok {
-		d.Priority = int(min(max(v, MinPriority), MaxPriority))
-	} else {
-		d.Faulty = true
-	}
-	if v, ok := p.wait.duration(r); ok {
-		d.Wait = min(max(v, 0), MaxWait)
-	} else {
-		d.Faulty = true
+	return int(min(max(v, MinPriority), MaxPriority)), true
+}
+
+// decideWait returns how long the request may wait, not at all if the program failed.
+func (p *Policy) decideWait(r *Request) (wait time.Duration, valid bool) {
+	v, ok := p.wait.duration(r)
+	if !ok {
+		return 0, false
 	}
-	if v, ok := p.onLoss.text(r); ok && v == string(Continue) {
-		d.OnLoss = Continue
-	} else if !ok {
-		d.Faulty = true
+	return min(max(v, 0), MaxWait), true
+}
+
+// decideOnLoss returns whether a lost stream is continued, which it is not if the program failed.
+func (p *Policy) decideOnLoss(r *Request) (onLoss OnLoss, valid bool) {
+	v, ok := p.onLoss.text(r)
+	if !ok || v != string(Continue) {
+		return Fail, ok
 	}
-	return d
+	return Continue, true
 }
 
 // Problem is one error in a set of documents.
--- a/internal/rule/policy/program.go
+++ b/internal/rule/policy/program.go
@@ -173,29 +173,31 @@
 	}
 }
 
-func (p *program) text(r *Request) (string, bool) {
+// evaluate returns the result of a program for a request. It reports false if the program failed.
+func evaluate[T ref.Val](p *program, r *Request) (T, bool) {
 	out, _, err := p.run.Eval(r)
 	if err != nil {
-		return "", false
+		var none T
+		return none, false
 	}
-	value, ok := out.(types.String)
+	value, ok := out.(T)
+	return value, ok
+}
+
+// text evaluates a program that returns a string.
+func (p *program) text(r *Request) (string, bool) {
+	value, ok := evaluate[types.String](p, r)
 	return string(value), ok
 }
 
+// integer evaluates a program that returns a whole number.
 func (p *program) integer(r *Request) (int64, bool) {
-	out, _, err := p.run.Eval(r)
-	if err != nil {
-		return 0, false
-	}
-	value, ok := out.(types.Int)
+	value, ok := evaluate[types.Int](p, r)
 	return int64(value), ok
 }
 
+// duration evaluates a program that returns a duration.
 func (p *program) duration(r *Request) (time.Duration, bool) {
-	out, _, err := p.run.Eval(r)
-	if err != nil {
-		return 0, false
-	}
-	value, ok := out.(types.Duration)
+	value, ok := evaluate[types.Duration](p, r)
 	return value.Duration, ok
 }
--- a/internal/rule/policy/service.go
+++ b/internal/rule/policy/service.go
@@ -1,8 +1,8 @@
 package policy
 
 import (
+	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"valescale/internal/plat/ident"
@@ -84,7 +84,7 @@
 	f := d.fields()
 	s := Service{
 		Name:     ident.Service(d.ID.Name),
-		Kind:     TargetKind(f.oneOf("kind", string(EngineTargets), string(EngineTargets), string(PlainTargets))),
+		Kind:     oneOf(f, "kind", EngineTargets, EngineTargets, PlainTargets),
 		Shards:   f.integer("shards", DefaultShards, 1, maxShards),
 		Bound:    f.number("bound", defaultBound, 1.01, 100),
 		Slots:    f.integer("slots", 0, 0, 1_000_000),
@@ -92,15 +92,15 @@
 		Fenced:   f.boolean("fenced", false),
 		Export:   f.boolean("export", false),
 		Echo:     f.boolean("echo", false),
-		Protocol: Protocol(f.oneOf("protocol", string(HTTP1), string(HTTP1), string(HTTP2))),
+		Protocol: oneOf(f, "protocol", HTTP1, HTTP1, HTTP2),
 		Model:    f.text("model", ""),
-		WorkUnit: WorkUnit(f.oneOf("work", string(ByRequests), string(ByRequests), string(ByTokens))),
+		WorkUnit: oneOf(f, "work", ByRequests, ByRequests, ByTokens),
 	}
 	balance := Exact
 	if s.Kind == PlainTargets {
 		balance = Local
 	}
-	s.Balance = Balance(f.oneOf("balance", string(balance), string(Exact), string(Local)))
+	s.Balance = oneOf(f, "balance", balance, Exact, Local)
 	for _, zone := range f.list("closed_zones") {
 		s.ClosedZones = append(s.ClosedZones, ident.Zone(zone))
 	}
@@ -152,67 +152,5 @@
 
 // MeansNotRun reports whether the service's contract defines a status code as "not run".
 func (s Service) MeansNotRun(status int) bool {
-	for _, known := range s.NotRunStatus {
-		if known == status {
-			return true
-		}
-	}
-	return false
-}
-
-func (f *fields) oneOf(key, fallback string, allowed ...string) string {
-	value := f.text(key, fallback)
-	for _, a := range allowed {
-		if value == a {
-			return value
-		}
-	}
-	f.fail(key, "%q is not one of %s", value, strings.Join(allowed, ", "))
-	return fallback
-}
-
-func (f *fields) integer(key string, fallback, low, high int) int {
-	value, err := strconv.Atoi(f.text(key, strconv.Itoa(fallback)))
-	if err != nil || value < low || value > high {
-		f.fail(key, "not a whole number from %d to %d", low, high)
-		return fallback
-	}
-	return value
-}
-
-func (f *fields) number(key string, fallback, low, high float64) float64 {
-	value, err := strconv.ParseFloat(f.text(key, strconv.FormatFloat(fallback, 'g', -1, 64)), 64)
-	if err != nil || !(value >= low && value <= high) {
-		f.fail(key, "not a number from %g to %g", low, high)
-		return fallback
-	}
-	return value
-}
-
-func (f *fields) duration(key string, fallback, low, high time.Duration) time.Duration {
-	value, err := time.ParseDuration(f.text(key, fallback.String()))
-	if err != nil || value < low || value > high {
-		f.fail(key, "not a duration from %s to %s, such as 30s", low, high)
-		return fallback
-	}
-	return value
-}
-
-func (f *fields) boolean(key string, fallback bool) bool {
-	value, err := strconv.ParseBool(f.text(key, strconv.FormatBool(fallback)))
-	if err != nil {
-		f.fail(key, "must be true or false")
-		return fallback
-	}
-	return value
-}
-
-func (f *fields) list(key string) []string {
-	var out []string
-	for _, part := range strings.Split(f.text(key, ""), ",") {
-		if part = strings.TrimSpace(part); part != "" {
-			out = append(out, part)
-		}
-	}
-	return out
+	return slices.Contains(s.NotRunStatus, status)
 }
--- a/internal/rule/policy/set.go
+++ b/internal/rule/policy/set.go
@@ -36,11 +36,19 @@
 	return s, nil
 }
 
-func (s *Set) addServices(documents []Document) (problems []Problem) {
+// ofKind returns the documents of a kind that are not deleted.
+func ofKind(documents []Document, kind DocumentKind) []Document {
+	var out []Document
 	for _, d := range documents {
-		if d.ID.Kind != ServiceKind || d.Deleted {
-			continue
+		if d.ID.Kind == kind && !d.Deleted {
+			out = append(out, d)
 		}
+	}
+	return out
+}
+
+func (s *Set) addServices(documents []Document) (problems []Problem) {
+	for _, d := range ofKind(documents, ServiceKind) {
 		service, err := compileService(d)
 		if err != nil {
 			problems = append(problems, newProblem(d.ID, err))
@@ -55,10 +63,7 @@
 	if err != nil {
 		return []Problem{newProblem(ID{}, err)}
 	}
-	for _, d := range documents {
-		if d.ID.Kind != PolicyKind || d.Deleted {
-			continue
-		}
+	for _, d := range ofKind(documents, PolicyKind) {
 		compiled, err := compilePolicy(env, d, s.Services)
 		if err != nil {
 			problems = append(problems, newProblem(d.ID, err))
@@ -70,10 +75,7 @@
 }
 
 func (s *Set) addWorkspaces(documents []Document) (problems []Problem) {
-	for _, d := range documents {
-		if d.ID.Kind != WorkspaceKind || d.Deleted {
-			continue
-		}
+	for _, d := range ofKind(documents, WorkspaceKind) {
 		w, err := compileWorkspace(d)
 		if err == nil {
 			err = s.addIdentities(d.ID, w)
