conf: Parse sets options, adds operators and reports problems in steps

Parse did all of it in one body of 47 lines and formatted each problem through a closure; settings and lines were found by a section and a key joined with a slash.

setOptions, addOperators and check return problems, which Parse formats with their lines at the end; position is the pair of section and key. The problems and their order stay.

--- a/internal/oper/conf/settings.go
+++ b/internal/oper/conf/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -112,51 +113,74 @@
 	if err != nil {
 		return Settings{}, fault.Newf(op, Unreadable, "%s: %v", source, err)
 	}
+	s := Settings{Operators: map[policy.TokenHash]string{}}
+	problems := s.setOptions(file)
+	problems = append(problems, s.addOperators(file)...)
+	problems = append(problems, s.check()...)
+	if len(problems) == 0 {
+		return s, nil
+	}
 	lines := indexLines(data)
 	var invalid []string
-	report := func(section, key string, err error) {
-		invalid = append(invalid, fmt.Sprintf("%s:%d: [%s] %s: %v", source, lines.of(section, key), section, key, err))
+	for _, p := range problems {
+		invalid = append(invalid, fmt.Sprintf("%s:%d: [%s] %s: %v", source, lines.of(p.section, p.key), p.section, p.key, p.err))
 	}
-	s := Settings{Operators: map[policy.TokenHash]string{}}
-	known := map[string]bool{}
+	return Settings{}, fault.New(op, Invalid, errors.New(strings.Join(invalid, "\n")))
+}
+
+// problem is an invalid setting.
+type problem struct {
+	section string
+	key     string
+	err     error
+}
+
+// setOptions sets all options to the values of a file or to their defaults.
+func (s *Settings) setOptions(file *ini.File) []problem {
+	var problems []problem
 	for _, o := range options {
-		known[o.section+"/"+o.key] = true
 		value := o.defaultValue
 		if file.Section(o.section).HasKey(o.key) {
 			value = file.Section(o.section).Key(o.key).String()
 		}
 		if value == "" && o.required {
-			report(o.section, o.key, errors.New("required setting is missing"))
+			problems = append(problems, problem{o.section, o.key, errors.New("required setting is missing")})
 			continue
 		}
-		if err := o.set(&s, value); err != nil {
-			report(o.section, o.key, err)
+		if err := o.set(s, value); err != nil {
+			problems = append(problems, problem{o.section, o.key, err})
 		}
 	}
+	return problems
+}
+
+// isOption reports whether there is an option with a key.
+func isOption(section, key string) bool {
+	return slices.ContainsFunc(options, func(o option) bool { return o.section == section && o.key == key })
+}
+
+// addOperators adds the operators of a file. A key that is no option is a problem too.
+func (s *Settings) addOperators(file *ini.File) []problem {
+	var problems []problem
 	for _, section := range file.Sections() {
 		for _, key := range section.Keys() {
 			switch {
 			case section.Name() == operatorsSection:
 				if err := s.addOperator(key.Name(), key.String()); err != nil {
-					report(section.Name(), key.Name(), err)
+					problems = append(problems, problem{section.Name(), key.Name(), err})
 				}
-			case !known[section.Name()+"/"+key.Name()]:
-				report(section.Name(), key.Name(), errors.New("unknown setting"))
+			case !isOption(section.Name(), key.Name()):
+				problems = append(problems, problem{section.Name(), key.Name(), errors.New("unknown setting")})
 			}
 		}
 	}
-	for _, problem := range s.check() {
-		report(problem.section, problem.key, problem.err)
-	}
-	if len(invalid) > 0 {
-		return Settings{}, fault.New(op, Invalid, errors.New(strings.Join(invalid, "\n")))
-	}
-	return s, nil
+	return problems
 }
 
 // operatorsSection is the section that maps operators' names to the hashes of their tokens.
 const operatorsSection = "operators"
 
+// addOperator adds an operator with the hash of its token.
 func (s *Settings) addOperator(name, value string) error {
 	hash, err := tokenHash(value)
 	if err != nil {
@@ -169,12 +193,6 @@
 	return nil
 }
 
-type problem struct {
-	section string
-	key     string
-	err     error
-}
-
 // check returns the conflicts between settings.
 func (s *Settings) check() []problem {
 	var out []problem
@@ -196,15 +214,18 @@
 	return out
 }
 
-// lineIndex maps "section/key", and "section/" for a section itself, to a line number.
-type lineIndex map[string]int
+// position identifies a key of a file, or a section if the key is empty.
+type position struct{ section, key string }
+
+// lineIndex maps sections and keys to line numbers.
+type lineIndex map[position]int
 
 // of returns the line of a key, else the line of its section, else 1.
 func (l lineIndex) of(section, key string) int {
-	if n, ok := l[section+"/"+key]; ok {
+	if n, ok := l[position{section, key}]; ok {
 		return n
 	}
-	return max(l[section+"/"], 1)
+	return max(l[position{section: section}], 1)
 }
 
 // indexLines returns the line numbers of the sections and keys of a file.
@@ -215,11 +236,11 @@
 		line = strings.TrimSpace(line)
 		if strings.HasPrefix(line, "[") && strings.HasSuffix(line, "]") {
 			section = strings.TrimSpace(line[1 : len(line)-1])
-			index[section+"/"] = i + 1
+			index[position{section: section}] = i + 1
 			continue
 		}
 		if key, _, ok := strings.Cut(line, "="); ok {
-			index[section+"/"+strings.TrimSpace(key)] = i + 1
+			index[position{section, strings.TrimSpace(key)}] = i + 1
 		}
 	}
 	return index
