admin: changes and problems are converted beside their counterparts

EncodeChange stood in admin, its inverse in daemon, field by field; the check command built the messages of problems as admin does.

DecodeChange and EncodeProblems are in admin's codec.go and serve both.

--- a/internal/oper/admin/codec.go
+++ b/internal/oper/admin/codec.go
@@ -1,6 +1,9 @@
 package admin
 
 import (
+	"time"
+
+	"valescale/internal/plat/ident"
 	"valescale/internal/rule/policy"
 	"valescale/internal/share/config"
 	"valescale/internal/share/peerpb"
@@ -25,7 +28,8 @@
 	return out
 }
 
-func encodeProblems(problems []policy.Problem) []*peerpb.Problem {
+// EncodeProblems returns the wire form of the problems of documents.
+func EncodeProblems(problems []policy.Problem) []*peerpb.Problem {
 	out := make([]*peerpb.Problem, 0, len(problems))
 	for _, p := range problems {
 		out = append(out, &peerpb.Problem{Document: p.Document.String(), Message: p.Err.Error()})
@@ -44,3 +48,15 @@
 		Documents: EncodeDocuments(c.Documents),
 	}
 }
+
+// DecodeChange returns a change from its wire form.
+func DecodeChange(c *peerpb.Change) config.Change {
+	return config.Change{
+		Revision:  ident.Revision(c.GetRevision()),
+		ID:        c.GetChangeId(),
+		Operator:  config.Operator(c.GetOperator()),
+		At:        time.UnixMilli(c.GetUnixMs()).UTC(),
+		Note:      c.GetNote(),
+		Documents: DecodeDocuments(c.GetDocuments()),
+	}
+}
--- a/internal/oper/admin/service.go
+++ b/internal/oper/admin/service.go
@@ -92,7 +92,7 @@
 // Check compiles documents together with those in force and returns the problems found.
 func (s *Service) Check(_ context.Context, req *connect.Request[peerpb.CheckRequest]) (*connect.Response[peerpb.CheckReply], error) {
 	problems := s.Recorder.Check(DecodeDocuments(req.Msg.GetDocuments()))
-	return connect.NewResponse(&peerpb.CheckReply{Problems: encodeProblems(problems)}), nil
+	return connect.NewResponse(&peerpb.CheckReply{Problems: EncodeProblems(problems)}), nil
 }
 
 // Apply records a change, installs it on this router and gossips it to the other routers,
@@ -110,7 +110,7 @@
 		ID: m.GetChangeId(), Operator: operatorOf(ctx), Note: m.GetNote(), Base: base,
 		Documents: DecodeDocuments(m.GetDocuments()),
 	})
-	reply := &peerpb.ApplyReply{Head: uint64(out.Head), Problems: encodeProblems(out.Problems)}
+	reply := &peerpb.ApplyReply{Head: uint64(out.Head), Problems: EncodeProblems(out.Problems)}
 	if fault.KindOf[config.Kind](err) == config.Conflict {
 		reply.Conflict = true
 		reply.Theirs = EncodeDocuments(out.Theirs)
--- a/internal/oper/cmds/change.go
+++ b/internal/oper/cmds/change.go
@@ -65,11 +65,7 @@
 	}
 	if c.Offline {
 		_, problems := policy.Compile(documents)
-		var found []*peerpb.Problem
-		for _, p := range problems {
-			found = append(found, &peerpb.Problem{Document: p.Document.String(), Message: p.Err.Error()})
-		}
-		return c.report(found, len(documents))
+		return c.report(admin.EncodeProblems(problems), len(documents))
 	}
 	reply, err := call(&c.routerOptions, "cmds.check", peerpb.AdminServiceClient.Check, &peerpb.CheckRequest{Documents: admin.EncodeDocuments(documents)})
 	if err != nil {
@@ -78,6 +74,7 @@
 	return c.report(reply.GetProblems(), len(documents))
 }
 
+// report prints the problems found, or the number of valid documents if there are none.
 func (c *checkCommand) report(problems []*peerpb.Problem, documents int) error {
 	if len(problems) > 0 {
 		return c.printProblems(problems)
--- a/internal/oper/daemon/peers.go
+++ b/internal/oper/daemon/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"connectrpc.com/connect"
 
@@ -78,10 +77,7 @@
 		return out, nil
 	}
 	for _, c := range m.GetChanges() {
-		out.Changes = append(out.Changes, config.Change{
-			Revision: ident.Revision(c.GetRevision()), ID: c.GetChangeId(), Operator: config.Operator(c.GetOperator()),
-			At: time.UnixMilli(c.GetUnixMs()).UTC(), Note: c.GetNote(), Documents: admin.DecodeDocuments(c.GetDocuments()),
-		})
+		out.Changes = append(out.Changes, admin.DecodeChange(c))
 	}
 	return out, nil
 }
