claim: one function each for a claim's record and its conditional write

The record of a claim was put together in three places, each with the clock's time converted, and the write of a row with its check in three as well, always from the same key, version and record.

Claims.record and newWrite serve all of them; the fields of the batcher say what they wait for. Rows and versions stay.

--- a/internal/share/claim/batch.go
+++ b/internal/share/claim/batch.go
@@ -16,6 +16,16 @@
 	put   table.Put
 }
 
+// newWrite returns the write of a claim, conditional on the version of its row.
+func newWrite(key Key, version table.Version, record Record) write {
+	rowKey := key.row()
+	return write{
+		check: table.Check{Table: Table, Key: rowKey, Version: version},
+		put:   table.Put{Table: Table, Key: rowKey, Value: encode(record)},
+	}
+}
+
+// job is a queued write.
 type job struct {
 	write write
 	// result is nil for writes that no caller waits for.
@@ -30,12 +40,15 @@
 	// caller waits for.
 	retryForever bool
 	jobs         chan job
-	ctx          context.Context
-	cancel       context.CancelFunc
-	wg           sync.WaitGroup
-	tasks        sync.WaitGroup
-	once         sync.Once
-	closing      chan struct{}
+	// ctx is cancelled when stop returns.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// wg waits for run, tasks for the tasks in the background.
+	wg    sync.WaitGroup
+	tasks sync.WaitGroup
+	once  sync.Once
+	// closing is closed when stop is called.
+	closing chan struct{}
 }
 
 func newBatcher(store Store, options Options, retryForever bool) *batcher {
@@ -96,6 +109,7 @@
 	<-done
 }
 
+// run commits queued writes until the batcher stops.
 func (b *batcher) run() {
 	for {
 		select {
--- a/internal/share/claim/claim.go
+++ b/internal/share/claim/claim.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
@@ -83,8 +82,9 @@
 	State    State         `json:"state"`
 	Attempt  ident.Attempt `json:"attempt"`
 	BodyHash BodyHash      `json:"body_hash"`
-	UnixMS   int64         `json:"unix_ms"`
-	Answer   *Answer       `json:"answer,omitempty"`
+	// UnixMS is when a router recorded the state; a release by an operator does not change it.
+	UnixMS int64   `json:"unix_ms"`
+	Answer *Answer `json:"answer,omitempty"`
 	// Object is the name of the stored answer if it is too large for the row.
 	Object string `json:"object,omitempty"`
 }
@@ -150,6 +150,3 @@
 	}
 	return r, nil
 }
-
-// unixMillis returns a time in the form in which rows store it.
-func unixMillis(t time.Time) int64 { return t.UnixMilli() }
--- a/internal/share/claim/claims.go
+++ b/internal/share/claim/claims.go
@@ -124,7 +124,7 @@
 // the key may have been lost.
 func (c *Claims) newTicket(key Key, hash BodyHash, attempt ident.Attempt, version table.Version, restores int) (*Ticket, *Answer, error) {
 	ticket := &Ticket{Key: key, Attempt: attempt, Version: version, era: c.store.CurrentEra(), hash: hash}
-	c.recentClaims.add(key, c.sentRecord(hash, attempt), version)
+	c.recentClaims.add(key, c.record(Sent, attempt, hash), version)
 	if err := c.checkNotRestored(restores); err != nil {
 		c.Release(ticket)
 		return nil, nil, err
@@ -132,9 +132,9 @@
 	return ticket, nil, nil
 }
 
-// sentRecord returns the record of a held claim.
-func (c *Claims) sentRecord(hash BodyHash, attempt ident.Attempt) Record {
-	return Record{State: Sent, Attempt: attempt, BodyHash: hash, UnixMS: unixMillis(c.clock())}
+// record returns the record of a claim that reaches a state now.
+func (c *Claims) record(state State, attempt ident.Attempt, hash BodyHash) Record {
+	return Record{State: state, Attempt: attempt, BodyHash: hash, UnixMS: c.clock().UnixMilli()}
 }
 
 // maxAwaitDelay limits the delay between two reads of a claim that another attempt holds.
@@ -164,10 +164,7 @@
 
 // write tries to write the claim, conditional on the row still having rowVersion.
 func (c *Claims) write(ctx context.Context, key Key, hash BodyHash, attempt ident.Attempt, rowVersion table.Version) (table.Version, error) {
-	err := c.beginWrites.submit(ctx, write{
-		check: table.Check{Table: Table, Key: key.row(), Version: rowVersion},
-		put:   table.Put{Table: Table, Key: key.row(), Value: encode(c.sentRecord(hash, attempt))},
-	})
+	err := c.beginWrites.submit(ctx, newWrite(key, rowVersion, c.record(Sent, attempt, hash)))
 	return rowVersion + 1, err
 }
 
@@ -223,7 +220,7 @@
 // Finish records the answer of a claimed request, batched with other writes. If the record is lost,
 // a repeated request gets an unknown outcome; it never runs again.
 func (c *Claims) Finish(ticket *Ticket, answer Answer) {
-	record := Record{State: Done, Attempt: ticket.Attempt, BodyHash: ticket.hash, UnixMS: unixMillis(c.clock())}
+	record := c.record(Done, ticket.Attempt, ticket.hash)
 	if len(answer.Body) <= c.options.MaxInlineBytes {
 		record.Answer = &answer
 		c.update(ticket, record)
@@ -243,17 +240,13 @@
 
 // Release releases a claim under which nothing was sent.
 func (c *Claims) Release(ticket *Ticket) {
-	c.update(ticket, Record{
-		State: Released, Attempt: ticket.Attempt, BodyHash: ticket.hash, UnixMS: unixMillis(c.clock()),
-	})
+	c.update(ticket, c.record(Released, ticket.Attempt, ticket.hash))
 }
 
+// update queues the write of a claim's outcome.
 func (c *Claims) update(ticket *Ticket, record Record) {
 	version := c.recentClaims.setOutcome(ticket, record)
-	c.outcomeWrites.enqueue(write{
-		check: table.Check{Table: Table, Key: ticket.Key.row(), Version: version},
-		put:   table.Put{Table: Table, Key: ticket.Key.row(), Value: encode(record)},
-	})
+	c.outcomeWrites.enqueue(newWrite(ticket.Key, version, record))
 }
 
 // releaseAbandoned releases a claim whose write had no known result and under which this process
--- a/internal/share/claim/restore.go
+++ b/internal/share/claim/restore.go
@@ -102,10 +102,7 @@
 		return true
 	}
 	c.recentClaims.setVersion(attempt, row.Version+1)
-	err = c.outcomeWrites.submit(ctx, write{
-		check: table.Check{Table: Table, Key: m.key.row(), Version: row.Version},
-		put:   table.Put{Table: Table, Key: m.key.row(), Value: encode(m.record)},
-	})
+	err = c.outcomeWrites.submit(ctx, newWrite(m.key, row.Version, m.record))
 	// After a conflict the row must be read again: a retry after a lost response conflicts with the
 	// version that the first attempt wrote.
 	return table.KindOf(err) != table.Conflict
