lease: reading, holding and giving up a lease are functions of their own

AcquireOrRenew read the row, decoded it, chose and wrote the next record and recorded the hold in one body; Release locked and unlocked in the middle of its own.

read, hold and giveUp have these steps. Rows, epochs and times stay.

gofmt, go vet, staticcheck and go test ./internal/share/lease pass, tests unchanged.

--- a/internal/share/lease/lease.go
+++ b/internal/share/lease/lease.go
@@ -91,16 +91,10 @@
 	// The TTL is counted from before the write, so that the lease expires here no later than for
 	// other routers, which see the row only after the write.
 	started := l.clock()
-	row, err := l.store.Get(ctx, Table, l.name)
-	if err != nil && table.KindOf(err) != table.Missing {
+	row, current, err := l.read(ctx)
+	if err != nil {
 		return fault.New(op, Unavailable, err)
 	}
-	current := record{}
-	if row.Version > 0 {
-		if err := json.Unmarshal(row.Value, &current); err != nil {
-			return fault.New(op, Unavailable, err)
-		}
-	}
 	next, ok := l.next(started, row, current)
 	if !ok {
 		return fault.Newf(op, Held, "lease is held by %s", current.Holder)
@@ -119,13 +113,33 @@
 		// own.
 		return fault.New(op, Unavailable, err)
 	}
+	l.hold(started, next.Epoch, table.Position{Era: row.Era, Version: row.Version + 1})
+	return nil
+}
+
+// read returns the row of the lease and the record in it. Both are zero, but for the row's era, if
+// there is none.
+func (l *Lease) read(ctx context.Context) (table.Row, record, error) {
+	var current record
+	row, err := l.store.Get(ctx, Table, l.name)
+	if err != nil && table.KindOf(err) != table.Missing {
+		return row, current, err
+	}
+	if row.Version > 0 {
+		err = json.Unmarshal(row.Value, &current)
+		return row, current, err
+	}
+	return row, current, nil
+}
+
+// hold records that this router holds the lease, which it wrote at a position after the given time.
+func (l *Lease) hold(since time.Time, epoch ident.Epoch, written table.Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.epoch = next.Epoch
-	l.until = started.Add(l.ttl)
-	l.lastSeen, l.unchangedSince = table.Position{Era: row.Era, Version: row.Version + 1}, started
+	l.epoch = epoch
+	l.until = since.Add(l.ttl)
+	l.lastSeen, l.unchangedSince = written, since
 	l.restored = false
-	return nil
 }
 
 // setWriteEra records the era in which this router tries to write the row.
@@ -178,14 +192,19 @@
 	l.lastSeen, l.unchangedSince = row, now
 }
 
+// giveUp ends the use of the lease on this router and reports whether it held it.
+func (l *Lease) giveUp() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := l.epoch != 0
+	l.epoch = 0
+	return held
+}
+
 // Release gives up the lease, so that another router need not wait for it to expire.
 func (l *Lease) Release(ctx context.Context) error {
 	const op = "lease.Release"
-	l.mu.Lock()
-	epoch := l.epoch
-	l.epoch = 0
-	l.mu.Unlock()
-	if epoch == 0 {
+	if !l.giveUp() {
 		return nil
 	}
 	row, err := l.store.Get(ctx, Table, l.name)
