telem: both sets of metrics are made by the same functions

Metrics and RouteMetrics spelled out the options of each counter and histogram, one of them through a closure; bounds and numbers of buckets were bare numbers in one and constants in the other.

newCounters and newHistograms make those of both; the numbers are constants. Names, help and buckets stay.

gofmt, go vet, staticcheck and go test ./internal/oper/telem pass, tests unchanged.

--- a/internal/oper/telem/metrics.go
+++ b/internal/oper/telem/metrics.go
@@ -45,24 +45,26 @@
 	comparer     Comparer
 }
 
+const (
+	// minWaitBucketSeconds is the upper bound of the first bucket of the wait time.
+	minWaitBucketSeconds = 0.0005
+	// waitBucketCount is the number of buckets of the wait time. The last bound is 66 seconds.
+	waitBucketCount = 18
+	// firstByteBucketCount is the number of buckets of the time to the first byte. The last bound is
+	// 33 seconds.
+	firstByteBucketCount = 16
+)
+
 // New returns metrics that read the values of g. The comparer may be nil.
 func New(comparer Comparer, g Gauges) *Metrics {
 	m := &Metrics{
 		registry: prometheus.NewRegistry(),
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "valescale_requests_total", Help: "Requests by service, outcome and error code.",
-		}, []string{"service", "outcome", "code"}),
-		waitTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "valescale_wait_seconds", Help: "Time until a target was found.",
-			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 18),
-		}, []string{"service"}),
-		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "valescale_first_byte_seconds", Help: "Time until the caller got the answer's first byte.",
-			Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
-		}, []string{"service"}),
-		warm: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "valescale_placements_total", Help: "Requests placed, by whether the chat ran there before.",
-		}, []string{"service", "warm"}),
+		requests: newCounters("valescale_requests_total", "Requests by service, outcome and error code.", "service", "outcome", "code"),
+		waitTime: newHistograms("valescale_wait_seconds", "Time until a target was found.",
+			prometheus.ExponentialBuckets(minWaitBucketSeconds, bucketFactor, waitBucketCount)),
+		firstByte: newHistograms("valescale_first_byte_seconds", "Time until the caller got the answer's first byte.",
+			prometheus.ExponentialBuckets(minBucketSeconds, bucketFactor, firstByteBucketCount)),
+		warm:         newCounters("valescale_placements_total", "Requests placed, by whether the chat ran there before.", "service", "warm"),
 		retries:      prometheus.NewCounter(prometheus.CounterOpts{Name: "valescale_retries_total", Help: "Attempts after the first."}),
 		policyFaults: prometheus.NewCounter(prometheus.CounterOpts{Name: "valescale_policy_faults_total", Help: "Decisions for which a policy's program failed and the strictest value was used."}),
 		comparer:     comparer,
@@ -84,12 +86,14 @@
 	return m
 }
 
+// gauge registers a gauge that is read from a function, if there is one.
 func (m *Metrics) gauge(name, help string, read func() float64) {
 	if read != nil {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 	}
 }
 
+// counter registers a counter that is read from a function, if there is one.
 func (m *Metrics) counter(name, help string, read func() float64) {
 	if read != nil {
 		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
--- a/internal/oper/telem/routed.go
+++ b/internal/oper/telem/routed.go
@@ -90,32 +90,19 @@
 
 // NewRouteMetrics returns the metrics, including those that are read from functions.
 func NewRouteMetrics(readings []FuncMetric) *RouteMetrics {
-	histogram := func(name, help string) *prometheus.HistogramVec {
-		return prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(minBucketSeconds, bucketFactor, bucketCount),
-		}, []string{"service"})
-	}
+	buckets := prometheus.ExponentialBuckets(minBucketSeconds, bucketFactor, bucketCount)
 	m := &RouteMetrics{
-		registry: prometheus.NewRegistry(),
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "valescale_routed_requests_total", Help: "Requests by service, reason of their end and status.",
-		}, []string{"service", "reason", "status"}),
-		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "valescale_routed_sends_total", Help: "Attempts that reached a target.",
-		}, []string{"service"}),
-		findTime:  histogram("valescale_routed_found_seconds", "Time until a target was found."),
-		firstByte: histogram("valescale_routed_first_byte_seconds", "Time until the caller got the answer's first byte."),
-		duration:  histogram("valescale_routed_whole_seconds", "Time until the request's end."),
+		registry:  prometheus.NewRegistry(),
+		requests:  newCounters("valescale_routed_requests_total", "Requests by service, reason of their end and status.", "service", "reason", "status"),
+		sends:     newCounters("valescale_routed_sends_total", "Attempts that reached a target.", "service"),
+		findTime:  newHistograms("valescale_routed_found_seconds", "Time until a target was found.", buckets),
+		firstByte: newHistograms("valescale_routed_first_byte_seconds", "Time until the caller got the answer's first byte.", buckets),
+		duration:  newHistograms("valescale_routed_whole_seconds", "Time until the request's end.", buckets),
+		timely: newCounters("valescale_routed_answers_total", "Complete answers by service and whether they met the objectives of their route.",
+			"service", "timely"),
+		rules:   newCounters("valescale_routed_placements_total", "Placed requests by service and the rule that selected the target.", "service", "rule"),
+		endings: newCounters("valescale_routed_endings_total", "Answers of targets by service and how they ended.", "service", "ending"),
 	}
-	m.timely = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "valescale_routed_answers_total", Help: "Complete answers by service and whether they met the objectives of their route.",
-	}, []string{"service", "timely"})
-	m.rules = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "valescale_routed_placements_total", Help: "Placed requests by service and the rule that selected the target.",
-	}, []string{"service", "rule"})
-	m.endings = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "valescale_routed_endings_total", Help: "Answers of targets by service and how they ended.",
-	}, []string{"service", "ending"})
 	m.registry.MustRegister(m.endings, m.requests, m.sends, m.findTime, m.firstByte, m.duration, m.timely, m.rules)
 	for _, r := range readings {
 		m.registry.MustRegister(r.collector())
