trace: losses are counted by tables with their own keys

Summarize declared six tables in one line and counted in a closure; seconds were counted under their number as text, which was parsed back, and a row of further keys had to be told apart by a failed parse. The count of a request stood twice.

lossTables counts a line and returns the summary, Row.add counts one request, secondTable is keyed by the Unix second. The summary stays.

gofmt, go vet, staticcheck and go test of internal/oper/trace and internal/oper/cmds pass, tests unchanged.

--- a/internal/oper/trace/losses.go
+++ b/internal/oper/trace/losses.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 )
 
@@ -17,6 +16,7 @@
 	Objectives map[string]time.Duration
 }
 
+// weight returns the weight of a request of a route.
 func (c Criteria) weight(route string) float64 {
 	if w, ok := c.Weights[route]; ok {
 		return w
@@ -59,10 +59,10 @@
 	}
 }
 
-// maxKeys is the maximum number of distinct keys in a table. Requests with further keys are
-// counted under overflowKey.
 const (
-	maxKeys     = 10_000
+	// maxKeys is the maximum number of distinct keys in a table.
+	maxKeys = 10_000
+	// overflowKey is the key under which requests with further keys are counted.
 	overflowKey = "(others)"
 )
 
@@ -76,9 +76,19 @@
 	Worth float64 `json:"worth"`
 }
 
+// add counts a request.
+func (r *Row) add(lost bool, worth float64) {
+	r.Ended++
+	if lost {
+		r.Lost++
+		r.Worth += worth
+	}
+}
+
 // lossTable counts requests by key.
 type lossTable map[string]*Row
 
+// add counts a request under a key.
 func (c lossTable) add(key string, lost bool, worth float64) {
 	row, ok := c[key]
 	if !ok && len(c) >= maxKeys {
@@ -89,11 +99,7 @@
 		row = &Row{Key: key}
 		c[key] = row
 	}
-	row.Ended++
-	if lost {
-		row.Lost++
-		row.Worth += worth
-	}
+	row.add(lost, worth)
 }
 
 // rowsWithLosses returns the rows with lost requests, sorted by descending worth.
@@ -132,45 +138,87 @@
 	BadLines BadLines `json:"bad_lines"`
 }
 
+// lossTables counts the requests of a log by each of their properties.
+type lossTables struct {
+	criteria Criteria
+	total    Row
+
+	causes     lossTable
+	routes     lossTable
+	workspaces lossTable
+	routers    lossTable
+	targets    lossTable
+	seconds    secondTable
+}
+
 // Summarize reads logs and summarizes the lost requests.
 func Summarize(sources []Source, criteria Criteria) (Losses, error) {
-	var total Row
-	causes, routes, workspaces, routers, targets, seconds := lossTable{}, lossTable{}, lossTable{}, lossTable{}, lossTable{}, lossTable{}
-	bad, err := Read(sources, func(line Line) {
-		if line.Message != requestMessage {
-			return
-		}
-		cause, worth := criteria.cause(line), criteria.weight(line.Route)
-		lost := cause != causeNone
-		total.Ended++
-		if lost {
-			total.Lost++
-			total.Worth += worth
-		}
-		causes.add(cause, lost, worth)
-		routes.add(line.Route, lost, worth)
-		workspaces.add(line.Workspace, lost, worth)
-		routers.add(line.Router, lost, worth)
-		targets.add(line.Target, lost, worth)
-		seconds.add(strconv.FormatInt(line.Time.Unix(), 10), lost, worth)
-	})
+	tables := lossTables{
+		criteria: criteria,
+		causes:   lossTable{}, routes: lossTable{}, workspaces: lossTable{}, routers: lossTable{}, targets: lossTable{},
+		seconds: secondTable{},
+	}
+	bad, err := Read(sources, tables.add)
+	losses := tables.losses()
+	losses.BadLines = bad
+	return losses, err
+}
+
+// add counts a request if the line logs its end.
+func (t *lossTables) add(line Line) {
+	if line.Message != requestMessage {
+		return
+	}
+	cause, worth := t.criteria.cause(line), t.criteria.weight(line.Route)
+	lost := cause != causeNone
+	t.total.add(lost, worth)
+	t.causes.add(cause, lost, worth)
+	t.routes.add(line.Route, lost, worth)
+	t.workspaces.add(line.Workspace, lost, worth)
+	t.routers.add(line.Router, lost, worth)
+	t.targets.add(line.Target, lost, worth)
+	t.seconds.add(line.Time.Unix(), lost)
+}
+
+// losses returns the summary.
+func (t *lossTables) losses() Losses {
 	return Losses{
-		Ended: total.Ended, Lost: total.Lost, Worth: total.Worth,
-		Causes: causes.rowsWithLosses(), Routes: routes.rowsWithLosses(), Workspaces: workspaces.rowsWithLosses(), Routers: routers.rowsWithLosses(),
-		Targets: targets.rowsWithLosses(), Seconds: secondsInOrder(seconds), BadLines: bad,
-	}, err
+		Ended: t.total.Ended, Lost: t.total.Lost, Worth: t.total.Worth,
+		Causes:     t.causes.rowsWithLosses(),
+		Routes:     t.routes.rowsWithLosses(),
+		Workspaces: t.workspaces.rowsWithLosses(),
+		Routers:    t.routers.rowsWithLosses(),
+		Targets:    t.targets.rowsWithLosses(),
+		Seconds:    t.seconds.inOrder(),
+	}
 }
 
-// secondsInOrder converts a table keyed by Unix second to a list sorted by time.
-func secondsInOrder(c lossTable) []Second {
+// secondTable counts requests by the Unix second of their end. Requests in further seconds than maxKeys
+// are not counted.
+type secondTable map[int64]*Second
+
+// add counts a request.
+func (t secondTable) add(unix int64, lost bool) {
+	second, ok := t[unix]
+	if !ok && len(t) >= maxKeys {
+		return
+	}
+	if !ok {
+		second = &Second{Unix: unix}
+		t[unix] = second
+	}
+	if lost {
+		second.Lost++
+		return
+	}
+	second.Good++
+}
+
+// inOrder returns the seconds sorted by time.
+func (t secondTable) inOrder() []Second {
 	out := []Second{}
-	for key, row := range c {
-		unix, err := strconv.ParseInt(key, 10, 64)
-		if err != nil {
-			// The overflow row has no second.
-			continue
-		}
-		out = append(out, Second{Unix: unix, Good: row.Ended - row.Lost, Lost: row.Lost})
+	for second := range maps.Values(t) {
+		out = append(out, *second)
 	}
 	slices.SortFunc(out, func(a, b Second) int { return cmp.Compare(a.Unix, b.Unix) })
 	return out
