retry: the breaker's numbers have units, and its states are tested in one place

Allow repeated the conditions of Blocked in a switch, the doubled open period stood in two places, constants and fields had no unit, and a bare number ended the decay.

Allow starts from Blocked, nextOpenDuration doubles the period, and each number says what it means. States and times stay.

--- a/internal/rule/retry/breaker.go
+++ b/internal/rule/retry/breaker.go
@@ -17,21 +17,32 @@
 // Breaker is the circuit breaker of one target. It opens when a large part of the requests
 // that were sent to the target fail.
 type Breaker struct {
-	state        BreakerState
-	failures     float64
-	total        float64
-	decayedAt    time.Time
+	state BreakerState
+	// failures and total count the failed requests and all requests. They decay with breakerHalfLife
+	// and are as of decayedAt.
+	failures  float64
+	total     float64
+	decayedAt time.Time
+	// openDuration is the length of the open period, which ends at openUntil.
 	openUntil    time.Time
 	openDuration time.Duration
-	probing      bool
+	// probing is set while the probe of a half-open breaker runs.
+	probing bool
 	// tripped is set from a failed connection attempt until the breaker closes again.
 	tripped bool
 }
 
 const (
-	breakerHalfLife        = 5 * time.Second
-	breakerMinRequests     = 4
-	breakerFailureRatio    = 0.5
+	// breakerHalfLife is the time after which a request counts half.
+	breakerHalfLife = 5 * time.Second
+	// breakerMinRequests is the decayed number of requests from which failures open a breaker, and
+	// breakerFailureRatio the fraction of them that must have failed.
+	breakerMinRequests  = 4
+	breakerFailureRatio = 0.5
+	// breakerMinCount is the decayed number of requests that counts as none.
+	breakerMinCount = 0.01
+	// breakerOpenDuration is the first open period. It doubles with each failed probe, up to
+	// breakerMaxOpenDuration.
 	breakerOpenDuration    = time.Second
 	breakerMaxOpenDuration = 30 * time.Second
 )
@@ -44,23 +55,13 @@
 // Allow reports whether a request may be sent now. In the half-open state the request is
 // the probe, and the caller must report its outcome with Report, Trip or ReportCancelled.
 func (b *Breaker) Allow(now time.Time) bool {
-	switch b.state {
-	case Closed:
-		return true
-	case Open:
-		if now.Before(b.openUntil) {
-			return false
-		}
-		b.state = HalfOpen
-		b.probing = true
-		return true
-	default:
-		if b.probing {
-			return false
-		}
-		b.probing = true
-		return true
+	if b.Blocked(now) {
+		return false
+	}
+	if b.state != Closed {
+		b.state, b.probing = HalfOpen, true
 	}
+	return true
 }
 
 // Trip opens the breaker regardless of the failure ratio, after a connection to the target
@@ -71,7 +72,7 @@
 	}
 	openDuration := b.openDuration
 	if b.state == HalfOpen {
-		openDuration = min(2*b.openDuration, breakerMaxOpenDuration)
+		openDuration = b.nextOpenDuration()
 	}
 	b.open(now, openDuration)
 	b.tripped = true
@@ -96,7 +97,7 @@
 	case b.state == HalfOpen && ok:
 		*b = *NewBreaker(now)
 	case b.state == HalfOpen:
-		b.open(now, min(b.openDuration*2, breakerMaxOpenDuration))
+		b.open(now, b.nextOpenDuration())
 	case b.state == Closed && b.total >= breakerMinRequests && b.failures >= breakerFailureRatio*b.total:
 		b.open(now, b.openDuration)
 	}
@@ -106,6 +107,12 @@
 // the target, for example because the caller disconnected. The next request may probe again.
 func (b *Breaker) ReportCancelled() { b.probing = false }
 
+// nextOpenDuration returns the open period after a failed probe.
+func (b *Breaker) nextOpenDuration() time.Duration {
+	return min(2*b.openDuration, breakerMaxOpenDuration)
+}
+
+// open stops all requests for a period and resets the counts.
 func (b *Breaker) open(now time.Time, openDuration time.Duration) {
 	b.state = Open
 	b.probing = false
@@ -114,16 +121,18 @@
 	b.failures, b.total = 0, 0
 }
 
+// decay halves the counts for each half-life since they last decayed.
 func (b *Breaker) decay(now time.Time) {
 	for now.Sub(b.decayedAt) >= breakerHalfLife {
 		b.failures /= 2
 		b.total /= 2
 		b.decayedAt = b.decayedAt.Add(breakerHalfLife)
-		if b.total < 0.01 {
+		if b.total < breakerMinCount {
 			b.decayedAt = now
 			return
 		}
 	}
 }
 
+// State returns the state of the breaker.
 func (b *Breaker) State() BreakerState { return b.state }
