--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -8,27 +8,11 @@
 )
 
 // holder returns an engine, other than the given one, that served the chat before and still runs.
-// The engine may now be in another shard, because half of a pool's engines change shards when the
-// number of shards grows. For a chat without a stored place it returns the last engine to which
-// the edge router sent it, or else the first engine in the chat's hash order, which shares at most
-// the beginning of its prompt.
+// For a chat without a stored place it returns the last engine to which the edge router sent it, or
+// else the first engine in the chat's hash order, which shares at most the beginning of its prompt.
 func (h *Home) holder(now time.Time, req Request, at chatPlace, other ident.TargetHash) ident.TargetHash {
-	var inOtherShard ident.TargetHash
-	for _, s := range at.at {
-		if s == (engineRun{}) || s.engine == other || slices.Contains(req.Lost, s.engine) {
-			continue
-		}
-		i, known := h.index[s.engine]
-		inShard := known && h.engines[i].present
-		if inShard && h.engines[i].Incarnation == s.incarnation {
-			return s.engine
-		}
-		if !inShard && inOtherShard == 0 && h.inPool(s) {
-			inOtherShard = s.engine
-		}
-	}
-	if inOtherShard != 0 {
-		return inOtherShard
+	if engine := h.placeHolder(at, req, other); engine != 0 {
+		return engine
 	}
 	if req.Last != 0 && req.Last != other && !slices.Contains(req.Lost, req.Last) {
 		return req.Last
@@ -46,27 +30,48 @@
 	return preferred
 }
 
+// placeHolder returns the latest engine of a chat's place that still runs, other than the given one,
+// or zero. It prefers those of this shard. The engine may now be in another shard, because half of a
+// pool's engines change shards when the number of shards grows.
+func (h *Home) placeHolder(at chatPlace, req Request, other ident.TargetHash) ident.TargetHash {
+	var inOtherShard ident.TargetHash
+	for _, run := range at.at {
+		if run == (engineRun{}) || run.engine == other || slices.Contains(req.Lost, run.engine) {
+			continue
+		}
+		i, known := h.index[run.engine]
+		inShard := known && h.engines[i].present
+		if inShard && h.engines[i].Incarnation == run.incarnation {
+			return run.engine
+		}
+		if !inShard && inOtherShard == 0 && h.inPool(run) {
+			inOtherShard = run.engine
+		}
+	}
+	return inOtherShard
+}
+
 // parentHolder returns the engine that last ran a request with the same parent part, if that is
 // another engine than the given one. The chat's own part is not cached anywhere as far as is known.
 func (h *Home) parentHolder(now time.Time, req Request, other ident.TargetHash) (ident.TargetHash, bool) {
 	if req.Parent == 0 || now.Before(h.recoveringUntil) {
 		return 0, false
 	}
-	s, known := h.parents.get(req.Parent)
-	if !known || s.engine == other || slices.Contains(req.Lost, s.engine) {
+	run, known := h.parents.get(req.Parent)
+	if !known || run.engine == other || slices.Contains(req.Lost, run.engine) {
 		return 0, false
 	}
-	i, present := h.index[s.engine]
-	return s.engine, present && h.engines[i].present && h.engines[i].Incarnation == s.incarnation
+	i, current := h.find(run)
+	return run.engine, current && h.engines[i].present
 }
 
 // inPool reports whether an engine incarnation is still present in any shard of the pool.
-func (h *Home) inPool(s engineRun) bool {
+func (h *Home) inPool(run engineRun) bool {
 	if h.roster == nil {
 		return false
 	}
-	e := h.roster.find(s.engine)
-	return e != nil && e.Incarnation == s.incarnation
+	e := h.roster.find(run.engine)
+	return e != nil && e.Incarnation == run.incarnation
 }
 
 // firstPreferred returns the first engine in a chat's hash order, other than the given one.
@@ -130,11 +135,7 @@
 	var best, first ranked
 	outcome := Empty
 	for i := range h.engines {
-		result := h.admits(now, i, req, limit)
-		if result == Empty {
-			continue
-		}
-		if result != Placed {
+		if result := h.admits(now, i, req, limit); result != Placed {
 			outcome = mergeRejection(outcome, result)
 			continue
 		}
@@ -158,9 +159,8 @@
 // router, and admits the request.
 func (h *Home) findWarm(now time.Time, req Request, limit float64) (int, bool) {
 	at, _ := h.places.get(req.Key)
-	for _, s := range at.at {
-		i, known := h.index[s.engine]
-		if known && h.engines[i].Incarnation == s.incarnation && h.admits(now, i, req, limit) == Placed {
+	for _, run := range at.at {
+		if i, current := h.find(run); current && h.admits(now, i, req, limit) == Placed {
 			return i, true
 		}
 	}
@@ -175,28 +175,14 @@
 		return true
 	}
 	at, _ := h.places.get(req.Key)
-	for _, s := range at.at {
-		i, known := h.index[s.engine]
-		if known && h.engines[i].Incarnation == s.incarnation && h.engines[i].hasSlot(req) {
+	for _, run := range at.at {
+		if i, current := h.find(run); current && h.engines[i].hasSlot(req) {
 			return true
 		}
 	}
 	return false
 }
 
-// hasSlot reports whether a usable engine that the request does not avoid can run it at once.
-func (e *engineLoad) hasSlot(req Request) bool {
-	return e.usable() && req.accepts(&e.Engine) && (e.Slots <= 0 || e.load()+req.Work <= e.Slots || e.load() <= 0)
-}
-
-// preferredLimit returns the load below which an engine accepts new chats that prefer it.
-func (h *Home) preferredLimit(total ident.Work) float64 {
-	if h.bound.PreferredFactor <= 0 {
-		return 0
-	}
-	return h.bound.PreferredFactor*float64(total)/float64(max(h.poolEngines, 1)) + float64(h.bound.Extra)
-}
-
 // rank returns the rank of an engine for a chat without a stored place: by load, then by zone,
 // then by the chat's hash order, so that a home without stored places tends to choose the same
 // engine again.
@@ -252,20 +238,6 @@
 	return r
 }
 
-// mergeRejection returns Full if either result is Full, because only then another shard may have
-// room.
-func mergeRejection(old, found Result) Result {
-	if old == Full || found == Full {
-		return Full
-	}
-	return found
-}
-
-// finalShard reports whether no other shard is tried after this one. Such a request keeps within
-// the bound like any other, but the bound may be based on the mean of this shard, and the slow
-// start of joined engines does not apply.
-func (r *Request) finalShard() bool { return r.MustPlace || r.Over }
-
 // admits returns whether an engine may receive the request now, as a Result.
 func (h *Home) admits(now time.Time, i int, req Request, limit float64) Result {
 	e := &h.engines[i]
@@ -292,56 +264,3 @@
 	}
 	return Placed
 }
-
-// ownShare returns the fraction of the shard's work that this home admitted itself. While several
-// routers act as home of a shard, each keeps the work that it admitted within its share of the
-// bound. The total then stays within the bound even if the counts from the other homes are stale
-// or counted twice. In a model of seven routers with different views, 1 to 2 in 100 requests
-// reached engines above twice the mean without this rule, and 1 in 1,000 with it.
-func (h *Home) ownShare() float64 {
-	if h.peerWork <= 0 {
-		return 1
-	}
-	// Including the new request gives a home without permits a share above zero.
-	own := h.granted + ident.OneRequest
-	return float64(own) / float64(own+h.peerWork)
-}
-
-// limit returns the load below which an engine may receive more work: the bound's factor times the
-// pool's mean, with the new request included.
-func (h *Home) limit(total ident.Work) float64 {
-	return h.bound.limit((1-pendingReleaseRatio)*float64(total), h.poolEngines)
-}
-
-// shardLimit returns the limit based on the mean of this shard's engines, for requests that must
-// be placed here: the pool's mean may be lower, or unknown. Engines that the request avoids count
-// while they have work, because other edge routers use them. Otherwise the few engines that one
-// router considers healthy would receive all of its requests. Avoided engines without work may have
-// stopped, and would only lower the limit of the others.
-func (h *Home) shardLimit(req Request) float64 {
-	engines := 0
-	for i := range h.engines {
-		e := &h.engines[i]
-		if e.usable() && (e.load() > 0 || req.accepts(&e.Engine)) {
-			engines++
-		}
-	}
-	return h.bound.limit((1-pendingReleaseRatio)*float64(h.Work()+req.Work), engines)
-}
-
-// pendingReleaseRatio is the estimated fraction of permits whose requests have ended but whose
-// releases have not arrived yet.
-const pendingReleaseRatio = 0.03
-
-// minRampShare is the fraction of the limit that an engine has when it joins.
-const minRampShare = 0.1
-
-// ramp returns the fraction of the limit that applies to an engine during its slow start, and 1
-// afterwards.
-func (h *Home) ramp(now time.Time, e *engineLoad) float64 {
-	if e.Joined.IsZero() || h.bound.Ramp <= 0 {
-		return 1
-	}
-	share := float64(now.Sub(e.Joined)) / float64(h.bound.Ramp)
-	return min(max(share, minRampShare), 1)
-}
--- a/internal/rule/place/home.go
+++ b/internal/rule/place/home.go
@@ -8,143 +8,6 @@
 	"valescale/internal/rule/pace"
 )
 
-// Bound limits how far an engine's load may exceed the mean.
-type Bound struct {
-	// Factor is the multiple of the mean, above one.
-	Factor float64
-	// Extra is work that is added to that multiple.
-	Extra ident.Work
-	// PreferredFactor is the multiple of the mean load below which a chat without a stored place
-	// goes to the first engine of its own hash order, which also served it before if homes have
-	// lost its place. Zero sends it to the least loaded engine.
-	PreferredFactor float64
-	// Ramp is how long a joined engine takes to reach its full share.
-	Ramp time.Duration
-	// DigestTTL is how long a digest is valid after it was received.
-	DigestTTL time.Duration
-	// MaxPlaces is the maximum number of chat places that a home stores.
-	MaxPlaces int
-}
-
-// limit returns the load limit of an engine, given the work on all engines.
-func (b Bound) limit(total float64, engines int) float64 {
-	return b.Factor*total/float64(max(engines, 1)) + float64(b.Extra)
-}
-
-// BoundOf returns the default bound with a service's own factor.
-func BoundOf(factor float64) Bound {
-	b := DefaultBound
-	b.Factor = factor
-	return b
-}
-
-// DefaultBound is the bound of services without a factor of their own.
-var DefaultBound = Bound{Factor: 1.25, Ramp: 10 * time.Second, DigestTTL: 4 * time.Second, MaxPlaces: 100_000}
-
-// Engine is one target in the membership view.
-type Engine struct {
-	ID   ident.Target
-	Hash ident.TargetHash
-	// Addr is the address to which requests are sent.
-	Addr        string
-	Zone        ident.Zone
-	Incarnation ident.Incarnation
-	// Version is the version of the engine's software, empty if it reports none.
-	Version ident.Version
-	// Slots is the work that the engine can run at once. Zero means no limit.
-	Slots ident.Work
-	// Joined is when this incarnation was first listed. Zero means no slow start.
-	Joined time.Time
-	// Leaving engines keep their permits and get no new ones.
-	Leaving bool
-	// Cold is the rate limit while the engine is cold.
-	Cold Cold
-}
-
-// Result is the outcome of a permit request.
-type Result int
-
-const (
-	// Placed means that the request holds a permit.
-	Placed Result = iota + 1
-	// Full means that every engine of the shard is at the bound. Another shard may have room.
-	Full
-	// Busy means that every engine runs as much work as it can.
-	Busy
-	// Empty means that the shard has no usable engine.
-	Empty
-)
-
-// Request is a permit request to a home.
-type Request struct {
-	Edge   ident.Router
-	Permit uint64
-	Key    ident.ChatKey
-	Work   ident.Work
-	Zone   ident.Zone
-	// MustPlace is set when all other shards are full. The result Full then means that only engines
-	// that the request avoids have room.
-	MustPlace bool
-	// Over allows engines without a free slot, up to twice their slots: counts may be too high for
-	// some time after a shard got another home, and engines queue a few requests themselves.
-	Over bool
-	// Avoid lists engines that have just failed this request or fail many requests.
-	Avoid []ident.TargetHash
-	// Version is the only version whose engines may run the request, or empty.
-	Version ident.Version
-	// Lost lists unreachable engines, from which no cache can be copied.
-	Lost []ident.TargetHash
-	// Last is the last engine to which the edge router sent the key, or zero if unknown. A new
-	// home, or a home of a pool whose number of shards changed, has no place of the key.
-	Last ident.TargetHash
-	// Once means that no other request has this key, so that its place is not stored.
-	Once bool
-	// Parent identifies the part of the prompt before the one that the key stands for, or is zero.
-	// Many chats share it.
-	Parent ident.ChatKey
-	// Effort is the time that the request usually takes. Due is the time left until the first byte
-	// of the answer is due, or zero.
-	Effort pace.Effort
-	Due    time.Duration
-}
-
-// accepts reports whether the request may run on an engine, as far as that depends on the request.
-func (r *Request) accepts(e *Engine) bool {
-	return (r.Version == "" || r.Version == e.Version) && !slices.Contains(r.Avoid, e.Hash)
-}
-
-// Decision is the result of a Request.
-type Decision struct {
-	Result Result
-	Engine ident.TargetHash
-	// Warm means that the chat ran on this incarnation of the engine before.
-	Warm bool
-	// Holder is the last engine of the chat if that is another engine, zero if there is none. The
-	// cached prompt prefix can be copied from it.
-	Holder ident.TargetHash
-	// Basis holds the inputs of the decision.
-	Basis Basis
-}
-
-// engineLoad is an engine with the work that is counted on it.
-type engineLoad struct {
-	Engine
-	// own is the work of permits granted here, peerShare the work that other homes of this shard
-	// published.
-	own       ident.Work
-	peerShare ident.Work
-	present   bool
-	// pacer limits the rate of requests while the engine is cold.
-	pacer coldPacer
-	// gauge estimates the engine's pace. The engine is expected to read prompts until readUntil.
-	gauge     pace.Gauge
-	readUntil time.Time
-}
-
-func (e *engineLoad) load() ident.Work { return e.own + e.peerShare }
-
-func (e *engineLoad) usable() bool { return e.present && !e.Leaving }
-
 // Home holds the counts and chat places of one shard.
 type Home struct {
 	id    ShardID
@@ -330,7 +193,7 @@
 		d.Holder = h.holder(now, req, at, e.Hash)
 	}
 	if h.paced && req.Parent != 0 {
-		h.parents.put(req.Parent, engineRun{engine: e.Hash, incarnation: e.Incarnation})
+		h.parents.put(req.Parent, e.run())
 	}
 	return d
 }
@@ -338,7 +201,7 @@
 // remember stores a chat's engine and returns the previous place.
 func (h *Home) remember(now time.Time, key ident.ChatKey, e *engineLoad) chatPlace {
 	at, _ := h.places.get(key)
-	next := at.movedTo(engineRun{engine: e.Hash, incarnation: e.Incarnation}, now.Unix())
+	next := at.movedTo(e.run(), now.Unix())
 	h.places.put(key, next)
 	if next.last() != at.last() {
 		h.recordPlace(key, next)
