Broken streams of the product's own interface end without a last chunk

What callers saw: a stream that breaks off ended with an error event and then with a proper last chunk and a trailer; a caller that does not look for the end mark takes it for whole. Cause: the handler returned normally after the error event. Change: after the error event, which holds the outcome, the connection closes without the end of the answer; the trailer is left to whole streams.

--- a/internal/edge/front/chat.go
+++ b/internal/edge/front/chat.go
@@ -134,6 +134,7 @@
 		if problem != nil {
 			out.writeProblem(problem)
 			f.finish(j, problem.Outcome, problem.Code)
+			out.abort()
 			return
 		}
 		s, offset = next, 0
--- a/internal/edge/front/doc.go
+++ b/internal/edge/front/doc.go
@@ -3,5 +3,6 @@
 // request ran.
 //
 // Each response has the header Valescale-Outcome with the value done, not_run or unknown. A stream
-// has it as a trailer, and ends with the end marker of the protocol or with an error event.
+// has it as a trailer after the end marker of the protocol. A stream that breaks off ends with an error event
+// that contains it, and without the end of the answer.
 package front
--- a/internal/edge/front/events.go
+++ b/internal/edge/front/events.go
@@ -107,8 +107,14 @@
 		return
 	}
 	_ = e.write("event: error\ndata: " + string(p.body()) + "\n\n")
-	e.w.Header().Set(OutcomeHeader, string(p.Outcome))
-	_ = e.control.SetWriteDeadline(time.Time{})
+}
+
+// abort closes the caller's connection without the end of the answer, if a part of a stream was sent. It does
+// not return then. The error event contains the outcome that the trailer of a complete stream has.
+func (e *eventWriter) abort() {
+	if e.started {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // recordingComplete reports whether the recording contains the complete stream.
