Failing test: the end of a target is unknown on a path that drops packets

What callers would see: an unmarked answer of a target that ended comes through a peer and is not cut off; its end arrives late, after the time that the request has. Cause: HasEnded connects through the peer, which reports a refusal; it then asks Refused, which first connects directly, without a time limit of its own, and counts the peer's refusal only if its own connection was refused as well. On a path that drops packets that never happens. Evidence: the test fails with "counts as running, found out after 2.0 s", the limit that it sets.

--- a/internal/edge/reach/ended_test.go
+++ b/internal/edge/reach/ended_test.go
@@ -37,3 +37,7 @@
 // Guards against broken answers that count as complete because their target refuses connections of peers,
 // while those of the router itself are refused on their way.
 func TestEndOfATargetIsKnownOnARefusedPath(t *testing.T) { checkEndThroughPeers(t, false) }
+
+// Guards against broken answers that count as complete, and whole ones that end late, because what the router
+// itself sends to their target is dropped: the refusal that a peer reports must count without its own.
+func TestEndOfATargetIsKnownOnADroppingPath(t *testing.T) { checkEndThroughPeers(t, true) }
