--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -51,7 +51,7 @@
 	claimErr error
 	// backoff is the remaining backoff of all targets.
 	backoff time.Duration
-	// relay, if set, sends requests to the address of the target with the id "known".
+	// relay, if set, sends all requests to one address, that of the target with the id "known".
 	relay    *relay.Relay
 	addr     string
 	notices  []route.Notice
@@ -79,6 +79,7 @@
 func (p *fakeParts) Send(ctx context.Context, call relay.Call) (*relay.Reply, error) {
 	p.sent++
 	if p.relay != nil {
+		call.Addr = p.addr
 		return p.relay.Send(ctx, call)
 	}
 	return nil, p.send
