Test objects whose answers break off before a marked end

What callers saw: broken streams, framed as complete. Cause: the end of a connection was taken for the end of the data. Objects are opaque bytes, so a part of one looks whole. Evidence: the client of the object store had no test. Change: answers with a length or chunks, cut at each of their bytes.

--- /dev/null
+++ b/internal/plat/object/broken_test.go
@@ -0,0 +1,48 @@
+package object
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"valescale/internal/fake/listen"
+)
+
+const content = "the content of an object"
+
+// getFrom reads an object from a service that answers with the given headers and body and then closes the
+// connection in order.
+func getFrom(t *testing.T, answer string) (string, error) {
+	t.Helper()
+	addr := listen.Conns(t, func(c net.Conn) {
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+answer)
+	})
+	data, err := New("http://"+addr, http.DefaultTransport, time.Second, 1<<10).Get(t.Context(), "o")
+	return string(data), err
+}
+
+// Guards against a part of an object that is taken for all of it, because its answer breaks off.
+func TestBrokenObjectWithAMarkedEndIsAnError(t *testing.T) {
+	withLength := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(content), content)
+	inChunks := fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(content), content)
+	for _, whole := range []string{withLength, inChunks} {
+		for sent := range len(whole) {
+			if got, err := getFrom(t, whole[:sent]); err == nil {
+				t.Errorf("after %q: Get returned %q", whole[:sent], got)
+			}
+		}
+		if got, err := getFrom(t, whole); err != nil || got != content {
+			t.Errorf("a whole object: %q, %v", got, err)
+		}
+	}
+}
