Failing test: a broken object without a marked end is read as whole

What callers would see: 500 with "the record of this key cannot be read" for a request with an idempotency key whose large answer is stored as an object, where a failed read gives 409 and another try. Cause: object.Client reads a body to the end of its connection and checks no framing; objects are opaque bytes, so nothing else shows the break. The only reader, claim, decodes JSON and so never takes a part for an answer, but counts it as damaged.

--- a/internal/plat/object/broken_test.go
+++ b/internal/plat/object/broken_test.go
@@ -46,3 +46,13 @@
 		}
 	}
 }
+
+// Guards against a part of an object that is taken for all of it, because its answer has neither a length nor
+// chunks: nothing in the bytes of an object shows that some are missing.
+func TestBrokenObjectWithoutAMarkedEndIsAnError(t *testing.T) {
+	for sent := range len(content) {
+		if got, err := getFrom(t, "\r\n"+content[:sent]); err == nil {
+			t.Errorf("after %d bytes: Get returned %q", sent, got)
+		}
+	}
+}
