Failing test: an attempt without an answer is logged with the answer before it

What read oddly: after a stream that broke off inside an event, the second target closed without an answer, and the line "attempt failed" of that second attempt shows "inside_event", 69 bytes and 3 events. Cause: job.progress is set when an answer's head has arrived; sendFailed leaves that of the attempt before. Evidence: the test fails with the fields of the first attempt on the second line.

--- a/internal/edge/entry/recorded_test.go
+++ b/internal/edge/entry/recorded_test.go
@@ -213,3 +213,14 @@
 		})
 	}
 }
+
+// Guards against the line of an attempt without an answer that shows the answer of the attempt before.
+func TestAttemptWithoutAnswerIsNotRecordedWithAnother(t *testing.T) {
+	text := eventText(1, 3) + "id: 4\n"
+	s := newSetup(t, newRoute(resumableRoute), newFakeTarget(t, unmarked(text)), newFakeTarget(t, closeUnanswered))
+	got := record(t, s)
+	want := []answerLine{{"attempt failed", "unmarked", "inside_event", len(text), 3}, {Msg: "attempt failed"}}
+	if diff := cmp.Diff(want, got.Lines[:min(2, len(got.Lines))]); diff != "" {
+		t.Error(diff)
+	}
+}
