--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -51,7 +51,7 @@
 	claimErr error
 	// backoff is the remaining backoff of all targets.
 	backoff time.Duration
-	// relay, if set, sends requests to the address of the target with the id "known".
+	// relay, if set, sends all requests to one address, that of the target with the id "known".
 	relay    *relay.Relay
 	addr     string
 	notices  []route.Notice
@@ -79,6 +79,7 @@
 func (p *fakeParts) Send(ctx context.Context, call relay.Call) (*relay.Reply, error) {
 	p.sent++
 	if p.relay != nil {
+		call.Addr = p.addr
 		return p.relay.Send(ctx, call)
 	}
 	return nil, p.send
@@ -265,12 +266,17 @@
 
 // resume requests to resume a stream of the target "known".
 func resume(handler http.Handler) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, resumeRequest())
+	return w
+}
+
+// resumeRequest returns a request that resumes a stream.
+func resumeRequest() *http.Request {
 	r := httptest.NewRequest("GET", front.ChatPath, nil)
 	r.Header.Set("Authorization", "Bearer bogota")
 	r.Header.Set("Last-Event-Id", relay.Keys{make([]byte, 32)}.Seal("bogota", relay.Token{Target: "known", Incarnation: 1, Stream: "s"}))
-	w := httptest.NewRecorder()
-	handler.ServeHTTP(w, r)
-	return w
+	return r
 }
 
 // A stream is not resumed during the backoff of its target: the response is an immediate error with
