An object whose answer has no marked end is not taken for whole

What callers saw: a stored answer of which a part was read could not be decoded, for good (500), where a failed read is tried again (409 with a time to return). Cause: the end of the connection was taken for the end of the object. Change: an answer with neither a length nor chunks fails the read.

--- a/internal/plat/object/client.go
+++ b/internal/plat/object/client.go
@@ -68,6 +68,9 @@
 	if resp.StatusCode == http.StatusNotFound {
 		return nil, fault.New(op, Missing, nil)
 	}
+	if unmarked := resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0; unmarked {
+		return nil, fault.Newf(op, Failed, "the end of the answer is not marked")
+	}
 	if resp.StatusCode != http.StatusOK || int64(len(data)) > c.maxBytes {
 		return nil, fault.Newf(op, Failed, "status %d, %d bytes", resp.StatusCode, len(data))
 	}
