A router that ends resets the answers whose end only a close would be

What callers would see: with a router killed in the middle of an answer without a marked end, or of a caller of HTTP/1.0, an end in order. Cause: the kernel closes the connections of a process that ends in order. Change: such a connection is set to be reset on close before its head is sent, and to end in order once the answer is whole. Evidence: TestEndOfTheRouterIsNoEndOfAnAnswer failed before for both kinds of callers, passes now; go test of edge/entry and the tests of answers in platform pass.

--- a/internal/edge/entry/answer.go
+++ b/internal/edge/entry/answer.go
@@ -93,14 +93,17 @@
 	return errTargetGone
 }
 
-// setFraming prepares the header of the caller's answer so that its end is marked only if the target
-// marks it. Without a length, the HTTP server marks it by chunks.
+// setFraming prepares the caller's answer so that its end is marked only if the target marks it. Without a
+// length, the HTTP server marks it by chunks. Where only the close of the connection will be the end, the
+// kernel must reset it if this process ends before.
 func (j *job) setFraming(header http.Header, framing relay.BodyFraming) {
-	if framing.Marked() {
-		return
+	if !framing.Marked() {
+		j.marksEnd = false
+		header.Set("Transfer-Encoding", "identity")
+	}
+	if !j.marksEnd {
+		j.caller.setResetOnClose(true)
 	}
-	j.marksEnd = false
-	header.Set("Transfer-Encoding", "identity")
 }
 
 // isEventStream reports whether an answer contains events, which is assumed if it has no type.
--- a/internal/edge/entry/caller.go
+++ b/internal/edge/entry/caller.go
@@ -31,7 +31,7 @@
 
 // lingerer is a connection that can drop what was not sent yet when it is closed.
 type lingerer interface {
-	// SetLinger with zero makes Close drop it and reset the connection.
+	// SetLinger with zero makes Close drop it and reset the connection, with -1 end it in order.
 	SetLinger(seconds int) error
 }
 
@@ -43,27 +43,37 @@
 	deliveryPollInterval = 10 * time.Millisecond
 )
 
-// resetOnClose makes the close of the caller's connection a reset, which drops what the caller has not
-// received. It waits until that is nothing, as long as it gets less.
-func resetOnClose(ctx context.Context) {
-	c, known := ctx.Value(connContextKey{}).(*callerConn)
-	if !known {
+// callerOf returns the connection of a request's caller, or nil if it is not known.
+func callerOf(ctx context.Context) *callerConn {
+	c, _ := ctx.Value(connContextKey{}).(*callerConn)
+	return c
+}
+
+// setResetOnClose determines whether the close of the connection is a reset, which drops what the caller has
+// not received, or an end in order.
+func (c *callerConn) setResetOnClose(reset bool) {
+	if c == nil {
 		return
 	}
-	waitDelivery(c.Conn)
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
 	if l, ok := c.Conn.(lingerer); ok {
 		// The option cannot be set only on a connection that is closed already.
-		_ = l.SetLinger(0)
+		_ = l.SetLinger(seconds)
 	}
 }
 
-// waitDelivery waits until the other end of a connection has received everything, or has received nothing for
-// deliveryTimeout.
-func waitDelivery(c net.Conn) {
-	left := unreceived(c)
+// waitDelivery waits until the caller has received everything, or has received nothing for deliveryTimeout.
+func (c *callerConn) waitDelivery() {
+	if c == nil {
+		return
+	}
+	left := unreceived(c.Conn)
 	for progressAt := time.Now(); left > 0 && time.Since(progressAt) < deliveryTimeout; {
 		time.Sleep(deliveryPollInterval)
-		if now := unreceived(c); now < left {
+		if now := unreceived(c.Conn); now < left {
 			left, progressAt = now, time.Now()
 		}
 	}
--- a/internal/edge/entry/ending_test.go
+++ b/internal/edge/entry/ending_test.go
@@ -272,3 +272,55 @@
 		t.Errorf("the caller got %q and error %v, want no answer", got, err)
 	}
 }
+
+// Guards against a router whose own end is taken for the end of an answer: the kernel closes the connections of
+// a process that ends, which must not look like the end that an answer without a marked end has.
+func TestEndOfTheRouterIsNoEndOfAnAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name, protocol string
+		target         func(release <-chan struct{}) responder
+	}{
+		{"unmarked answer", "HTTP/1.1", func(release <-chan struct{}) responder {
+			return func(w *bufio.Writer, r *http.Request) bool {
+				writeUnmarked(w, "HTTP/1.1", r, eventText(1, 3))
+				_ = w.Flush()
+				<-release
+				return false
+			}
+		}},
+		{"caller of HTTP/1.0", "HTTP/1.0", func(release <-chan struct{}) responder {
+			return func(w *bufio.Writer, r *http.Request) bool {
+				streamEvents(1, 3, 5)(w, r)
+				_ = w.Flush()
+				<-release
+				return false
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			release := make(chan struct{})
+			s := newSetup(t, newRoute(plainStream), newFakeTarget(t, c.target(release)))
+			defer close(release)
+			conn, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST / %s\r\nHost: h\r\nId: caller-1\r\nKey: k\r\nContent-Length: 1\r\n\r\nx", c.protocol)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadFull(resp.Body, make([]byte, len(eventText(1, 3)))); err != nil {
+				t.Fatal(err)
+			}
+			s.server.CloseClientConnections()
+			if rest, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("the answer ended in order after event 3 and %q", rest)
+			}
+		})
+	}
+}
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -194,7 +194,7 @@
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j, p := h.accept(r)
-	j.marksEnd = r.ProtoAtLeast(1, 1)
+	j.marksEnd, j.caller = r.ProtoAtLeast(1, 1), callerOf(r.Context())
 	if p == nil {
 		p = h.readBody(w, r, j)
 	}
@@ -231,7 +231,7 @@
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, j *job) {
 	for {
 		if callerDisconnected(ctx) {
-			h.endCallerGone(ctx, j)
+			h.endCallerGone(j)
 			return
 		}
 		placement, err := h.acquire(ctx, j)
@@ -245,12 +245,12 @@
 		j.lastPlacement = placement
 		if callerDisconnected(ctx) {
 			placement.Release()
-			h.endCallerGone(ctx, j)
+			h.endCallerGone(j)
 			return
 		}
 		if p := h.quarantineProblem(j); p != nil {
 			placement.Release()
-			h.endWithProblem(ctx, w, j, p)
+			h.endWithProblem(w, j, p)
 			return
 		}
 		began := h.Clock()
@@ -263,7 +263,8 @@
 		}
 		if result.ended {
 			h.ended(j, result.reason, result.status)
-			abortConnection(ctx, j, result.reason)
+			abortConnection(j, result.reason)
+			j.caller.setResetOnClose(false)
 			return
 		}
 		if !h.shouldRetry(ctx, j, placement, result) {
@@ -336,15 +337,15 @@
 
 // endCallerGone ends a request whose caller has disconnected. A caller that has only ended its own side of the
 // connection may still read, and must not take what it gets for the end of an answer. It does not return.
-func (h *Handler) endCallerGone(ctx context.Context, j *job) {
+func (h *Handler) endCallerGone(j *job) {
 	h.ended(j, CallerGone, 0)
-	abortConnection(ctx, j, CallerGone)
+	abortConnection(j, CallerGone)
 }
 
 // endUnplaced ends a request for which no target was found.
 func (h *Handler) endUnplaced(ctx context.Context, w http.ResponseWriter, j *job, err error) {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		h.endCallerGone(ctx, j)
+		h.endCallerGone(j)
 		return
 	}
 	p := placementProblem(err)
@@ -352,24 +353,24 @@
 	if j.outcome == retry.Unknown {
 		p = noAnswer(j.outcome, p.reason, false)
 	}
-	h.endWithProblem(ctx, w, j, p)
+	h.endWithProblem(w, j, p)
 }
 
 // endFailed ends a request whose last attempt failed.
 func (h *Handler) endFailed(ctx context.Context, w http.ResponseWriter, j *job, attempt result) {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		h.endCallerGone(ctx, j)
+		h.endCallerGone(j)
 		return
 	}
-	h.endWithProblem(ctx, w, j, noAnswer(j.outcome, attempt.reason, ctx.Err() != nil))
+	h.endWithProblem(w, j, noAnswer(j.outcome, attempt.reason, ctx.Err() != nil))
 }
 
 // endWithProblem sends a final answer of the router itself. If a part of a target's answer has
 // already been sent, only closing the connection can signal the failure to the caller.
-func (h *Handler) endWithProblem(ctx context.Context, w http.ResponseWriter, j *job, p *problem) {
+func (h *Handler) endWithProblem(w http.ResponseWriter, j *job, p *problem) {
 	if j.headSent {
 		h.ended(j, CutOff, 0)
-		abortConnection(ctx, j, CutOff)
+		abortConnection(j, CutOff)
 		return
 	}
 	h.writeProblem(w, j, p)
@@ -377,13 +378,14 @@
 
 // abortConnection closes the caller's connection if the answer was cut off or is not read, or if the caller
 // has disconnected. It does not return then, so it must be called last, after the placement has been released.
-func abortConnection(ctx context.Context, j *job, reason Reason) {
+func abortConnection(j *job, reason Reason) {
 	if reason != CutOff && reason != Unread && reason != CallerGone {
 		return
 	}
 	if !j.marksEnd {
 		// A connection that is closed in order would be the end of the answer.
-		resetOnClose(ctx)
+		j.caller.waitDelivery()
+		j.caller.setResetOnClose(true)
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -57,6 +57,8 @@
 	placementErr error
 	// headSent is set once a part of an answer has been sent to the caller.
 	headSent bool
+	// caller is the connection of the caller, nil if it is not known.
+	caller *callerConn
 	// marksEnd is set if the framing of the answer sent to the caller marks its end.
 	marksEnd bool
 	// streamWriter writes a stream to the caller; nil until a stream is forwarded.
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -233,6 +233,7 @@
 // setup is a handler in front of some targets.
 type setup struct {
 	url      string
+	server   *httptest.Server
 	handler  *Handler
 	finder   *finder
 	recorder *recorder
@@ -282,7 +283,7 @@
 	server.Config.ConnContext = WithConn
 	server.Start()
 	t.Cleanup(server.Close)
-	s.url = server.URL
+	s.url, s.server = server.URL, server
 	s.handler = h
 	return s
 }
