Soak: answers that come with neither length nor chunks

What callers saw: streams that an engine broke off, framed as complete. What read oddly: the soak's targets marked the end of every answer, so that it never met the case. Change: a quarter of the targets' answers, plain ones and streams, mark no end. By count, one in ten of those breaks off, in an event or in a plain answer, by a reset or (streams) a close in order; one in 75 takes its target down right after a whole event. Callers check: with a marked end, whole; without one, no part of an event ever, and less than all only where the target listens again since (a router that asked later could not tell) or, for streams, where the router's process was killed in that time. The ledger fails a run that lacks one of the endings. Where a stream breaks off is drawn now; its part is flushed.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -50,6 +50,14 @@
 	}
 }
 
+// attempt is one request of a caller.
+type attempt struct {
+	id     string
+	path   string
+	router *router
+	sentAt time.Time
+}
+
 // send sends one request, checks the response and returns its status code, or zero if the
 // request failed without a response.
 func (c *caller) send(r *router, path string) int {
@@ -70,19 +78,20 @@
 	// Without GetBody, the transport cannot replay the request on its own.
 	req.GetBody = nil
 	fake.Request(req, id, int(callerTimeout.Milliseconds()))
+	a := attempt{id: id, path: path, router: r, sentAt: time.Now()}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return 0
 	}
 	defer resp.Body.Close()
 	got, err := io.ReadAll(resp.Body)
-	c.checkResponse(id, path, resp, string(got), err)
+	c.checkResponse(a, resp, string(got), err)
 	return resp.StatusCode
 }
 
 // checkResponse compares a response with the only correct one.
-func (c *caller) checkResponse(id, path string, resp *http.Response, got string, err error) {
-	ledger := c.harness.ledger
+func (c *caller) checkResponse(a attempt, resp *http.Response, got string, err error) {
+	ledger, id, path := c.harness.ledger, a.id, a.path
 	signed := resp.Header.Get(fake.HeaderSignature) != ""
 	switch resp.StatusCode {
 	case http.StatusOK:
@@ -93,6 +102,8 @@
 		switch {
 		case !signed:
 			ledger.addViolation("%s on %s: status 200 without a target signature", id, path)
+		case err == nil && got != want && !endsMarked(resp):
+			c.checkUnmarked(a, want, got)
 		case err == nil && got != want:
 			ledger.addViolation("%s on %s: unexpected answer %q", id, path, got)
 		case err != nil && !strings.HasPrefix(want, got):
--- a/cmd/soak/harness.go
+++ b/cmd/soak/harness.go
@@ -50,6 +50,8 @@
 	ready   string
 	// source is the address from which the router connects to targets.
 	source net.IP
+	// killedAt is the time of the last order to kill the router's process, under the harness's lock.
+	killedAt time.Time
 }
 
 // target is a fake target behind connections with fault injection.
@@ -163,6 +165,7 @@
 		}
 		server := &http.Server{Handler: t.server.Handler, ReadHeaderTimeout: time.Minute}
 		t.server = server
+		w.ledger.recordRestart(t.id)
 		go func() { _ = server.Serve(t.faults.Share(l)) }()
 		w.markDown(t, false)
 	})
--- a/cmd/soak/ledger.go
+++ b/cmd/soak/ledger.go
@@ -10,6 +10,9 @@
 type requestRecord struct {
 	path string
 	body string
+	// target is the id of the target that started last to execute the request, runAt the time of that.
+	target string
+	runAt  time.Time
 	// runs is the number of targets that executed the request.
 	runs int
 	// rejected is set when the caller received a not-run response.
@@ -32,10 +35,18 @@
 	// were brittle.
 	targets int
 	falls   map[string]int
+	// unmarked counts the answers of each service by how they end, restarts contains the time of each
+	// target's last restart, and seemedWhole the number of broken answers that could be taken for whole ones.
+	unmarked    map[string]*unmarkedAnswers
+	restarts    map[string]time.Time
+	seemedWhole int
 }
 
 func newLedger(targets int) *ledger {
-	return &ledger{sent: map[string]*requestRecord{}, traffic: map[string]*traffic{}, targets: targets, falls: map[string]int{}}
+	return &ledger{
+		sent: map[string]*requestRecord{}, traffic: map[string]*traffic{}, targets: targets, falls: map[string]int{},
+		unmarked: map[string]*unmarkedAnswers{}, restarts: map[string]time.Time{},
+	}
 }
 
 // recordSent records a request before it is sent.
@@ -48,7 +59,7 @@
 }
 
 // recordRun records that a target started to execute a request.
-func (l *ledger) recordRun(id, path, body string) {
+func (l *ledger) recordRun(target, id, path, body string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e, ok := l.sent[id]
@@ -59,6 +70,7 @@
 		l.addViolationLocked("a target executed %s with path %q and body %q; want %q and %q", id, path, body, e.path, e.body)
 	default:
 		e.runs++
+		e.target, e.runAt = target, time.Now()
 	}
 }
 
@@ -136,5 +148,6 @@
 			l.addViolationLocked("%s", violation)
 		}
 	}
+	l.checkEndingsLocked()
 	return l.violations, len(l.sent), l.served
 }
--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -62,6 +62,7 @@
 	if len(violations) > 0 {
 		passed = 0
 	}
+	fmt.Printf("seed %d: %s\n", w.Seed, w.ledger.unmarkedSummary())
 	fmt.Printf("%d passed, %d failed\n", passed, len(violations))
 	return len(violations)
 }
@@ -74,7 +75,7 @@
 	w.saveSnapshot()
 	switch w.rng.IntN(19) {
 	case 0:
-		printOrder("kill", r)
+		w.kill(r)
 	case 1:
 		printOrder("term", r)
 	case 2:
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -127,7 +127,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	k.ledger.recordRun(id, r.URL.Path, string(body))
+	k.ledger.recordRun(k.target.id, id, r.URL.Path, string(body))
 	if r.URL.Path == fatalPath {
 		k.ledger.recordCrash()
 		k.crash()
@@ -148,6 +148,10 @@
 		k.serveStream(w, r, id, eventDelay)
 		return
 	}
+	if e := k.ledger.drawEnding(plainService); e != endMarked {
+		k.endPlain(w, expectedAnswer(id), e)
+		return
+	}
 	_, _ = io.WriteString(w, expectedAnswer(id))
 }
 
@@ -246,27 +250,58 @@
 	k.slowUntil = time.Now().Add(slowDuration)
 }
 
-// serveStream sends the events of a stream and aborts some streams midway.
+// serveStream sends the events of a stream and breaks some streams off midway.
 func (k *handler) serveStream(w http.ResponseWriter, r *http.Request, id string, eventDelay time.Duration) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	from := 1
 	if after, err := strconv.Atoi(r.Header.Get(fake.HeaderLastEventID)); err == nil {
 		from = after + 1
 	}
-	abortAt := eventsPerStream + 1
-	if k.countAndDraw() < resetPercent {
-		abortAt = 1 + k.countAndDraw()%eventsPerStream
+	e := k.ledger.drawEnding(engineService)
+	if e != endMarked {
+		fake.OmitEnd(w.Header())
 	}
+	breakAt := k.drawBreak(e, from)
 	control := http.NewResponseController(w)
 	for n := from; n <= eventsPerStream; n++ {
 		event := eventOf(id, n)
-		if n == abortAt {
-			_, _ = io.WriteString(w, event[:len(event)/2])
-			panic(http.ErrAbortHandler)
+		if n == breakAt && e != endDown {
+			event = event[:1+k.draw(len(event)-1)]
 		}
 		if _, err := io.WriteString(w, event); err != nil || control.Flush() != nil {
 			return
 		}
+		if n == breakAt {
+			k.breakStream(w, e)
+			return
+		}
 		time.Sleep(eventDelay)
 	}
+	if e == endWhole {
+		k.ledger.recordEnding(engineService, e)
+	}
+}
+
+// drawBreak returns the number of the event at which a stream breaks off, or one that it does not reach.
+func (k *handler) drawBreak(e ending, from int) int {
+	breaks := e != endWhole && (e != endMarked || k.draw(100) < resetPercent)
+	if !breaks || from >= eventsPerStream {
+		return eventsPerStream + 1
+	}
+	return from + k.draw(eventsPerStream-from)
+}
+
+// breakStream breaks a stream off.
+func (k *handler) breakStream(w http.ResponseWriter, e ending) {
+	if e == endMarked {
+		panic(http.ErrAbortHandler)
+	}
+	k.breakOff(w, e)
+}
+
+// draw returns a random number below n.
+func (k *handler) draw(n int) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.rng.IntN(n)
 }
