Soak: targets of several versions, and callers that take streams up

What read oddly: all of the soak's targets had one version, and its callers never took a stream up. Change: engines start with two versions side by side; single ones, or all in series, end and come back with another version under the same id and address, also with an earlier one. Their row is in the store 0.4 s before they listen, and a rolled-back store does not restore an older version: routers could detect neither. Events name the version that wrote them. A caller whose resumable stream breaks, or that closes its connection midway (one in six), tries up to three times at another router, with Last-Event-Id and in Resumes the id of the attempt that brought the first event. Checks: no event twice or missing over all tries; at most two streams of two versions, in one answer or over the tries; at least 12 take-ups while two targets of the version serve, of which at least half as large a share goes on as of new streams begins. All earlier checks hold on.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -45,7 +45,12 @@
 		default:
 		}
 		r := c.harness.routers[c.rng.IntN(len(c.harness.routers))]
-		c.send(r, paths[c.rng.IntN(len(paths))])
+		switch path := paths[c.rng.IntN(len(paths))]; path {
+		case streamPath, resumePath:
+			c.requestStream(r, path)
+		default:
+			c.send(r, path)
+		}
 		time.Sleep(time.Duration(c.rng.IntN(10)) * time.Millisecond)
 	}
 }
@@ -54,39 +59,81 @@
 type attempt struct {
 	id     string
 	path   string
+	body   string
 	router *router
 	sentAt time.Time
+	// stream is the name of the stream and from the first event that is requested; resumes is the id of the
+	// attempt that brought the first event of a stream that is taken up.
+	stream  string
+	from    int
+	resumes string
+	// leaveAfter is the number of events after which the caller closes its connection, if not zero.
+	leaveAfter int
 }
 
-// send sends one request, checks the response and returns its status code, or zero if the
-// request failed without a response.
-func (c *caller) send(r *router, path string) int {
+// newAttempt returns an attempt with an id of its own.
+func (c *caller) newAttempt(r *router, path string) attempt {
 	c.count++
 	id := fmt.Sprintf("%d-%d-%d", c.harness.Seed, c.number, c.count)
-	body := "body of " + id
+	body := streamNamePrefix + id
 	if path == fatalPath {
 		body = fatalBody
 	}
-	c.harness.ledger.recordSent(id, path, body)
+	return attempt{id: id, path: path, body: body, router: r, stream: id, from: 1}
+}
+
+// send sends one request, checks the response and returns its status code, or zero if the
+// request failed without a response.
+func (c *caller) send(r *router, path string) int { return c.do(c.newAttempt(r, path)).status }
+
+// do sends one request and checks the response.
+func (c *caller) do(a attempt) answer {
+	c.harness.ledger.recordSent(a.id, a.path, a.body)
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout+time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callers+path, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.router.callers+a.path, strings.NewReader(a.body))
 	if err != nil {
 		c.harness.ledger.addViolation("cannot create a request: %v", err)
-		return 0
+		return answer{err: err}
 	}
 	// Without GetBody, the transport cannot replay the request on its own.
 	req.GetBody = nil
-	fake.Request(req, id, int(callerTimeout.Milliseconds()))
-	a := attempt{id: id, path: path, router: r, sentAt: time.Now()}
+	fake.Request(req, a.id, int(callerTimeout.Milliseconds()))
+	if a.resumes != "" {
+		req.Header.Set(fake.HeaderLastEventID, strconv.Itoa(a.from-1))
+		req.Header.Set(fake.HeaderResumes, a.resumes)
+	}
+	a.sentAt = time.Now()
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0
+		return answer{err: err}
 	}
 	defer resp.Body.Close()
-	got, err := io.ReadAll(resp.Body)
-	c.checkResponse(a, resp, string(got), err)
-	return resp.StatusCode
+	got, err := a.readUntilLeft(resp.Body)
+	c.checkResponse(a, resp, got, err)
+	out := answer{status: resp.StatusCode, err: err}
+	if resp.StatusCode == http.StatusOK && serviceOf(a.path) == engineService {
+		out.writers, _ = parseEvents(a.stream, a.from, got)
+	}
+	return out
+}
+
+// match is how the body of an answer compares with the only correct one.
+type match struct {
+	// whole bodies are equal, partial ones are a beginning of it; a partial stream that has onlyEvents
+	// ends between two events.
+	whole, partial, onlyEvents bool
+}
+
+// compare compares the body of an answer with the only correct one.
+func (a attempt) compare(got string) match {
+	if serviceOf(a.path) != engineService {
+		want := expectedAnswer(a.id)
+		return match{whole: got == want, partial: strings.HasPrefix(want, got)}
+	}
+	writers, rest := parseEvents(a.stream, a.from, got)
+	next := a.from + len(writers)
+	return match{whole: rest == "" && next > eventsPerStream, partial: isPartOfEvent(a.stream, next, rest), onlyEvents: rest == ""}
 }
 
 // checkResponse compares a response with the only correct one.
@@ -95,18 +142,15 @@
 	signed := resp.Header.Get(fake.HeaderSignature) != ""
 	switch resp.StatusCode {
 	case http.StatusOK:
-		want := expectedAnswer(id)
-		if path == streamPath || path == resumePath {
-			want = expectedStream(id)
-		}
+		m := a.compare(got)
 		switch {
 		case !signed:
 			ledger.addViolation("%s on %s: status 200 without a target signature", id, path)
-		case err == nil && got != want && !endsMarked(resp):
-			c.checkUnmarked(a, want, got)
-		case err == nil && got != want:
+		case err == nil && !m.whole && !endsMarked(resp):
+			c.checkUnmarked(a, m, got)
+		case err == nil && !m.whole:
 			ledger.addViolation("%s on %s: unexpected answer %q", id, path, got)
-		case err != nil && !strings.HasPrefix(want, got):
+		case err != nil && !m.partial:
 			ledger.addViolation("%s on %s: unexpected answer %q before the connection broke", id, path, got)
 		case err == nil:
 			ledger.recordServed()
--- a/cmd/soak/harness.go
+++ b/cmd/soak/harness.go
@@ -62,7 +62,9 @@
 	// startedMs is the time of the target's last start, in Unix milliseconds.
 	startedMs int64
 	// state is the state that it announced last, empty after its row was removed.
-	state   string
+	state string
+	// version is the version that the target has.
+	version version
 	faults  *fake.Faults
 	server  *http.Server
 	handler *handler
@@ -126,9 +128,11 @@
 }
 
 func (w *harness) addTarget(i int) error {
-	t := &target{id: fmt.Sprintf("i-%d", i), service: plainService}
+	t := &target{id: fmt.Sprintf("i-%d", i), service: plainService, version: versions[0]}
 	if i%2 == 1 {
 		t.service = engineService
+		// Two versions are side by side from the beginning.
+		t.version = versions[i/2%2]
 	}
 	handler := w.newHandler(t, uint64(i))
 	listener, err := fake.ListenCuttable("127.0.0.1:0")
@@ -157,7 +161,12 @@
 	}
 	// The restarted target listens on a new socket.
 	_ = t.server.Close()
-	time.AfterFunc(restartDelay, func() {
+	w.restartAfter(t, restartDelay)
+}
+
+// restartAfter makes a target that is down listen again after a delay.
+func (w *harness) restartAfter(t *target, delay time.Duration) {
+	time.AfterFunc(delay, func() {
 		l, err := w.relisten(t)
 		if err != nil {
 			w.ledger.addViolation("cannot restart target %s: %v", t.id, err)
@@ -182,8 +191,10 @@
 
 func (w *harness) announce(t *target, state string) {
 	t.state = state
+	t.handler.setState(t.version, state)
 	fake.PutTarget(w.store, fake.TargetRow{
 		ID: t.id, Service: t.service, Addr: t.addr, Zone: "a", State: state, Slots: targetSlots, StartedAtMs: t.startedMs,
+		Version: string(t.version),
 	})
 }
 
--- a/cmd/soak/ledger.go
+++ b/cmd/soak/ledger.go
@@ -40,6 +40,11 @@
 	unmarked    map[string]*unmarkedAnswers
 	restarts    map[string]time.Time
 	seemedWhole int
+	// begins counts new resumable streams, takeUps tries to take one up, and mixed describes the streams that
+	// hold events of two versions.
+	begins  tally
+	takeUps tally
+	mixed   []string
 }
 
 func newLedger(targets int) *ledger {
@@ -149,5 +154,6 @@
 		}
 	}
 	l.checkEndingsLocked()
+	l.checkVersionsLocked()
 	return l.violations, len(l.sent), l.served
 }
--- a/cmd/soak/rollback.go
+++ b/cmd/soak/rollback.go
@@ -53,6 +53,7 @@
 		w.store.Fail(http.StatusServiceUnavailable)
 		time.Sleep(time.Duration(w.rng.Int64N(int64(maxOutage))))
 		w.store.RollBack(w.snapshots[w.rng.IntN(len(w.snapshots))], 1+w.rng.Int64N(2))
+		w.restoreVersions()
 		w.store.Fail(0)
 		w.checkNoRollback(served)
 	}
@@ -87,8 +88,7 @@
 			w.ledger.addViolation("%s serves a route that was removed %s before, after a store rollback", r.name, applyTimeout)
 		}
 	}
-	t.state = ""
-	fake.RemoveTarget(w.store, t.id)
+	w.removeRow(t)
 	time.Sleep(applyTimeout)
 	received := t.handler.receivedCount()
 	time.Sleep(observationTime)
--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -63,6 +63,7 @@
 		passed = 0
 	}
 	fmt.Printf("seed %d: %s\n", w.Seed, w.ledger.unmarkedSummary())
+	fmt.Printf("seed %d: %s\n", w.Seed, w.ledger.versionSummary())
 	fmt.Printf("%d passed, %d failed\n", passed, len(violations))
 	return len(violations)
 }
@@ -73,7 +74,7 @@
 	t := w.targets[w.rng.IntN(len(w.targets))]
 	mode := fake.Mode(w.rng.IntN(int(fake.Resetting) + 1))
 	w.saveSnapshot()
-	switch w.rng.IntN(19) {
+	switch w.rng.IntN(22) {
 	case 0:
 		w.kill(r)
 	case 1:
@@ -111,6 +112,10 @@
 		silenceForAWhile(t)
 	case 18:
 		w.startBrittleness(t.service)
+	case 19, 20:
+		w.changeOneVersion()
+	case 21:
+		w.rollVersions()
 	}
 }
 
@@ -121,10 +126,9 @@
 	case 0:
 		w.announce(t, "draining")
 	case 1:
-		t.state = ""
-		fake.RemoveTarget(w.store, t.id)
+		w.removeRow(t)
 	case 2:
-		fake.CorruptTarget(w.store, t.id, w.rng.Int())
+		w.corruptRow(t)
 	case 3:
 		// The clock of the target may have been set back between the two starts.
 		t.startedMs += int64(w.rng.IntN(4000)) - 1000
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -29,6 +28,9 @@
 	backoffUntil time.Time
 	// slowUntil is the time until which the target is slow.
 	slowUntil time.Time
+	// version and state are those of the target's row in the store.
+	version version
+	state   string
 	// received is the number of requests so far.
 	received int
 }
@@ -97,9 +99,6 @@
 	slowFactor   = 3
 )
 
-// eventsPerStream is the number of events of a stream.
-const eventsPerStream = 12
-
 // eventInterval is the delay between two events.
 const eventInterval = 10 * time.Millisecond
 
@@ -145,7 +144,7 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 	if k.target.service == engineService {
-		k.serveStream(w, r, id, eventDelay)
+		k.serveStream(w, r, strings.TrimPrefix(string(body), streamNamePrefix), eventDelay)
 		return
 	}
 	if e := k.ledger.drawEnding(plainService); e != endMarked {
@@ -215,18 +214,6 @@
 // expectedAnswer returns the only correct body of the answer to a plain request.
 func expectedAnswer(id string) string { return "answer to " + id }
 
-// eventOf returns event n of the only correct answer to a stream request.
-func eventOf(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", n, id, n) }
-
-// expectedStream returns the complete answer to a stream request.
-func expectedStream(id string) string {
-	var b strings.Builder
-	for n := 1; n <= eventsPerStream; n++ {
-		b.WriteString(eventOf(id, n))
-	}
-	return b.String()
-}
-
 // writePace reports the target's pace in the response headers and returns the delay between two
 // events. Now and then the reported pace is no valid number.
 func (k *handler) writePace(w http.ResponseWriter) time.Duration {
@@ -251,7 +238,8 @@
 }
 
 // serveStream sends the events of a stream and breaks some streams off midway.
-func (k *handler) serveStream(w http.ResponseWriter, r *http.Request, id string, eventDelay time.Duration) {
+func (k *handler) serveStream(w http.ResponseWriter, r *http.Request, stream string, eventDelay time.Duration) {
+	writer := k.currentVersion()
 	w.Header().Set("Content-Type", "text/event-stream")
 	from := 1
 	if after, err := strconv.Atoi(r.Header.Get(fake.HeaderLastEventID)); err == nil {
@@ -264,7 +252,7 @@
 	breakAt := k.drawBreak(e, from)
 	control := http.NewResponseController(w)
 	for n := from; n <= eventsPerStream; n++ {
-		event := eventOf(id, n)
+		event := eventOf(stream, n, writer)
 		if n == breakAt && e != endDown {
 			event = event[:1+k.draw(len(event)-1)]
 		}
--- a/cmd/soak/unmarked.go
+++ b/cmd/soak/unmarked.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"valescale/platform/fake"
@@ -144,14 +143,13 @@
 // checkUnmarked checks an answer that ended in order, without a marked end, and is not whole. A stream may
 // consist of whole events and end with the router's process. Other answers must have been such that the
 // router could take them for whole ones.
-func (c *caller) checkUnmarked(a attempt, want, got string) {
+func (c *caller) checkUnmarked(a attempt, m match, got string) {
 	ledger := c.harness.ledger
 	isStream := serviceOf(a.path) == engineService
-	wholeEvents := got == "" || strings.HasSuffix(got, "\n\n")
 	switch {
-	case !strings.HasPrefix(want, got):
+	case !m.partial:
 		ledger.addViolation("%s on %s: unexpected answer %q without a marked end", a.id, a.path, got)
-	case isStream && !wholeEvents:
+	case isStream && !m.onlyEvents:
 		ledger.addViolation("%s on %s: the answer ended in order inside an event: %q", a.id, a.path, got)
 	case isStream && c.harness.wasKilled(a.router, a.sentAt):
 	case got == "":
