Soak: targets listen on an address of their run

Cause: ports of 127.0.0.1 are those of all connections and test servers of the machine. Change: targets listen on 127.0.2.N, N from the seed. Routers stay at 127.0.0.1: peers accept tunnels only from the host of a router, so a router's own connections have to come from the address that it listens on. Their ports can still be taken.

--- a/cmd/soak/harness.go
+++ b/cmd/soak/harness.go
@@ -127,6 +127,10 @@
 	return faults, server
 }
 
+// targetAddr returns the address of the run's targets, with any port. Connections have another source unless
+// it is chosen, and most servers listen elsewhere, so that nothing takes the port of a target that is down.
+func (w *harness) targetAddr() string { return fmt.Sprintf("127.0.2.%d:0", 1+w.Seed%250) }
+
 func (w *harness) addTarget(i int) error {
 	t := &target{id: fmt.Sprintf("i-%d", i), service: plainService, version: versions[0]}
 	if i%2 == 1 {
@@ -135,7 +139,7 @@
 		t.version = versions[i/2%2]
 	}
 	handler := w.newHandler(t, uint64(i))
-	listener, err := fake.ListenCuttable("127.0.0.1:0")
+	listener, err := fake.ListenCuttable(w.targetAddr())
 	if err != nil {
 		return errors.WithStack(err)
 	}
