Soak: a target has reported leaving only once an answer could carry the report

Cause: the check counted from the time at which a target began to report. Trace: one target began, and 0.5 s later, before its next request, all its connections were reset as they were written to; no router's log has a report of it, and each attempt there ended with a reset. The check was wrong there: no report had reached anyone. Change: the same time and the same limit, counted from the first request whose answer is not sure to be reset. All else counts as before.

--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -26,6 +26,9 @@
 	// backoffUntil the time until which it rejects all requests; both are zero if it does not.
 	leavingSince time.Time
 	backoffUntil time.Time
+	// reportedSince is the time of the first answer that could carry the report that the target is leaving:
+	// of one whose connection is reset, nothing arrives.
+	reportedSince time.Time
 	// slowUntil is the time until which the target is slow.
 	slowUntil time.Time
 	// version and state are those of the target's row in the store.
@@ -155,7 +158,7 @@
 }
 
 const (
-	// leavingGrace is the time for which a leaving target may still get requests: two seconds, and one
+	// leavingGrace is the time for which a target that has reported leaving may still get requests: two seconds, and one
 	// more for a machine without spare processor time.
 	leavingGrace = 3 * time.Second
 	// backoffDuration is the time for which a target rejects requests, and backoffGrace the time in
@@ -168,7 +171,7 @@
 func (k *handler) startLeaving() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.leavingSince = time.Now()
+	k.leavingSince, k.reportedSince = time.Now(), time.Time{}
 }
 
 // startBackoff makes the target reject all requests for backoffDuration.
@@ -182,7 +185,7 @@
 func (k *handler) reset() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.leavingSince, k.backoffUntil, k.slowUntil = time.Time{}, time.Time{}, time.Time{}
+	k.leavingSince, k.reportedSince, k.backoffUntil, k.slowUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	k.room.SetLimit(0)
 	k.room.SetWaiting(targetSlots)
 }
@@ -196,7 +199,10 @@
 	now := time.Now()
 	if !k.leavingSince.IsZero() {
 		w.Header().Set(fake.HeaderLeaving, "1")
-		if now.Sub(k.leavingSince) > leavingGrace {
+		if k.reportedSince.IsZero() && k.target.faults.Mode() != fake.Resetting {
+			k.reportedSince = now
+		}
+		if !k.reportedSince.IsZero() && now.Sub(k.reportedSince) > leavingGrace {
 			k.ledger.recordUnwanted()
 		}
 	}
