--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -27,8 +26,14 @@
 	// backoffUntil the time until which it rejects all requests; both are zero if it does not.
 	leavingSince time.Time
 	backoffUntil time.Time
+	// reportedSince is the time of the first answer that could carry the report that the target is leaving:
+	// of one whose connection is reset, nothing arrives.
+	reportedSince time.Time
 	// slowUntil is the time until which the target is slow.
 	slowUntil time.Time
+	// version and state are those of the target's row in the store.
+	version version
+	state   string
 	// received is the number of requests so far.
 	received int
 }
@@ -97,9 +102,6 @@
 	slowFactor   = 3
 )
 
-// eventsPerStream is the number of events of a stream.
-const eventsPerStream = 12
-
 // eventInterval is the delay between two events.
 const eventInterval = 10 * time.Millisecond
 
@@ -127,7 +129,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	k.ledger.recordRun(id, r.URL.Path, string(body))
+	k.ledger.recordRun(k.target.id, id, r.URL.Path, string(body))
 	if r.URL.Path == fatalPath {
 		k.ledger.recordCrash()
 		k.crash()
@@ -145,14 +147,18 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 	if k.target.service == engineService {
-		k.serveStream(w, r, id, eventDelay)
+		k.serveStream(w, r, strings.TrimPrefix(string(body), streamNamePrefix), eventDelay)
+		return
+	}
+	if e := k.ledger.drawEnding(plainService); e != endMarked {
+		k.endPlain(w, expectedAnswer(id), e)
 		return
 	}
 	_, _ = io.WriteString(w, expectedAnswer(id))
 }
 
 const (
-	// leavingGrace is the time for which a leaving target may still get requests: two seconds, and one
+	// leavingGrace is the time for which a target that has reported leaving may still get requests: two seconds, and one
 	// more for a machine without spare processor time.
 	leavingGrace = 3 * time.Second
 	// backoffDuration is the time for which a target rejects requests, and backoffGrace the time in
@@ -165,7 +171,7 @@
 func (k *handler) startLeaving() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.leavingSince = time.Now()
+	k.leavingSince, k.reportedSince = time.Now(), time.Time{}
 }
 
 // startBackoff makes the target reject all requests for backoffDuration.
@@ -179,7 +185,7 @@
 func (k *handler) reset() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.leavingSince, k.backoffUntil, k.slowUntil = time.Time{}, time.Time{}, time.Time{}
+	k.leavingSince, k.reportedSince, k.backoffUntil, k.slowUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	k.room.SetLimit(0)
 	k.room.SetWaiting(targetSlots)
 }
@@ -193,7 +199,10 @@
 	now := time.Now()
 	if !k.leavingSince.IsZero() {
 		w.Header().Set(fake.HeaderLeaving, "1")
-		if now.Sub(k.leavingSince) > leavingGrace {
+		if k.reportedSince.IsZero() && k.target.faults.Mode() != fake.Resetting {
+			k.reportedSince = now
+		}
+		if !k.reportedSince.IsZero() && now.Sub(k.reportedSince) > leavingGrace {
 			k.ledger.recordUnwanted()
 		}
 	}
@@ -211,18 +220,6 @@
 // expectedAnswer returns the only correct body of the answer to a plain request.
 func expectedAnswer(id string) string { return "answer to " + id }
 
-// eventOf returns event n of the only correct answer to a stream request.
-func eventOf(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", n, id, n) }
-
-// expectedStream returns the complete answer to a stream request.
-func expectedStream(id string) string {
-	var b strings.Builder
-	for n := 1; n <= eventsPerStream; n++ {
-		b.WriteString(eventOf(id, n))
-	}
-	return b.String()
-}
-
 // writePace reports the target's pace in the response headers and returns the delay between two
 // events. Now and then the reported pace is no valid number.
 func (k *handler) writePace(w http.ResponseWriter) time.Duration {
@@ -246,27 +243,59 @@
 	k.slowUntil = time.Now().Add(slowDuration)
 }
 
-// serveStream sends the events of a stream and aborts some streams midway.
-func (k *handler) serveStream(w http.ResponseWriter, r *http.Request, id string, eventDelay time.Duration) {
+// serveStream sends the events of a stream and breaks some streams off midway.
+func (k *handler) serveStream(w http.ResponseWriter, r *http.Request, stream string, eventDelay time.Duration) {
+	writer := k.currentVersion()
 	w.Header().Set("Content-Type", "text/event-stream")
 	from := 1
 	if after, err := strconv.Atoi(r.Header.Get(fake.HeaderLastEventID)); err == nil {
 		from = after + 1
 	}
-	abortAt := eventsPerStream + 1
-	if k.countAndDraw() < resetPercent {
-		abortAt = 1 + k.countAndDraw()%eventsPerStream
+	e := k.ledger.drawEnding(engineService)
+	if e != endMarked {
+		fake.OmitEnd(w.Header())
 	}
+	breakAt := k.drawBreak(e, from)
 	control := http.NewResponseController(w)
 	for n := from; n <= eventsPerStream; n++ {
-		event := eventOf(id, n)
-		if n == abortAt {
-			_, _ = io.WriteString(w, event[:len(event)/2])
-			panic(http.ErrAbortHandler)
+		event := eventOf(stream, n, writer)
+		if n == breakAt && e != endDown {
+			event = event[:1+k.draw(len(event)-1)]
 		}
 		if _, err := io.WriteString(w, event); err != nil || control.Flush() != nil {
 			return
 		}
+		if n == breakAt {
+			k.breakStream(w, e)
+			return
+		}
 		time.Sleep(eventDelay)
 	}
+	if e == endWhole {
+		k.ledger.recordEnding(engineService, e)
+	}
+}
+
+// drawBreak returns the number of the event at which a stream breaks off, or one that it does not reach.
+func (k *handler) drawBreak(e ending, from int) int {
+	breaks := e != endWhole && (e != endMarked || k.draw(100) < resetPercent)
+	if !breaks || from >= eventsPerStream {
+		return eventsPerStream + 1
+	}
+	return from + k.draw(eventsPerStream-from)
+}
+
+// breakStream breaks a stream off.
+func (k *handler) breakStream(w http.ResponseWriter, e ending) {
+	if e == endMarked {
+		panic(http.ErrAbortHandler)
+	}
+	k.breakOff(w, e)
+}
+
+// draw returns a random number below n.
+func (k *handler) draw(n int) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.rng.IntN(n)
 }
