--- a/cmd/soak/harness.go
+++ b/cmd/soak/harness.go
@@ -50,8 +50,6 @@
 	ready   string
 	// source is the address from which the router connects to targets.
 	source net.IP
-	// killedAt is the time of the last order to kill the router's process, under the harness's lock.
-	killedAt time.Time
 }
 
 // target is a fake target behind connections with fault injection.
--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -76,7 +76,7 @@
 	w.saveSnapshot()
 	switch w.rng.IntN(22) {
 	case 0:
-		w.kill(r)
+		printOrder("kill", r)
 	case 1:
 		printOrder("term", r)
 	case 2:
--- a/cmd/soak/unmarked.go
+++ b/cmd/soak/unmarked.go
@@ -140,9 +140,8 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-// checkUnmarked checks an answer that ended in order, without a marked end, and is not whole. A stream may
-// consist of whole events and end with the router's process. Other answers must have been such that the
-// router could take them for whole ones.
+// checkUnmarked checks an answer that ended in order, without a marked end, and is not whole. It must have been such that the
+// router could take it for a whole one.
 func (c *caller) checkUnmarked(a attempt, m match, got string) {
 	ledger := c.harness.ledger
 	isStream := serviceOf(a.path) == engineService
@@ -151,7 +150,6 @@
 		ledger.addViolation("%s on %s: unexpected answer %q without a marked end", a.id, a.path, got)
 	case isStream && !m.onlyEvents:
 		ledger.addViolation("%s on %s: the answer ended in order inside an event: %q", a.id, a.path, got)
-	case isStream && c.harness.wasKilled(a.router, a.sentAt):
 	case got == "":
 		ledger.addViolation("%s on %s: an answer without a marked end ended in order without a body", a.id, a.path)
 	case !ledger.allowSeemsWhole(a.id):
@@ -159,25 +157,6 @@
 	}
 }
 
-// killDelay is the time in which an order to kill a router's process is carried out.
-const killDelay = time.Second
-
-// kill orders a router's process to be killed.
-func (w *harness) kill(r *router) {
-	w.mu.Lock()
-	r.killedAt = time.Now()
-	w.mu.Unlock()
-	printOrder("kill", r)
-}
-
-// wasKilled reports whether a router's process may have been killed since a time. Its kernel then closes
-// the connections of callers in order.
-func (w *harness) wasKilled(r *router, since time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return r.killedAt.Add(killDelay).After(since)
-}
-
 // endPlain sends a plain answer without a marked end.
 func (k *handler) endPlain(w http.ResponseWriter, answer string, e ending) {
 	fake.OmitEnd(w.Header())
--- a/cmd/soak/version.go
+++ b/cmd/soak/version.go
@@ -86,12 +86,12 @@
 	}
 }
 
-// versionSummary returns the numbers of streams that were taken up and of those of two versions.
+// versionSummary returns the numbers of streams that were taken up, and those of two versions.
 func (l *ledger) versionSummary() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return fmt.Sprintf("%d of %d resumable streams began, %d of %d taken up went on, %d of two versions", l.begins.succeeded, l.begins.tries,
-		l.takeUps.succeeded, l.takeUps.tries, len(l.mixed))
+	return fmt.Sprintf("%d of %d resumable streams began, %d of %d taken up went on, %d of two versions %q", l.begins.succeeded, l.begins.tries,
+		l.takeUps.succeeded, l.takeUps.tries, len(l.mixed), l.mixed)
 }
 
 // changeVersion ends a target's process and starts another version under the same id.
