A target that has started again is not taken for a leaving one

Cause: the end of a target's process is not looked for where the target is leaving or not listed any more; an earlier incarnation counted as not listed. Evidence: TestIsLeaving, with the expectation corrected, failed before and passes now.

--- a/internal/edge/route/backoff.go
+++ b/internal/edge/route/backoff.go
@@ -50,7 +50,8 @@
 	}
 }
 
-// IsLeaving reports whether an incarnation of a target is leaving, or is not listed any more.
+// IsLeaving reports whether an incarnation of a target is leaving, or the target is not listed any more. One that
+// is listed with another incarnation has started again, for whatever reason its process ended.
 func (r *Router) IsLeaving(target Target) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -60,8 +61,8 @@
 	}
 	for _, pools := range r.pools {
 		for _, p := range pools {
-			if t, known := p.Target(hash); known && t.Incarnation == target.Incarnation {
-				return !p.state.AcceptsWork(hash)
+			if t, known := p.Target(hash); known {
+				return t.Incarnation == target.Incarnation && !p.state.AcceptsWork(hash)
 			}
 		}
 	}
