Explain a resumed stream with all of its requests

What read oddly: explain showed a request that resumes a stream alone. Which version began the stream, at which router it went on before and why this try was rejected had to be gathered by hand from the lines of other requests. The summary said nothing of streams that ended without a marked end. Cause: the lines were selected by the id of the one request; the fields resumes, origin and those beside it were not read. Change: a timeline names the request that began the stream. ReadStream lists the ends of that request and of all that resume it, sorted by time: version at the start (of the first request, or as another router found it if that request has no line), origin, target or reason of the rejection. The logs are read twice, so that memory stays bounded; standard input and pipes are copied to a temporary file for that.

--- a/internal/oper/cmds/explain.go
+++ b/internal/oper/cmds/explain.go
@@ -1,13 +1,10 @@
 package cmds
 
 import (
-	"io"
-	"os"
 	"strings"
 	"time"
 
 	"valescale/internal/oper/trace"
-	"valescale/internal/plat/fault"
 )
 
 // explainCommand prints the timeline of a request, or a summary of the lost requests, from logs.
@@ -27,45 +24,25 @@
 
 // Execute implements flags.Commander.
 func (e *explainCommand) Execute([]string) error {
-	sources, closeAll, err := openLogs(e.Args.Files)
+	logs := logFiles(e.Args.Files)
+	if e.Request == "" {
+		return e.losses(logs)
+	}
+	logs, removeCopies, err := rereadable(logs)
 	if err != nil {
 		return err
 	}
-	defer closeAll()
-	if e.Request != "" {
-		return e.timeline(sources)
-	}
-	return e.losses(sources)
+	defer removeCopies()
+	return e.timeline(logs)
 }
 
-// openLogs opens the files, or returns standard input if there are none. The returned function
-// closes the files.
-func openLogs(files []string) ([]trace.Source, func(), error) {
-	if len(files) == 0 {
-		return []trace.Source{{Name: "standard input", Reader: os.Stdin}}, func() {}, nil
-	}
-	var sources []trace.Source
-	var open []io.Closer
-	closeAll := func() {
-		for _, f := range open {
-			// An error is of no consequence: the file was opened for reading only.
-			_ = f.Close()
-		}
-	}
-	for _, name := range files {
-		f, err := os.Open(name)
-		if err != nil {
-			closeAll()
-			return nil, nil, fault.New("cmds.explain", Unreadable, err)
-		}
-		open = append(open, f)
-		sources = append(sources, trace.Source{Name: name, Reader: f})
+// timeline prints the log lines of one request, sorted by time, and the stream to which it belongs.
+func (e *explainCommand) timeline(logs []logFile) error {
+	sources, closeAll, err := openLogs(logs)
+	if err != nil {
+		return err
 	}
-	return sources, closeAll, nil
-}
-
-// timeline prints the log lines of one request, sorted by time.
-func (e *explainCommand) timeline(sources []trace.Source) error {
+	defer closeAll()
 	timeline, err := trace.ReadTimeline(sources, trace.RequestID(e.Request))
 	if err != nil {
 		return err
@@ -74,8 +51,14 @@
 		e.console.fail(ExitFailure, "no log line for request %s; %d lines could not be parsed", e.Request, timeline.BadLines.Count)
 		return nil
 	}
+	out := explanation{Timeline: timeline}
+	if timeline.Stream != "" {
+		if out.StreamRequests, err = readStream(logs, timeline.Stream); err != nil {
+			return err
+		}
+	}
 	if e.JSON {
-		return e.console.printJSON(timeline)
+		return e.console.printJSON(out)
 	}
 	for _, s := range timeline.Events {
 		e.console.printLine("%s %s %s  %s", s.Time.Format(time.RFC3339Nano), s.Router, s.Message, strings.Join(s.Fields, " "))
@@ -83,12 +66,18 @@
 	if timeline.Omitted > 0 {
 		e.console.printLine("%d more lines", timeline.Omitted)
 	}
+	e.printStream(out.StreamRequests)
 	e.badLines(timeline.BadLines)
 	return nil
 }
 
 // losses prints a summary of the lost requests.
-func (e *explainCommand) losses(sources []trace.Source) error {
+func (e *explainCommand) losses(logs []logFile) error {
+	sources, closeAll, err := openLogs(logs)
+	if err != nil {
+		return err
+	}
+	defer closeAll()
 	losses, err := trace.Summarize(sources, trace.Criteria{Weights: e.Weights, Objectives: e.Objectives})
 	if err != nil {
 		return err
@@ -102,6 +91,9 @@
 		return e.console.printJSON(losses)
 	}
 	e.console.printLine("%d requests ended, %d lost, worth %.1f", losses.Ended, losses.Lost, losses.Worth)
+	if losses.UnmarkedStreams > 0 {
+		e.console.printLine("%d streams not counted as lost ended without a marked end", losses.UnmarkedStreams)
+	}
 	e.table("cause", losses.Causes)
 	e.table("route", losses.Routes)
 	e.table("workspace", losses.Workspaces)
--- a/internal/oper/trace/line.go
+++ b/internal/oper/trace/line.go
@@ -39,6 +39,21 @@
 	// of the answer, both in milliseconds from the start of the request.
 	FoundMS int64 `json:"found_ms"`
 	FirstMS int64 `json:"first_ms"`
+	// TargetVersion is the software version of Target.
+	TargetVersion string `json:"target_version"`
+	// Resumes is the request with which the stream began that the caller resumes after the event LastEvent.
+	Resumes   RequestID `json:"resumes"`
+	LastEvent string    `json:"last_event"`
+	// Origin is how the router found OriginVersion, the version at which the stream began. OriginFrom is the
+	// router that had it, if that is another one. Asked routers were asked for it, and Answered responded.
+	Origin        string `json:"origin"`
+	OriginVersion string `json:"origin_version"`
+	OriginFrom    string `json:"origin_from"`
+	Asked         int    `json:"asked"`
+	Answered      int    `json:"answered"`
+	// Ending is how the answer ended, and Events the number of events of a stream.
+	Ending string `json:"ending"`
+	Events int    `json:"events"`
 	// text is the JSON object as it was logged.
 	text []byte
 }
--- a/internal/oper/trace/losses.go
+++ b/internal/oper/trace/losses.go
@@ -35,6 +35,9 @@
 	causeTargetFailed = "target_failed"
 	// reasonServed is the logged reason of requests that were answered by a target.
 	reasonServed = "served"
+	// endingUnmarked is the logged ending of answers whose target closed the connection without marking the
+	// end, and that nothing shows to be broken.
+	endingUnmarked = "unmarked"
 	// minFailureStatus is the lowest HTTP status that counts as a failure of the target.
 	minFailureStatus = 500
 )
@@ -126,6 +129,9 @@
 	Ended int     `json:"ended"`
 	Lost  int     `json:"lost"`
 	Worth float64 `json:"worth"`
+	// UnmarkedStreams counts the streams that were not lost as far as the logs show, but whose end the target
+	// did not mark: some of them may be incomplete.
+	UnmarkedStreams int `json:"unmarked_streams"`
 	// Causes and the tables below contain the rows with lost requests, sorted by descending
 	// worth.
 	Causes     []Row `json:"causes"`
@@ -142,6 +148,7 @@
 type lossTables struct {
 	criteria Criteria
 	total    Row
+	unmarked int
 
 	causes     lossTable
 	routes     lossTable
@@ -172,6 +179,9 @@
 	cause, worth := t.criteria.cause(line), t.criteria.weight(line.Route)
 	lost := cause != causeNone
 	t.total.add(lost, worth)
+	if !lost && line.Events > 0 && line.Ending == endingUnmarked {
+		t.unmarked++
+	}
 	t.causes.add(cause, lost, worth)
 	t.routes.add(line.Route, lost, worth)
 	t.workspaces.add(line.Workspace, lost, worth)
@@ -183,7 +193,7 @@
 // losses returns the summary.
 func (t *lossTables) losses() Losses {
 	return Losses{
-		Ended: t.total.Ended, Lost: t.total.Lost, Worth: t.total.Worth,
+		Ended: t.total.Ended, Lost: t.total.Lost, Worth: t.total.Worth, UnmarkedStreams: t.unmarked,
 		Causes:     t.causes.rowsWithLosses(),
 		Routes:     t.routes.rowsWithLosses(),
 		Workspaces: t.workspaces.rowsWithLosses(),
--- a/internal/oper/trace/timeline.go
+++ b/internal/oper/trace/timeline.go
@@ -29,6 +29,9 @@
 type Timeline struct {
 	Request RequestID `json:"request"`
 	Events  []Event   `json:"steps"`
+	// Stream is the request that began the stream to which the request belongs, as far as a caller has
+	// resumed it. It is empty for other requests.
+	Stream RequestID `json:"stream_began_with,omitempty"`
 	// Omitted counts the log lines beyond maxTimelineEvents.
 	Omitted  int      `json:"omitted,omitempty"`
 	BadLines BadLines `json:"bad_lines"`
@@ -38,6 +41,7 @@
 func ReadTimeline(sources []Source, request RequestID) (Timeline, error) {
 	timeline := Timeline{Request: request, Events: []Event{}}
 	bad, err := Read(sources, func(line Line) {
+		timeline.findStream(line)
 		if line.Request != request {
 			return
 		}
@@ -52,6 +56,18 @@
 	return timeline, err
 }
 
+// findStream sets Stream if the line shows that the request resumes a stream, or that another request
+// resumes the one that the request began.
+func (t *Timeline) findStream(line Line) {
+	switch {
+	case line.Resumes == "":
+	case line.Request == t.Request:
+		t.Stream = line.Resumes
+	case line.Resumes == t.Request && t.Stream == "":
+		t.Stream = t.Request
+	}
+}
+
 // fields returns the fields of a line that are not in promotedFields, as name=value and sorted by
 // name.
 func fields(line Line) []string {
