Measure what origins of streams cost

What read oddly: the cost of origins was given in a comment and nowhere measured; the page on capacity did not know them. Change: measure control also prints bytes and processor time of a published origin, alone and in a batch, and of FindOrigin, over a real link in clear text and with TLS; the memory of a full table and of a link; and the traffic of a router at 8, 80, 300 and 986 routers and at the page's target size. The chart of control traffic does not draw these rows.

--- a/cmd/measure/control.go
+++ b/cmd/measure/control.go
@@ -57,7 +57,8 @@
 
 // control adds up what one router sends and receives besides callers' requests. The cost of a gossip
 // exchange is measured on a real connection with digests of the size in that fleet, the cost of a
-// permit on a real link. Small calls to the platform have the sizes that occur in the demo.
+// permit on a real link. Small calls to the platform have the sizes that occur in the demo. The origins
+// of streams are counted apart, since they are sent only while a service has several versions.
 func control(o options) []row {
 	var rows []row
 	for _, s := range controlFleets {
@@ -65,7 +66,7 @@
 		s.name += ", TLS"
 		rows = append(rows, s.measure(o.Seed, true)...)
 	}
-	return rows
+	return append(rows, origins()...)
 }
 
 // measure returns a row for each part of a router's traffic, for the home with the most shards, and
--- a/cmd/measure/plot.go
+++ b/cmd/measure/plot.go
@@ -18,17 +18,19 @@
 	title string
 	label string
 	// maxY cuts off higher bars; zero shows all.
-	maxY  float64
-	value func(row) float64
+	maxY float64
+	// omitted is a case that is not drawn.
+	omitted string
+	value   func(row) float64
 }
 
 var figures = map[string][]figure{
 	"skew": {
-		{"skew.png", "Worst load over mean at admission", "load / mean (cut off at 4)", 4, func(r row) float64 { return r.MaxRatio }},
-		{"reuse.png", "Cache reuse as a share of the oracle's", "share", 0, func(r row) float64 { return r.ReuseOfOracle }},
+		{"skew.png", "Worst load over mean at admission", "load / mean (cut off at 4)", 4, "", func(r row) float64 { return r.MaxRatio }},
+		{"reuse.png", "Cache reuse as a share of the oracle's", "share", 0, "", func(r row) float64 { return r.ReuseOfOracle }},
 	},
-	"control": {{"control.png", "Control traffic of one router", "bytes / s", 0, func(r row) float64 { return r.ControlBytes }}},
-	"fair":    {{"fair.png", "Quiet workspaces' time to the end, over no surge", "ratio", 0, func(r row) float64 { return r.MaxRatio }}},
+	"control": {{"control.png", "Control traffic of one router", "bytes / s", 0, originsCase, func(r row) float64 { return r.ControlBytes }}},
+	"fair":    {{"fair.png", "Quiet workspaces' time to the end, over no surge", "ratio", 0, "", func(r row) float64 { return r.MaxRatio }}},
 }
 
 // plotRows writes the charts of a measurement: a group of bars for each case, a bar for each
@@ -61,42 +63,57 @@
 	color.RGBA{0xe6, 0x9f, 0x00, 0xff}, color.RGBA{0x00, 0x9e, 0x73, 0xff}, color.RGBA{0x22, 0x22, 0x22, 0xff},
 }
 
-func (p figure) draw(path string, rows []row) error {
-	var cases, strategies []string
-	values := map[string]map[string]float64{}
+// barGroups are the values of a chart by case and strategy, in order of the rows.
+type barGroups struct {
+	cases      []string
+	strategies []string
+	values     map[string]map[string]float64
+}
+
+// groups returns the values of the rows that are drawn.
+func (p figure) groups(rows []row) barGroups {
+	g := barGroups{values: map[string]map[string]float64{}}
 	for _, r := range rows {
-		if values[r.Case] == nil {
-			values[r.Case] = map[string]float64{}
-			cases = append(cases, r.Case)
+		if p.omitted != "" && r.Case == p.omitted {
+			continue
+		}
+		if g.values[r.Case] == nil {
+			g.values[r.Case] = map[string]float64{}
+			g.cases = append(g.cases, r.Case)
 		}
-		if !slices.Contains(strategies, r.Strategy) {
-			strategies = append(strategies, r.Strategy)
+		if !slices.Contains(g.strategies, r.Strategy) {
+			g.strategies = append(g.strategies, r.Strategy)
 		}
-		values[r.Case][r.Strategy] = p.value(r)
+		g.values[r.Case][r.Strategy] = p.value(r)
 	}
+	return g
+}
+
+func (p figure) draw(path string, rows []row) error {
+	g := p.groups(rows)
 	chart := plot.New()
 	chart.Title.Text = p.title
 	chart.Y.Label.Text = p.label
 	chart.Y.Min = 0
 	chart.Legend.Top = true
-	for i, strategy := range strategies {
-		heights := make(plotter.Values, len(cases))
-		for j, c := range cases {
-			heights[j] = values[c][strategy]
+	for i, strategy := range g.strategies {
+		heights := make(plotter.Values, len(g.cases))
+		for j, c := range g.cases {
+			heights[j] = g.values[c][strategy]
 		}
 		bars, err := plotter.NewBarChart(heights, barWidth)
 		if err != nil {
 			return errors.Wrap(err, "plot")
 		}
 		bars.Color = palette[i%len(palette)]
-		bars.Offset = barWidth * vg.Length(float64(i)-float64(len(strategies)-1)/2)
+		bars.Offset = barWidth * vg.Length(float64(i)-float64(len(g.strategies)-1)/2)
 		chart.Add(bars)
 		chart.Legend.Add(strategy, bars)
 	}
-	chart.NominalX(cases...)
-	chart.X.Max = float64(len(cases)) - 1 + legendRoom
+	chart.NominalX(g.cases...)
+	chart.X.Max = float64(len(g.cases)) - 1 + legendRoom
 	if p.maxY > 0 {
 		chart.Y.Max = p.maxY
 	}
-	return errors.Wrap(chart.Save(caseWidth*vg.Length(len(cases))+extraWidth, figureHeight, path), "plot")
+	return errors.Wrap(chart.Save(caseWidth*vg.Length(len(g.cases))+extraWidth, figureHeight, path), "plot")
 }
