Streams do not go on by versions from before a suspension

Their origins were known; the routers, just awake, still had the rows of targets that had been replaced under their names meanwhile. Cause: what a suspended router had received before counted as current. For the configuration it does not, by its age; the versions of targets had no such check, and must count while the store is away. Change: a process records that it runs; after half a second without a record, no stream goes on at any version, and no origin is recorded, until the targets' table is confirmed anew. Callers are rejected, not run, with a time to return.

--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -52,10 +52,10 @@
 		status int
 	}{
 		{"no configuration", rules{}, "/a/", 503},
-		{"no route", rules{table, true}, "/b/", 404},
-		{"no route, stale configuration", rules{table, false}, "/b/", 503},
-		{"unknown key", rules{table, true}, "/a/", 401},
-		{"unknown key, stale configuration", rules{table, false}, "/a/", 503},
+		{"no route", rules{table: table, fresh: true}, "/b/", 404},
+		{"no route, stale configuration", rules{table: table}, "/b/", 503},
+		{"unknown key", rules{table: table, fresh: true}, "/a/", 401},
+		{"unknown key, stale configuration", rules{table: table}, "/a/", 503},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newSetupWith(t, c.rules)
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -277,6 +277,9 @@
 // acquire finds a target. The first attempt may use the canary version if one of its targets has a
 // free slot. A stream that has begun stays at its version.
 func (h *Handler) acquire(ctx context.Context, j *job) (*route.Placement, error) {
+	if err := h.checkVersion(j); err != nil {
+		return nil, err
+	}
 	placementRequest := j.placementRequest(h.latency.firstByteTime(j.route.Name))
 	placementRequest.Effort = h.meter.Effort(j.service, pace.Kind(j.route.Name), j.size())
 	j.lookupName = j.service
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -34,6 +34,11 @@
 	// go on with the answer, empty until its first part is sent.
 	origin  origin.Found
 	version ident.Version
+	// versionUnknown is set if the version of the target that sent the first part may be another one than this
+	// router has. No target may go on then.
+	versionUnknown bool
+	// versionConfirmed is set if the versions of targets were current when the latest target was sought.
+	versionConfirmed bool
 	// lookupName is the name under which the last target was sought: that of the service or of its
 	// canary version.
 	lookupName ident.Service
--- a/internal/edge/entry/origin.go
+++ b/internal/edge/entry/origin.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"valescale/internal/edge/route"
+	"valescale/internal/plat/fault"
 	"valescale/internal/share/origin"
 )
 
@@ -32,6 +34,16 @@
 	return origin.NewKey(j.workspace.Name, string(id))
 }
 
+// checkVersion returns an error if no target may go on with the answer: the version at which it began, or those
+// of all targets, may be others than this router has.
+func (h *Handler) checkVersion(j *job) error {
+	j.versionConfirmed = h.Rules.VersionsConfirmed()
+	if j.versionUnknown || j.version != "" && !j.versionConfirmed {
+		return fault.New("entry.checkVersion", route.NoTarget, route.RetryAfter{Wait: originRetryAfter})
+	}
+	return nil
+}
+
 // findOrigin finds out at which version a stream began that the caller resumes. If that is unknown, the
 // request is rejected: at another version the rest would not fit to what the caller has.
 func (h *Handler) findOrigin(ctx context.Context, j *job) *problem {
@@ -53,6 +65,9 @@
 // beginStream binds the rest of a stream to the version of the target that sends its first part, and records
 // its origin. It is called before that part is sent to the caller.
 func (h *Handler) beginStream(j *job) {
+	if j.versionUnknown = !j.versionConfirmed; j.versionUnknown {
+		return
+	}
 	j.version = j.lastPlacement.Target.Version
 	if key := j.streamKey(); key != 0 && j.version != "" && j.route.Resumable {
 		h.Origins.Began(origin.Record{Key: key, Origin: origin.Origin{Service: j.service, Version: j.version}})
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,11 +62,15 @@
 type rules struct {
 	table *match.Table
 	fresh bool
+	// outdated is set if the versions of targets are not confirmed.
+	outdated *atomic.Bool
 }
 
 func (r rules) Table() *match.Table { return r.table }
 func (r rules) Fresh() bool         { return r.fresh }
 
+func (r rules) VersionsConfirmed() bool { return r.outdated == nil || !r.outdated.Load() }
+
 func (r rules) IdleConns(ident.Service) int { return 0 }
 func (r rules) ReportBrittle(ident.Service) {}
 
--- a/internal/oper/node/build.go
+++ b/internal/oper/node/build.go
@@ -40,6 +40,7 @@
 // build creates the parts and connects them.
 func (n *Node) build() {
 	s := n.settings.Load()
+	n.suspension = newSuspension(n.Clock)
 	n.replicas = feed.NewReplicas(n.Logger, n.Clock)
 	n.replicas.OnRestored(func(table.Era) {
 		select {
--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -45,6 +45,7 @@
 	homes             *home.Homes
 	mesh              *mesh.Mesh
 	origins           *origin.Origins
+	suspension        *suspension
 	router            *route.Router
 	dialer            *reach.Dialer
 	tunnels           *reach.Server
--- a/internal/oper/node/rules.go
+++ b/internal/oper/node/rules.go
@@ -26,6 +26,13 @@
 	return known && age <= maxConfigAge
 }
 
+// VersionsConfirmed reports whether the versions of targets were confirmed since this process was last
+// suspended.
+func (n *Node) VersionsConfirmed() bool {
+	age, known := n.replicas.Age(n.Rows.TargetTable())
+	return known && n.suspension.coversAge(age)
+}
+
 // idleConnRatio is the part of a target's connection limit that routers may keep idle. The rest is
 // for connections in use.
 const idleConnRatio = 0.5
--- a/internal/oper/node/serve.go
+++ b/internal/oper/node/serve.go
@@ -93,6 +93,7 @@
 	wg.Go(func() { n.peers.Run(ctx) })
 	wg.Go(func() { n.mesh.Run(ctx) })
 	wg.Go(func() { n.origins.Run(ctx) })
+	wg.Go(func() { mesh.RunEvery(ctx, runInterval, func(context.Context) { n.suspension.recordRun() }) })
 	wg.Go(func() { n.becomeReady(ctx) })
 	if n.rollouts.enabled() {
 		wg.Go(func() { mesh.RunEvery(ctx, judgeInterval, n.writeVerdicts) })
