The end of a target is found out without peers after a failed attempt

Change: in doubt, both paths are tried at once; a peer that connects shows that the target runs, one that is refused that it has ended, and without either the own refusal counts, unless paths are lost. Evidence: TestEndOfTargetIsKnownWithoutPeers failed before, passes now; TestTargetIsRunningIfAPeerConnects; all of edge/reach.

--- a/internal/edge/reach/dialer.go
+++ b/internal/edge/reach/dialer.go
@@ -192,17 +192,32 @@
 
 // Refused reports whether nothing listens at a target's address any more. A refusal of this router alone
 // may be due to its own path: it does not count if a peer connects, nor if no peer is refused while
-// paths are lost. Where this router's own path is lost or in doubt, a peer alone decides.
+// paths are lost. Where this router's own path is lost, or was in doubt a moment ago, a refusal of a peer is
+// enough.
 func (d *Dialer) Refused(ctx context.Context, addr string) bool {
-	if d.paths.route(addr, d.Clock()) != routeDirect {
-		return d.refusedAtPeer(ctx, addr)
+	route := d.paths.route(addr, d.Clock())
+	if route == routeDirect {
+		return d.refusedHere(ctx, addr)
 	}
-	c, err := d.Direct(ctx, "tcp", addr)
+	return d.refusedInDoubt(ctx, addr, route == routeNone)
+}
+
+// refusedInDoubt reports whether a peer is refused, or, if no peer can say so and ownPath is set, this router.
+func (d *Dialer) refusedInDoubt(ctx context.Context, addr string, ownPath bool) bool {
+	direct := make(chan bool, 1)
+	go func() { direct <- ownPath && d.refusedDirectly(ctx, addr) != nil }()
+	tunnel, err := d.dialTunnel(ctx, addr)
 	if err == nil {
-		_ = c.Close()
+		_ = tunnel.Close()
 		return false
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	return fault.KindOf[Kind](err) == Refused || <-direct && !d.paths.anyLost()
+}
+
+// refusedHere reports whether this router is refused, unless peers show that its own path is at fault.
+func (d *Dialer) refusedHere(ctx context.Context, addr string) bool {
+	err := d.refusedDirectly(ctx, addr)
+	if err == nil {
 		return false
 	}
 	tunnel, tunnelErr := d.dialTunnel(ctx, addr)
@@ -214,11 +229,17 @@
 	return fault.KindOf[Kind](tunnelErr) == Refused || !d.paths.anyLost()
 }
 
-// refusedAtPeer reports whether nothing listens at a target's address according to a peer.
-func (d *Dialer) refusedAtPeer(ctx context.Context, addr string) bool {
-	tunnel, err := d.dialTunnel(ctx, addr)
+// refusedDirectly returns the error of an attempt on this router's own path if it was refused, or nil.
+func (d *Dialer) refusedDirectly(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+	defer cancel()
+	c, err := d.Direct(ctx, "tcp", addr)
 	if err == nil {
-		_ = tunnel.Close()
+		_ = c.Close()
+		return nil
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return nil
 	}
-	return fault.KindOf[Kind](err) == Refused
+	return err
 }
--- a/internal/edge/reach/through_peer_test.go
+++ b/internal/edge/reach/through_peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"valescale/internal/edge/relay"
 )
@@ -32,3 +33,35 @@
 		t.Error("the target is not known to have ended")
 	}
 }
+
+// Guards against the end of a target's process that is not found out because no peer provides tunnels: an
+// attempt that failed a moment ago must not leave it to peers alone.
+func TestEndOfTargetIsKnownWithoutPeers(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := l.Addr().String()
+	_ = l.Close()
+	f.routers[1].accepting = false
+	conns, closeConns := relay.NewConns(relay.DefaultConnLimits, f.routers[0].dialer)
+	defer closeConns()
+	for range 2 {
+		if !conns.HasEnded(t.Context(), ended, 0) {
+			t.Error("the target is not known to have ended")
+		}
+	}
+}
+
+// Guards against a running target that counts as ended because this router's own path to it refuses connections:
+// a peer that connects decides.
+func TestTargetIsRunningIfAPeerConnects(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	router, addr := f.routers[0], f.targets[0]
+	router.cutFrom([]string{addr}, false)
+	router.dialer.paths.down(addr, time.Now())
+	if router.dialer.Refused(t.Context(), addr) {
+		t.Error("a target that a peer reaches counts as ended")
+	}
+}
