The version of a target is checked against its latest row

Cause: the check of what is current looked at the rows, the version that it allowed at the pools. Change: once a target is found, its version in the pool must be the one in its row; else the stream does not go on there, and no origin is recorded.

--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -277,8 +277,8 @@
 // acquire finds a target. The first attempt may use the canary version if one of its targets has a
 // free slot. A stream that has begun stays at its version.
 func (h *Handler) acquire(ctx context.Context, j *job) (*route.Placement, error) {
-	if err := h.checkVersion(j); err != nil {
-		return nil, err
+	if j.versionUnknown {
+		return nil, errVersion
 	}
 	placementRequest := j.placementRequest(h.latency.firstByteTime(j.route.Name))
 	placementRequest.Effort = h.meter.Effort(j.service, pace.Kind(j.route.Name), j.size())
@@ -295,10 +295,15 @@
 		j.lookupName, placementRequest.Service = j.service, j.service
 		placement, err = h.Finder.Acquire(ctx, placementRequest)
 	}
-	if err == nil {
-		h.Canaries.RecordSent(j.service, j.lookupName)
+	if err != nil {
+		return nil, err
+	}
+	if err := h.checkVersion(j, placement.Target); err != nil {
+		placement.Release()
+		return nil, err
 	}
-	return placement, err
+	h.Canaries.RecordSent(j.service, j.lookupName)
+	return placement, nil
 }
 
 // reportCanary reports the result of an attempt for the canary decision. An attempt whose caller
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -37,7 +37,7 @@
 	// versionUnknown is set if the version of the target that sent the first part may be another one than this
 	// router has. No target may go on then.
 	versionUnknown bool
-	// versionConfirmed is set if the versions of targets were current when the latest target was sought.
+	// versionConfirmed is set if the version of the latest target was current when it was found.
 	versionConfirmed bool
 	// lookupName is the name under which the last target was sought: that of the service or of its
 	// canary version.
--- a/internal/edge/entry/origin.go
+++ b/internal/edge/entry/origin.go
@@ -34,16 +34,24 @@
 	return origin.NewKey(j.workspace.Name, string(id))
 }
 
-// checkVersion returns an error if no target may go on with the answer: the version at which it began, or those
-// of all targets, may be others than this router has.
-func (h *Handler) checkVersion(j *job) error {
-	j.versionConfirmed = h.Rules.VersionsConfirmed()
-	if j.versionUnknown || j.version != "" && !j.versionConfirmed {
-		return fault.New("entry.checkVersion", route.NoTarget, route.RetryAfter{Wait: originRetryAfter})
+// checkVersion checks the version of a target that was found against the latest rows, which may be newer than the
+// pools, and returns an error if the target must not go on with the answer.
+func (h *Handler) checkVersion(j *job, target route.Target) error {
+	if !j.route.Stream {
+		return nil
+	}
+	version, confirmed := h.Rules.ConfirmedVersion(target.ID)
+	j.versionConfirmed = confirmed && version == target.Version
+	if j.version != "" && !j.versionConfirmed {
+		return errVersion
 	}
 	return nil
 }
 
+// errVersion is the error of a request that no target may go on with, since the version at which the answer began
+// or that of the target that was found may be another one than this router has.
+var errVersion = fault.New("entry.acquire", route.NoTarget, route.RetryAfter{Wait: originRetryAfter})
+
 // findOrigin finds out at which version a stream began that the caller resumes. If that is unknown, the
 // request is rejected: at another version the rest would not fit to what the caller has.
 func (h *Handler) findOrigin(ctx context.Context, j *job) *problem {
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -62,14 +62,17 @@
 type rules struct {
 	table *match.Table
 	fresh bool
-	// outdated is set if the versions of targets are not confirmed.
+	// version is that of all targets; outdated is set if it is not confirmed.
+	version  ident.Version
 	outdated *atomic.Bool
 }
 
 func (r rules) Table() *match.Table { return r.table }
 func (r rules) Fresh() bool         { return r.fresh }
 
-func (r rules) VersionsConfirmed() bool { return r.outdated == nil || !r.outdated.Load() }
+func (r rules) ConfirmedVersion(ident.Target) (ident.Version, bool) {
+	return r.version, r.outdated == nil || !r.outdated.Load()
+}
 
 func (r rules) IdleConns(ident.Service) int { return 0 }
 func (r rules) ReportBrittle(ident.Service) {}
--- a/internal/edge/entry/types.go
+++ b/internal/edge/entry/types.go
@@ -93,8 +93,8 @@
 	// Fresh reports whether the configuration was confirmed recently, so that names missing from
 	// it can be treated as nonexistent.
 	Fresh() bool
-	// VersionsConfirmed reports whether the versions of targets are known to be current.
-	VersionsConfirmed() bool
+	// ConfirmedVersion returns the version of a target, and whether it is known to be current.
+	ConfirmedVersion(target ident.Target) (ident.Version, bool)
 	// IdleConns returns the maximum number of idle connections that this router may keep to a
 	// target of a service; zero means no limit.
 	IdleConns(service ident.Service) int
--- a/internal/oper/node/rules.go
+++ b/internal/oper/node/rules.go
@@ -26,11 +26,11 @@
 	return known && age <= maxConfigAge
 }
 
-// VersionsConfirmed reports whether the versions of targets were confirmed since this process was last
-// suspended.
-func (n *Node) VersionsConfirmed() bool {
+// ConfirmedVersion returns the version in a target's row. It returns false if the rows were not confirmed since
+// this process was last suspended.
+func (n *Node) ConfirmedVersion(target ident.Target) (ident.Version, bool) {
 	age, known := n.replicas.Age(n.Rows.TargetTable())
-	return known && n.suspension.coversAge(age)
+	return n.state.version(target), known && n.suspension.coversAge(age)
 }
 
 // idleConnRatio is the part of a target's connection limit that routers may keep idle. The rest is
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -175,6 +175,17 @@
 	return mesh.Capacity{Version: target.Version, Slots: slots, Closed: closed, Reopened: reopened, Cold: s.coldOf(t, reopened)}
 }
 
+// version returns the version in a target's row, or nothing without a valid row.
+func (s *state) version(target ident.Target) ident.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row := s.targetRows[table.Key(target)]
+	if !row.valid() {
+		return ""
+	}
+	return row.target.Version
+}
+
 // poolConfig returns the services for which the mesh has to maintain pools.
 func (s *state) poolConfig() mesh.Desired {
 	s.mu.Lock()
