--- a/internal/share/home/resumed_test.go
+++ b/internal/share/home/resumed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -106,3 +107,61 @@
 		t.Errorf("%d requests wait, want none", waiting)
 	}
 }
+
+// Guards against a resumed stream that is rejected at once, though it may wait, because the few engines of its
+// version are at the load bound. Only these can run it, so that other homes do not help its caller.
+func TestResumedStreamsWaitForTheLoadBound(t *testing.T) {
+	h := newHomesAtBound(t, "v1", "v2", "v2", "v2")
+	first := make(chan home.PermitResponse, 1)
+	go func() { first <- h.Place(context.Background(), permitRequest(100, "v1", 10*time.Second), nil) }()
+	for waiting := 0; waiting == 0; _, waiting = h.InFlight() {
+		select {
+		case got := <-first:
+			t.Fatalf("result %d before the wait was over, want a request that waits", got.Result)
+		case <-time.After(time.Millisecond):
+		}
+	}
+	h.Release(id, "edge", []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+	if got := <-first; got.Result != home.Placed {
+		t.Errorf("result %d, want a permit", got.Result)
+	}
+}
+
+// newHomesAtBound returns homes with an engine of unlimited slots for each version, where the engines of the
+// first version are at the load bound. The permits have numbers from 1.
+func newHomesAtBound(t *testing.T, versions ...ident.Version) *home.Homes {
+	t.Helper()
+	h := home.New("router-a", home.DefaultLimits, time.Now, func(ident.Workspace) (policy.Workspace, bool) { return policy.Workspace{}, false })
+	var engines []place.Engine
+	for i, version := range versions {
+		name := ident.Target(fmt.Sprint("engine-", i))
+		engines = append(engines, place.Engine{ID: name, Hash: name.Hash(), Incarnation: 1, Version: version})
+	}
+	h.SetPool(pool, place.DefaultBound, place.NewRoster(1, engines))
+	for permit := range uint64(len(versions)) {
+		h.Place(context.Background(), permitRequest(permit+1, "", 0), nil)
+	}
+	for permit := uint64(len(versions)) + 1; h.Place(context.Background(), permitRequest(permit, versions[0], 0), nil).Result == home.Placed; permit++ {
+	}
+	return h
+}
+
+// Guards against resumed streams of one workspace that leave no room for those of others to wait.
+func TestResumedStreamsOfOneWorkspaceLeaveRoomForOthers(t *testing.T) {
+	h := newVersionedHomes("v1")
+	const wait = 10 * time.Second
+	h.Place(context.Background(), permitRequest(1, "", 0), nil)
+	const many = 64
+	for permit := range uint64(many) {
+		placeLater(t, h, permitRequest(permit+2, "v1", wait))
+	}
+	other := permitRequest(many+2, "v1", wait)
+	other.Workspace = "other"
+	got := make(chan home.PermitResponse, 1)
+	go func() { got <- h.Place(context.Background(), other, nil) }()
+	select {
+	case resp := <-got:
+		t.Errorf("result %d, want a request that waits", resp.Result)
+	case <-time.After(100 * time.Millisecond):
+	}
+}
--- a/internal/share/origin/origins_test.go
+++ b/internal/share/origin/origins_test.go
@@ -319,3 +319,32 @@
 		t.Errorf("%d keys of 9 streams", len(keys))
 	}
 }
+
+// Guards against guesses by a router that has started after the earlier version went: while too many streams are
+// looked up, it went by the versions that it has seen itself.
+func TestNoGuessWithoutOtherRouters(t *testing.T) {
+	f := newFleet(4)
+	f.targets("v1", "v2")
+	f.remove("v1")
+	f.start("router-0")
+	restarted := f.origins["router-0"]
+	restarted.TargetAdded(Origin{Service: "s", Version: "v2"})
+	for range maxSearches {
+		restarted.searches <- struct{}{}
+	}
+	if got := f.find(0, 7); got.Resumable() {
+		t.Errorf("%+v, want an unknown origin", got)
+	}
+}
+
+// Guards against guesses by a router that is cut off: as soon as it took all others for dead, it asked none and
+// went by its own view of the versions, in which a later version may be missing.
+func TestNoGuessWhileAllOthersCountAsDead(t *testing.T) {
+	f := newFleet(4)
+	f.targets("v1")
+	f.find(0, 1)
+	f.kill("router-1", "router-2", "router-3")
+	if got := f.find(0, 7); got.Resumable() {
+		t.Errorf("%+v, want an unknown origin", got)
+	}
+}
