No router guesses a version without asking others

What callers would see: a stream that goes on at another version, at a router that is cut off and takes all others for dead, or that has too many streams to look up. Cause: without a question to others, its own view of the versions decided, which a cut-off router or one that has just started may not have whole.

--- a/cmd/measure/origin.go
+++ b/cmd/measure/origin.go
@@ -168,7 +168,7 @@
 
 func newOrigins(peers origin.Peers, routers func() []origin.Router) *origin.Origins {
 	return origin.New(origin.Parts{
-		Self: "router-000", Region: "region-0", Peers: peers, Routers: routers, RoutersVersion: func() uint64 { return 1 }, Logger: log.NewNopLogger(), Clock: func() time.Time { return epoch },
+		Self: "router-000", Region: "region-0", Peers: peers, Routers: routers, RoutersVersion: func() uint64 { return 1 }, RowsCurrent: func() bool { return true }, Logger: log.NewNopLogger(), Clock: func() time.Time { return epoch },
 	})
 }
 
--- a/internal/oper/node/rules.go
+++ b/internal/oper/node/rules.go
@@ -26,6 +26,12 @@
 	return known && age <= maxConfigAge
 }
 
+// targetsCurrent reports whether the store has confirmed the targets' rows recently.
+func (n *Node) targetsCurrent() bool {
+	age, known := n.replicas.Age(n.Rows.TargetTable())
+	return known && age <= maxConfigAge
+}
+
 // ConfirmedVersion returns the version in a target's row. It returns false if the rows were not confirmed since
 // this process was last suspended.
 func (n *Node) ConfirmedVersion(target ident.Target) (ident.Version, bool) {
--- a/internal/share/origin/origin.go
+++ b/internal/share/origin/origin.go
@@ -59,7 +59,7 @@
 	SingleVersion Source = "single_version"
 	// Unknown means that no router has it and that the service had several versions.
 	Unknown Source = "unknown"
-	// Overloaded means that too many streams are being looked up, and that the service had several versions.
+	// Overloaded means that too many streams are being looked up.
 	Overloaded Source = "overloaded"
 )
 
--- a/internal/share/origin/origins.go
+++ b/internal/share/origin/origins.go
@@ -29,8 +29,10 @@
 	// with each change of them.
 	Routers        func() []Router
 	RoutersVersion func() uint64
-	Logger         log.Logger
-	Clock          ident.Clock
+	// RowsCurrent reports whether the store has confirmed the targets a moment ago.
+	RowsCurrent func() bool
+	Logger      log.Logger
+	Clock       ident.Clock
 }
 
 // Origins keeps origins and finds those that other routers keep.
@@ -187,27 +189,31 @@
 	case o.searches <- struct{}{}:
 		defer func() { <-o.searches }()
 	default:
-		return o.withoutOrigin(service, own.Several, Overloaded)
+		return Found{Source: Overloaded}
 	}
 	found, several := o.ask(ctx, key, service)
 	if found.Source == Peer {
 		return found
 	}
-	// Without any answer, this router may have missed that the service got another version.
-	cutOff := found.Asked > 0 && found.Answered == 0
-	result := o.withoutOrigin(service, own.Several || several || cutOff, Unknown)
+	result := o.withoutOrigin(service, own.Several || several || o.mayBeCutOff(found))
 	result.Asked, result.Answered = found.Asked, found.Answered
 	return result
 }
 
+// mayBeCutOff reports whether this router may have missed that a service got another version: no other router
+// has answered, and, if it knows none, the store has not confirmed the targets.
+func (o *Origins) mayBeCutOff(found Found) bool {
+	return found.Answered == 0 && (found.Asked > 0 || !o.RowsCurrent())
+}
+
 // withoutOrigin returns the result if no router has the origin: the only version that the service had
-// within Lifetime, or otherwise the given source.
-func (o *Origins) withoutOrigin(service ident.Service, several bool, otherwise Source) Found {
+// within Lifetime, or an unknown one.
+func (o *Origins) withoutOrigin(service ident.Service, several bool) Found {
 	o.mu.Lock()
 	recent := o.versions.recent(o.Clock(), service)
 	o.mu.Unlock()
 	if several || len(recent) != 1 {
-		return Found{Source: otherwise}
+		return Found{Source: Unknown}
 	}
 	return Found{Origin: Origin{Service: service, Version: recent[0]}, Source: SingleVersion}
 }
--- a/internal/share/origin/origins_test.go
+++ b/internal/share/origin/origins_test.go
@@ -24,8 +24,9 @@
 	// dead routers receive nothing and answer nothing.
 	dead map[ident.Router]bool
 	// sent counts the published origins and the questions.
-	sent  int
-	asked int
+	sent        int
+	asked       int
+	rowsCurrent bool
 	// version counts the changes of routers.
 	version uint64
 }
@@ -44,7 +45,7 @@
 // start starts a router without any origin.
 func (f *fleet) start(id ident.Router) {
 	f.origins[id] = New(Parts{
-		Self: id, Region: "co", Peers: f, Routers: f.live, RoutersVersion: f.routersVersion, Logger: log.NewNopLogger(), Clock: func() time.Time { return f.now },
+		Self: id, Region: "co", Peers: f, Routers: f.live, RoutersVersion: f.routersVersion, RowsCurrent: func() bool { return f.rowsCurrent }, Logger: log.NewNopLogger(), Clock: func() time.Time { return f.now },
 	})
 }
 
@@ -238,6 +239,11 @@
 			f.start("router-0")
 			f.origins["router-0"].TargetAdded(Origin{Service: "s", Version: "v2"})
 		}, Unknown},
+		{"no other router, and current rows", func(f *fleet) {
+			f.targets("v1")
+			f.rowsCurrent = true
+			f.kill("router-1", "router-2", "router-3")
+		}, SingleVersion},
 		{"no other router answers", func(f *fleet) {
 			f.targets("v1")
 			f.cutOff()
