A stream does not go on at another service than the one that began it

What callers would see: after a route was moved to another service whose versions have the same names, a stream that goes on there. Cause: the version of the origin was kept and its service was not, if the route no longer sends to it. Change: such a request is rejected, not run. Evidence: TestStreamDoesNotGoOnAtAnotherService failed before, passes now.

--- a/internal/edge/entry/origin.go
+++ b/internal/edge/entry/origin.go
@@ -62,11 +62,11 @@
 	if !j.origin.Resumable() {
 		return rejection(UnknownOrigin, originRetryAfter)
 	}
-	j.version = j.origin.Version
-	if j.origin.Service != j.service && j.route.SendsTo(j.origin.Service) {
-		j.service = j.origin.Service
-		j.copiesCache = h.Rules.Table().Service(j.service).CopiesPrefixes
+	if j.origin.Service != j.service && !j.route.SendsTo(j.origin.Service) {
+		return rejection(NoTarget, originRetryAfter)
 	}
+	j.service, j.version = j.origin.Service, j.origin.Version
+	j.copiesCache = h.Rules.Table().Service(j.service).CopiesPrefixes
 	return nil
 }
 
