Resumed streams wait for the load bound

What callers would see: a stream rejected at once, though it may wait, while the few engines of its version are at the bound. Cause: a request waits only while engines have no slots; at the bound another shard usually helps, but not here. Change: a request for one version, at the last shard that is tried, waits in either case. Evidence: TestResumedStreamsWaitForTheLoadBound failed before, passes now.

--- a/internal/share/home/place.go
+++ b/internal/share/home/place.go
@@ -44,7 +44,7 @@
 	s.home.RecordPaces(now, req.Paces)
 	if s.queue.Len() == 0 || req.Version != "" {
 		d := s.home.Place(now, req.Request)
-		if d.Result != place.Busy {
+		if d.Result != place.Busy && !(d.Result == place.Full && req.waitsForBound()) {
 			return s.decisionResponse(now, req, d), nil
 		}
 	}
--- a/internal/share/home/request.go
+++ b/internal/share/home/request.go
@@ -49,6 +49,10 @@
 	Paces []pace.Report
 }
 
+// waitsForBound reports whether the request waits if its engines are at the load bound. Of a few engines of one
+// version, all may be; others that would be below it cannot run the request.
+func (r *PermitRequest) waitsForBound() bool { return r.Version != "" && r.MustPlace && r.Wait > 0 }
+
 // PermitResponse is the response to a permit request.
 type PermitResponse struct {
 	Result Result
