Resumed streams of one workspace leave room for others to wait

What callers would see: 64 waiting streams of one workspace, and all others rejected at once. Cause: the list of waiting resumed requests had no regard for workspaces. Change: once it is full, the latest request of the workspace with the most gives way to one with fewer. Evidence: TestResumedStreamsOfOneWorkspaceLeaveRoomForOthers failed before, passes now.

--- a/internal/share/home/resumed.go
+++ b/internal/share/home/resumed.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"valescale/internal/plat/ident"
 	"valescale/internal/rule/place"
 )
 
@@ -15,13 +16,34 @@
 // queue: at its head the request would hold back those that other engines can run. It is placed before
 // the queued ones, since its caller already has a part of the answer.
 func (s *shard) enqueueResumed(now time.Time, w *queuedRequest) (PermitResponse, *queuedRequest) {
-	if len(s.resumed) >= maxResumed {
+	if len(s.resumed) >= maxResumed && !s.shedResumed(now, w.req.Workspace) {
 		return s.rejection(now, w.req, Shed), nil
 	}
 	s.resumed = append(s.resumed, w)
 	return PermitResponse{}, w
 }
 
+// shedResumed rejects the latest waiting request of the workspace that has the most, unless that is the given one,
+// for which it makes room. It reports whether it did.
+func (s *shard) shedResumed(now time.Time, workspace ident.Workspace) bool {
+	counts := map[ident.Workspace]int{}
+	latest := s.resumed[0]
+	for _, w := range s.resumed {
+		counts[w.req.Workspace]++
+	}
+	for _, w := range s.resumed {
+		if counts[w.req.Workspace] >= counts[latest.req.Workspace] {
+			latest = w
+		}
+	}
+	if counts[latest.req.Workspace] <= counts[workspace]+1 {
+		return false
+	}
+	s.removeResumed(latest)
+	latest.response <- s.rejection(now, latest.req, Shed)
+	return true
+}
+
 // dispatchResumed places the waiting requests whose engines have room.
 func (s *shard) dispatchResumed(now time.Time) {
 	s.resumed = slices.DeleteFunc(s.resumed, func(w *queuedRequest) bool {
