Engines of other versions count in the load bound of resumed streams

What callers would see: engines of a version with few targets left that run far more than the set multiple of the mean. Cause: the bound of a request that must be placed counts engines that it avoids only while they have work, since they may have stopped; engines of other versions were left out in the same way, though they run. Change: only avoided engines are. Evidence: TestBoundCountsEnginesOfOtherVersions: 40 requests on one of four engines before, passes now.

--- a/internal/rule/place/avoid_test.go
+++ b/internal/rule/place/avoid_test.go
@@ -1,7 +1,9 @@
 package place_test
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/place"
@@ -41,3 +43,29 @@
 		}
 	}
 }
+
+// Guards against a load bound that grows with the load of the few engines of one version: engines of other versions
+// run other requests, so they count in the mean even while they have none.
+func TestBoundCountsEnginesOfOtherVersions(t *testing.T) {
+	const versions, more = 4, 40
+	h := place.NewHome(place.ShardID{Pool: "p"}, "home", place.DefaultBound, 1)
+	var engines []place.Engine
+	for i, version := range []ident.Version{"v1", "v2", "v3", "v4"} {
+		name := ident.Target(fmt.Sprint("engine-", i))
+		engines = append(engines, place.Engine{ID: name, Hash: name.Hash(), Incarnation: 1, Version: version})
+	}
+	h.SetRoster(place.NewRoster(1, engines))
+	now := time.Unix(1000, 0)
+	request := func(permit int, version ident.Version) {
+		h.Place(now, place.Request{
+			Edge: "edge", Permit: uint64(permit), Key: ident.ChatKey(permit), Work: ident.OneRequest, MustPlace: true, Version: version,
+		})
+	}
+	for permit := range more {
+		request(permit, "v1")
+	}
+	load := h.LoadOf(engines[0].Hash).Requests()
+	if limit := place.DefaultBound.Factor*load/versions + 1; load > limit {
+		t.Errorf("one of %d engines runs %v requests, the others none; want at most %v", versions, load, limit)
+	}
+}
--- a/internal/rule/place/bound.go
+++ b/internal/rule/place/bound.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"valescale/internal/plat/ident"
@@ -53,12 +54,12 @@
 // be placed here: the pool's mean may be lower, or unknown. Engines that the request avoids count
 // while they have work, because other edge routers use them. Otherwise the few engines that one
 // router considers healthy would receive all of its requests. Avoided engines without work may have
-// stopped, and would only lower the limit of the others.
+// stopped, and would only lower the limit of the others. Engines of other versions always count.
 func (h *Home) shardLimit(req Request) float64 {
 	engines := 0
 	for i := range h.engines {
 		e := &h.engines[i]
-		if e.usable() && (e.load() > 0 || req.accepts(&e.Engine)) {
+		if e.usable() && (e.load() > 0 || !slices.Contains(req.Avoid, e.Hash)) {
 			engines++
 		}
 	}
