Rejected resumed streams do not mark a pool as saturated

What callers would see: new requests that try one shard only, for 200 ms after each resumed stream that found no room. Cause: the rejection of the last home counts for all requests of the pool, also if it concerned one version. Evidence: by reading, in a review; no test shows the effect. go test of edge/route passes.

--- a/internal/edge/route/permit.go
+++ b/internal/edge/route/permit.go
@@ -52,7 +52,7 @@
 			// targets are free.
 			return r.placeWithoutHome(ctx, p, request, nil)
 		case step.MustPlace:
-			return nil, false, r.rejectionError(ctx, p, step.Shard, resp)
+			return nil, false, r.rejectionError(ctx, p, request, step.Shard, resp)
 		}
 		if holder == 0 {
 			// The preferred shard of the chat is full, but the cached prefix can still be copied
@@ -124,11 +124,14 @@
 	return false
 }
 
-// rejectionError returns the error for the response of the last home.
-func (r *Router) rejectionError(ctx context.Context, p *pool, shard ident.Shard, resp home.PermitResponse) error {
+// rejectionError returns the error for the response of the last home. If only targets of one version were
+// wanted, their rejection does not show that the pool is saturated.
+func (r *Router) rejectionError(ctx context.Context, p *pool, request TargetRequest, shard ident.Shard, resp home.PermitResponse) error {
 	const op = "route.Acquire"
 	r.mu.Lock()
-	p.saturatedUntil = r.clock().Add(saturationTTL)
+	if request.Version == "" {
+		p.saturatedUntil = r.clock().Add(saturationTTL)
+	}
 	to := r.homeOf(place.ShardID{Pool: p.Name, Shard: shard})
 	r.mu.Unlock()
 	retryAfter := RetryAfter{Wait: resp.RetryAfter, Home: to, Work: resp.Work, Held: resp.Held}
