A caller that reads slowly has five seconds without progress before a reset, as for other writes

Suspected: with a small receive window the sender's system probes at doubling intervals, which exceed two seconds. The limit for writes without progress is five seconds elsewhere; it holds here too.

--- a/internal/edge/entry/caller.go
+++ b/internal/edge/entry/caller.go
@@ -35,13 +35,9 @@
 	SetLinger(seconds int) error
 }
 
-const (
-	// deliveryTimeout limits how long a caller may receive nothing of what was sent before its connection is
-	// reset: the time for which callers wait for the next event.
-	deliveryTimeout = 2 * time.Second
-	// deliveryPollInterval is the interval at which the rest is checked, some round trips to a caller.
-	deliveryPollInterval = 10 * time.Millisecond
-)
+// deliveryPollInterval is the interval at which it is checked what a caller has not received, some round trips
+// to it.
+const deliveryPollInterval = 10 * time.Millisecond
 
 // callerOf returns the connection of a request's caller, or nil if it is not known.
 func callerOf(ctx context.Context) *callerConn {
@@ -65,13 +61,14 @@
 	}
 }
 
-// waitDelivery waits until the caller has received everything, or has received nothing for deliveryTimeout.
+// waitDelivery waits until the caller has received everything, or has received nothing for
+// callerWriteTimeout.
 func (c *callerConn) waitDelivery() {
 	if c == nil {
 		return
 	}
 	left := unreceived(c.Conn)
-	for progressAt := time.Now(); left > 0 && time.Since(progressAt) < deliveryTimeout; {
+	for progressAt := time.Now(); left > 0 && time.Since(progressAt) < callerWriteTimeout; {
 		time.Sleep(deliveryPollInterval)
 		if now := unreceived(c.Conn); now < left {
 			left, progressAt = now, time.Now()
