Routers of an earlier release answer the question for an origin

What callers would see: while a fleet is replaced, the first router of the new release rejects each stream that is resumed there, also where the service has one version. Cause: an earlier release answers that it does not know the question, which counted as no answer, and no answer as a cut. Evidence: by reading, in a review; no test has two releases.

--- a/internal/share/home/origins.go
+++ b/internal/share/home/origins.go
@@ -24,6 +24,10 @@
 func (r *Remote) FindOrigin(ctx context.Context, to ident.Router, key origin.Key, service ident.Service) (answer origin.Answer, err error) {
 	err = r.call(ctx, "home.FindOrigin", to, func(ctx context.Context, client peerpb.PeerServiceClient) error {
 		reply, err := client.FindOrigin(ctx, connect.NewRequest(&peerpb.FindOriginRequest{Key: uint64(key), Service: string(service)}))
+		if connect.CodeOf(err) == connect.CodeUnimplemented {
+			// An earlier release knows no origins. It answers nevertheless, so that this router is not cut off.
+			return nil
+		}
 		if err != nil {
 			return err
 		}
