Only streams of resumable routes are looked up

What callers would see: with several versions, a request with a Last-Event-Id on a route whose streams cannot be resumed is rejected each time, since origins are recorded for resumable routes only. Evidence: by reading, in a review. go test of edge/entry passes.

--- a/internal/edge/entry/origin.go
+++ b/internal/edge/entry/origin.go
@@ -14,7 +14,7 @@
 const originRetryAfter = 500 * time.Millisecond
 
 // resumes reports whether the caller goes on with a stream that began with an earlier request.
-func (j *job) resumes() bool { return j.route.Stream && j.call.LastEvent != "" }
+func (j *job) resumes() bool { return j.route.Stream && j.route.Resumable && j.call.LastEvent != "" }
 
 // streamID returns the ID of the request that brought the first event of the stream, or will bring it. It is
 // empty if the caller does not name it.
