A resumed stream whose canary pool has no target tries that of its service

What callers would see: a stream cut off while a rollout changes state: the name of its version's pool changes before the pools do. Change: the pool of the service is tried too; the version in the request keeps other targets out. Evidence: by reading, in a review. go test of edge/entry passes.

--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -291,7 +291,7 @@
 	}
 	placementRequest.Service, placementRequest.Version = j.lookupName, j.version
 	placement, err := h.Finder.Acquire(ctx, placementRequest)
-	if err != nil && j.lookupName != j.service && j.version == "" {
+	if err != nil && j.lookupName != j.service {
 		j.lookupName, placementRequest.Service = j.service, j.service
 		placement, err = h.Finder.Acquire(ctx, placementRequest)
 	}
