Test homes of an earlier release as they are

The fake homes had engines without versions, but followed the version of a request; a home of an earlier release knows neither. Now they ignore it.

--- a/internal/edge/route/router_test.go
+++ b/internal/edge/route/router_test.go
@@ -37,6 +37,8 @@
 	localDelay bool
 	// dropWithdrawals loses withdrawals.
 	dropWithdrawals bool
+	// dropVersions makes homes ignore the version of a request, as those of an earlier release do.
+	dropVersions bool
 	// dropReleases loses released permits.
 	dropReleases bool
 	// onPlace is called while a home handles a permit request.
@@ -65,6 +67,9 @@
 	if f.dropReleases {
 		released = nil
 	}
+	if f.dropVersions {
+		request.Version = ""
+	}
 	resp := h.Place(ctx, request, released)
 	if f.onPlace != nil {
 		f.onPlace()
--- a/internal/edge/route/version_test.go
+++ b/internal/edge/route/version_test.go
@@ -13,9 +13,8 @@
 	"valescale/internal/rule/place"
 )
 
-// setVersions replaces the engines by pairs of each version, in a number of shards. Homes do not have the
-// versions if they are older than this router.
-func (f *fleet) setVersions(r *route.Router, shards int, olderHomes bool, versions ...ident.Version) {
+// setVersions replaces the engines by pairs of each version, in a number of shards.
+func (f *fleet) setVersions(r *route.Router, shards int, versions ...ident.Version) {
 	var engines []place.Engine
 	for _, version := range versions {
 		for i := range 2 {
@@ -27,11 +26,6 @@
 	p.Service.Shards = shards
 	p.Roster = place.NewRoster(shards, engines)
 	f.pools[0] = p
-	if olderHomes {
-		for i := range engines {
-			engines[i].Version = ""
-		}
-	}
 	for _, name := range routers {
 		f.homes[name].SetPool(pool, place.DefaultBound, place.NewRoster(shards, engines))
 	}
@@ -59,7 +53,8 @@
 	}{{"home", 1, false, false}, {"no home", 1, false, true}, {"older home", 1, true, false}, {"many shards", 16, false, false}} {
 		t.Run(c.name, func(t *testing.T) {
 			f, r, _ := newFleet()
-			f.setVersions(r, c.shards, c.olderHomes, "v1", "v2", "v3")
+			f.setVersions(r, c.shards, "v1", "v2", "v3")
+			f.dropVersions = c.olderHomes
 			for _, name := range routers {
 				f.down[name] = c.down
 			}
@@ -82,7 +77,7 @@
 // accepts new work.
 func TestNoTargetOfTheVersion(t *testing.T) {
 	f, r, _ := newFleet()
-	f.setVersions(r, 1, false, "v1")
+	f.setVersions(r, 1, "v1")
 	_, err := acquireVersion(r, 1, "v2")
 	if diff := cmp.Diff(route.NoTarget, fault.KindOf[route.Kind](err)); diff != "" {
 		t.Error(diff)
