--- a/cmd/measure/call.go
+++ b/cmd/measure/call.go
@@ -28,7 +28,7 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP2(secure)
 	protocols.SetUnencryptedHTTP2(!secure)
-	server := &http.Server{Handler: mux, Protocols: protocols}
+	server := &http.Server{Handler: mux, Protocols: protocols, HTTP2: &http.HTTP2Config{MaxReadFrameSize: 16 << 10}}
 	var config *tls.Config
 	if secure {
 		server.TLSConfig = &tls.Config{Certificates: []tls.Certificate{selfSignedCertificate()}}
--- a/internal/oper/node/servers.go
+++ b/internal/oper/node/servers.go
@@ -21,6 +21,9 @@
 	// maxHeaderBytes limits the size of a request's header. It is four times what configurations
 	// allow.
 	maxHeaderBytes = 64 << 10
+	// peerFrameBytes is the largest frame that peers may send: the smallest limit that the protocol allows. A
+	// peer holds a buffer of this size for each link, in place of 512 KB.
+	peerFrameBytes = 16 << 10
 	// minCompressBytes is the minimum size of a response to a peer that is compressed. Full tables
 	// are compressed; changes and permits are not worth the processor time.
 	minCompressBytes = 16 << 10
@@ -64,5 +67,8 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, Protocols: protocols, ErrorLog: telem.NewServerLog(n.Logger)}
+	return &http.Server{
+		Handler: mux, ReadHeaderTimeout: headerTimeout, Protocols: protocols, ErrorLog: telem.NewServerLog(n.Logger),
+		HTTP2: &http.HTTP2Config{MaxReadFrameSize: peerFrameBytes},
+	}
 }
