Only requests that resume a stream log its origin

Seven fields that are empty in nearly all lines of requests; a line is an event on the way of each answer and costs processor time. Lines of requests with a Last-Event-Id hold them as before.

--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -216,17 +216,29 @@
 			holder = j.lastPlacement.Holder.ID
 		}
 	}
-	_ = level.Info(h.Logger).Log("msg", "request", "request", j.call.ID, "route", e.Route, "workspace", e.Workspace,
+	fields := []any{
+		"msg", "request", "request", j.call.ID, "route", e.Route, "workspace", e.Workspace,
 		"service", e.Service, "revision", j.revision, "reason", e.Reason, "status", e.Status, "sends", e.Sends, "outcome", j.outcome,
-		"target", target, "target_version", version, "last_event", j.call.LastEvent, "resumes", j.call.Resumes,
-		"origin", j.origin.Source, "origin_version", j.origin.Version, "origin_from", j.origin.From, "asked", j.origin.Asked, "answered", j.origin.Answered,
-		"key", strconv.FormatUint(uint64(j.placementKey), 16), "warm", warm, "holder", holder, "home", home, "via", j.via,
+		"target", target, "target_version", version, "key", strconv.FormatUint(uint64(j.placementKey), 16), "warm", warm, "holder", holder, "home", home, "via", j.via,
 		"rule", basis.Rule, "load", basis.Load.Requests(), "mean", basis.Mean.Requests(),
 		"found_ms", e.Found.Milliseconds(), "first_ms", e.First.Milliseconds(), "whole_ms", e.Total.Milliseconds(),
 		"framing", j.progress.framing, "ending", j.progress.ending, "bytes", j.progress.bytes,
 		"pace", float64(j.progress.pace), "events", j.progress.events, "gap_ms", j.progress.longestGap.Milliseconds(),
 		"own_tokens", size.Own, "prefix_tokens", size.Prefix, "output_tokens", size.Output,
-		"err", j.placementErr)
+		"err", j.placementErr,
+	}
+	_ = level.Info(h.Logger).Log(append(fields, j.originFields()...)...)
+}
+
+// originFields returns the log fields of a stream that the caller resumes, or none.
+func (j *job) originFields() []any {
+	if j.call.LastEvent == "" {
+		return nil
+	}
+	return []any{
+		"last_event", j.call.LastEvent, "resumes", j.call.Resumes, "origin", j.origin.Source, "origin_version", j.origin.Version,
+		"origin_from", j.origin.From, "asked", j.origin.Asked, "answered", j.origin.Answered,
+	}
 }
 
 // logAttempt logs a failed attempt and the retry decision.
