--- a/internal/edge/entry/origin.go
+++ b/internal/edge/entry/origin.go
@@ -14,7 +14,7 @@
 const originRetryAfter = 500 * time.Millisecond
 
 // resumes reports whether the caller goes on with a stream that began with an earlier request.
-func (j *job) resumes() bool { return j.route.Stream && j.call.LastEvent != "" }
+func (j *job) resumes() bool { return j.route.Stream && j.route.Resumable && j.call.LastEvent != "" }
 
 // streamID returns the ID of the request that brought the first event of the stream, or will bring it. It is
 // empty if the caller does not name it.
@@ -62,11 +62,11 @@
 	if !j.origin.Resumable() {
 		return rejection(UnknownOrigin, originRetryAfter)
 	}
-	j.version = j.origin.Version
-	if j.origin.Service != j.service && j.route.SendsTo(j.origin.Service) {
-		j.service = j.origin.Service
-		j.copiesCache = h.Rules.Table().Service(j.service).CopiesPrefixes
+	if j.origin.Service != j.service && !j.route.SendsTo(j.origin.Service) {
+		return rejection(NoTarget, originRetryAfter)
 	}
+	j.service, j.version = j.origin.Service, j.origin.Version
+	j.copiesCache = h.Rules.Table().Service(j.service).CopiesPrefixes
 	return nil
 }
 
