The time to return of a resumed stream is that of its own version's targets

What callers saw: with all targets of the version in backoff for 3 s and another version's for 200 ms, a time to return of 200 ms, which brings them back in vain; with targets that leave, 'backing off' for 'no target'. Cause: the earliest backoff of all targets of the pool was taken.

--- a/internal/edge/route/backoff.go
+++ b/internal/edge/route/backoff.go
@@ -126,9 +126,8 @@
 
 // unavailable returns the targets of a pool that accept no requests from this router although the
 // pool lists them as available: they are in backoff, or leaving according to an answer that is
-// newer than the pool. It also returns the earliest end of these backoffs. The caller holds the
-// lock.
-func (r *Router) unavailable(p *pool) (targets []ident.TargetHash, earliest time.Time) {
+// newer than the pool. The caller holds the lock.
+func (r *Router) unavailable(p *pool) (targets []ident.TargetHash) {
 	now := r.clock()
 	for hash, b := range r.backoffs {
 		t, known := p.Target(hash)
@@ -136,9 +135,6 @@
 			continue
 		}
 		targets = append(targets, hash)
-		if earliest.IsZero() || b.until.Before(earliest) {
-			earliest = b.until
-		}
 	}
 	for hash, incarnation := range r.leaving {
 		t, known := p.Target(hash)
@@ -146,7 +142,20 @@
 			targets = append(targets, hash)
 		}
 	}
-	return targets, earliest
+	return targets
+}
+
+// earliestBackoff returns the earliest end of the backoffs of some targets, or zero if none is in backoff. The
+// caller holds the lock.
+func (r *Router) earliestBackoff(targets []ident.TargetHash) (earliest time.Time) {
+	now := r.clock()
+	for _, hash := range targets {
+		until := r.backoffs[hash].until
+		if now.Before(until) && (earliest.IsZero() || until.Before(earliest)) {
+			earliest = until
+		}
+	}
+	return earliest
 }
 
 // removeStaleLeaving removes the targets that the pools show as leaving, that were removed, or that
@@ -185,7 +194,7 @@
 	matches := version == "" || placement.Target.Version == version
 	if matches && p.state.AcceptsWork(placement.Hash) {
 		// An answer may have reported otherwise while the request waited for its permit.
-		unavailable, _ := r.unavailable(p)
+		unavailable := r.unavailable(p)
 		if !slices.Contains(unavailable, placement.Hash) {
 			return nil
 		}
@@ -217,10 +226,11 @@
 		if usable == 0 {
 			continue
 		}
-		unavailable, first := r.unavailable(p)
-		if len(p.ofVersion(unavailable, version)) < usable {
+		unavailable := p.ofVersion(r.unavailable(p), version)
+		if len(unavailable) < usable {
 			return p, nil
 		}
+		first := r.earliestBackoff(unavailable)
 		if earliest.IsZero() || !first.IsZero() && first.Before(earliest) {
 			earliest = first
 		}
--- a/internal/edge/route/choose.go
+++ b/internal/edge/route/choose.go
@@ -61,7 +61,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock()
-	out, _ := r.unavailable(p)
+	out := r.unavailable(p)
 	available := p.state.UsableOf(request.Version) - len(p.ofVersion(out, request.Version))
 	out = append(out, request.excluded...)
 	failed := without(request.Avoid, out)
