All keepers of an origin are asked while its sender is listed

Cause: a router is none of its own keepers, but takes one of their places in the order of those who are asked. Evidence: TestAllKeepersAreAskedWhileTheSenderIsListed fails without the change, passes with it.

--- a/internal/share/origin/keepers.go
+++ b/internal/share/origin/keepers.go
@@ -72,6 +72,17 @@
 	return inOrder(bucket, candidates, keeperCount)
 }
 
+// likelyAmong returns the routers that may keep an origin of a bucket if one of the given routers has sent it. That
+// router is none of its own keepers.
+func likelyAmong(bucket uint64, routers []Router) []ident.Router {
+	out := inOrder(bucket, routers, askedCount)
+	for _, sender := range out[:min(len(out), keeperCount)] {
+		others := slices.DeleteFunc(slices.Clone(routers), func(r Router) bool { return r.ID == sender })
+		out = append(out, inOrder(bucket, others, keeperCount)...)
+	}
+	return out
+}
+
 // likelyKeepers returns the routers of all regions that may keep an origin of a bucket, without the router
 // itself. Leaving routers still have what they kept, and may hide those that replace them.
 func likelyKeepers(bucket uint64, self ident.Router, routers []Router) []ident.Router {
@@ -84,8 +95,8 @@
 	var out []ident.Router
 	for _, all := range regions {
 		accepting := slices.DeleteFunc(slices.Clone(all), func(r Router) bool { return !r.Accepts })
-		out = append(out, inOrder(bucket, accepting, askedCount)...)
-		out = append(out, inOrder(bucket, all, askedCount)...)
+		out = append(out, likelyAmong(bucket, accepting)...)
+		out = append(out, likelyAmong(bucket, all)...)
 	}
 	slices.Sort(out)
 	return slices.Compact(out)
--- a/internal/share/origin/origins_test.go
+++ b/internal/share/origin/origins_test.go
@@ -354,3 +354,21 @@
 		t.Errorf("%+v, want an unknown origin", got)
 	}
 }
+
+// Guards against a keeper that is not asked because the router that sent it the origin comes before it in the order
+// of those that are asked: it is none of its own keepers.
+func TestAllKeepersAreAskedWhileTheSenderIsListed(t *testing.T) {
+	for _, count := range []int{4, 8, 24, 80} {
+		f := newFleet(count)
+		for bucket := range uint64(bucketCount) {
+			asked := likelyKeepers(bucket, "", f.routers)
+			for _, sender := range f.routers {
+				for _, keeper := range keepers(bucket, sender.ID, "co", f.routers) {
+					if !slices.Contains(asked, keeper) {
+						t.Errorf("%d routers, bucket %d: keeper %s of %s is not asked", count, bucket, keeper, sender.ID)
+					}
+				}
+			}
+		}
+	}
+}
