Test that resumed streams go on at their origin

What a caller would see: a stream that it resumes goes on at another version, or is rejected although its origin is known. Most guards of origin.go had no test.

Cause: the headers of the test dialect had no event and no first request, so no test of this package resumed a stream.

Change: the test dialect reads both.

--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -34,7 +34,9 @@
 type testDialect struct{}
 
 func (testDialect) Read(h http.Header) Call {
-	return Call{ID: RequestID(h.Get("Id")), Key: h.Get("Key")}
+	return Call{
+		ID: RequestID(h.Get("Id")), Key: h.Get("Key"), LastEvent: EventID(h.Get("Last-Event")), Resumes: RequestID(h.Get("Resumes")),
+	}
 }
 
 func (testDialect) Write(h http.Header, _ Call, o TargetHeaders) {
