Test rows that return, and bound versions without a target

What a caller would see: a stream that is not resumed after a target's row was removed and added again, or a bound version sought under a name without its targets.

Cause: taking out the check of the former row in countVersion, or that of the bound version in acquire, made none of the new tests fail.

Change: the test of counted versions applies several changes in turn, and a test covers a bound version that has no target.

--- a/internal/edge/entry/resumed_stream_test.go
+++ b/internal/edge/entry/resumed_stream_test.go
@@ -353,3 +353,20 @@
 		}
 	}
 }
+
+// Guards against a second search under the name of the service for a version that is bound: that of a canary
+// has its targets under its own name only.
+func TestBoundVersionIsNotSoughtUnderTheNameOfItsService(t *testing.T) {
+	s := newVersionSetup(t, newRoute(resumableRoute), "v1")
+	s.handler.Origins = &fixedOrigins{found: origin.Found{Origin: origin.Origin{Service: "s", Version: "v1"}, Source: origin.Own}}
+	s.handler.Canaries = versionNames{}
+	requests := recordSought(s)
+	status, _ := callWith(t, s.url, "Id", "caller-1", "Last-Event", "3", "Resumes", "first")
+	s.server.Close()
+	if diff := cmp.Diff(http.StatusServiceUnavailable, status); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]sought{{"s-v1", "v1"}}, *requests); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/oper/node/versions_test.go
+++ b/internal/oper/node/versions_test.go
@@ -39,15 +39,17 @@
 		name string
 		// serviceName is the name under which targets are kept.
 		serviceName ident.Service
-		change      feed.Change
+		changes     []feed.Change
 		want        origin.Found
 	}{
-		{"same version", testService, feed.Change{Rows: rowsOf(2, "x", "v1")}, singleVersion("v1")},
-		{"changed row", testService, feed.Change{Rows: rowsOf(2, "x", "v2")}, singleVersion("v2")},
-		{"other target with another version", testService, feed.Change{Rows: rowsOf(2, "y", "v2")}, origin.Found{Source: origin.Unknown}},
-		{"removed row", testService, feed.Change{Removed: []table.Key{"x"}}, origin.Found{Source: origin.Unknown}},
-		{"spoilt row", testService, feed.Change{Rows: rowsOf(2, "x", "?")}, origin.Found{Source: origin.Unknown}},
-		{"kept under the name of a canary", canaryName, feed.Change{Rows: rowsOf(2, "x", "v2")}, singleVersion("v2")},
+		{"same version", testService, []feed.Change{{Rows: rowsOf(2, "x", "v1")}}, singleVersion("v1")},
+		{"changed row", testService, []feed.Change{{Rows: rowsOf(2, "x", "v2")}}, singleVersion("v2")},
+		{"other target with another version", testService, []feed.Change{{Rows: rowsOf(2, "y", "v2")}}, origin.Found{Source: origin.Unknown}},
+		{"removed row", testService, []feed.Change{{Removed: []table.Key{"x"}}}, origin.Found{Source: origin.Unknown}},
+		{"spoilt row", testService, []feed.Change{{Rows: rowsOf(2, "x", "?")}}, origin.Found{Source: origin.Unknown}},
+		{"removed and added again", testService, []feed.Change{{Removed: []table.Key{"x"}}, {Rows: rowsOf(2, "x", "v1")}}, singleVersion("v1")},
+		{"spoilt and valid again", testService, []feed.Change{{Rows: rowsOf(2, "x", "?")}, {Rows: rowsOf(3, "x", "v1")}}, singleVersion("v1")},
+		{"kept under the name of a canary", canaryName, []feed.Change{{Rows: rowsOf(2, "x", "v2")}}, singleVersion("v2")},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
@@ -59,7 +61,9 @@
 				Logger: log.NewNopLogger(), Clock: clock,
 			})
 			s.updateTargets(feed.Change{Rows: rowsOf(1, "x", "v1")})
-			s.updateTargets(c.change)
+			for _, change := range c.changes {
+				s.updateTargets(change)
+			}
 			// Versions that are gone count for this time.
 			now = now.Add(origin.Lifetime)
 			if diff := cmp.Diff(c.want, s.origins.Find(t.Context(), 1, testService)); diff != "" {
