--- a/cmd/measure/origin.go
+++ b/cmd/measure/origin.go
@@ -29,7 +29,8 @@
 	originBatch = 256
 	// keepersOfOrigin is the number of routers to which an origin is sent.
 	keepersOfOrigin = 3
-	// askedOfRegion is the number of routers of a region that are asked for an origin.
+	// askedOfRegion is the number of routers of a region that are asked for an origin, and up to as many more as
+	// it has keepers.
 	askedOfRegion = 5
 	// streamsPerSecond is the number of streams that begin at a router in a second: all requests of a router
 	// at the page's target size.
