--- a/internal/edge/entry/resumed_stream_test.go
+++ b/internal/edge/entry/resumed_stream_test.go
@@ -340,8 +340,8 @@
 		name      string
 		resumable bool
 		sticky    bool
-		call   Call
-		want   ident.ChatKey
+		call      Call
+		want      ident.ChatKey
 	}{
 		{"first request", true, false, Call{ID: "caller-1"}, ident.NewChatKey("w", "caller-1")},
 		{"resumed", true, false, Call{ID: "caller-1", LastEvent: "3", Resumes: "first"}, ident.NewChatKey("w", "first")},
--- a/internal/edge/entry/unmarked_test.go
+++ b/internal/edge/entry/unmarked_test.go
@@ -112,6 +112,7 @@
 			if diff := cmp.Diff(rawResponse{Status: 200, Body: eventText(1, 3), Broken: true}, got); diff != "" {
 				t.Error(diff)
 			}
+			s.server.Close()
 			if diff := cmp.Diff([]string{"ok false"}, s.finder.reports); diff != "" {
 				t.Errorf("reports on the target: %s", diff)
 			}
--- a/internal/oper/node/versions_test.go
+++ b/internal/oper/node/versions_test.go
@@ -58,7 +58,7 @@
 			s.serviceName = func(ident.Service, ident.Version) ident.Service { return c.serviceName }
 			s.origins = origin.New(origin.Parts{
 				Self: "self", Routers: func() []origin.Router { return nil }, RoutersVersion: func() uint64 { return 1 },
-				Logger: log.NewNopLogger(), Clock: clock,
+				RowsCurrent: func() bool { return true }, Logger: log.NewNopLogger(), Clock: clock,
 			})
 			s.updateTargets(feed.Change{Rows: rowsOf(1, "x", "v1")})
 			for _, change := range c.changes {
