--- a/internal/edge/entry/ending_test.go
+++ b/internal/edge/entry/ending_test.go
@@ -101,24 +101,13 @@
 // which says that it is leaving and has neither a length nor chunks.
 func newLeavingTarget(t *testing.T, body string) *fakeTarget {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	target := &fakeTarget{addr: l.Addr().String(), closed: make(chan struct{}, 1)}
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
+	return newTargetProcess(t, func(target *fakeTarget, l net.Listener, c net.Conn) {
 		_ = l.Close()
 		target.serve(c, func(w *bufio.Writer, r *http.Request) bool {
 			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nLeaving: 1\r\nConnection: close\r\n\r\n%s", r.Header.Get("Id"), body)
 			return false
 		})
-	}()
-	return target
+	})
 }
 
 // Guards against whole answers that are taken for broken, and repeated, because their target is leaving and
@@ -191,17 +180,7 @@
 // Guards against a crash that is taken for the end of an answer because the target's process still listens
 // for a moment: the connection of the check is accepted by the kernel and reset at once.
 func TestTargetThatEndsDuringTheCheckOfItsAnswer(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	target := &fakeTarget{addr: l.Addr().String(), closed: make(chan struct{}, 1)}
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
+	target := newTargetProcess(t, func(target *fakeTarget, l net.Listener, c net.Conn) {
 		target.serve(c, unmarked(eventText(1, 3)))
 		check, err := l.Accept()
 		if err != nil {
@@ -210,7 +189,7 @@
 		_ = check.(*net.TCPConn).SetLinger(0)
 		_ = check.Close()
 		_ = l.Close()
-	}()
+	})
 	s := newSetup(t, newRoute(plainStream), target)
 	got := s.callRaw(t, "POST", "HTTP/1.1")
 	if diff := cmp.Diff(rawResponse{Status: 200, Body: eventText(1, 3), Broken: true}, got); diff != "" {
--- a/internal/edge/entry/recorded_test.go
+++ b/internal/edge/entry/recorded_test.go
@@ -83,17 +83,7 @@
 // the events of its unmarked answer.
 func newResettingTarget(t *testing.T, body string) *fakeTarget {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	target := &fakeTarget{addr: l.Addr().String(), closed: make(chan struct{}, 1)}
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
+	return newTargetProcess(t, func(target *fakeTarget, _ net.Listener, c net.Conn) {
 		target.serve(c, func(w *bufio.Writer, r *http.Request) bool {
 			writeUnmarked(w, "HTTP/1.1", r, body)
 			_ = w.Flush()
@@ -101,8 +91,7 @@
 			_ = c.(*net.TCPConn).SetLinger(0)
 			return false
 		})
-	}()
-	return target
+	})
 }
 
 // chunk returns the headers of an answer in chunks, and one of them of which bytes may be missing.
--- a/internal/edge/entry/unmarked_test.go
+++ b/internal/edge/entry/unmarked_test.go
@@ -60,9 +60,9 @@
 	_, _ = fmt.Fprintf(w, "%s 200 OK\r\nId: %s\r\n\r\n%s", protocol, r.Header.Get("Id"), body)
 }
 
-// newCrashingTarget returns a target whose process ends with its first answer, which has neither a
-// length nor chunks: nothing listens at its address once the connection is closed.
-func newCrashingTarget(t *testing.T, body string) *fakeTarget {
+// newTargetProcess returns a target that serves its first connection by a function, which also receives the
+// listener and may close it as a process that ends does.
+func newTargetProcess(t *testing.T, serve func(target *fakeTarget, l net.Listener, c net.Conn)) *fakeTarget {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -71,17 +71,24 @@
 	t.Cleanup(func() { _ = l.Close() })
 	target := &fakeTarget{addr: l.Addr().String(), closed: make(chan struct{}, 1)}
 	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
+		if c, err := l.Accept(); err == nil {
+			serve(target, l, c)
 		}
+	}()
+	return target
+}
+
+// newCrashingTarget returns a target whose process ends with its first answer, which has neither a
+// length nor chunks: nothing listens at its address once the connection is closed.
+func newCrashingTarget(t *testing.T, body string) *fakeTarget {
+	t.Helper()
+	return newTargetProcess(t, func(target *fakeTarget, l net.Listener, c net.Conn) {
 		target.serve(c, func(w *bufio.Writer, r *http.Request) bool {
 			writeUnmarked(w, "HTTP/1.1", r, body)
 			_ = l.Close()
 			return false
 		})
-	}()
-	return target
+	})
 }
 
 func plainStream(r *match.Route) { r.Stream = true }
