--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -243,24 +243,10 @@
 			j.found = h.Clock().Sub(j.arrived)
 		}
 		j.lastPlacement = placement
-		if callerDisconnected(ctx) {
-			placement.Release()
-			h.endCallerGone(j)
+		if h.endBeforeSending(ctx, w, j, placement) {
 			return
 		}
-		if p := h.quarantineProblem(j); p != nil {
-			placement.Release()
-			h.endWithProblem(w, j, p)
-			return
-		}
-		began := h.Clock()
-		result := h.attempt(ctx, w, j, placement)
-		placement.Release()
-		h.reportToGuard(j, placement, result)
-		h.reportCanary(j, result)
-		if result.succeeded() && j.sends == 1 {
-			h.latency.add(j.route.Name, j.arrived.Add(j.first).Sub(began))
-		}
+		result := h.send(ctx, w, j, placement)
 		if result.ended {
 			h.ended(j, result.reason, result.status)
 			abortConnection(j, result.reason)
@@ -274,6 +260,35 @@
 	}
 }
 
+// endBeforeSending ends a request that must not be sent to the target that was found, and reports whether it did:
+// its caller has disconnected, or targets have crashed under it, while the target was sought.
+func (h *Handler) endBeforeSending(ctx context.Context, w http.ResponseWriter, j *job, placement *route.Placement) bool {
+	if callerDisconnected(ctx) {
+		placement.Release()
+		h.endCallerGone(j)
+	}
+	p := h.quarantineProblem(j)
+	if p == nil {
+		return false
+	}
+	placement.Release()
+	h.endWithProblem(w, j, p)
+	return true
+}
+
+// send makes an attempt at a target, releases the placement and reports the result.
+func (h *Handler) send(ctx context.Context, w http.ResponseWriter, j *job, placement *route.Placement) result {
+	began := h.Clock()
+	result := h.attempt(ctx, w, j, placement)
+	placement.Release()
+	h.reportToGuard(j, placement, result)
+	h.reportCanary(j, result)
+	if result.succeeded() && j.sends == 1 {
+		h.latency.add(j.route.Name, j.arrived.Add(j.first).Sub(began))
+	}
+	return result
+}
+
 // acquire finds a target. The first attempt may use the canary version if one of its targets has a
 // free slot. A stream that has begun stays at its version.
 func (h *Handler) acquire(ctx context.Context, j *job) (*route.Placement, error) {
