A process that is ending has 20 ms to reset a connection that its kernel accepted

Seen: one failed run of package edge/entry whose output was not kept; of 40 runs of the package side by side one failed TestTargetThatEndsDuringTheCheckOfItsAnswer, whose target needs longer than 5 ms to reset the connection on a machine that is short of processor time, as a process that is killed there would, and 8 TestCallersThatNeverRead. Change: 20 ms. The events of a stream are with their caller by then; a plain answer without a marked end waits for it.

--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -237,7 +237,7 @@
 
 // acceptedDelay is how long a connection must stay open to show that its target is running. The kernel may
 // accept a connection for a process that is ending, and reset it as soon as the process has ended.
-const acceptedDelay = 5 * time.Millisecond
+const acceptedDelay = 20 * time.Millisecond
 
 // endTimeout limits the search for the end of a target's process: an attempt to connect on each path. An
 // answer that may be whole waits for it.
