--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -63,7 +63,7 @@
 	router *router
 	sentAt time.Time
 	// stream is the name of the stream and from the first event that is requested; resumes is the id of the
-	// attempt that brought the first event of a stream that is taken up.
+	// attempt that brought the first event of a stream that is resumed.
 	stream  string
 	from    int
 	resumes string
--- a/cmd/soak/ledger.go
+++ b/cmd/soak/ledger.go
@@ -40,11 +40,11 @@
 	unmarked    map[string]*unmarkedAnswers
 	restarts    map[string]time.Time
 	seemedWhole int
-	// begins counts new resumable streams, takeUps tries to take one up, and mixed describes the streams that
+	// begins counts new resumable streams, resumptions tries to resume one, and mixed describes the streams that
 	// hold events of two versions.
-	begins  tally
-	takeUps tally
-	mixed   []string
+	begins      tally
+	resumptions tally
+	mixed       []string
 }
 
 func newLedger(targets int) *ledger {
--- a/cmd/soak/stream.go
+++ b/cmd/soak/stream.go
@@ -67,10 +67,10 @@
 const (
 	// leaveInterval makes the caller of one resumable stream in so many close its connection midway.
 	leaveInterval = 6
-	// maxTakeUps is the maximum number of tries to take one stream up, and refusedDelay the time until
+	// maxResumptions is the maximum number of tries to resume one stream, and refusedDelay the time until
 	// the next one after a try that brought nothing.
-	maxTakeUps   = 3
-	refusedDelay = 100 * time.Millisecond
+	maxResumptions = 3
+	refusedDelay   = 100 * time.Millisecond
 )
 
 // streamTries is what a caller has of one stream over all its attempts.
@@ -97,7 +97,7 @@
 // begun reports whether the stream has begun and is not whole.
 func (s *streamTries) begun() bool { return len(s.writers) > 0 && len(s.writers) < eventsPerStream }
 
-// requestStream requests a stream and, if it may be resumed, takes it up at other routers when it breaks.
+// requestStream requests a stream and, if it may be resumed, resumes it at other routers when it breaks.
 func (c *caller) requestStream(r *router, path string) {
 	a := c.newAttempt(r, path)
 	if path == resumePath && c.rng.IntN(leaveInterval) == 0 {
@@ -108,8 +108,8 @@
 	s.add(a, got)
 	if path == resumePath {
 		c.harness.ledger.recordBegin(len(got.writers) > 0)
-		for try := 0; try < maxTakeUps && s.begun() && !got.ended(); try++ {
-			got = c.takeUp(s)
+		for try := 0; try < maxResumptions && s.begun() && !got.ended(); try++ {
+			got = c.resume(s)
 		}
 	}
 	if s.isMixed() {
@@ -117,8 +117,8 @@
 	}
 }
 
-// takeUp takes a broken stream up at another router than the one before.
-func (c *caller) takeUp(s *streamTries) answer {
+// resume resumes a broken stream at another router than the one before.
+func (c *caller) resume(s *streamTries) answer {
 	r := s.last.router
 	for r == s.last.router {
 		r = c.harness.routers[c.rng.IntN(len(c.harness.routers))]
@@ -131,7 +131,7 @@
 	serving = min(serving, c.harness.servingCount(s.writers[0]))
 	s.add(a, got)
 	goesOn := len(got.writers) > 0
-	c.harness.ledger.recordTakeUp(serving, goesOn)
+	c.harness.ledger.recordResumption(serving, goesOn)
 	if !goesOn {
 		time.Sleep(refusedDelay)
 	}
--- a/cmd/soak/version.go
+++ b/cmd/soak/version.go
@@ -25,13 +25,13 @@
 const (
 	// maxMixed is the maximum of streams that may hold events of two versions.
 	maxMixed = 2
-	// minTakeUps is the number of take-ups from which their share of success is checked, minServing the
+	// minResumptions is the number of resumptions from which their share of success is checked, minServing the
 	// number of targets of their version that must serve for one to count.
-	minTakeUps = 12
-	minServing = 2
-	// minTakeUpRatio is the least ratio of the share of take-ups that go on to the share of new streams
+	minResumptions = 12
+	minServing     = 2
+	// minResumptionRatio is the least ratio of the share of resumptions that go on to the share of new streams
 	// that begin.
-	minTakeUpRatio = 0.5
+	minResumptionRatio = 0.5
 )
 
 // tally counts tries and those that succeeded.
@@ -55,12 +55,12 @@
 	l.begins.add(begun)
 }
 
-// recordTakeUp records a try to take a stream up while some targets of its version were serving.
-func (l *ledger) recordTakeUp(serving int, goesOn bool) {
+// recordResumption records a try to resume a stream while some targets of its version were serving.
+func (l *ledger) recordResumption(serving int, goesOn bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if serving >= minServing {
-		l.takeUps.add(goesOn)
+		l.resumptions.add(goesOn)
 	}
 }
 
@@ -77,21 +77,21 @@
 	if len(l.mixed) > maxMixed {
 		l.addViolationLocked("%d streams hold events of two versions, such as %q", len(l.mixed), l.mixed[:maxMixed+1])
 	}
-	if l.takeUps.tries < minTakeUps {
-		l.addViolationLocked("only %d streams were taken up", l.takeUps.tries)
+	if l.resumptions.tries < minResumptions {
+		l.addViolationLocked("only %d streams were resumed", l.resumptions.tries)
 	}
-	if l.takeUps.share() < minTakeUpRatio*l.begins.share() {
-		l.addViolationLocked("%d of %d streams that were taken up went on, but %d of %d new ones began", l.takeUps.succeeded, l.takeUps.tries,
+	if l.resumptions.share() < minResumptionRatio*l.begins.share() {
+		l.addViolationLocked("%d of %d streams that were resumed went on, but %d of %d new ones began", l.resumptions.succeeded, l.resumptions.tries,
 			l.begins.succeeded, l.begins.tries)
 	}
 }
 
-// versionSummary returns the numbers of streams that were taken up, and those of two versions.
+// versionSummary returns the numbers of streams that were resumed, and those of two versions.
 func (l *ledger) versionSummary() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return fmt.Sprintf("%d of %d resumable streams began, %d of %d taken up went on, %d of two versions %q", l.begins.succeeded, l.begins.tries,
-		l.takeUps.succeeded, l.takeUps.tries, len(l.mixed), l.mixed)
+	return fmt.Sprintf("%d of %d resumable streams began, %d of %d resumed went on, %d of two versions %q", l.begins.succeeded, l.begins.tries,
+		l.resumptions.succeeded, l.resumptions.tries, len(l.mixed), l.mixed)
 }
 
 // changeVersion ends a target's process and starts another version under the same id.
--- a/internal/edge/entry/ending_test.go
+++ b/internal/edge/entry/ending_test.go
@@ -74,8 +74,8 @@
 }
 
 // Guards against a stream that ends in order although an event is known to be missing: it broke off inside
-// that event, and the target that took it up closed without any.
-func TestStreamTakenUpWithoutTheBrokenEventIsNotComplete(t *testing.T) {
+// that event, and the target where it was resumed closed without any.
+func TestStreamResumedWithoutTheBrokenEventIsNotComplete(t *testing.T) {
 	second := newFakeTarget(t, unmarked(""))
 	s := newSetup(t, newRoute(resumableRoute), newFakeTarget(t, unmarked(eventText(1, 3)+"id: 4\ndata: pie")), second)
 	got := s.callRaw(t, "POST", "HTTP/1.1")
