--- a/internal/edge/entry/accept.go
+++ b/internal/edge/entry/accept.go
@@ -40,6 +40,7 @@
 		// miss theirs.
 		return j, rejection(Overloaded, delay)
 	}
+	j.parts = sharedParts(j.call.Parts)
 	j.placementKey = j.newPlacementKey()
 	j.service = j.route.ServiceOf(j.placementKey)
 	j.copiesCache = table.Service(j.service).CopiesPrefixes
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -351,7 +351,8 @@
 	switch {
 	case attempt.connBroken:
 		h.Guard.ReportInterrupted(guard.Interruption{
-			Request: string(j.call.ID), Fingerprint: j.fingerprint(), Target: placement.Target, Ran: attempt.took,
+			Request: string(j.call.ID), Fingerprint: j.fingerprint(), Parts: j.parts, Workspace: j.workspace.Name, Route: j.route.Name,
+			Target: placement.Target, Ran: attempt.took,
 		})
 	case attempt.complete:
 		h.Guard.Served(j.fingerprint())
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -44,7 +44,9 @@
 	lookupName ident.Service
 	// copiesCache is set when the engines of the service can copy cached prompt prefixes from each
 	// other.
-	copiesCache  bool
+	copiesCache bool
+	// parts are the parts of the prompt that other requests may share, in order.
+	parts        []ident.PartHash
 	placementKey ident.ChatKey
 	arrived      time.Time
 	// deadline is the request deadline, by which the final answer is due.
@@ -86,6 +88,22 @@
 	progress progress
 }
 
+// maxParts limits the parts of a prompt by which the guard knows a request. Later parts are ignored.
+const maxParts = 64
+
+// sharedParts returns the parts of a prompt that other requests may share: all but the last.
+func sharedParts(parts []PromptPart) []ident.PartHash {
+	if len(parts) < 2 {
+		return nil
+	}
+	parts = parts[:min(len(parts)-1, maxParts)]
+	out := make([]ident.PartHash, 0, len(parts))
+	for _, p := range parts {
+		out = append(out, ident.NewPartHash(p.ID))
+	}
+	return out
+}
+
 // sharesPrefix reports whether the request shares a prompt prefix with others.
 func (j *job) sharesPrefix() bool { return j.route.Sticky && len(j.call.Parts) > 0 }
 
@@ -224,7 +242,7 @@
 		"found_ms", e.Found.Milliseconds(), "first_ms", e.First.Milliseconds(), "whole_ms", e.Total.Milliseconds(),
 		"framing", j.progress.framing, "ending", j.progress.ending, "bytes", j.progress.bytes,
 		"pace", float64(j.progress.pace), "events", j.progress.events, "gap_ms", j.progress.longestGap.Milliseconds(),
-		"own_tokens", size.Own, "prefix_tokens", size.Prefix, "output_tokens", size.Output,
+		"parts", ident.JoinParts(j.parts), "own_tokens", size.Own, "prefix_tokens", size.Prefix, "output_tokens", size.Output,
 		"err", j.placementErr,
 	}
 	_ = level.Info(h.Logger).Log(append(fields, j.originFields()...)...)
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -157,7 +157,7 @@
 	if j.fingerprint == 0 || ctx.Err() != nil || retry.IsFree(relay.StepOf(err)) {
 		return
 	}
-	f.Guard.ReportInterrupted(guard.Interruption{Request: string(j.id), Fingerprint: j.fingerprint, Target: target, Ran: f.Clock().Sub(sentAt)})
+	f.Guard.ReportInterrupted(guard.Interruption{Request: string(j.id), Fingerprint: j.fingerprint, Workspace: j.workspace.Name, Target: target, Ran: f.Clock().Sub(sentAt)})
 }
 
 // respondFromClaim begins the claim of a request, if it needs one, and reports whether that
--- a/internal/edge/guard/guard.go
+++ b/internal/edge/guard/guard.go
@@ -11,6 +11,7 @@
 	"valescale/internal/edge/route"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/crash"
+	"valescale/internal/rule/match"
 )
 
 // Prober checks whether targets are still running.
@@ -64,7 +65,12 @@
 	// Request is the request's id, for the log.
 	Request     string
 	Fingerprint ident.Fingerprint
-	Target      route.Target
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []ident.PartHash
+	// Workspace and Route are those of the request, for the log. Route is empty if there are no routes.
+	Workspace ident.Workspace
+	Route     match.RouteName
+	Target    route.Target
 	// Ran is the time for which the request had been at the target.
 	Ran time.Duration
 }
@@ -103,7 +109,7 @@
 func (g *Guard) checkCrash(b Interruption) {
 	targetGone := g.targetGone(b.Target.Addr)
 	_ = level.Info(g.Logger).Log("msg", "response interrupted", "request", b.Request, "fingerprint", b.Fingerprint,
-		"target", b.Target.ID, "addr", b.Target.Addr, "ran_ms", b.Ran.Milliseconds(), "target_gone", targetGone)
+		"parts", ident.JoinParts(b.Parts), "workspace", b.Workspace, "route", b.Route, "target", b.Target.ID, "addr", b.Target.Addr, "ran_ms", b.Ran.Milliseconds(), "target_gone", targetGone)
 	if !targetGone {
 		return
 	}
--- a/internal/plat/ident/ident.go
+++ b/internal/plat/ident/ident.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -103,6 +104,28 @@
 	return ChatKey(d.Sum64())
 }
 
+// PartHash identifies a part of prompts that requests may share, as a 64-bit xxHash of its id. It
+// does not depend on the workspace: targets cache a part once for all workspaces.
+type PartHash uint64
+
+// NewPartHash hashes the id of a part of a prompt.
+func NewPartHash(id string) PartHash { return PartHash(NewChatKey("", id)) }
+
+// String returns the hash in hexadecimal, the format used in logs.
+func (p PartHash) String() string { return strconv.FormatUint(uint64(p), 16) }
+
+// maxLoggedParts limits the parts of a prompt in one log line.
+const maxLoggedParts = 8
+
+// JoinParts returns the first parts of a prompt, separated by commas, for logs.
+func JoinParts(parts []PartHash) string {
+	var names []string
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		names = append(names, p.String())
+	}
+	return strings.Join(names, ",")
+}
+
 // RequestHash is the SHA-256 hash of a request's method, path with query, and body.
 type RequestHash [sha256.Size]byte
 
