--- a/internal/rule/crash/quarantine.go
+++ b/internal/rule/crash/quarantine.go
@@ -71,7 +71,7 @@
 	}
 	last := unexplained[len(unexplained)-1].At
 	until := last.Add(e.Kind.quarantineDuration(unexplained))
-	if r.distinguishes(e, traits) {
+	if e.distinguishes(traits) {
 		until = last.Add(earlyTrialDelay)
 	}
 	until = until.Add(time.Duration(r.rank(e.Trait)) * trialInterval)
@@ -81,18 +81,25 @@
 	return max(until.Sub(now), 0)
 }
 
-// distinguishes reports whether an answer to a request shows if the part of an entry is the cause of
-// its crashes: another part, which the request does not have, is as likely the cause of all of them.
-func (r *Record) distinguishes(e *entry, traits []Trait) bool {
+// distinguishes reports whether an answer to a request shows if the trait of an entry is the cause of
+// its crashes: a rival, which the request does not have, may be the cause of all of them.
+func (e *entry) distinguishes(traits []Trait) bool {
+	return slices.ContainsFunc(e.rivals, func(rival Trait) bool { return !slices.Contains(traits, rival) })
+}
+
+// findRivals returns the parts that are as likely the cause of all crashes that the part of an entry is
+// blamed for. Whole requests have no rivals: requests with the same trait are equal.
+func (r *Record) findRivals(e *entry) []Trait {
 	if e.Kind != PromptPart {
-		return false
+		return nil
 	}
+	var rivals []Trait
 	for _, other := range r.entries {
-		if other.Kind == PromptPart && other.meanRan <= e.meanRan && other.covers(e) && !slices.Contains(traits, other.Trait) {
-			return true
+		if other != e && other.Kind == PromptPart && other.meanRan <= e.meanRan && other.covers(e) {
+			rivals = append(rivals, other.Trait)
 		}
 	}
-	return false
+	return rivals
 }
 
 // covers reports whether an entry is blamed for all crashes that another one is blamed for.
@@ -118,6 +125,14 @@
 	if e.crashes < e.Kind.threshold() {
 		return nil
 	}
+	if e.asOf != r.version {
+		e.unexplained, e.rivals, e.asOf = r.findUnexplained(e), r.findRivals(e), r.version
+	}
+	return e.unexplained
+}
+
+// findUnexplained is unexplainedCrashes without the results of earlier calls.
+func (r *Record) findUnexplained(e *entry) []Crash {
 	var likelierEntries []*entry
 	for _, other := range r.entries {
 		if other.likelier(e) {
--- a/internal/rule/crash/record.go
+++ b/internal/rule/crash/record.go
@@ -13,6 +13,8 @@
 	// rank returns the position of this router in the order in which routers may begin trials of a
 	// trait, from zero.
 	rank func(Trait) int
+	// version counts the changes that may change which crashes are unexplained.
+	version uint64
 }
 
 // entry is a suspect with the state of its dissemination to peers.
@@ -26,6 +28,11 @@
 	// requests ran before them.
 	crashes int
 	meanRan time.Duration
+	// unexplained are the unexplained crashes, and rivals the traits that are as likely their cause, as of
+	// a version of the record.
+	unexplained []Crash
+	rivals      []Trait
+	asOf        uint64
 }
 
 // NewRecord returns an empty record. The function rank returns the position of this router in an
@@ -111,6 +118,7 @@
 		return Nothing
 	}
 	e.sent = 0
+	r.version++
 	e.crashes, e.meanRan = e.blame()
 	if e.crashes >= e.Kind.threshold() {
 		return Urgent
@@ -144,7 +152,7 @@
 		return cmp.Or(cmp.Compare(a.crashes, b.crashes), a.latest().Compare(b.latest()), cmp.Compare(b.meanRan, a.meanRan), cmp.Compare(a.Hash, b.Hash))
 	})
 	for _, e := range all[:maxEntries/evictedShare] {
-		delete(r.entries, e.Trait)
+		r.remove(e)
 	}
 }
 
@@ -167,13 +175,19 @@
 
 // Sweep removes expired entries.
 func (r *Record) Sweep(now time.Time) {
-	for t, e := range r.entries {
+	for _, e := range r.entries {
 		if e.Expired(now) {
-			delete(r.entries, t)
+			r.remove(e)
 		}
 	}
 }
 
+// remove removes an entry.
+func (r *Record) remove(e *entry) {
+	r.version++
+	delete(r.entries, e.Trait)
+}
+
 // NearQuarantine reports whether one more crash may quarantine a request with the given traits.
 func (r *Record) NearQuarantine(traits []Trait) bool {
 	return slices.ContainsFunc(traits, func(t Trait) bool {
