--- a/internal/edge/entry/quarantine_test.go
+++ b/internal/edge/entry/quarantine_test.go
@@ -165,3 +165,15 @@
 }
 
 func (g *traitGuard) Served(traits []crash.Trait) { g.cleared = append(g.cleared, len(traits)) }
+
+// Guards against a caller that has the guard remember any number of parts, and against a part of one request that
+// counts as shared.
+func TestSharedPartsAreLimited(t *testing.T) {
+	var got []int
+	for _, count := range []int{0, 1, 2, maxParts, 10 * maxParts} {
+		got = append(got, len(sharedParts(make([]PromptPart, count))))
+	}
+	if diff := cmp.Diff([]int{0, 0, 1, maxParts - 1, maxParts}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -64,6 +64,8 @@
 	quarantine         time.Duration
 	quarantineAcquired int
 	quarantineSent     int
+	// cleared counts the answers that were reported to the guard.
+	cleared int
 }
 
 func (p *fakeParts) InForce() config.InForce { return config.InForce{Revision: 1, Set: p.set} }
@@ -136,7 +138,7 @@
 func (p fakeGuard) Admit(traits []crash.Trait) crash.Quarantine { return p.Quarantine(traits) }
 
 func (p fakeGuard) ReportInterrupted(guard.Interruption) {}
-func (p fakeGuard) Served([]crash.Trait)                 {}
+func (p fakeGuard) Served([]crash.Trait)                 { p.cleared++ }
 
 // call sends a request with the token of a workspace.
 func call(handler http.Handler, method, path string, body io.Reader, token, key string) *httptest.ResponseRecorder {
@@ -270,6 +272,23 @@
 	}
 }
 
+// Guards against a failure of a target that clears a request under which targets crash.
+func TestOnlySuccessfulAnswersClearRequests(t *testing.T) {
+	cleared := map[int]int{}
+	for _, status := range []int{http.StatusOK, http.StatusBadRequest, http.StatusInternalServerError} {
+		target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		t.Cleanup(target.Close)
+		sender, closeSender := relay.New(relay.DefaultLimits)
+		t.Cleanup(closeSender)
+		p := &fakeParts{relay: sender, addr: target.Listener.Addr().String()}
+		call(newFront(t, p), "POST", "/board", strings.NewReader("body"), "bogota", "key")
+		cleared[status] = p.cleared
+	}
+	if diff := cmp.Diff(map[int]int{http.StatusOK: 1, http.StatusBadRequest: 0, http.StatusInternalServerError: 0}, cleared); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // resume requests to resume a stream of the target "known".
 func resume(handler http.Handler) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
--- a/internal/rule/crash/model_test.go
+++ b/internal/rule/crash/model_test.go
@@ -117,6 +117,13 @@
 		}
 		at = (at + 1) % modelEngines
 	}
+	if m.engines[at].runsAgainAt.After(m.now) {
+		// All engines are down.
+		if run.crashAfter == 0 {
+			m.unserved++
+		}
+		return
+	}
 	run.attempts++
 	if run.cause != 0 {
 		m.partSends[run.cause] = append(m.partSends[run.cause], m.now)
--- a/internal/rule/crash/parts_model_test.go
+++ b/internal/rule/crash/parts_model_test.go
@@ -157,7 +157,7 @@
 	}
 }
 
-// Pattern: a part that crashes engines keeps coming for 50 s. When its quarantine ends, one request in the fleet
+// Pattern: a part that crashes engines keeps coming for 50 s, a hundred times per second. When its quarantine ends, one request in the fleet
 // is the trial, not one per router, and crashes one engine.
 func TestOneTrialInTheFleet(t *testing.T) {
 	for seed := range uint64(4) {
@@ -165,7 +165,7 @@
 		m.prompts = usualPrompts
 		var sends []int
 		for i := range 5000 {
-			if i >= 200 && i%10 == 0 {
+			if i >= 200 {
 				m.sendPart(modelCrashAfter, groupPart(3), fatalPart)
 			}
 			m.step()
@@ -216,13 +216,13 @@
 	for start := range Start(3) {
 		now := at(float64(start))
 		r.Crashed(now, Traits(ident.Fingerprint(start), []ident.PartHash{fatalPart}), start, 60*time.Millisecond)
-		for i := range 15 {
+		for i := range 30 {
 			var parts []ident.PartHash
 			for range 64 {
 				flood++
 				parts = append(parts, flood)
 			}
-			r.Crashed(now, Traits(ident.Fingerprint(1000+15*int(start)+i), parts), start, 900*time.Millisecond)
+			r.Crashed(now, Traits(ident.Fingerprint(1000+30*int(start)+i), parts), start, 900*time.Millisecond)
 		}
 	}
 	if q := r.Quarantine(at(3), []Trait{Part(fatalPart)}); q.Left == 0 || len(r.entries) > maxEntries {
--- a/internal/rule/crash/parts_test.go
+++ b/internal/rule/crash/parts_test.go
@@ -49,14 +49,14 @@
 }
 
 // Guards against harmless requests that are quarantined because they ran on targets which a quarantined part
-// crashed.
+// crashed, some time after its requests had been sent.
 func TestQuarantinedPartExplainsCrashesOfRequests(t *testing.T) {
 	r := newRecord()
-	crashed(r, 0, []Start{1, 2, 3, 4}, 60*time.Millisecond, fatalPart)
-	for i, start := range []Start{2, 4} {
-		r.Crashed(at(float64(i)), harmlessRequest, start, 300*time.Millisecond)
+	crashed(r, 0, []Start{1, 2, 3, 4, 5}, 1500*time.Millisecond, fatalPart)
+	for _, start := range []Start{2, 4} {
+		r.Crashed(at(float64(start)), harmlessRequest, start, 300*time.Millisecond)
 	}
-	if left := quarantineLeft(r, at(4), harmlessRequest); left != 0 {
+	if left := quarantineLeft(r, at(5), harmlessRequest); left != 0 {
 		t.Errorf("a request that ran on two of the targets is quarantined for %v", left)
 	}
 }
@@ -124,3 +124,19 @@
 		t.Errorf("urgency %d", urgency)
 	}
 }
+
+// Guards against a part that crashes all targets at once, each time they are back: the crashes of one moment filled
+// the list, so that no repetition was seen and the part was never quarantined.
+func TestRepeatedCrashesOfAllTargets(t *testing.T) {
+	r := newRecord()
+	start := Start(0)
+	for burst := range 3 {
+		for i := range 18 {
+			start++
+			r.Crashed(at(4*float64(burst)+0.002*float64(i)), []Trait{Part(fatalPart)}, start, 60*time.Millisecond)
+		}
+	}
+	if q := r.Quarantine(at(8.1), []Trait{Part(fatalPart)}); q.Left == 0 {
+		t.Error("not quarantined after all targets crashed three times")
+	}
+}
--- a/internal/rule/crash/quarantine.go
+++ b/internal/rule/crash/quarantine.go
@@ -94,7 +94,7 @@
 		return nil
 	}
 	var rivals []Trait
-	for _, other := range r.entries {
+	for _, other := range r.byStart[e.blamedCrashes()[0].Start] {
 		if other != e && other.Kind == PromptPart && other.meanRan <= e.meanRan && other.covers(e) {
 			rivals = append(rivals, other.Trait)
 		}
@@ -133,14 +133,10 @@
 
 // findUnexplained is unexplainedCrashes without the results of earlier calls.
 func (r *Record) findUnexplained(e *entry) []Crash {
-	var likelierEntries []*entry
-	for _, other := range r.entries {
-		if other.likelier(e) {
-			likelierEntries = append(likelierEntries, other)
-		}
-	}
 	unexplained := slices.DeleteFunc(slices.Clone(e.blamedCrashes()), func(crash Crash) bool {
-		return slices.ContainsFunc(likelierEntries, func(other *entry) bool { return other.blamedForStart(crash.Start) })
+		return slices.ContainsFunc(r.byStart[crash.Start], func(other *entry) bool {
+			return other.likelier(e) && other.blamedForStart(crash.Start)
+		})
 	})
 	if e.Kind.count(unexplained) < e.Kind.threshold() {
 		return nil
--- a/internal/rule/crash/record.go
+++ b/internal/rule/crash/record.go
@@ -9,6 +9,8 @@
 // Record holds one router's suspects. It is not safe for concurrent use.
 type Record struct {
 	entries map[Trait]*entry
+	// byStart contains the entries with a crash of each start.
+	byStart map[Start][]*entry
 	answers answers
 	// rank returns the position of this router in the order in which routers may begin trials of a
 	// trait, from zero.
@@ -38,7 +40,7 @@
 // NewRecord returns an empty record. The function rank returns the position of this router in an
 // order of all routers that differs by trait, from zero.
 func NewRecord(rank func(Trait) int) *Record {
-	return &Record{entries: map[Trait]*entry{}, rank: rank}
+	return &Record{entries: map[Trait]*entry{}, byStart: map[Start][]*entry{}, rank: rank}
 }
 
 // maxEntries is the maximum number of suspects, about 200 bytes each. The crash of a target makes
@@ -69,7 +71,7 @@
 	for _, t := range traits {
 		e := r.entry(now, t)
 		e.observed = true
-		urgency = max(urgency, r.changed(e, e.add(Crash{Start: start, At: now, Ran: ran})))
+		urgency = max(urgency, r.changed(e, r.addCrash(e, Crash{Start: start, At: now, Ran: ran})))
 	}
 	return urgency
 }
@@ -103,7 +105,7 @@
 	e := r.entry(now, s.Trait)
 	changed := e.serve(s.Served)
 	for _, crash := range s.Crashes {
-		changed = e.add(crash) || changed
+		changed = r.addCrash(e, crash) || changed
 	}
 	if s.Tried.After(e.Tried.Add(trialInterval)) {
 		// Ages on the wire are not exact, so that the same trial may seem later.
@@ -112,6 +114,31 @@
 	return r.changed(e, changed)
 }
 
+// addCrash adds a crash to an entry and reports whether its list of crashes changed.
+func (r *Record) addCrash(e *entry, crash Crash) bool {
+	before := e.Crashes
+	if !e.add(crash) {
+		return false
+	}
+	r.byStart[crash.Start] = append(r.byStart[crash.Start], e)
+	for _, old := range before {
+		if !slices.ContainsFunc(e.Crashes, func(kept Crash) bool { return kept.Start == old.Start }) {
+			r.forget(e, old.Start)
+		}
+	}
+	return true
+}
+
+// forget removes an entry from those with a crash of a start.
+func (r *Record) forget(e *entry, start Start) {
+	left := slices.DeleteFunc(r.byStart[start], func(other *entry) bool { return other == e })
+	if len(left) == 0 {
+		delete(r.byStart, start)
+		return
+	}
+	r.byStart[start] = left
+}
+
 // changed schedules a changed entry for sending to peers and returns the urgency.
 func (r *Record) changed(e *entry, changed bool) Urgency {
 	if !changed {
@@ -185,6 +212,9 @@
 // remove removes an entry.
 func (r *Record) remove(e *entry) {
 	r.version++
+	for _, crash := range e.Crashes {
+		r.forget(e, crash.Start)
+	}
 	delete(r.entries, e.Trait)
 }
 
--- a/internal/rule/crash/suspect.go
+++ b/internal/rule/crash/suspect.go
@@ -156,21 +156,40 @@
 }
 
 // add adds a crash. It reports whether the list of crashes changed: a start that is already in the
-// list is not added, and neither is a crash older than those of a full list.
+// list is not added, and a full list keeps those crashes that count.
 func (s *Suspect) add(e Crash) bool {
 	if at := slices.IndexFunc(s.Crashes, func(recorded Crash) bool { return recorded.Start == e.Start }); at >= 0 {
 		s.Crashes[at].Ran = max(s.Crashes[at].Ran, e.Ran)
 		return false
 	}
 	at, _ := slices.BinarySearchFunc(s.Crashes, e, func(a, b Crash) int { return a.At.Compare(b.At) })
-	s.Crashes = slices.Insert(s.Crashes, at, e)
-	if len(s.Crashes) > maxCrashes {
-		s.Crashes = s.Crashes[1:]
-		return at > 0
+	with := slices.Insert(slices.Clone(s.Crashes), at, e)
+	if len(with) > maxCrashes {
+		dropped := s.Kind.leastUseful(with)
+		if with[dropped].Start == e.Start {
+			return false
+		}
+		with = slices.Delete(with, dropped, dropped+1)
 	}
+	s.Crashes = with
 	return true
 }
 
+// leastUseful returns the index of the crash that a full list can do without: one that does not count
+// because another target crashed just before, or else the oldest. Many targets may crash at once, and
+// their crashes must not displace those that show the repetition.
+func (k Kind) leastUseful(crashes []Crash) int {
+	if k == WholeRequest {
+		return 0
+	}
+	for i := len(crashes) - 1; i > 0; i-- {
+		if k.count(slices.Delete(slices.Clone(crashes), i, i+1)) == k.count(crashes) {
+			return i
+		}
+	}
+	return 0
+}
+
 // serve records a complete answer and reports whether it changes the crashes that the trait is
 // blamed for.
 func (s *Suspect) serve(at time.Time) bool {
--- a/internal/share/peer/node.go
+++ b/internal/share/peer/node.go
@@ -210,7 +210,7 @@
 func (n *Node) Rank(hash uint64) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.view.rank(hash)
+	return n.view.Rank(hash)
 }
 
 // gossipRound starts an exchange of digests with one peer.
--- a/internal/share/peer/pick.go
+++ b/internal/share/peer/pick.go
@@ -69,8 +69,8 @@
 	return out
 }
 
-// rank returns the number of live routers with a higher rendezvous score for a hash than this router.
-func (v *View) rank(hash uint64) int {
+// Rank returns the number of live routers with a higher rendezvous score for a hash than this router.
+func (v *View) Rank(hash uint64) int {
 	self := v.members[v.self]
 	own, rank := ident.Mix(hash, uint64(self.Hash())), 0
 	for id, m := range v.members {
--- a/internal/share/peer/view_test.go
+++ b/internal/share/peer/view_test.go
@@ -509,3 +509,28 @@
 		t.Error("RecentlyListed: want false for a router reported by a peer or listed a minute ago, true for one listed just now")
 	}
 }
+
+// Guards against two routers with the same rank, which would both begin a trial at once, and against the rank of a
+// router behind one that no longer serves.
+func TestRanksAreDistinctAmongLiveRouters(t *testing.T) {
+	f := newFleet(t, 7)
+	leaving := 3
+	f.views[leaving].Leave(start)
+	for i, v := range f.views {
+		if i != leaving {
+			v.Incoming(start, f.wire(f.views[leaving].Outgoing(f.ids[i], true)))
+		}
+	}
+	for hash := range uint64(20) {
+		var ranks []int
+		for i, v := range f.views {
+			if i != leaving {
+				ranks = append(ranks, v.Rank(hash))
+			}
+		}
+		slices.Sort(ranks)
+		if diff := cmp.Diff([]int{0, 1, 2, 3, 4, 5}, ranks); diff != "" {
+			t.Errorf("hash %d: %s", hash, diff)
+		}
+	}
+}
