--- a/internal/edge/entry/gate_test.go
+++ b/internal/edge/entry/gate_test.go
@@ -64,13 +64,16 @@
 		t.Fatal("callers are not turned away")
 	}
 	g.rejectUntil = time.Now().Add(time.Hour)
+	listener := &steppedListener{Listener: g.Listener, accept: make(chan struct{})}
+	g.Listener = listener
 	go func() { _, _ = g.Accept() }()
 	c := dialGate(t, g)
-	// The reset is the result of the first call after it.
-	_, writeErr := io.WriteString(c, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
-	answer, readErr := io.ReadAll(c)
-	if len(answer) > 0 || writeErr == nil && readErr == nil {
-		t.Errorf("the caller received %q, errors %v and %v, want a reset", answer, writeErr, readErr)
+	if _, err := io.WriteString(c, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	listener.accept <- struct{}{}
+	if answer, err := io.ReadAll(c); len(answer) > 0 || err == nil {
+		t.Errorf("the caller received %q, error %v, want a reset", answer, err)
 	}
 }
 
