--- a/cmd/soak/part.go
+++ b/cmd/soak/part.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -10,25 +9,15 @@
 )
 
 const (
-	// fatalPart is the part of prompts that crashes each target which begins to write an answer on it.
-	fatalPart = "fa7a1"
-	// partContact is the time in which routers must know it after it crashed fake.PartCrashLimit targets, and the
-	// time after an order to a router from which it must know it.
+	// partContact is the time in which routers must know that a part crashes targets after fake.PartCrashLimit crashes,
+	// and the time after an order to a router from which it must know that.
 	partContact = 3 * time.Second
 	// partInterval is the time between two requests with the part, and partCrashDelay the time after which their
 	// target crashes.
 	partInterval   = 100 * time.Millisecond
 	partCrashDelay = 30 * time.Millisecond
-	// soundSessions is the number of sessions whose prompts share the first part with the crashing requests.
-	soundSessions = 4
 )
 
-// soundPrompt returns the parts of a prompt that crashes no target.
-func soundPrompt(n int) string { return fmt.Sprintf("5ea1:119,5e55%d:580,%x:130", n%soundSessions, n) }
-
-// fatalPrompt returns the parts of a prompt that crashes its target. No two are alike.
-func fatalPrompt(n int) string { return fmt.Sprintf("5ea1:119,%s:580,fff%x:130", fatalPart, n) }
-
 // runFatalPrompts sends requests with the crashing part to all routers until the harness stops.
 func (c *caller) runFatalPrompts() {
 	tick := time.NewTicker(partInterval)
@@ -39,7 +28,7 @@
 			return
 		case <-tick.C:
 		}
-		c.sendPrompt(c.harness.routers[c.rng.IntN(len(c.harness.routers))], fatalPrompt)
+		c.sendPrompt(c.harness.routers[c.rng.IntN(len(c.harness.routers))], fake.FatalPrompt)
 	}
 }
 
@@ -52,7 +41,7 @@
 
 // crashUnderPart crashes the target if the request has the part.
 func (k *handler) crashUnderPart(r *http.Request) {
-	if !fake.HasPart(r, fatalPart) {
+	if !fake.HasFatalPart(r) {
 		return
 	}
 	if k.target.inTouch(r) {
@@ -77,8 +66,8 @@
 	for _, r := range w.routers {
 		served := 0
 		for range finalRequests {
-			c.sendPrompt(r, fatalPrompt)
-			if c.sendPrompt(r, soundPrompt) == http.StatusOK {
+			c.sendPrompt(r, fake.FatalPrompt)
+			if c.sendPrompt(r, fake.SoundPrompt) == http.StatusOK {
 				served++
 			}
 		}
--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -179,6 +179,7 @@
 	c := w.newCaller(w.Callers)
 	w.checkQuarantine(c)
 	w.checkParts(c)
+	w.checkHotSpot(w.rng.IntN(len(w.routers)))
 	w.checkCutOff(c)
 	if got := w.ledger.unwantedCount(); got > maxUnwanted {
 		w.ledger.addViolation("%d requests reached targets that had reported that they accept none", got)
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -62,6 +62,8 @@
 	Quarantine(traits []crash.Trait) crash.Quarantine
 	// Admit returns the quarantine of a request that is about to be sent, which may be a trial.
 	Admit(traits []crash.Trait) crash.Quarantine
+	// Abandon ends a trial whose attempt showed nothing.
+	Abandon(traits []crash.Trait)
 	// ReportInterrupted records an answer that broke off.
 	ReportInterrupted(b guard.Interruption)
 	// Served records a complete answer to a request with the given traits.
@@ -269,7 +271,9 @@
 		placement.Release()
 		h.endCallerGone(j)
 	}
-	p := j.quarantineProblem(h.Guard.Admit(j.traits()))
+	admission := h.Guard.Admit(j.traits())
+	j.trial = admission.Trial
+	p := j.quarantineProblem(admission)
 	if p == nil {
 		return false
 	}
@@ -347,19 +351,24 @@
 }
 
 // reportToGuard reports broken connections and complete answers, from which the guard detects
-// requests under which targets crash. An answer without a marked end shows nothing of the whole request,
-// which may crash its target late, but that its target is at work on the parts of its prompt.
+// requests under which targets crash. An answer without a marked end shows that the target can work on the
+// parts of the prompt. It shows that of the whole request, which may have crashed the target late, only in a
+// trial.
 func (h *Handler) reportToGuard(j *job, placement *route.Placement, attempt result) {
 	switch {
 	case attempt.connBroken:
 		h.Guard.ReportInterrupted(guard.Interruption{
-			Request: string(j.call.ID), Traits: j.traits(), Workspace: j.workspace.Name, Route: j.route.Name,
+			Request: string(j.call.ID), Traits: j.traits(), Trial: j.trial, Workspace: j.workspace.Name, Route: j.route.Name,
 			Target: placement.Target, Ran: attempt.took,
 		})
 	case attempt.complete:
 		h.Guard.Served(j.traits())
-	case attempt.reason == Served && attempt.status < http.StatusMultipleChoices:
+	case attempt.reason == Served && attempt.status < http.StatusMultipleChoices && !j.trial:
 		h.Guard.Served(j.traits()[1:])
+	case attempt.reason == Served && attempt.status < http.StatusMultipleChoices:
+		h.Guard.Served(j.traits())
+	case j.trial:
+		h.Guard.Abandon(j.traits())
 	}
 }
 
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -50,8 +50,10 @@
 	parts []ident.PartHash
 	// quarantinedFor is the trait for which the request was rejected.
 	quarantinedFor crash.Trait
-	placementKey   ident.ChatKey
-	arrived        time.Time
+	// trial is set if the latest attempt is a trial after a quarantine.
+	trial        bool
+	placementKey ident.ChatKey
+	arrived      time.Time
 	// deadline is the request deadline, by which the final answer is due.
 	deadline time.Time
 	// avoid contains the targets of earlier attempts.
--- a/internal/edge/entry/quarantine_test.go
+++ b/internal/edge/entry/quarantine_test.go
@@ -58,6 +58,9 @@
 }
 func (g *fakeGuard) Admit(traits []crash.Trait) crash.Quarantine { return g.Quarantine(traits) }
 
+// Abandon is not counted.
+func (g *fakeGuard) Abandon([]crash.Trait) {}
+
 // Served counts the answers that clear a whole request.
 func (g *fakeGuard) Served(traits []crash.Trait) {
 	if len(traits) > 0 && traits[0].Kind == crash.WholeRequest {
@@ -149,6 +152,39 @@
 	}
 }
 
+// Guards against a trial that excludes others although its target did not run the request. The request itself goes on
+// at another target.
+func TestRejectedTrialIsAbandoned(t *testing.T) {
+	s := newSetup(t, newRoute(safeRoute), newFakeTarget(t, answer(503, "Not-Run: 1\r\n", "")), newFakeTarget(t, answer(200, "", "body")))
+	guard := &trialGuard{fakeGuard: &fakeGuard{}}
+	s.handler.Guard = guard
+	got, _ := s.call(t, "POST", "/x", "body")
+	if diff := cmp.Diff([]int{200, 1, 1}, []int{got.Status, guard.abandoned, guard.served}); diff != "" {
+		t.Errorf("status, abandoned trials and answers: %s", diff)
+	}
+}
+
+// Guards against a request that gets one trial after another for hours because the answers of its service have no
+// marked end.
+func TestUnframedAnswerOfTrialClearsRequest(t *testing.T) {
+	s := newSetup(t, newRoute(nil), newFakeTarget(t, unframed))
+	guard := &trialGuard{fakeGuard: &fakeGuard{}}
+	s.handler.Guard = guard
+	got, _ := s.call(t, "POST", "/x", "body")
+	if diff := cmp.Diff([]int{200, 0, 1}, []int{got.Status, guard.abandoned, guard.served}); diff != "" {
+		t.Errorf("status, abandoned trials and answers: %s", diff)
+	}
+}
+
+// trialGuard is a guard that admits each attempt as a trial, and counts those that are abandoned.
+type trialGuard struct {
+	*fakeGuard
+	abandoned int
+}
+
+func (g *trialGuard) Admit([]crash.Trait) crash.Quarantine { return crash.Quarantine{Trial: true} }
+func (g *trialGuard) Abandon([]crash.Trait)                { g.abandoned++ }
+
 // partsDialect is a dialect in which each request has a part of a prompt that others share.
 type partsDialect struct{ testDialect }
 
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -55,6 +55,8 @@
 	Quarantine(traits []crash.Trait) crash.Quarantine
 	// Admit returns the quarantine of a request that is about to be sent, which may be a trial.
 	Admit(traits []crash.Trait) crash.Quarantine
+	// Abandon ends a trial whose attempt showed nothing.
+	Abandon(traits []crash.Trait)
 	// ReportInterrupted records an interrupted response.
 	ReportInterrupted(b guard.Interruption)
 	// Served records a complete response to a request with the given traits.
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -137,6 +137,7 @@
 
 func (p fakeGuard) Admit(traits []crash.Trait) crash.Quarantine { return p.Quarantine(traits) }
 
+func (p fakeGuard) Abandon([]crash.Trait)                {}
 func (p fakeGuard) ReportInterrupted(guard.Interruption) {}
 func (p fakeGuard) Served([]crash.Trait)                 { p.cleared++ }
 
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -187,7 +187,8 @@
 		if err != nil {
 			return nil, f.mergeOutcome(j, routeProblem(err))
 		}
-		if quarantine := f.Guard.Admit(j.traits); quarantine.Left > 0 {
+		quarantine := f.Guard.Admit(j.traits)
+		if quarantine.Left > 0 {
 			placement.Release()
 			return nil, f.mergeOutcome(j, quarantineProblem(quarantine.Left))
 		}
@@ -200,6 +201,9 @@
 		if s != nil {
 			return s, nil
 		}
+		if quarantine.Trial && step != retry.Sending {
+			f.Guard.Abandon(j.traits)
+		}
 		if problem := f.handleFailure(ctx, j, placement, step, err); problem != nil {
 			return nil, problem
 		}
--- a/internal/edge/guard/guard.go
+++ b/internal/edge/guard/guard.go
@@ -69,6 +69,8 @@
 	Request string
 	// Traits are those of the request, the whole request first.
 	Traits []crash.Trait
+	// Trial is set if the attempt was a trial after a quarantine.
+	Trial bool
 	// Workspace and Route are those of the request, for the log. Route is empty if there are no routes.
 	Workspace ident.Workspace
 	Route     match.RouteName
@@ -97,6 +99,13 @@
 	return quarantine
 }
 
+// Abandon ends a trial whose attempt showed nothing.
+func (g *Guard) Abandon(traits []crash.Trait) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.record.Abandon(traits)
+}
+
 // Served records that a target sent a complete response to a request with the given traits.
 func (g *Guard) Served(traits []crash.Trait) {
 	g.mu.Lock()
@@ -126,6 +135,9 @@
 	_ = level.Info(g.Logger).Log("msg", "response interrupted", "request", b.Request, "fingerprint", b.Traits[0],
 		"parts", crash.Join(b.Traits[1:]), "workspace", b.Workspace, "route", b.Route, "target", b.Target.ID, "addr", b.Target.Addr, "ran_ms", b.Ran.Milliseconds(), "target_gone", targetGone)
 	if !targetGone {
+		if b.Trial {
+			g.Abandon(b.Traits)
+		}
 		return
 	}
 	start := crash.NewStart(b.Target.ID.Hash(), b.Target.Incarnation)
--- a/internal/edge/guard/guard_test.go
+++ b/internal/edge/guard/guard_test.go
@@ -312,3 +312,28 @@
 		}
 	}
 }
+
+// Guards against requests that are held back for the timeout of a trial which showed nothing: its target rejected it,
+// or lives on although the answer broke off. The router may begin another trial at once.
+func TestTrialThatShowsNothingIsRepeated(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newFakeDeps(true)
+	g := newGuard(t, p, &now)
+	g.interrupt("a", "b")
+	now = now.Add(g.QuarantineLeft(request))
+	for name, end := range map[string]func(){
+		"rejected": func() { g.Abandon(request) },
+		"interrupted by a target that lives on": func() {
+			p.down = false
+			g.checkCrash(Interruption{Traits: request, Trial: true, Target: route.Target{ID: "c", Addr: "c"}})
+		},
+	} {
+		if q := g.Admit(request); !q.Trial || q.Left != 0 {
+			t.Fatalf("%s: the request is no trial: %+v", name, q)
+		}
+		end()
+	}
+	if q := g.Admit(request); !q.Trial {
+		t.Errorf("after trials that showed nothing: %+v, want another trial", q)
+	}
+}
--- a/internal/rule/crash/quarantine.go
+++ b/internal/rule/crash/quarantine.go
@@ -12,6 +12,8 @@
 	// Left is the time until the request may be sent, or may be the next trial; zero if it is not
 	// quarantined.
 	Left time.Duration
+	// Trial is set if the request is admitted as a trial.
+	Trial bool
 }
 
 const (
@@ -53,10 +55,21 @@
 		e, found := r.entries[t]
 		if found && len(r.unexplainedCrashes(e)) > 0 {
 			e.Tried = now
+			q.Trial = true
 			urgency = r.changed(e, true)
 		}
 	}
-	return Quarantine{}, urgency
+	return q, urgency
+}
+
+// Abandon ends a trial that showed nothing, as its target rejected the request or failed in another way
+// than by a crash. This router may begin another one at once, peers after trialTimeout.
+func (r *Record) Abandon(traits []Trait) {
+	for _, t := range traits {
+		if e, found := r.entries[t]; found {
+			e.Tried = time.Time{}
+		}
+	}
 }
 
 // quarantineLeft returns the time for which a request must not be sent because of the trait of an
