--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -355,18 +355,17 @@
 // parts of the prompt. It shows that of the whole request, which may have crashed the target late, only in a
 // trial.
 func (h *Handler) reportToGuard(j *job, placement *route.Placement, attempt result) {
+	answered := attempt.reason == Served && attempt.status < http.StatusMultipleChoices
 	switch {
 	case attempt.connBroken:
 		h.Guard.ReportInterrupted(guard.Interruption{
 			Request: string(j.call.ID), Traits: j.traits(), Trial: j.trial, Workspace: j.workspace.Name, Route: j.route.Name,
 			Target: placement.Target, Ran: attempt.took,
 		})
-	case attempt.complete:
+	case attempt.complete || answered && j.trial:
 		h.Guard.Served(j.traits())
-	case attempt.reason == Served && attempt.status < http.StatusMultipleChoices && !j.trial:
+	case answered:
 		h.Guard.Served(j.traits()[1:])
-	case attempt.reason == Served && attempt.status < http.StatusMultipleChoices:
-		h.Guard.Served(j.traits())
 	case j.trial:
 		h.Guard.Abandon(j.traits())
 	}
