--- a/internal/edge/guard/guard_test.go
+++ b/internal/edge/guard/guard_test.go
@@ -313,27 +313,35 @@
 	}
 }
 
-// Guards against requests that are held back for the timeout of a trial which showed nothing: its target rejected it,
-// or lives on although the answer broke off. The router may begin another trial at once.
-func TestTrialThatShowsNothingIsRepeated(t *testing.T) {
+// Guards against sound requests that are held back for the timeout of an early trial which showed nothing: its target
+// rejected it, or lives on although the answer broke off. Another sound request may be the next early trial at once; a
+// request with the other part, which most likely crashes targets, still waits.
+func TestEarlyTrialThatShowsNothingIsRepeated(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := newFakeDeps(true)
 	g := newGuard(t, p, &now)
-	g.interrupt("a", "b")
-	now = now.Add(g.QuarantineLeft(request))
-	for name, end := range map[string]func(){
-		"rejected": func() { g.Abandon(request) },
-		"interrupted by a target that lives on": func() {
+	crashing, sound := crash.Traits(100, []ident.PartHash{1, 2}), crash.Traits(200, []ident.PartHash{1})
+	for _, id := range []ident.Target{"a", "b", "c"} {
+		now = now.Add(time.Second)
+		g.checkCrash(Interruption{Traits: crashing, Target: route.Target{ID: id, Addr: string(id)}, Ran: time.Second})
+	}
+	now = now.Add(g.QuarantineLeft(sound))
+	for _, end := range []func(){
+		func() { g.Abandon(sound) },
+		func() {
 			p.down = false
-			g.checkCrash(Interruption{Traits: request, Trial: true, Target: route.Target{ID: "c", Addr: "c"}})
+			g.checkCrash(Interruption{Traits: sound, Trial: true, Target: route.Target{ID: "c", Addr: "c"}})
 		},
 	} {
-		if q := g.Admit(request); !q.Trial || q.Left != 0 {
-			t.Fatalf("%s: the request is no trial: %+v", name, q)
+		if q := g.Admit(sound); !q.Trial || q.Left != 0 {
+			t.Fatalf("a sound request is no trial: %+v", q)
 		}
 		end()
 	}
-	if q := g.Admit(request); !q.Trial {
+	if q := g.Admit(sound); !q.Trial {
 		t.Errorf("after trials that showed nothing: %+v, want another trial", q)
 	}
+	if q := g.Admit(crashing); q.Left == 0 {
+		t.Error("a request with the other part is admitted")
+	}
 }
--- a/internal/rule/crash/parts_test.go
+++ b/internal/rule/crash/parts_test.go
@@ -154,3 +154,19 @@
 		t.Error("not quarantined after all targets crashed three times")
 	}
 }
+
+// Guards against requests with a crashing part that reach one target after another after its quarantine, because each
+// target rejects the trial for want of room, and against all routers beginning the next trial at the same moment.
+func TestTrialThatShowsNothingIsRepeatedLate(t *testing.T) {
+	r := NewRecord(func(Trait) int { return 3 })
+	crashed(r, 0, []Start{1, 2, 3}, 60*time.Millisecond, fatalPart)
+	request := Traits(1, []ident.PartHash{fatalPart})
+	now := at(2).Add(r.Quarantine(at(2), request).Left)
+	if q, _ := r.Admit(now, request); !q.Trial {
+		t.Fatalf("after the quarantine: %+v", q)
+	}
+	r.Abandon(request)
+	if diff := cmp.Diff(trialTimeout+3*trialInterval, r.Quarantine(now, request).Left); diff != "" {
+		t.Errorf("time until the next trial: %s", diff)
+	}
+}
--- a/internal/rule/crash/quarantine.go
+++ b/internal/rule/crash/quarantine.go
@@ -20,9 +20,8 @@
 	// trialInterval is the time between the first moments at which two routers may begin a trial. Word of
 	// a trial reaches most routers within it.
 	trialInterval = time.Second
-	// trialTimeout is the time for which a trial excludes others. Nearly all answers are complete
-	// within it.
-	trialTimeout = 10 * time.Second
+	// trialTimeout is the time for which a trial excludes others, unless its result is known before.
+	trialTimeout = firstQuarantine
 	// earlyTrialDelay is the time after the last crash from which a request may be a trial that tells a
 	// quarantined trait from another one.
 	earlyTrialDelay = 2 * time.Second
@@ -54,7 +53,7 @@
 	for _, t := range traits {
 		e, found := r.entries[t]
 		if found && len(r.unexplainedCrashes(e)) > 0 {
-			e.Tried = now
+			e.Tried, e.abandoned = now, false
 			q.Trial = true
 			urgency = r.changed(e, true)
 		}
@@ -63,11 +62,12 @@
 }
 
 // Abandon ends a trial that showed nothing, as its target rejected the request or failed in another way
-// than by a crash. This router may begin another one at once, peers after trialTimeout.
+// than by a crash. This router may begin another early trial at once. Other requests still wait: most
+// likely they have what crashes targets, and must not reach one target after another.
 func (r *Record) Abandon(traits []Trait) {
 	for _, t := range traits {
 		if e, found := r.entries[t]; found {
-			e.Tried = time.Time{}
+			e.abandoned = true
 		}
 	}
 }
@@ -83,14 +83,17 @@
 		return 0
 	}
 	last := unexplained[len(unexplained)-1].At
-	until := last.Add(e.Kind.quarantineDuration(unexplained))
+	until, tried := last.Add(e.Kind.quarantineDuration(unexplained)), e.Tried.Add(trialTimeout)
 	if e.distinguishes(traits) {
 		until = last.Add(earlyTrialDelay)
+		if e.abandoned {
+			tried = until
+		}
 	}
-	until = until.Add(time.Duration(r.rank(e.Trait)) * trialInterval)
-	if busy := e.Tried.Add(trialTimeout); busy.After(until) {
-		until = busy
+	if tried.After(until) {
+		until = tried
 	}
+	until = until.Add(time.Duration(r.rank(e.Trait)) * trialInterval)
 	return max(until.Sub(now), 0)
 }
 
@@ -161,9 +164,10 @@
 const clearlyMore = 3
 
 // likelier reports whether an entry is the likelier cause of the crashes that it shares with another
-// one: it is blamed for at least as many less one, and requests ran for a shorter time before them, it is
-// a part and blamed for all of them and others, or it is blamed for clearly more. A cause of crashes mostly shows soon after a request was
-// sent, and repeatedly, whereas harmless requests are eventually served or abandoned.
+// one: it is blamed for at least as many less one, and requests ran for a shorter time before them; it is
+// a part and blamed for all of them and others; or it is blamed for clearly more. A cause of crashes mostly
+// shows soon after a request was sent, and repeatedly, whereas harmless requests are eventually served or
+// abandoned.
 //
 // A request cannot explain crashes under a part, since the part may be why it crashes targets. A part
 // explains those under a request if it is quarantined itself.
--- a/internal/rule/crash/record.go
+++ b/internal/rule/crash/record.go
@@ -30,6 +30,8 @@
 	// requests ran before them.
 	crashes int
 	meanRan time.Duration
+	// abandoned is set if the last trial was one of this router and showed nothing.
+	abandoned bool
 	// unexplained are the unexplained crashes, and rivals the traits that are as likely their cause, as of
 	// a version of the record.
 	unexplained []Crash
@@ -109,7 +111,7 @@
 	}
 	if s.Tried.After(e.Tried.Add(trialInterval)) {
 		// Ages on the wire are not exact, so that the same trial may seem later.
-		e.Tried, changed = s.Tried, true
+		e.Tried, e.abandoned, changed = s.Tried, false, true
 	}
 	return r.changed(e, changed)
 }
