--- a/internal/share/peer/pressure.go
+++ b/internal/share/peer/pressure.go
@@ -18,9 +18,10 @@
 	PressureHigh
 )
 
-// pressureTTL is the time for which the reported pressure of a router counts. A router exchanges several
-// digests with each router of its availability zone in that time.
-const pressureTTL = 5 * time.Second
+// pressureTTL is the time for which the reported pressure of a router counts. A router exchanges digests with most
+// of its availability zone in that time. Routers that end report nothing, and callers must not be sent to them for
+// long.
+const pressureTTL = 2 * time.Second
 
 // recordPressure records the pressure that a router reports.
 func (v *View) recordPressure(now time.Time, id ident.Router, p Pressure) {
--- a/internal/share/peer/pressure_test.go
+++ b/internal/share/peer/pressure_test.go
@@ -34,7 +34,7 @@
 		"no other router in the zone":      {[]report{lowElsewhere}, 0, true},
 		"all zones are under pressure":     {[]report{highElsewhere, highElsewhere}, 0, false},
 		"another region":                   {[]report{{"c", "s", peer.Live, peer.PressureLow}}, 0, false},
-		"reported long ago":                {[]report{low}, 6 * time.Second, false},
+		"reported long ago":                {[]report{low}, 3 * time.Second, false},
 		"leaving":                          {[]report{{"a", "r", peer.Leaving, peer.PressureLow}}, 0, false},
 		"a router that reports nothing":    {[]report{{"a", "r", peer.Live, peer.PressureUnknown}}, 0, false},
 		"unknown ones of the zone, others": {[]report{{"a", "r", peer.Live, peer.PressureUnknown}, lowElsewhere}, 0, true},
