--- a/internal/edge/guard/doc.go
+++ b/internal/edge/guard/doc.go
@@ -3,5 +3,5 @@
 //
 // A request may crash each target that starts to run it. Callers retry it, and each retry would
 // crash another target, together with all other requests that run there, whichever router receives
-// it.
+// it. The cause may also be a part of the prompt, in requests that are all different.
 package guard
--- a/internal/rule/crash/quarantine.go
+++ b/internal/rule/crash/quarantine.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// Quarantine is the state of a request that is not to be sent.
+// Quarantine states whether a request may be sent now.
 type Quarantine struct {
-	// Trait is the trait for which the request is quarantined.
+	// Trait is the trait for which the request is quarantined, or zero if it is not.
 	Trait Trait
 	// Left is the time until the request may be sent, or may be the next trial; zero if it is not
 	// quarantined.
