--- a/internal/rule/crash/parts_model_test.go
+++ b/internal/rule/crash/parts_model_test.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -229,3 +230,64 @@
 		t.Errorf("%+v with %d entries", q, len(r.entries))
 	}
 }
+
+// Pattern: of 986 routers, one in ten does not respond. Five crashes under a part, one every 100 ms, are each observed
+// by another router, and each interrupts twenty harmless requests at others. All responding routers must quarantine
+// the part within 3 s of the fifth crash.
+func TestPartReachesAllRouters(t *testing.T) {
+	const routers, unresponsive, fanout, crashes = 986, 98, 3, 5
+	rng := rand.New(rand.NewPCG(2, 2))
+	now := time.Unix(1000, 0)
+	var all []*Record
+	for range routers {
+		all = append(all, newRecord())
+	}
+	urgent := make([]bool, routers)
+	exchange := func(from, to int) {
+		for _, s := range all[from].Outgoing(now, routers) {
+			urgent[to] = all[to].Merge(now, s) == Urgent || urgent[to]
+		}
+	}
+	next := ident.Fingerprint(0)
+	crash := func(start Start) {
+		for i := range 21 {
+			next++
+			parts, ran := []ident.PartHash{groupPart(rng.IntN(40)), sessionPart(rng.IntN(402))}, time.Duration(rng.IntN(2000))*time.Millisecond
+			if i == 0 {
+				parts, ran = []ident.PartHash{groupPart(3), fatalPart}, modelCrashAfter
+			}
+			all[unresponsive+rng.IntN(routers-unresponsive)].Crashed(now, Traits(next, parts), start, ran)
+		}
+	}
+	quarantining := 0
+	for step := range 34 {
+		now = now.Add(100 * time.Millisecond)
+		if step < crashes {
+			crash(Start(step))
+		}
+		for a := unresponsive; a < routers; a++ {
+			peers := 0
+			if urgent[a] {
+				peers = fanout
+			}
+			urgent[a] = false
+			if (step+a)%4 == 0 {
+				peers++
+			}
+			for range peers {
+				if b := rng.IntN(routers); b >= unresponsive && b != a {
+					exchange(a, b)
+					exchange(b, a)
+				}
+			}
+		}
+	}
+	for _, r := range all[unresponsive:] {
+		if r.Quarantine(now, []Trait{Part(fatalPart)}).Left > 0 {
+			quarantining++
+		}
+	}
+	if quarantining < routers-unresponsive {
+		t.Errorf("3 s after the fifth crash %d of %d routers quarantine the part", quarantining, routers-unresponsive)
+	}
+}
