--- a/internal/share/peer/node.go
+++ b/internal/share/peer/node.go
@@ -86,6 +86,7 @@
 	crashes       Crashes
 	canaryReports CanaryReports
 	pressure      func() Pressure
+	room          roomCheck
 	// trigger requests an exchange ahead of the next round.
 	trigger chan struct{}
 }
--- a/internal/share/peer/pressure.go
+++ b/internal/share/peer/pressure.go
@@ -62,12 +62,25 @@
 	}
 }
 
+// roomCheckInterval is the interval at which the pressure of all routers is looked at. An overloaded router needs
+// the result for each new connection.
+const roomCheckInterval = 100 * time.Millisecond
+
+// roomCheck is the latest result of View.OthersHaveRoom.
+type roomCheck struct {
+	at             time.Time
+	othersHaveRoom bool
+}
+
 // OthersHaveRoom reports whether most other routers to which callers of this one can turn reported low
-// pressure.
+// pressure, as of roomCheckInterval ago at most.
 func (n *Node) OthersHaveRoom() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.view.OthersHaveRoom(n.clock())
+	if now := n.clock(); now.Sub(n.room.at) >= roomCheckInterval {
+		n.room = roomCheck{at: now, othersHaveRoom: n.view.OthersHaveRoom(now)}
+	}
+	return n.room.othersHaveRoom
 }
 
 // SetPressure sets the function that returns the pressure of this router. It must be called before Run.
