--- a/internal/oper/node/node_test.go
+++ b/internal/oper/node/node_test.go
@@ -55,11 +55,11 @@
 	if len(i.timers) != 0 {
 		t.Error("an active connection still has a timer")
 	}
-	limit = time.Millisecond
-	i.stateChanged(near, http.StateIdle)
 	if err := far.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
 		t.Fatal(err)
 	}
+	limit = time.Millisecond
+	i.stateChanged(near, http.StateIdle)
 	if _, err := far.Read(make([]byte, 1)); err == nil || isTimeout(err) {
 		t.Errorf("the idle connection is still open: %v", err)
 	}
