--- a/internal/oper/daemon/build.go
+++ b/internal/oper/daemon/build.go
@@ -144,7 +144,7 @@
 // quarantineStore reads the rows of quarantined requests from the table service.
 type quarantineStore struct{ *table.Client }
 
-// maxQuarantinedRows limits the rows read in one scan; the guard keeps no more than that either.
+// maxQuarantinedRows limits the rows of one table that are read.
 const maxQuarantinedRows = 1000
 
 // QuarantineRows returns the rows of quarantined requests.
