--- a/internal/share/peer/pressure.go
+++ b/internal/share/peer/pressure.go
@@ -30,36 +30,24 @@
 	}
 }
 
-// OthersHaveRoom reports whether most other live routers to which callers of this one can turn reported low
-// pressure: those of its availability zone, or of its region if none of the zone has reported.
+// OthersHaveRoom reports whether most other live routers of this one's availability zone reported low pressure.
+// Callers turn to routers of one zone, so that a router without others in its zone has to tell them when to
+// return.
 func (v *View) OthersHaveRoom(now time.Time) bool {
 	self := v.members[v.self]
-	var zone, region pressureCount
+	low, high := 0, 0
 	for id, e := range v.members {
-		if id == v.self || e.State != Live || e.Region != self.Region || e.pressure == PressureUnknown || now.Sub(e.pressureAt) > pressureTTL {
+		if id == v.self || e.State != Live || e.Zone != self.Zone || now.Sub(e.pressureAt) > pressureTTL {
 			continue
 		}
-		region.add(e.pressure)
-		if e.Zone == self.Zone {
-			zone.add(e.pressure)
+		switch e.pressure {
+		case PressureLow:
+			low++
+		case PressureHigh:
+			high++
 		}
 	}
-	if zone.low+zone.high > 0 {
-		return zone.low > zone.high
-	}
-	return region.low > region.high
-}
-
-// pressureCount counts routers by their pressure.
-type pressureCount struct{ low, high int }
-
-// add counts a router.
-func (c *pressureCount) add(p Pressure) {
-	if p == PressureHigh {
-		c.high++
-	} else {
-		c.low++
-	}
+	return low > high
 }
 
 // roomCheckInterval is the interval at which the pressure of all routers is looked at. An overloaded router needs
@@ -72,8 +60,7 @@
 	othersHaveRoom bool
 }
 
-// OthersHaveRoom reports whether most other routers to which callers of this one can turn reported low
-// pressure, as of roomCheckInterval ago at most.
+// OthersHaveRoom reports whether most other routers of this one's availability zone reported low pressure, as of roomCheckInterval ago at most.
 func (n *Node) OthersHaveRoom() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
