--- a/internal/edge/reach/peers.go
+++ b/internal/edge/reach/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,19 +51,23 @@
 	}
 }
 
-// order returns the peers to ask, those that failed recently last, and how many to ask at once.
+// order returns the peers to ask, those that worked recently first and those that failed recently last, and how
+// many to ask at once.
 func (r *peerRecord) order(peers []Peer, now time.Time) (order []Peer, parallel int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var last []Peer
+	var unknown, failed []Peer
 	for _, p := range peers {
-		if at, failed := r.failedAt[p.ID]; failed && now.Sub(at) < peerMemory {
-			last = append(last, p)
-			continue
+		switch {
+		case now.Sub(r.workedAt[p.ID]) < peerMemory:
+			order = append(order, p)
+		case now.Sub(r.failedAt[p.ID]) < peerMemory:
+			failed = append(failed, p)
+		default:
+			unknown = append(unknown, p)
 		}
-		order = append(order, p)
 	}
-	order = append(order, last...)
+	order = slices.Concat(order, unknown, failed)
 	order = order[:min(maxPeers, len(order))]
 	parallel = min(parallelPeers, len(order))
 	if len(order) > 0 && now.Sub(r.workedAt[order[0].ID]) < peerMemory {
