Targets that nobody reaches are logged with what each peer answered

What callers of routers cut off from targets saw cannot be told from the logs: a search for a tunnel that fails logged neither the peers that were asked nor their answers, so a zone whose peers are all cut off looks like targets that are down. No decision has changed; go test ./internal/edge/reach passes.

--- a/internal/edge/reach/dialer.go
+++ b/internal/edge/reach/dialer.go
@@ -104,7 +104,7 @@
 		return c, nil
 	}
 	if kind := fault.KindOf[Kind](err); kind == Unreachable || kind == Refused {
-		d.paths.down(addr, d.Clock())
+		d.recordDown(addr, nil, err)
 		return nil, err
 	}
 	a := d.dialDirect(ctx, addr)
@@ -154,7 +154,9 @@
 	if fault.IsLocalResourceError(direct) || fault.KindOf[Kind](tunnel) == NoPeer {
 		return
 	}
-	d.paths.down(addr, d.Clock())
+	if d.paths.down(addr, d.Clock()) {
+		_ = level.Info(d.Logger).Log("msg", "target is not reachable through peers either", "addr", addr, "err", direct, "tunnel_err", tunnel)
+	}
 }
 
 // changed logs and reports that this router is cut off from the targets, or is not any more.
--- a/internal/edge/reach/paths.go
+++ b/internal/edge/reach/paths.go
@@ -123,11 +123,13 @@
 	return false
 }
 
-// down records a target that nobody reached.
-func (p *paths) down(addr string, now time.Time) {
+// down records a target that nobody reached. It returns whether that is new.
+func (p *paths) down(addr string, now time.Time) (added bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	_, known := p.downAt[addr]
 	p.downAt[addr] = now
+	return !known
 }
 
 // isCutOff reports whether this router is cut off from all targets.
--- a/internal/edge/reach/peers.go
+++ b/internal/edge/reach/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -93,8 +94,9 @@
 	started, ended int
 	// unable contains the peers that could not connect to the target.
 	unable []ident.Router
-	// failure is the most telling answer so far.
-	failure *Error
+	// kind is that of the most telling failure so far, failures are those of all peers, for logs.
+	kind     Kind
+	failures []string
 }
 
 // dialTunnel connects to a target through a peer. It asks several peers, one or two at a time, and
@@ -102,10 +104,7 @@
 func (d *Dialer) dialTunnel(ctx context.Context, addr string) (net.Conn, error) {
 	peers, parallel := d.peerRecord.order(d.Peers(), d.Clock())
 	ctx, cancel := context.WithCancel(ctx)
-	s := &tunnelSearch{
-		dialer: d, addr: addr, peers: peers, results: make(chan peerResult, len(peers)),
-		failure: fault.New[Kind]("reach.dialTunnel", NoPeer, nil),
-	}
+	s := &tunnelSearch{dialer: d, addr: addr, peers: peers, results: make(chan peerResult, len(peers)), kind: NoPeer}
 	defer s.discardRest()
 	defer cancel()
 	for range parallel {
@@ -122,7 +121,7 @@
 		s.record(ctx, r)
 		s.askNext(ctx)
 	}
-	return nil, s.failure
+	return nil, fault.Newf("reach.dialTunnel", s.kind, "%s", strings.Join(s.failures, ", "))
 }
 
 // askNext asks the next peer, if there is one and time is left.
@@ -142,7 +141,10 @@
 // if another peer reaches the target.
 func (s *tunnelSearch) record(ctx context.Context, r peerResult) {
 	kind := fault.KindOf[Kind](r.err)
-	s.failure = moreTelling(s.failure, kind, r.err)
+	s.failures = append(s.failures, string(r.peer.ID)+" "+string(kind))
+	if tellingRank[kind] > tellingRank[s.kind] {
+		s.kind = kind
+	}
 	switch {
 	case ctx.Err() != nil:
 	case kind == NoPeer || kind == Rejected:
@@ -165,14 +167,6 @@
 	}()
 }
 
-// tellingRank orders the kinds of failures by how much they say of the target.
+// tellingRank orders the kinds of failures by how much they say of the target: that nothing listens there, or
+// that it cannot be reached, rather than that a peer did not try.
 var tellingRank = map[Kind]int{NoPeer: 0, Rejected: 1, Unreachable: 2, Refused: 3}
-
-// moreTelling returns the failure that says more of the target: that nothing listens there, or that it
-// cannot be reached, rather than that a peer did not try.
-func moreTelling(known *Error, kind Kind, err error) *Error {
-	if tellingRank[kind] < tellingRank[known.Kind] {
-		return known
-	}
-	return fault.New("reach.dialTunnel", kind, err)
-}
