Routers of several zones are asked for tunnels, and only sound ones vouch for a target's fault

Cause: the four peers asked came from the own zone first and were as cut off; their failure to connect counted as the target's (nobody reaches it), so no other peer was ever asked: what one observer in the same position fails to do says nothing of what is observed. Change: peers of the own zone and of others are asked by turns. A peer that has not just reached another target, or has lost one, answers 'unsure' instead of vouching for the target's fault, and checks some targets. A target counts as down only if a sound peer says so, or all peers (16 in a large fleet) have failed and none worked. Peers are remembered for 5 s instead of 1 s; of those that failed the one that failed first is asked first. While any path is lost, idle connections are used only to targets connected to since then.

--- a/internal/edge/reach/dialer.go
+++ b/internal/edge/reach/dialer.go
@@ -103,7 +103,7 @@
 	if err == nil {
 		return c, nil
 	}
-	if kind := fault.KindOf[Kind](err); kind == Unreachable || kind == Refused {
+	if showsDown(err) {
 		d.recordDown(addr, nil, err)
 		return nil, err
 	}
@@ -148,10 +148,10 @@
 	}
 }
 
-// recordDown records a target that neither this router nor a peer could reach. Without peers nothing
-// shows that the target is at fault.
+// recordDown records a target that neither this router nor a peer could reach. Without a peer that reaches
+// other targets nothing shows that the target is at fault.
 func (d *Dialer) recordDown(addr string, direct, tunnel error) {
-	if fault.IsLocalResourceError(direct) || fault.KindOf[Kind](tunnel) == NoPeer {
+	if fault.IsLocalResourceError(direct) || !showsDown(tunnel) {
 		return
 	}
 	if d.paths.down(addr, d.Clock()) {
@@ -159,6 +159,12 @@
 	}
 }
 
+// showsDown reports whether the failure to get a tunnel shows that the target is down.
+func showsDown(tunnel error) bool {
+	kind := fault.KindOf[Kind](tunnel)
+	return kind == Unreachable || kind == Refused
+}
+
 // changed logs and reports that this router is cut off from the targets, or is not any more.
 func (d *Dialer) changed(cutOff bool) {
 	if cutOff {
@@ -179,7 +185,7 @@
 	if t, ok := c.(*tunnelConn); ok {
 		return !direct && d.isLive(t.peer)
 	}
-	return direct && !d.paths.inDoubt()
+	return direct && !d.paths.inDoubt(addr)
 }
 
 // isLive reports whether a peer may still be asked for tunnels.
--- a/internal/edge/reach/error.go
+++ b/internal/edge/reach/error.go
@@ -13,7 +13,11 @@
 	// Rejected means that a peer rejected a tunnel, because it is stopping, overloaded or cut off
 	// itself, or does not have the target.
 	Rejected Kind = "rejected"
-	// Unreachable means that a peer could not connect to the target either.
+	// Unsure means that a peer could not connect to the target, and does not know of any target that it
+	// reaches.
+	Unsure Kind = "unsure"
+	// Unreachable means that a peer which reaches other targets could not connect to the target, or that none
+	// of the peers could.
 	Unreachable Kind = "unreachable"
 	// Refused means that nothing listens at the target's address according to a peer.
 	Refused Kind = "refused"
--- a/internal/edge/reach/paths.go
+++ b/internal/edge/reach/paths.go
@@ -16,6 +16,8 @@
 	// downTTL is how long attempts at a target that nobody reaches fail at once. A check that runs
 	// meanwhile renews or ends it.
 	downTTL = 500 * time.Millisecond
+	// soundMemory is how long a direct connection shows that this router reaches targets.
+	soundMemory = time.Second
 )
 
 // route is the path that an attempt takes.
@@ -35,6 +37,8 @@
 	mu sync.Mutex
 	// reachedAt is when a direct connection was made last, to any target.
 	reachedAt time.Time
+	// verified contains the targets to which a direct connection was made while others were lost.
+	verified map[string]bool
 	// lostAt contains the targets that only peers reach, with the time when that was found.
 	lostAt map[string]time.Time
 	// downAt contains the targets that nobody reached, with the time of the last attempt.
@@ -45,7 +49,7 @@
 }
 
 func newPaths() *paths {
-	return &paths{lostAt: map[string]time.Time{}, downAt: map[string]time.Time{}}
+	return &paths{lostAt: map[string]time.Time{}, downAt: map[string]time.Time{}, verified: map[string]bool{}}
 }
 
 // route returns the path for an attempt at a target.
@@ -71,6 +75,11 @@
 	p.reachedAt = now
 	delete(p.downAt, addr)
 	delete(p.lostAt, addr)
+	if len(p.lostAt) > 0 {
+		p.verified[addr] = true
+	} else {
+		clear(p.verified)
+	}
 	wasCutOff := p.cutOff
 	p.cutOff = false
 	return wasCutOff
@@ -86,6 +95,7 @@
 		return false, false
 	}
 	p.lostAt[addr] = now
+	delete(p.verified, addr)
 	watch = !p.watched
 	p.watched = true
 	return true, watch
@@ -110,9 +120,9 @@
 	return true
 }
 
-// inDoubt reports whether a path was lost after the latest direct connection. Other connections may be
-// dead as well.
-func (p *paths) inDoubt() bool {
+// inDoubt reports whether open connections to a target that were made directly may be dead: a path was lost
+// after the latest direct connection, or while others are lost none was made to this target.
+func (p *paths) inDoubt(addr string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, at := range p.lostAt {
@@ -120,7 +130,15 @@
 			return true
 		}
 	}
-	return false
+	return len(p.lostAt) > 0 && !p.verified[addr]
+}
+
+// sound reports whether this router reaches targets, as far as it knows: it has connected to one a moment ago
+// and has lost none. A failure to connect then says something of the target.
+func (p *paths) sound(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.lostAt) == 0 && !p.cutOff && now.Sub(p.reachedAt) < soundMemory
 }
 
 // down records a target that nobody reached. It returns whether that is new.
--- a/internal/edge/reach/peers.go
+++ b/internal/edge/reach/peers.go
@@ -14,12 +14,15 @@
 
 const (
 	// peerMemory is how long a router remembers whether a peer could provide a tunnel.
-	peerMemory = time.Second
+	peerMemory = 5 * time.Second
 	// parallelPeers is the number of peers that are asked at once while the first of them has provided
 	// no tunnel recently: it may be cut off as well without having found out.
 	parallelPeers = 2
 	// maxPeers is the number of peers that are asked for one tunnel.
 	maxPeers = 4
+	// enoughPeers is the number of peers after which a router that found none to help takes targets for
+	// down. It goes on asking others.
+	enoughPeers = 16
 )
 
 // peerRecord records which peers could provide a tunnel and which could not.
@@ -52,8 +55,24 @@
 	}
 }
 
-// order returns the peers to ask, those that worked recently first and those that failed recently last, and how
-// many to ask at once.
+// noneHelps reports whether all of the given peers failed recently, or many of them and no other worked.
+func (r *peerRecord) noneHelps(peers []Peer, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	failed := 0
+	for _, p := range peers {
+		switch {
+		case now.Sub(r.workedAt[p.ID]) < peerMemory:
+			return false
+		case now.Sub(r.failedAt[p.ID]) < peerMemory:
+			failed++
+		}
+	}
+	return failed >= min(enoughPeers, len(peers))
+}
+
+// order returns the peers to ask, those that worked recently first and those that failed recently last, the
+// latest at the end, and how many to ask at once.
 func (r *peerRecord) order(peers []Peer, now time.Time) (order []Peer, parallel int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -68,6 +87,7 @@
 			unknown = append(unknown, p)
 		}
 	}
+	slices.SortStableFunc(failed, func(a, b Peer) int { return r.failedAt[a.ID].Compare(r.failedAt[b.ID]) })
 	order = slices.Concat(order, unknown, failed)
 	order = order[:min(maxPeers, len(order))]
 	parallel = min(parallelPeers, len(order))
@@ -92,7 +112,9 @@
 	results chan peerResult
 	// started and ended count the peers that were asked and that have answered.
 	started, ended int
-	// unable contains the peers that could not connect to the target.
+	// all are the peers among which those to ask were selected.
+	all []Peer
+	// unable contains the peers that reach other targets and could not connect to this one.
 	unable []ident.Router
 	// kind is that of the most telling failure so far, failures are those of all peers, for logs.
 	kind     Kind
@@ -102,9 +124,10 @@
 // dialTunnel connects to a target through a peer. It asks several peers, one or two at a time, and
 // returns the first tunnel.
 func (d *Dialer) dialTunnel(ctx context.Context, addr string) (net.Conn, error) {
-	peers, parallel := d.peerRecord.order(d.Peers(), d.Clock())
+	all := d.Peers()
+	peers, parallel := d.peerRecord.order(all, d.Clock())
 	ctx, cancel := context.WithCancel(ctx)
-	s := &tunnelSearch{dialer: d, addr: addr, peers: peers, results: make(chan peerResult, len(peers)), kind: NoPeer}
+	s := &tunnelSearch{dialer: d, addr: addr, all: all, peers: peers, results: make(chan peerResult, len(peers)), kind: NoPeer}
 	defer s.discardRest()
 	defer cancel()
 	for range parallel {
@@ -121,7 +144,16 @@
 		s.record(ctx, r)
 		s.askNext(ctx)
 	}
-	return nil, fault.Newf("reach.dialTunnel", s.kind, "%s", strings.Join(s.failures, ", "))
+	return nil, s.failure()
+}
+
+// failure returns the error of a search in which no peer provided a tunnel.
+func (s *tunnelSearch) failure() error {
+	kind := s.kind
+	if (kind == Unsure || kind == Rejected) && s.dialer.peerRecord.noneHelps(s.all, s.dialer.Clock()) {
+		kind = Unreachable
+	}
+	return fault.Newf("reach.dialTunnel", kind, "%s", strings.Join(s.failures, ", "))
 }
 
 // askNext asks the next peer, if there is one and time is left.
@@ -137,8 +169,8 @@
 	}()
 }
 
-// record records that a peer provided no tunnel. Whether the peer or the target is at fault shows only
-// if another peer reaches the target.
+// record records that a peer provided no tunnel. Whether one that reaches other targets or this target is at
+// fault shows only if another peer reaches it.
 func (s *tunnelSearch) record(ctx context.Context, r peerResult) {
 	kind := fault.KindOf[Kind](r.err)
 	s.failures = append(s.failures, string(r.peer.ID)+" "+string(kind))
@@ -147,10 +179,10 @@
 	}
 	switch {
 	case ctx.Err() != nil:
-	case kind == NoPeer || kind == Rejected:
-		s.dialer.peerRecord.failed(s.dialer.Clock(), r.peer.ID)
-	default:
+	case kind == Unreachable || kind == Refused:
 		s.unable = append(s.unable, r.peer.ID)
+	default:
+		s.dialer.peerRecord.failed(s.dialer.Clock(), r.peer.ID)
 	}
 }
 
@@ -168,5 +200,5 @@
 }
 
 // tellingRank orders the kinds of failures by how much they say of the target: that nothing listens there, or
-// that it cannot be reached, rather than that a peer did not try.
-var tellingRank = map[Kind]int{NoPeer: 0, Rejected: 1, Unreachable: 2, Refused: 3}
+// that it cannot be reached, rather than that a peer did not try or reaches no target.
+var tellingRank = map[Kind]int{NoPeer: 0, Rejected: 1, Unsure: 2, Unreachable: 3, Refused: 4}
--- a/internal/edge/reach/reach_test.go
+++ b/internal/edge/reach/reach_test.go
@@ -274,9 +274,9 @@
 	defer tunnel.Close()
 	got = append(got, r.dialer.Usable(direct, f.targets[0]), r.dialer.Usable(direct, f.targets[1]), r.dialer.Usable(tunnel, f.targets[0]))
 	peer := f.routers[1].id
-	f.routers[1].id = "another router"
+	f.routers[1].setID("another router")
 	got = append(got, r.dialer.Usable(tunnel, f.targets[0]))
-	f.routers[1].id = peer
+	f.routers[1].setID(peer)
 	r.cutFrom(nil, false)
 	eventually(t, "the path is back", func() bool { return !r.dialer.paths.anyLost() })
 	got = append(got, r.dialer.Usable(direct, f.targets[0]), r.dialer.Usable(tunnel, f.targets[0]))
--- a/internal/edge/reach/server.go
+++ b/internal/edge/reach/server.go
@@ -75,21 +75,26 @@
 	defer cancel()
 	a := s.Dialer.dialDirect(ctx, addr)
 	if a.err != nil {
-		s.writeFailure(w, a.err)
+		s.writeFailure(w, addr, a.err)
 		return
 	}
 	defer a.conn.Close()
 	s.tunnel(w, a.conn)
 }
 
-// writeFailure answers that the target could not be reached.
-func (s *Server) writeFailure(w http.ResponseWriter, err error) {
+// writeFailure answers that the target could not be reached. A router that does not know of any target that
+// it reaches finds that out for the next request.
+func (s *Server) writeFailure(w http.ResponseWriter, addr string, err error) {
 	if fault.IsLocalResourceError(err) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	kind := Unreachable
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case !s.Dialer.paths.sound(s.Dialer.Clock()):
+		kind = Unsure
+		s.Dialer.checkOthers(addr)
+	case errors.Is(err, syscall.ECONNREFUSED):
 		kind = Refused
 	}
 	w.Header().Set(failureHeader, string(kind))
--- a/internal/edge/reach/setup_test.go
+++ b/internal/edge/reach/setup_test.go
@@ -123,7 +123,16 @@
 	return (&net.Dialer{}).DialContext(ctx, network, addr)
 }
 
+// setID changes the id under which others see the router.
+func (r *testRouter) setID(id ident.Router) {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	r.id = id
+}
+
 func (r *testRouter) peers() []Peer {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
 	var out []Peer
 	for _, other := range r.fleet.routers {
 		if other != r {
--- a/internal/edge/reach/zone_test.go
+++ b/internal/edge/reach/zone_test.go
@@ -1,8 +1,14 @@
 package reach
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
 )
 
 // detectionTime is the time after which a router that is cut off connects through peers each time.
@@ -33,3 +39,97 @@
 		}
 	}
 }
+
+// Guards against a peer that vouches for the fault of a target although it reaches none itself: only one that
+// has just reached another target, and has lost none, says that the target is at fault.
+func TestPeersThatReachNoTargetAreUnsure(t *testing.T) {
+	f := newFleet(t, 3, 3)
+	sound, cut := f.routers[1], f.routers[2]
+	gone := "127.0.0.1:1"
+	open := func(peer *testRouter) Kind {
+		c, err := f.routers[0].dialer.openTunnel(t.Context(), Peer{ID: peer.id, Addr: peer.addr}, gone)
+		if err == nil {
+			_ = c.Close()
+		}
+		return fault.KindOf[Kind](err)
+	}
+	cut.cutFrom(f.targets, false)
+	sound.connects(f.targets[0])
+	got := []Kind{open(cut), open(sound)}
+	sound.dialer.paths.lost(f.targets[1], time.Now())
+	got = append(got, open(sound))
+	if diff := cmp.Diff([]Kind{Unsure, Refused, Unsure}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a sound peer that stays unsure because it has nothing to send: it finds out which targets it
+// reaches when it is asked.
+func TestIdlePeerFindsOutWhetherItReachesTargets(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	peer := Peer{ID: f.routers[1].id, Addr: f.routers[1].addr}
+	eventually(t, "the peer is sure that the target is gone", func() bool {
+		_, err := f.routers[0].dialer.openTunnel(t.Context(), peer, "127.0.0.1:1")
+		return fault.KindOf[Kind](err) == Refused
+	})
+}
+
+// Guards against sound targets that are taken for down since the first peers that were asked are cut off:
+// some peers have not been asked yet.
+func TestCutOffPeersDoNotShowThatTargetsAreDown(t *testing.T) {
+	f := newFleet(t, 12, 1)
+	for _, r := range f.routers[:11] {
+		r.cutFrom(f.targets, false)
+	}
+	r := f.routers[0]
+	r.connects(f.targets[0])
+	if got := r.dialer.paths.route(f.targets[0], time.Now()); got == routeNone {
+		t.Error("the target counts as down although some peers were not asked")
+	}
+}
+
+// Targets count as down once all peers have failed, or many of them, and no other worked.
+func TestManyFailedPeersAreEnough(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var peers []Peer
+	for i := range 3 * enoughPeers {
+		peers = append(peers, Peer{ID: ident.Router(fmt.Sprint(i))})
+	}
+	r := newPeerRecord()
+	few := peers[:3]
+	var got []bool
+	for i, p := range peers[:enoughPeers] {
+		r.failed(now, p.ID)
+		if i == 1 || i == 2 {
+			got = append(got, r.noneHelps(few, now))
+		}
+	}
+	got = append(got, r.noneHelps(peers, now))
+	r.worked("20", now)
+	got = append(got, r.noneHelps(peers, now), r.noneHelps(few, now.Add(peerMemory)))
+	if diff := cmp.Diff([]bool{false, true, true, false, false}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against requests on idle connections to targets whose paths are lost as well but not yet known to be:
+// while any path is lost, a target must have been connected to anew.
+func TestIdleConnectionsNeedANewOneWhilePathsAreLost(t *testing.T) {
+	f := newFleet(t, 2, 4)
+	r := f.routers[0]
+	idle, err := r.dialer.Dial(t.Context(), f.targets[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	r.cutFrom(f.targets[:2], false)
+	r.connects(f.targets[0])
+	r.connects(f.targets[2])
+	got := []bool{r.dialer.Usable(idle, f.targets[1])}
+	r.cutFrom(f.targets[:1], false)
+	r.dialer.paths.reached(f.targets[1], time.Now())
+	got = append(got, r.dialer.Usable(idle, f.targets[1]))
+	if diff := cmp.Diff([]bool{false, true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/oper/node/paths.go
+++ b/internal/oper/node/paths.go
@@ -27,8 +27,8 @@
 	})
 }
 
-// tunnelPeers returns the live routers of this region: those of this availability zone first, in random
-// order.
+// tunnelPeers returns the live routers of this region, in random order: by turns one of this availability zone
+// and one of another, because all of a zone may be cut off from the targets.
 func (n *Node) tunnelPeers() []reach.Peer {
 	var near, far []reach.Peer
 	n.peers.Read(func(v *peer.View) {
@@ -45,7 +45,17 @@
 	for _, list := range [][]reach.Peer{near, far} {
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	}
-	return slices.Concat(near, far)
+	return alternate(near, far)
+}
+
+// alternate returns the elements of two lists by turns, and then the rest of the longer one.
+func alternate(a, b []reach.Peer) []reach.Peer {
+	out := make([]reach.Peer, 0, len(a)+len(b))
+	for i := range max(len(a), len(b)) {
+		out = append(out, a[min(i, len(a)):min(i+1, len(a))]...)
+		out = append(out, b[min(i, len(b)):min(i+1, len(b))]...)
+	}
+	return out
 }
 
 // targetAddrs returns the addresses of all targets that accept new work.
--- a/internal/oper/node/paths_test.go
+++ b/internal/oper/node/paths_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -78,3 +79,25 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against requests for tunnels that only reach the own availability zone, all of which may be cut off:
+// peers of this zone and of others come by turns.
+func TestTunnelPeersOfZonesAlternate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	self := peer.Member{ID: "self", Zone: "a", Region: "r", Addr: "10.0.0.1:1", Incarnation: 1}
+	peers := peer.NewNode(peer.NewView(now, self, peer.DefaultLimits), nil, nil, peer.DefaultPace, nil, 1, func() time.Time { return now })
+	for i, zone := range []string{"a", "a", "a", "a", "b", "c"} {
+		m := peer.Member{
+			ID: ident.Router(fmt.Sprint(zone, i)), Zone: ident.Zone(zone), Region: "r", Addr: "10.0.0.2:1", State: peer.Live, Incarnation: 1, Seq: 1,
+		}
+		peers.UpdateView(func(v *peer.View) { v.Incoming(now, peer.Digest{From: m.ID, Members: []peer.Member{m}}) })
+	}
+	n := &Node{self: self, peers: peers}
+	var got []bool
+	for _, p := range n.tunnelPeers() {
+		got = append(got, p.ID[0] == 'a')
+	}
+	if diff := cmp.Diff([]bool{true, false, true, false, true, true}, got); diff != "" {
+		t.Errorf("whether each peer is of the own zone: %s", diff)
+	}
+}
