--- a/internal/edge/reach/zone_test.go
+++ b/internal/edge/reach/zone_test.go
@@ -56,7 +56,8 @@
 	cut.cutFrom(f.targets, false)
 	sound.connects(f.targets[0])
 	got := []Kind{open(cut), open(sound)}
-	sound.dialer.paths.lost(f.targets[1], time.Now())
+	sound.cutFrom(f.targets[1:2], false)
+	sound.connects(f.targets[1])
 	got = append(got, open(sound))
 	if diff := cmp.Diff([]Kind{Unsure, Refused, Unsure}, got); diff != "" {
 		t.Error(diff)
@@ -133,3 +134,35 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against peers that are asked again while others, which failed longer ago, may reach the targets by now.
+func TestPeerThatFailedFirstIsAskedFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newPeerRecord()
+	for _, id := range []ident.Router{"second", "third", "first"} {
+		r.failed(now, id)
+		now = now.Add(time.Millisecond)
+	}
+	r.failed(now, "third")
+	r.failedAt["first"] = now.Add(-time.Second)
+	order, _ := r.order([]Peer{{ID: "third"}, {ID: "second"}, {ID: "first"}}, now)
+	if diff := cmp.Diff([]Peer{{ID: "first"}, {ID: "second"}, {ID: "third"}}, order); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against idle connections that are used since their target was connected to during an earlier cut.
+func TestVerifiedTargetsAreForgottenWithTheCut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPaths()
+	p.lost("a", now)
+	p.reached("b", now.Add(time.Second))
+	got := []bool{p.inDoubt("b")}
+	p.reached("a", now.Add(2*time.Second))
+	p.lost("a", now.Add(3*time.Second))
+	p.reached("c", now.Add(4*time.Second))
+	got = append(got, p.inDoubt("b"), p.inDoubt("c"))
+	if diff := cmp.Diff([]bool{false, true, false}, got); diff != "" {
+		t.Error(diff)
+	}
+}
