--- /dev/null
+++ b/internal/edge/entry/forward.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"valescale/internal/edge/relay"
+	"valescale/internal/rule/retry"
+)
+
+// maxBufferedAnswer is the size in bytes up to which an answer is buffered before it is sent
+// to the caller, so that the request can be retried if the answer is lost. Longer answers are
+// forwarded as they arrive, which bounds memory.
+const maxBufferedAnswer = 256 << 10
+
+// forward sends an answer to the caller. Events are sent as they arrive; other answers are sent
+// once they are complete, unless they exceed maxBufferedAnswer.
+func (h *Handler) forward(ctx context.Context, w http.ResponseWriter, j *job, answer receivedAnswer, idleTimeout *idleTimeout) result {
+	if j.route.Stream && answer.Status < http.StatusMultipleChoices {
+		return h.forwardEvents(ctx, w, j, answer, idleTimeout)
+	}
+	if j.headSent {
+		// The caller has already received a part of a stream, which this answer cannot continue.
+		return result{step: retry.Answering, reason: Lost, status: answer.Status}
+	}
+	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedAnswer))
+	if err != nil {
+		return result{step: retry.Answering, reason: Lost, status: answer.Status, err: err}
+	}
+	if len(body) == maxBufferedAnswer {
+		return h.forwardUnbuffered(ctx, w, j, answer, body)
+	}
+	if err := h.checkEnd(ctx, j, answer); err != nil {
+		return result{step: retry.Answering, reason: Lost, status: answer.Status, err: err}
+	}
+	j.first = h.Clock().Sub(j.arrived)
+	header := h.copyHeader(w, answer)
+	switch {
+	case answer.Framing == relay.NoBody && answer.Length >= 0:
+		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	case answer.Framing == relay.Length || answer.Framing == relay.Chunks:
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	j.setFraming(header, answer.Framing)
+	w.WriteHeader(answer.Status)
+	// A caller that has disconnected needs no answer.
+	_ = writeAll(w, body)
+	return result{ended: true, reason: Served, status: answer.Status}
+}
+
+// forwardUnbuffered forwards an answer that is too long to be buffered.
+func (h *Handler) forwardUnbuffered(ctx context.Context, w http.ResponseWriter, j *job, answer receivedAnswer, firstPart []byte) result {
+	header := h.copyHeader(w, answer)
+	if answer.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	j.setFraming(header, answer.Framing)
+	j.headSent = true
+	j.first = h.Clock().Sub(j.arrived)
+	w.WriteHeader(answer.Status)
+	caller := &callerWriter{dst: w}
+	_, err := io.Copy(caller, io.MultiReader(bytes.NewReader(firstPart), answer))
+	switch {
+	case caller.failed:
+		return result{ended: true, reason: CallerGone, status: answer.Status, err: err}
+	case err != nil:
+		return result{ended: true, reason: CutOff, status: answer.Status, err: err}
+	}
+	if err := h.checkEnd(ctx, j, answer); err != nil {
+		return result{ended: true, reason: CutOff, status: answer.Status, err: err}
+	}
+	return result{ended: true, reason: Served, status: answer.Status}
+}
+
+// callerWriter records write errors, which distinguishes a caller that disconnected from a target
+// that closed the connection.
+type callerWriter struct {
+	dst    http.ResponseWriter
+	failed bool
+}
+
+// Write implements io.Writer.
+func (c *callerWriter) Write(p []byte) (int, error) {
+	err := writeAll(c.dst, p)
+	if err != nil {
+		c.failed = true
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// copyHeader copies the answer's headers to the caller, except for Content-Length.
+func (h *Handler) copyHeader(w http.ResponseWriter, answer receivedAnswer) http.Header {
+	header := w.Header()
+	for name, values := range relay.EndToEnd(answer.Header) {
+		header[name] = values
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		// A nil value keeps the HTTP server from detecting a content type.
+		header["Content-Type"] = nil
+	}
+	return header
+}
--- a/internal/edge/front/chat.go
+++ b/internal/edge/front/chat.go
@@ -28,9 +28,7 @@
 		problem.write(w)
 		return
 	}
-	f.countRequest()
-	if err := f.Finder.Admit(r.Context(), j.workspace); err != nil {
-		f.fail(w, j, routeProblem(err))
+	if !f.admit(w, r, j) {
 		return
 	}
 	if !chat.Stream {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -162,6 +162,17 @@
 	return f.budget.Retry(f.Clock())
 }
 
+// admit counts a request for the retry budget and takes one of its workspace's rate tokens. If there is none, it
+// answers the request and returns false.
+func (f *Front) admit(w http.ResponseWriter, r *http.Request, j *job) bool {
+	f.countRequest()
+	if err := f.Finder.Admit(r.Context(), j.workspace); err != nil {
+		f.fail(w, j, routeProblem(err))
+		return false
+	}
+	return true
+}
+
 func (f *Front) countRequest() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -22,9 +22,7 @@
 		problem.write(w)
 		return
 	}
-	f.countRequest()
-	if err := f.Finder.Admit(r.Context(), j.workspace); err != nil {
-		f.fail(w, j, routeProblem(err))
+	if !f.admit(w, r, j) {
 		return
 	}
 	body, problem := f.readBody(w, r)
--- a/internal/rule/crash/quarantine.go
+++ b/internal/rule/crash/quarantine.go
@@ -131,12 +131,10 @@
 // unexplainedCrashes returns the crashes that an entry is blamed for and that no likelier trait
 // explains, or nothing if they are too few for a quarantine.
 //
-// A crash aborts some 15 harmless requests. They are retried, and while several causes of crashes
-// are in circulation, some of them are aborted repeatedly. If all crashes counted alike, 37 of 31,400
-// harmless attempts of the model were quarantined and 61 engines lost to 32 crashing requests; with
-// this rule it is 2 of 32,200 attempts and 86 engines. 37 and 25 harmless requests respectively
-// stayed unserved. A request that crashes its engines late is quarantined some crashes later, once it
-// is blamed for more crashes than the requests that ran beside it.
+// A crash aborts harmless requests as well. They are retried, and while several causes of crashes are in
+// circulation, some of them are aborted repeatedly, so that crashes cannot count alike for all. A request that
+// crashes its engines late is quarantined some crashes later, once it is blamed for more crashes than the requests
+// that ran beside it.
 func (r *Record) unexplainedCrashes(e *entry) []Crash {
 	if e.crashes < e.Kind.threshold() {
 		return nil
