A lost path is tried directly also when all peers have failed; guards of tunnels have tests

What callers would have seen: a router with one peer that rejects tunnels rejected requests although its own path was back. Cause: the mend of zones cut off from targets turned 'all peers failed' into a peer's word that the target is down, for which a lost path is not tried. Now exhaustion counts only after the own attempt failed as well. Evidence: TestLostPathIsTriedWithoutTunnels fails on the commit before and passes.

--- a/internal/edge/reach/dialer.go
+++ b/internal/edge/reach/dialer.go
@@ -103,7 +103,7 @@
 	if err == nil {
 		return c, nil
 	}
-	if showsDown(err) {
+	if vouched(err) {
 		d.recordDown(addr, nil, err)
 		return nil, err
 	}
@@ -148,10 +148,13 @@
 	}
 }
 
-// recordDown records a target that neither this router nor a peer could reach. Without a peer that reaches
-// other targets nothing shows that the target is at fault.
+// recordDown records a target that neither this router nor a peer could reach, if a peer that reaches others says
+// so or no peer helps any more. Without peers nothing shows that the target is at fault.
 func (d *Dialer) recordDown(addr string, direct, tunnel error) {
-	if fault.IsLocalResourceError(direct) || !showsDown(tunnel) {
+	if fault.IsLocalResourceError(direct) || fault.KindOf[Kind](tunnel) == NoPeer {
+		return
+	}
+	if !vouched(tunnel) && !d.peerRecord.noneHelps(d.Peers(), d.Clock()) {
 		return
 	}
 	if d.paths.down(addr, d.Clock()) {
@@ -159,8 +162,8 @@
 	}
 }
 
-// showsDown reports whether the failure to get a tunnel shows that the target is down.
-func showsDown(tunnel error) bool {
+// vouched reports whether a tunnel failed because a peer that reaches other targets could not connect.
+func vouched(tunnel error) bool {
 	kind := fault.KindOf[Kind](tunnel)
 	return kind == Unreachable || kind == Refused
 }
--- a/internal/edge/reach/error.go
+++ b/internal/edge/reach/error.go
@@ -16,8 +16,7 @@
 	// Unsure means that a peer could not connect to the target, and does not know of any target that it
 	// reaches.
 	Unsure Kind = "unsure"
-	// Unreachable means that a peer which reaches other targets could not connect to the target, or that none
-	// of the peers could.
+	// Unreachable means that a peer which reaches other targets could not connect to the target.
 	Unreachable Kind = "unreachable"
 	// Refused means that nothing listens at the target's address according to a peer.
 	Refused Kind = "refused"
--- /dev/null
+++ b/internal/edge/reach/guards_test.go
@@ -0,0 +1,72 @@
+package reach
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"valescale/internal/plat/fault"
+)
+
+// Guards against peers that are asked first each time although they have just rejected a tunnel, or have not
+// answered.
+func TestPeersThatRejectOrDoNotAnswerAreRecorded(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	r := f.routers[0]
+	r.cutFrom(f.targets, false)
+	f.routers[1].accepting = false
+	f.routers[2].addr = "127.0.0.1:1"
+	r.connects(f.targets[0])
+	for _, p := range r.peers() {
+		if !r.dialer.peerRecord.noneHelps([]Peer{p}, time.Now()) {
+			t.Errorf("the failure of peer %s is not recorded", p.ID)
+		}
+	}
+}
+
+// Guards against a lost path that is back and not used while no peer provides a tunnel.
+func TestLostPathIsTriedWithoutTunnels(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	r := f.routers[0]
+	r.cutFrom(f.targets, false)
+	r.connects(f.targets[0])
+	f.mu.Lock()
+	f.routers[1].accepting = false
+	f.mu.Unlock()
+	r.cutFrom(nil, false)
+	r.dialer.paths.lost(f.targets[0], time.Now())
+	connected, tunneled := r.connects(f.targets[0])
+	if diff := cmp.Diff([]bool{true, false}, []bool{connected, tunneled}); diff != "" {
+		t.Errorf("connected, through a peer: %s", diff)
+	}
+}
+
+// Guards against a router that provides more tunnels than its descriptors bear.
+func TestTunnelsAreLimited(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	peer := f.routers[1]
+	open := func() Kind {
+		c, err := f.routers[0].dialer.openTunnel(t.Context(), Peer{ID: peer.id, Addr: peer.addr}, f.targets[0])
+		if err == nil {
+			_ = c.Close()
+		}
+		return fault.KindOf[Kind](err)
+	}
+	got := []Kind{open()}
+	var held []net.Conn
+	for range maxTunnels {
+		c, other := net.Pipe()
+		held = append(held, c, other)
+		peer.server.add(c)
+	}
+	got = append(got, open())
+	for _, c := range held {
+		peer.server.remove(c)
+		_ = c.Close()
+	}
+	if diff := cmp.Diff([]Kind{"", Rejected}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/edge/reach/peers.go
+++ b/internal/edge/reach/peers.go
@@ -112,8 +112,6 @@
 	results chan peerResult
 	// started and ended count the peers that were asked and that have answered.
 	started, ended int
-	// all are the peers among which those to ask were selected.
-	all []Peer
 	// unable contains the peers that reach other targets and could not connect to this one.
 	unable []ident.Router
 	// kind is that of the most telling failure so far, failures are those of all peers, for logs.
@@ -124,10 +122,9 @@
 // dialTunnel connects to a target through a peer. It asks several peers, one or two at a time, and
 // returns the first tunnel.
 func (d *Dialer) dialTunnel(ctx context.Context, addr string) (net.Conn, error) {
-	all := d.Peers()
-	peers, parallel := d.peerRecord.order(all, d.Clock())
+	peers, parallel := d.peerRecord.order(d.Peers(), d.Clock())
 	ctx, cancel := context.WithCancel(ctx)
-	s := &tunnelSearch{dialer: d, addr: addr, all: all, peers: peers, results: make(chan peerResult, len(peers)), kind: NoPeer}
+	s := &tunnelSearch{dialer: d, addr: addr, peers: peers, results: make(chan peerResult, len(peers)), kind: NoPeer}
 	defer s.discardRest()
 	defer cancel()
 	for range parallel {
@@ -144,16 +141,7 @@
 		s.record(ctx, r)
 		s.askNext(ctx)
 	}
-	return nil, s.failure()
-}
-
-// failure returns the error of a search in which no peer provided a tunnel.
-func (s *tunnelSearch) failure() error {
-	kind := s.kind
-	if (kind == Unsure || kind == Rejected) && s.dialer.peerRecord.noneHelps(s.all, s.dialer.Clock()) {
-		kind = Unreachable
-	}
-	return fault.Newf("reach.dialTunnel", kind, "%s", strings.Join(s.failures, ", "))
+	return nil, fault.Newf("reach.dialTunnel", s.kind, "%s", strings.Join(s.failures, ", "))
 }
 
 // askNext asks the next peer, if there is one and time is left.
