Peers find out alone whether they reach targets, and their refusals count as before

Requests for tunnels multiplied while a whole fleet was cut off: an unsure peer checked other targets through its own peers, which did the same (one request led to 85 to 111 at each of five routers). The answer now tells a refusal apart (unsure_refused), which counts for the end of targets as before and not for targets that are down: TestEndOfTargetIsKnownThroughAPeerThatLostPaths.

--- a/internal/edge/reach/check.go
+++ b/internal/edge/reach/check.go
@@ -55,13 +55,35 @@
 
 // checkOthers checks some targets besides one that only a peer reaches.
 func (d *Dialer) checkOthers(addr string) {
-	others := slices.DeleteFunc(d.Targets(), func(other string) bool { return other == addr })
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, other := range others[:min(otherTargets, len(others))] {
+	for _, other := range d.someOthers(addr) {
 		d.Check(other)
 	}
 }
 
+// tryOthers connects directly to some targets besides one, until an attempt succeeds. It asks no peers, which
+// might ask others in turn, and does nothing while it runs already.
+func (d *Dialer) tryOthers(addr string) {
+	if !d.trying.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer d.trying.Store(false)
+		for _, other := range d.someOthers(addr) {
+			if a := d.dialDirect(d.ctx, other); a.err == nil {
+				_ = a.conn.Close()
+				return
+			}
+		}
+	}()
+}
+
+// someOthers returns some targets besides one, in random order.
+func (d *Dialer) someOthers(addr string) []string {
+	others := slices.DeleteFunc(d.Targets(), func(other string) bool { return other == addr })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(otherTargets, len(others))]
+}
+
 // watchLostPaths tries direct paths at intervals until all that were lost are back, or the dialer is
 // closed.
 func (d *Dialer) watchLostPaths() {
--- a/internal/edge/reach/dialer.go
+++ b/internal/edge/reach/dialer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -52,6 +53,8 @@
 	peerRecord *peerRecord
 	// running contains the targets that are being checked.
 	running *checked
+	// trying is set while tryOthers runs.
+	trying atomic.Bool
 	// ctx ends when the dialer is closed, and with it what runs in the background.
 	ctx context.Context
 }
@@ -222,7 +225,14 @@
 		_ = tunnel.Close()
 		return false
 	}
-	return fault.KindOf[Kind](err) == Refused || <-direct && !d.paths.anyLost()
+	return peerRefused(err) || <-direct && !d.paths.anyLost()
+}
+
+// peerRefused reports whether a peer was refused. Its word counts also if it reaches no target itself: an answer
+// must not end as complete because nobody was sure that its target has ended.
+func peerRefused(tunnel error) bool {
+	kind := fault.KindOf[Kind](tunnel)
+	return kind == Refused || kind == UnsureRefused
 }
 
 // refusedHere reports whether this router is refused, unless peers show that its own path is at fault.
@@ -237,7 +247,7 @@
 		d.recordLost(addr, err)
 		return false
 	}
-	return fault.KindOf[Kind](tunnelErr) == Refused || !d.paths.anyLost()
+	return peerRefused(tunnelErr) || !d.paths.anyLost()
 }
 
 // refusedDirectly returns the error of an attempt on this router's own path if it was refused, or nil.
--- a/internal/edge/reach/error.go
+++ b/internal/edge/reach/error.go
@@ -16,6 +16,8 @@
 	// Unsure means that a peer could not connect to the target, and does not know of any target that it
 	// reaches.
 	Unsure Kind = "unsure"
+	// UnsureRefused means the same of a peer that was refused: as far as it can tell, nothing listens there.
+	UnsureRefused Kind = "unsure_refused"
 	// Unreachable means that a peer which reaches other targets could not connect to the target.
 	Unreachable Kind = "unreachable"
 	// Refused means that nothing listens at the target's address according to a peer.
--- a/internal/edge/reach/guards_test.go
+++ b/internal/edge/reach/guards_test.go
@@ -70,3 +70,31 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against requests for tunnels that multiply while a whole fleet is cut off: a peer that finds out whether
+// it reaches targets asks no other peers.
+func TestUnsurePeersAskNoOthers(t *testing.T) {
+	f := newFleet(t, 6, 6)
+	for _, r := range f.routers {
+		r.cutFrom(f.targets, false)
+	}
+	asked := f.routers[1]
+	c, err := f.routers[0].dialer.openTunnel(t.Context(), Peer{ID: asked.id, Addr: asked.addr}, f.targets[0])
+	if err == nil {
+		_ = c.Close()
+		t.Fatal("a peer that is cut off provided a tunnel")
+	}
+	eventually(t, "the peer has tried other targets", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return asked.dials > 1
+	})
+	<-time.After(2 * testTimeout)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.routers {
+		if r != asked && r.tunnels > 0 {
+			t.Errorf("router %s received %d requests for tunnels", r.id, r.tunnels)
+		}
+	}
+}
--- a/internal/edge/reach/peers.go
+++ b/internal/edge/reach/peers.go
@@ -189,4 +189,4 @@
 
 // tellingRank orders the kinds of failures by how much they say of the target: that nothing listens there, or
 // that it cannot be reached, rather than that a peer did not try or reaches no target.
-var tellingRank = map[Kind]int{NoPeer: 0, Rejected: 1, Unsure: 2, Unreachable: 3, Refused: 4}
+var tellingRank = map[Kind]int{NoPeer: 0, Rejected: 1, Unsure: 2, UnsureRefused: 3, Unreachable: 4, Refused: 5}
--- a/internal/edge/reach/server.go
+++ b/internal/edge/reach/server.go
@@ -89,18 +89,30 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	kind := Unreachable
-	switch {
-	case !s.Dialer.paths.sound(s.Dialer.Clock()):
-		kind = Unsure
-		s.Dialer.checkOthers(addr)
-	case errors.Is(err, syscall.ECONNREFUSED):
-		kind = Refused
+	kind := s.connectKind(err)
+	if kind == Unsure || kind == UnsureRefused {
+		s.Dialer.tryOthers(addr)
 	}
 	w.Header().Set(failureHeader, string(kind))
 	w.WriteHeader(http.StatusBadGateway)
 }
 
+// connectKind returns the kind of a failure to connect to a target.
+func (s *Server) connectKind(err error) Kind {
+	sound := s.Dialer.paths.sound(s.Dialer.Clock())
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case sound && refused:
+		return Refused
+	case sound:
+		return Unreachable
+	case refused:
+		return UnsureRefused
+	default:
+		return Unsure
+	}
+}
+
 // tunnel upgrades the connection of a request and copies in both directions.
 func (s *Server) tunnel(w http.ResponseWriter, target net.Conn) {
 	c, buffered, err := http.NewResponseController(w).Hijack()
--- a/internal/edge/reach/through_peer_test.go
+++ b/internal/edge/reach/through_peer_test.go
@@ -65,3 +65,17 @@
 		t.Error("a target that a peer reaches counts as ended")
 	}
 }
+
+// Guards against a broken answer that ends as complete since the only peer which knows that its target has ended
+// has lost paths itself.
+func TestEndOfTargetIsKnownThroughAPeerThatLostPaths(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	router, peer := f.routers[0], f.routers[1]
+	router.cutFrom(f.targets, false)
+	router.connects(f.targets[0])
+	peer.cutFrom(f.targets, false)
+	peer.dialer.paths.lost(f.targets[1], time.Now())
+	if !router.dialer.Refused(t.Context(), "127.0.0.1:1") {
+		t.Error("the target is not known to have ended")
+	}
+}
--- a/internal/edge/reach/tunnel.go
+++ b/internal/edge/reach/tunnel.go
@@ -125,7 +125,7 @@
 // failureKind returns why a peer has not provided a tunnel.
 func failureKind(resp *http.Response) Kind {
 	switch kind := Kind(resp.Header.Get(failureHeader)); kind {
-	case Refused, Unreachable, Unsure:
+	case Refused, Unreachable, Unsure, UnsureRefused:
 		return kind
 	default:
 		return Rejected
