Targets that nobody reaches stay recorded until the next request

Cause: each target was recorded as down for 0.5 s, less than a request takes for five of them, so the next one waited again; and peers that did not answer in time kept a target from being recorded at all. Change: 2 s, renewed or ended by checks; a target also counts as down if peers exist and all of them failed in whatever way.

--- a/internal/edge/reach/dialer.go
+++ b/internal/edge/reach/dialer.go
@@ -154,10 +154,11 @@
 // recordDown records a target that neither this router nor a peer could reach, if a peer that reaches others says
 // so or no peer helps any more. Without peers nothing shows that the target is at fault.
 func (d *Dialer) recordDown(addr string, direct, tunnel error) {
-	if fault.IsLocalResourceError(direct) || fault.KindOf[Kind](tunnel) == NoPeer {
+	peers := d.Peers()
+	if fault.IsLocalResourceError(direct) || len(peers) == 0 {
 		return
 	}
-	if !vouched(tunnel) && !d.peerRecord.noneHelps(d.Peers(), d.Clock()) {
+	if !vouched(tunnel) && !d.peerRecord.noneHelps(peers, d.Clock()) {
 		return
 	}
 	if d.paths.down(addr, d.Clock()) {
--- a/internal/edge/reach/guards_test.go
+++ b/internal/edge/reach/guards_test.go
@@ -98,3 +98,24 @@
 		}
 	}
 }
+
+// Guards against requests that each wait for several targets while nobody reaches any: by the time the next request
+// comes, the first of these targets must still be recorded.
+func TestDownTargetsAreRecordedUntilTheNextRequest(t *testing.T) {
+	const targets = 5
+	f := newFleet(t, 2, targets)
+	for _, r := range f.routers {
+		r.cutFrom(f.targets, true)
+	}
+	var took [2]time.Duration
+	for i := range took {
+		began := time.Now()
+		for _, addr := range f.targets {
+			f.routers[0].connects(addr)
+		}
+		took[i] = time.Since(began)
+	}
+	if took[1] > testTimeout {
+		t.Errorf("the second request waited for %s, the first for %s", took[1], took[0])
+	}
+}
--- a/internal/edge/reach/paths.go
+++ b/internal/edge/reach/paths.go
@@ -14,8 +14,9 @@
 	// that still reaches some targets makes one more often.
 	cutOffDelay = time.Second
 	// downTTL is how long attempts at a target that nobody reaches fail at once. A check that runs
-	// meanwhile renews or ends it.
-	downTTL = 500 * time.Millisecond
+	// meanwhile renews or ends it. It is longer than a request that tries several such targets takes, so that
+	// the next request finds all of them recorded.
+	downTTL = 2 * time.Second
 	// soundMemory is how long a direct connection shows that this router reaches targets.
 	soundMemory = time.Second
 )
