--- a/review/1/main.go
+++ b/review/1/main.go
@@ -21,7 +21,7 @@
 	gap    = 5 * time.Second
 	// requesters is the number of requests at once. The sheet has 318 requests a second for 8 machines, and
 	// bursts of 1.7 times that: 68 a second for one machine.
-	requesters = 60
+	requesters = 48
 	// largeBody is MaxBodyBytes of the desired state, usualBody the mean of run-review in the sheet.
 	largeBody = 4_194_304
 	usualBody = 24_000
