Review: stand-ins in review/platform, requests with their prompt headers

Cause: a test of the platform package allows the platform's names in Go files only below folders of that name, and stream requests lacked the headers of their route. Change: review/lab is review/platform, the cases use the project's own words; requests of stream routes name model, tokens and prompt parts, answers of engines are events and carry the version of their weights.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,4 +1,4 @@
-// Command 1 lets requesters send bodies of the size that the desired state allows, about as many as one
+// Command 1 lets callers send bodies of the size that the desired state allows, about as many as one
 // machine gets in a second of a burst, and checks that no router goes over the memory of its machine again
 // and again.
 //
@@ -12,16 +12,16 @@
 	"sync"
 	"time"
 
-	"valescale/review/lab"
+	lab "valescale/review/platform"
 )
 
 const (
-	// rounds is the number of times that the requesters come, gap the time between two of them.
+	// rounds is the number of times that the callers come, gap the time between two of them.
 	rounds = 3
 	gap    = 5 * time.Second
-	// requesters is the number of requests at once. The sheet has 318 requests a second for 8 machines, and
+	// callers is the number of requests at once. The sheet has 318 requests a second for 8 machines, and
 	// bursts of 1.7 times that: 68 a second for one machine.
-	requesters = 48
+	callers = 48
 	// largeBody is MaxBodyBytes of the desired state, usualBody the mean of run-review in the sheet.
 	largeBody = 4_194_304
 	usualBody = 24_000
@@ -31,7 +31,7 @@
 	ramMB = 284
 	// restartDelay is the delay after which the platform starts a process that has ended.
 	restartDelay = 500 * time.Millisecond
-	// deadline is that of the requesters, tries how often each sends its request: once more on a new
+	// deadline is that of the callers, tries how often each sends its request: once more on a new
 	// connection, which reaches the other machine.
 	deadline = 10 * time.Second
 	tries    = 2
@@ -47,7 +47,8 @@
 	for i := range 4 {
 		_, err := s.AddReplica(fmt.Sprint("i-", i), lab.Engine, func(w http.ResponseWriter, _ *http.Request, body []byte) {
 			time.Sleep(work)
-			_, _ = fmt.Fprintf(w, "read %d bytes", len(body))
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = fmt.Fprintf(w, "id: 1\ndata: read %d bytes\n\n", len(body))
 		})
 		if err != nil {
 			return err
@@ -73,11 +74,11 @@
 
 // burst sends the requests of one round and records how they ended.
 func burst(s *lab.Scene, round, bodyBytes int) {
-	s.Printf("sent: %d requests with bodies of %d bytes in chunks, all to %s first", requesters, bodyBytes, s.Fleet.Routers[0].Name)
+	s.Printf("sent: %d requests with bodies of %d bytes in chunks, all to %s first", callers, bodyBytes, s.Fleet.Routers[0].Name)
 	var mu sync.Mutex
 	ends := map[string]int{}
 	var waiting sync.WaitGroup
-	for n := range requesters {
+	for n := range callers {
 		waiting.Go(func() {
 			for try := range tries {
 				id := fmt.Sprintf("%02d%02d%d", round, n, try)
--- a/review/1/platform.go
+++ b/review/1/platform.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"valescale/review/lab"
+	lab "valescale/review/platform"
 )
 
 // memoryInterval is the interval at which the platform looks at the memory of a process.
--- a/review/lab/platform.go
+++ b/review/platform/platform.go
@@ -1,4 +1,4 @@
-package lab
+package platform
 
 // Names of the deployment's configuration.
 const (
--- a/review/lab/record.go
+++ b/review/platform/record.go
@@ -1,4 +1,4 @@
-package lab
+package platform
 
 import (
 	"fmt"
--- a/review/lab/replica.go
+++ b/review/platform/replica.go
@@ -1,4 +1,4 @@
-package lab
+package platform
 
 import (
 	"io"
@@ -15,6 +15,7 @@
 	HeaderNotRun   = "X-Valescale-Not-Run"
 	HeaderExpect   = "X-Valescale-Expect-Replica"
 	HeaderDeadline = "X-Valescale-Deadline-Ms"
+	HeaderWeights  = "X-Valescale-Weight-Versions"
 )
 
 // Run is one run of a request at a replica.
@@ -48,6 +49,7 @@
 	rep := &Replica{ID: id, addr: l.Addr().String()}
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(HeaderID, r.Header.Get(HeaderID))
+		w.Header().Set(HeaderWeights, "1")
 		if r.Header.Get(HeaderExpect) != id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
--- a/review/lab/requester.go
+++ b/review/platform/requester.go
@@ -1,4 +1,4 @@
-package lab
+package platform
 
 import (
 	"bufio"
@@ -81,20 +81,31 @@
 // Close closes the connection.
 func (r *Requester) Close() { _ = r.conn.Close() }
 
-// Head returns the head of a request. A body of the given length follows it.
-func Head(method, path, id string, deadline time.Duration, length int) string {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n",
-		method, path, Host, HeaderID, id, HeaderDeadline, deadline.Milliseconds(), Key)
-	if method == http.MethodPost {
-		head += fmt.Sprintf("Content-Length: %d\r\n", length)
+// Head returns the head of a request. The framing is the header field that tells how its body is sent, or
+// empty if it has none.
+func Head(method, path, id string, deadline time.Duration, framing string) string {
+	fields := []string{
+		fmt.Sprintf("%s %s HTTP/1.1", method, path), "Host: " + Host, HeaderID + ": " + id,
+		fmt.Sprintf("%s: %d", HeaderDeadline, deadline.Milliseconds()), "Authorization: Bearer " + Key,
+	}
+	if strings.HasPrefix(path, Stream) || strings.HasPrefix(path, Resume) {
+		// Each request has a session of its own.
+		fields = append(fields, "X-Valescale-Model: m", "X-Valescale-Token-Count: 1460,80",
+			fmt.Sprintf("X-Valescale-Prefix-Hash: 5c1e07a2:800,%x:410,%x:250", "s"+id, "r"+id))
+	}
+	if framing != "" {
+		fields = append(fields, framing)
 	}
-	return head + "\r\n"
+	return strings.Join(fields, "\r\n") + "\r\n\r\n"
 }
 
 // Send sends a request.
 func (r *Requester) Send(method, path, id string, deadline time.Duration, body string) error {
-	_, err := io.WriteString(r.conn, Head(method, path, id, deadline, len(body))+body)
-	return err
+	framing := ""
+	if method == http.MethodPost {
+		framing = fmt.Sprintf("Content-Length: %d", len(body))
+	}
+	return r.Raw(Head(method, path, id, deadline, framing) + body)
 }
 
 // Receive reads an answer for at most limit. If head is not nil, it is called with the answer once its
@@ -149,9 +160,7 @@
 
 // SendChunks sends a request whose body of the given length comes in chunks.
 func (r *Requester) SendChunks(method, path, id string, deadline time.Duration, length int) error {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n",
-		method, path, Host, HeaderID, id, HeaderDeadline, deadline.Milliseconds(), Key)
-	if err := r.Raw(head); err != nil {
+	if err := r.Raw(Head(method, path, id, deadline, "Transfer-Encoding: chunked")); err != nil {
 		return err
 	}
 	data := strings.Repeat("x", chunkBytes)
