Review: case 1 leaves only the burst out, case 3 checks the rule's excuses

Cause: TROUBLE=0 of case 1 sent smaller bodies instead of leaving out the burst, which is the disruption that its claim names.

Change: with TROUBLE=0 case 1 sends the same 48 bodies of MaxBodyBytes one each 100 ms.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,6 +1,6 @@
-// Command 1 lets callers send bodies of the size that the desired state allows, about as many as one
+// Command 1 lets callers send bodies of the size that the desired state allows, fewer at once than one
 // machine gets in a second of a burst, and checks that no router goes over the memory of its machine again
-// and again.
+// and again. Without the disruption the same requests come one after another.
 //
 // Usage: 1 FOLDER ROUTER writes FOLDER/record.txt and starts routers with the program ROUTER.
 package main
@@ -19,12 +19,13 @@
 	// rounds is the number of times that the callers come, gap the time between two of them.
 	rounds = 3
 	gap    = 5 * time.Second
-	// callers is the number of requests at once. The sheet has 318 requests a second for 8 machines, and
+	// callers is the number of requests of a round. The sheet has 318 requests a second for 8 machines, and
 	// bursts of 1.7 times that: 68 a second for one machine.
 	callers = 48
-	// largeBody is MaxBodyBytes of the desired state, usualBody the mean of run-review in the sheet.
-	largeBody = 4_194_304
-	usualBody = 24_000
+	// evenPause is the time between two requests of a round without a burst.
+	evenPause = 100 * time.Millisecond
+	// bodyBytes is MaxBodyBytes of the desired state.
+	bodyBytes = 4_194_304
 	// work is how long a replica works on a request.
 	work = 500 * time.Millisecond
 	// ramMB is Limits.RamMb of the settings.
@@ -45,10 +46,11 @@
 // prepare starts the replicas.
 func prepare(s *lab.Scene) error {
 	for i := range 4 {
-		_, err := s.AddReplica(fmt.Sprint("i-", i), lab.Engine, func(w http.ResponseWriter, _ *http.Request, body []byte) {
+		_, err := s.AddReplica(fmt.Sprint("i-", i), lab.Engine, func(w http.ResponseWriter, _ *http.Request, body []byte) error {
 			time.Sleep(work)
 			w.Header().Set("Content-Type", "text/event-stream")
-			_, _ = fmt.Fprintf(w, "id: 1\ndata: read %d bytes\n\n", len(body))
+			_, err := fmt.Fprintf(w, "id: 1\ndata: read %d bytes\n\n", len(body))
+			return err
 		})
 		if err != nil {
 			return err
@@ -57,24 +59,25 @@
 	return nil
 }
 
-// play plays the bursts.
+// play plays the rounds.
 func play(s *lab.Scene) (int, error) {
 	platform := newPlatform(s)
 	s.Defer(platform.stop)
-	bodyBytes := usualBody
+	pause := evenPause
 	if lab.Trouble() {
-		bodyBytes = largeBody
+		pause = 0
 	}
 	for round := range rounds {
-		burst(s, round, bodyBytes)
+		sendRound(s, round, pause)
 		time.Sleep(gap)
 	}
 	return judge(s, platform), nil
 }
 
-// burst sends the requests of one round and records how they ended.
-func burst(s *lab.Scene, round, bodyBytes int) {
-	s.Printf("sent: %d requests with bodies of %d bytes in chunks, all to %s first", callers, bodyBytes, s.Fleet.Routers[0].Name)
+// sendRound sends the requests of one round with a pause after each and records how they ended.
+func sendRound(s *lab.Scene, round int, pause time.Duration) {
+	s.Printf("sent: %d requests, one each %d ms, with bodies of %d bytes in chunks, all to %s first",
+		callers, pause.Milliseconds(), bodyBytes, s.Fleet.Routers[0].Name)
 	var mu sync.Mutex
 	ends := map[string]int{}
 	var waiting sync.WaitGroup
@@ -83,7 +86,7 @@
 			for try := range tries {
 				id := fmt.Sprintf("%02d%02d%d", round, n, try)
 				router := s.Fleet.Routers[try%len(s.Fleet.Routers)]
-				answer := post(router.Front, id, bodyBytes)
+				answer := post(router.Front, id)
 				mu.Lock()
 				ends[fmt.Sprintf("try %d at %s: %s", try+1, router.Name, outcome(answer))]++
 				mu.Unlock()
@@ -92,6 +95,7 @@
 				}
 			}
 		})
+		time.Sleep(pause)
 	}
 	waiting.Wait()
 	for end, count := range ends {
@@ -108,7 +112,7 @@
 }
 
 // post sends one request on a connection of its own, its body in chunks.
-func post(addr, id string, bodyBytes int) lab.Answer {
+func post(addr, id string) lab.Answer {
 	r, err := lab.Connect(addr)
 	if err != nil {
 		return lab.Answer{Err: err}
--- a/review/platform/replica.go
+++ b/review/platform/replica.go
@@ -24,12 +24,12 @@
 	Request string
 	Path    string
 	Began   time.Time
-	// Ended is when the answer was written in full, or zero.
+	// Ended is when the answer was written in full without an error, or zero.
 	Ended time.Time
 }
 
-// Work answers a request at a replica.
-type Work func(w http.ResponseWriter, r *http.Request, body []byte)
+// Work answers a request at a replica. It returns an error if it could not write all of its answer.
+type Work func(w http.ResponseWriter, r *http.Request, body []byte) error
 
 // Replica is a stand-in of a replica.
 type Replica struct {
@@ -60,8 +60,9 @@
 		}
 		run := rep.begin(r)
 		w.Header().Set(HeaderSig, id+"."+run.Request)
-		work(w, r, body)
-		rep.end(run)
+		if err := work(w, r, body); err == nil {
+			rep.end(run)
+		}
 	}
 	server := &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(l) }()
