Metrics show the memory that a router keeps for requests

Cause: not yet shown. No metric told them apart: neither the bodies that are kept, nor the heap, nor the resident memory could be seen.

Change: gauges of bodies kept and of stream data that callers have not read, and the metrics of the Go runtime and the process from the library of the metrics. No decision uses them.

Measured: go test ./internal/edge/entry ./internal/oper/... passes.

--- a/internal/edge/entry/body.go
+++ b/internal/edge/entry/body.go
@@ -25,6 +25,7 @@
 	switch {
 	case err == nil:
 		j.body = body
+		h.bodyBytes.Add(int64(len(body)))
 		return nil
 	case errors.As(err, &large):
 		return &problem{status: http.StatusRequestEntityTooLarge, reason: TooLarge}
@@ -44,3 +45,9 @@
 	_, err := io.ReadFull(r, body)
 	return body, err
 }
+
+// releaseBody ends the use of the request's body.
+func (h *Handler) releaseBody(j *job) {
+	h.bodyBytes.Add(-int64(len(j.body)))
+	j.body = nil
+}
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -27,6 +27,8 @@
 	invalidBrittles logged
 	// unreadBytes is the total size of the stream data buffered for slow callers.
 	unreadBytes atomic.Int64
+	// bodyBytes is the total size of the request bodies that are kept until their requests end.
+	bodyBytes atomic.Int64
 }
 
 // New returns a handler.
@@ -40,6 +42,12 @@
 	return &Handler{Parts: parts, startedAt: parts.Clock(), latency: newLatencyEstimates(), meter: pace.NewMeter(parts.Clock)}
 }
 
+// BodyBytes returns the total size of the request bodies that are kept until their requests end.
+func (h *Handler) BodyBytes() int64 { return h.bodyBytes.Load() }
+
+// UnreadBytes returns the total size of the stream data that callers have not read yet.
+func (h *Handler) UnreadBytes() int64 { return h.unreadBytes.Load() }
+
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j, p := h.accept(r)
@@ -51,6 +59,7 @@
 		h.writeProblem(w, j, p)
 		return
 	}
+	defer h.releaseBody(j)
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
 	h.Budget.Request(j.service, j.arrived)
--- a/internal/oper/telem/routed.go
+++ b/internal/oper/telem/routed.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"valescale/internal/edge/entry"
@@ -104,6 +105,7 @@
 		rules:   newCounters("valescale_routed_placements_total", "Placed requests by service and the rule that selected the target.", "service", "rule"),
 		endings: newCounters("valescale_routed_endings_total", "Answers of targets by service and how they ended.", "service", "ending"),
 	}
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(m.endings, m.requests, m.sends, m.findTime, m.firstByte, m.duration, m.timely, m.rules)
 	for _, r := range readings {
 		m.registry.MustRegister(r.collector())
