The product's own interface keeps its callers' data within the memory of the box

Found by looking for the same cause on related paths, not reported.

Cause: front.readBody and relay.Reply.Whole read bodies up to 4 MB and answers up to 8 MB whole, and streams keep up to 2 MB of text for a continuation and a claim, each without a limit for all of them together.

A body without room is refused with out_of_memory, not run, and a time to return, also while its caller sends; an answer without room ends as lost with that code and is not requested again; a stream whose text has no room goes on and can only not be continued or recorded.

Measured: go test ./internal/edge/front ./internal/edge/relay ./internal/oper/... passes. No load was played on this interface.

--- a/internal/edge/front/chat.go
+++ b/internal/edge/front/chat.go
@@ -9,6 +9,7 @@
 
 	"valescale/internal/edge/relay"
 	"valescale/internal/edge/route"
+	"valescale/internal/plat/memory"
 	"valescale/internal/rule/policy"
 	"valescale/internal/rule/retry"
 	"valescale/internal/share/claim"
@@ -25,9 +26,10 @@
 	}
 	j, chat, problem := f.newChatJob(w, r)
 	if problem != nil {
-		problem.write(w)
+		f.refuse(w, r, problem, func() { problem.write(w) })
 		return
 	}
+	defer j.buffer.Close()
 	if !f.admit(w, r, j) {
 		return
 	}
@@ -44,10 +46,22 @@
 	if problem != nil {
 		return nil, chatRequest{}, problem
 	}
-	body, problem := f.readBody(w, r)
+	buffer, body, problem := f.readBody(w, r, from.workspace.Name)
 	if problem != nil {
+		buffer.Close()
 		return nil, chatRequest{}, problem
 	}
+	j, chat, problem := f.parseChatJob(r, from, body)
+	if problem != nil {
+		buffer.Close()
+		return nil, chat, problem
+	}
+	j.buffer = buffer
+	return j, chat, nil
+}
+
+// parseChatJob returns the job of a chat completion request with the given body.
+func (f *Front) parseChatJob(r *http.Request, from caller, body []byte) (*job, chatRequest, *Problem) {
 	chat, problem := parseChat(r, body)
 	if problem != nil {
 		return nil, chat, problem
@@ -86,13 +100,17 @@
 		f.relayBuffered(w, r, j, s)
 		return
 	}
-	out := newEventWriter(w, f.Keys, j.workspace.Name, f.limits.MaxPartialBytes)
+	hold := f.Memory.Open(memory.Streams, memory.Owner{Workspace: j.workspace.Name})
+	defer hold.Close()
+	out := newEventWriter(w, hold, f.Keys, j.workspace.Name, f.limits.MaxPartialBytes)
 	f.relayStream(r.Context(), j, s, out, 0)
 }
 
 // relayBuffered relays an answer that is not a stream, such as an error response of the target.
 func (f *Front) relayBuffered(w http.ResponseWriter, r *http.Request, j *job, s *response) {
-	body, err := s.reply.Whole()
+	hold := f.Memory.Open(memory.Answers, memory.Owner{Workspace: j.workspace.Name})
+	defer hold.Close()
+	body, err := s.reply.Whole(hold)
 	s.placement.Release()
 	if err != nil {
 		f.reportInterrupted(r.Context(), j, s.placement.Target, s.sentAt, err)
@@ -279,7 +297,9 @@
 	if reply.StreamID == "" {
 		reply.StreamID = token.Stream
 	}
-	f.relayStream(r.Context(), j, s, newEventWriter(w, f.Keys, ws.Name, f.limits.MaxPartialBytes), token.Offset)
+	hold := f.Memory.Open(memory.Streams, memory.Owner{Workspace: ws.Name})
+	defer hold.Close()
+	f.relayStream(r.Context(), j, s, newEventWriter(w, hold, f.Keys, ws.Name, f.limits.MaxPartialBytes), token.Offset)
 }
 
 // deltaText returns the text that an event of a chat completion appends to the answer.
--- a/internal/edge/front/events.go
+++ b/internal/edge/front/events.go
@@ -8,6 +8,7 @@
 
 	"valescale/internal/edge/relay"
 	"valescale/internal/plat/ident"
+	"valescale/internal/plat/memory"
 	"valescale/internal/rule/retry"
 	"valescale/internal/share/claim"
 )
@@ -28,16 +29,30 @@
 	workspace ident.Workspace
 	started   bool
 	// callerGone is set once a write to the caller has failed.
-	callerGone         bool
-	maxBytes           int
+	callerGone bool
+	maxBytes   int
+	// hold is the memory of the text and the recording.
+	hold               *memory.Hold
 	text               strings.Builder
 	textTruncated      bool
 	recording          bytes.Buffer
 	recordingTruncated bool
 }
 
-func newEventWriter(w http.ResponseWriter, keys relay.Keys, workspace ident.Workspace, maxBytes int) *eventWriter {
-	return &eventWriter{w: w, control: http.NewResponseController(w), keys: keys, workspace: workspace, maxBytes: maxBytes}
+// newEventWriter returns a writer that charges what it keeps to the hold.
+func newEventWriter(w http.ResponseWriter, hold *memory.Hold, keys relay.Keys, workspace ident.Workspace, maxBytes int) *eventWriter {
+	return &eventWriter{w: w, control: http.NewResponseController(w), hold: hold, keys: keys, workspace: workspace, maxBytes: maxBytes}
+}
+
+// keep appends a text to what is kept of the stream, and reports whether all of it still is: it does not exceed
+// maxBytes, and there is memory for it.
+func (e *eventWriter) keep(kept interface{ Len() int }, write func(string) (int, error), text string) bool {
+	if kept.Len()+len(text) > e.maxBytes || !e.hold.Grow(memory.Bytes(len(text))) {
+		return false
+	}
+	// Writes to memory do not fail.
+	_, _ = write(text)
+	return true
 }
 
 func (e *eventWriter) start() {
@@ -55,9 +70,8 @@
 // event writes an event with an id by which the caller can resume the stream.
 func (e *eventWriter) event(token relay.Token, event relay.Event) error {
 	e.start()
-	if text := deltaText(event.Data); !e.textTruncated {
-		e.text.WriteString(text)
-		e.textTruncated = e.text.Len() > e.maxBytes
+	if !e.textTruncated {
+		e.textTruncated = !e.keep(&e.text, e.text.WriteString, deltaText(event.Data))
 	}
 	var out strings.Builder
 	if token.Stream != "" {
@@ -74,10 +88,8 @@
 }
 
 func (e *eventWriter) write(text string) error {
-	if e.recording.Len() <= e.maxBytes {
-		e.recording.WriteString(text)
-	} else {
-		e.recordingTruncated = true
+	if !e.recordingTruncated {
+		e.recordingTruncated = !e.keep(&e.recording, e.recording.WriteString, text)
 	}
 	_ = e.control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := e.w.Write([]byte(text)); err != nil {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -12,8 +12,10 @@
 	"valescale/internal/edge/relay"
 	"valescale/internal/edge/route"
 	"valescale/internal/plat/ident"
+	"valescale/internal/plat/memory"
 	"valescale/internal/rule/crash"
 	"valescale/internal/rule/policy"
+	"valescale/internal/rule/quota"
 	"valescale/internal/rule/retry"
 	"valescale/internal/share/claim"
 	"valescale/internal/share/config"
@@ -122,6 +124,8 @@
 	Keys      relay.Keys
 	Zone      ident.Zone
 	Clock     ident.Clock
+	// Memory is the account of what is kept for callers.
+	Memory *memory.Account
 }
 
 // Front is the HTTP server for callers.
@@ -130,6 +134,8 @@
 	limits Limits
 	mu     sync.Mutex
 	budget *retry.Budget
+	// memoryDelays are the delays of requests that were refused for want of memory.
+	memoryDelays quota.SizeDelays
 }
 
 // The retry budget allows retries for this ratio of the requests, plus a constant rate per second.
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -20,6 +20,7 @@
 	"valescale/internal/plat/engine"
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
+	"valescale/internal/plat/memory"
 	"valescale/internal/rule/crash"
 	"valescale/internal/rule/policy"
 	"valescale/internal/rule/retry"
@@ -59,6 +60,8 @@
 	released int
 	sent     int
 	acquired int
+	// memory is the account of the front; one of a megabyte if it is nil.
+	memory *memory.Account
 	// quarantine is the remaining quarantine time of all requests. It starts after
 	// quarantineAcquired calls of Acquire and quarantineSent attempts.
 	quarantine         time.Duration
@@ -119,9 +122,18 @@
 	p.set = set
 	limits := front.DefaultLimits
 	limits.Body = 1000
+	if p.memory == nil {
+		p.memory = memory.New(memory.MB, time.Now)
+	}
+	before := p.memory.Usage().Used
+	t.Cleanup(func() {
+		if used := p.memory.Usage().Used; used != before {
+			t.Errorf("%d bytes are kept after the last request, %d before the first", used, before)
+		}
+	})
 	return front.New(front.Parts{
 		Configs: p, Finder: p, Sender: p, Claims: p, Guard: fakeGuard{p}, Directory: p, Observer: p, Logger: log.NewNopLogger(),
-		Keys: relay.Keys{make([]byte, 32)}, Clock: time.Now,
+		Keys: relay.Keys{make([]byte, 32)}, Clock: time.Now, Memory: p.memory,
 	}, limits).Handler()
 }
 
--- a/internal/edge/front/input.go
+++ b/internal/edge/front/input.go
@@ -2,16 +2,19 @@
 
 import (
 	"encoding/json"
-	"io"
 	"mime"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"valescale/internal/edge/linger"
+	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
+	"valescale/internal/plat/memory"
 	"valescale/internal/rule/policy"
 	"valescale/internal/share/config"
 )
@@ -41,20 +44,56 @@
 	return policy.Workspace{}, notRun(CodeUnauthorized, http.StatusUnauthorized, "no known bearer token or client certificate")
 }
 
-// readBody reads the body of a request, limited in size and time.
-func (f *Front) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Problem) {
+// readBody reads the body of a request, limited in size, time and the memory of the box. The buffer must be closed
+// when the request ends.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request, workspace ident.Workspace) (*memory.Buffer, []byte, *Problem) {
+	buffer := memory.NewBuffer(f.Memory.Open(memory.Bodies, memory.Owner{Workspace: workspace}))
+	if r.ContentLength > min(f.limits.Body, int64(f.Memory.MaxHold())) {
+		return buffer, nil, tooLarge
+	}
+	if !buffer.HasRoom(r.ContentLength) {
+		return buffer, nil, f.noRoom(r.ContentLength)
+	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(f.limits.BodyTime))
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.limits.Body))
+	err := buffer.Read(http.MaxBytesReader(w, r.Body, f.limits.Body), r.ContentLength, f.limits.Body+1)
 	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
+	var data []byte
+	if err == nil {
+		data, err = buffer.Join()
+	}
+	var overLimit *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, notRun(CodeTooLarge, http.StatusRequestEntityTooLarge, "the body is larger than allowed")
-	case err != nil:
-		return nil, notRun(CodeBadRequest, http.StatusBadRequest, "the body could not be read")
+	case err == nil:
+		return buffer, data, nil
+	case errors.As(err, &overLimit), fault.KindOf[memory.Kind](err) == memory.Full && buffer.AtMaximum():
+		return buffer, nil, tooLarge
+	case fault.KindOf[memory.Kind](err) == memory.Full:
+		return buffer, nil, f.noRoom(buffer.Len())
+	default:
+		return buffer, nil, notRun(CodeBadRequest, http.StatusBadRequest, "the body could not be read")
 	}
-	return data, nil
+}
+
+// refuse calls write, which answers a request with a problem. If the body was left for its size, the rest of it is read
+// so that the answer reaches its caller. Other callers, such as unknown ones, can cause no load by a body.
+func (f *Front) refuse(w http.ResponseWriter, r *http.Request, problem *Problem, write func()) {
+	if problem.Code == CodeNoMemory || problem.Code == CodeTooLarge {
+		linger.Answer(w, r, f.limits.Body, write)
+		return
+	}
+	write()
+}
+
+// tooLarge is the problem of a body that is larger than the settings, or the memory of this box, allow.
+var tooLarge = notRun(CodeTooLarge, http.StatusRequestEntityTooLarge, "the body is larger than allowed")
+
+// noRoom returns the problem of a request of the given size, or -1 if it is unknown, that this box has no memory for.
+func (f *Front) noRoom(size int64) *Problem {
+	p := notRun(CodeNoMemory, http.StatusServiceUnavailable, "this router has no memory for the request at present")
+	_ = level.Info(f.Logger).Log("msg", "no memory left for a request", "bytes", size, "limit_bytes", int64(f.Memory.Usage().Limit))
+	p.RetryAfter = f.memoryDelays.Next(f.Clock(), f.Memory.ReleasedPerSecond(), size)
+	return p
 }
 
 // chatRequest contains the fields of a chat completion request that the router uses. The body is
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -13,6 +13,7 @@
 	"valescale/internal/edge/route"
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
+	"valescale/internal/plat/memory"
 	"valescale/internal/rule/crash"
 	"valescale/internal/rule/policy"
 	"valescale/internal/rule/retry"
@@ -30,7 +31,9 @@
 	// what other requests share with it.
 	traits []crash.Trait
 	// attemptID is the id of the latest attempt.
-	attemptID   ident.Attempt
+	attemptID ident.Attempt
+	// buffer holds the body; nil if the request has none.
+	buffer      *memory.Buffer
 	workspace   policy.Workspace
 	service     policy.Service
 	decision    policy.Decision
@@ -295,6 +298,9 @@
 	j.avoid = append(j.avoid, placement.Hash)
 	_ = level.Info(f.Logger).Log("msg", "attempt failed", "request", j.id, "attempt", j.attemptID, "target", placement.Target.ID, "step", int(step), "err", err)
 	switch {
+	case fault.KindOf[relay.Kind](err) == relay.NoMemory:
+		// Another answer would have no room either.
+		return attemptProblem(err, j.outcome)
 	case ctx.Err() != nil:
 		return &Problem{Status: statusCallerGone, Code: CodeCallerGone, Message: "the caller has gone", Outcome: j.outcome}
 	case f.Guard.Quarantine(j.traits).Left > 0:
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -5,6 +5,7 @@
 
 	"valescale/internal/edge/relay"
 	"valescale/internal/plat/ident"
+	"valescale/internal/plat/memory"
 	"valescale/internal/rule/policy"
 	"valescale/internal/rule/retry"
 	"valescale/internal/share/claim"
@@ -25,9 +26,11 @@
 	if !f.admit(w, r, j) {
 		return
 	}
-	body, problem := f.readBody(w, r)
+	buffer, body, problem := f.readBody(w, r, j.workspace.Name)
+	defer buffer.Close()
 	if problem != nil {
-		f.fail(w, j, problem)
+		buffer.Close()
+		f.refuse(w, r, problem, func() { f.fail(w, j, problem) })
 		return
 	}
 	j.setBody(r, body, nil)
@@ -55,7 +58,9 @@
 			f.fail(w, j, problem)
 			return
 		}
-		body, err := s.reply.Whole()
+		hold := f.Memory.Open(memory.Answers, memory.Owner{Workspace: j.workspace.Name})
+		defer hold.Close()
+		body, err := s.reply.Whole(hold)
 		s.placement.Release()
 		if err != nil {
 			f.reportInterrupted(r.Context(), j, s.placement.Target, s.sentAt, err)
--- a/internal/edge/front/problem.go
+++ b/internal/edge/front/problem.go
@@ -39,6 +39,7 @@
 	CodeStoreDown     Code = "store_unavailable"
 	CodeStreamGone    Code = "stream_gone"
 	CodeBadResume     Code = "bad_resume_token"
+	CodeNoMemory      Code = "out_of_memory"
 	CodeCallerGone    Code = "caller_gone"
 )
 
@@ -167,6 +168,8 @@
 	switch {
 	case fault.KindOf[relay.Kind](err) == relay.TooLarge:
 		p.Message = "the target's answer is larger than allowed"
+	case fault.KindOf[relay.Kind](err) == relay.NoMemory:
+		p.Code, p.Message = CodeNoMemory, "this router has no memory for the target's answer"
 	case outcome == retry.NotRun:
 		p.Status, p.RetryAfter = http.StatusServiceUnavailable, time.Second
 		p.Message = "no target could be reached"
--- a/internal/edge/relay/error.go
+++ b/internal/edge/relay/error.go
@@ -29,6 +29,8 @@
 	Crossed Kind = "crossed"
 	// TooLarge means that the answer exceeds the limit.
 	TooLarge Kind = "too_large"
+	// NoMemory means that the box has no memory for the answer.
+	NoMemory Kind = "out_of_memory"
 	// BadToken means that a resume token was not issued by this fleet to this workspace.
 	BadToken Kind = "bad_token"
 )
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -16,7 +16,9 @@
 	"github.com/pkg/errors"
 
 	"valescale/internal/plat/engine"
+	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
+	"valescale/internal/plat/memory"
 	"valescale/internal/rule/retry"
 )
 
@@ -69,8 +71,10 @@
 	Leaving  bool
 	StreamID string
 	body     io.ReadCloser
-	limits   Limits
-	cancel   context.CancelFunc
+	// length is the length of the body in bytes, or -1.
+	length int64
+	limits Limits
+	cancel context.CancelFunc
 }
 
 // Relay sends attempts.
@@ -199,6 +203,7 @@
 		Leaving:  resp.Header.Get(engine.LeavingHeader) == "true",
 		StreamID: resp.Header.Get(engine.StreamHeader),
 		body:     requireFraming(resp, call.Method),
+		length:   resp.ContentLength,
 		limits:   r.limits,
 		cancel:   cancel,
 	}, nil
@@ -263,15 +268,22 @@
 	_ = r.body.Close()
 }
 
-// Whole reads the answer to its end.
-func (r *Reply) Whole() ([]byte, error) {
+// Whole reads the answer to its end. Its memory is charged to the hold.
+func (r *Reply) Whole(hold *memory.Hold) ([]byte, error) {
 	const op = "relay.Whole"
 	defer r.Close()
-	data, err := io.ReadAll(io.LimitReader(r.body, r.limits.Answer+1))
-	if errors.Is(err, errUnframed) {
-		return nil, newFailure(op, Framing, retry.Answering, err)
+	buffer := memory.NewBuffer(hold)
+	var data []byte
+	err := buffer.Read(r.body, r.length, r.limits.Answer+1)
+	if err == nil {
+		data, err = buffer.Join()
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, errUnframed):
+		return nil, newFailure(op, Framing, retry.Answering, err)
+	case fault.KindOf[memory.Kind](err) == memory.Full:
+		return nil, newFailure(op, NoMemory, retry.Answering, err)
+	case err != nil:
 		return nil, newFailure(op, Broken, retry.Answering, err)
 	}
 	if int64(len(data)) > r.limits.Answer {
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -18,6 +18,7 @@
 	"valescale/internal/fake/listen"
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
+	"valescale/internal/plat/memory"
 	"valescale/internal/rule/retry"
 )
 
@@ -122,7 +123,7 @@
 	if err != nil {
 		return "", err
 	}
-	body, err := reply.Whole()
+	body, err := reply.Whole(memory.New(64*memory.MB, time.Now).Open(memory.Answers, memory.Owner{}))
 	return string(body), err
 }
 
--- a/internal/oper/cmds/serve.go
+++ b/internal/oper/cmds/serve.go
@@ -10,6 +10,7 @@
 	"valescale/internal/oper/conf"
 	"valescale/internal/oper/daemon"
 	"valescale/internal/oper/telem"
+	"valescale/internal/plat/memory"
 	"valescale/internal/rule/policy"
 )
 
@@ -35,6 +36,7 @@
 		return nil
 	}
 	logger := telem.NewLogger(s.console.errors, settings.LogLevel, settings.Router.ID)
+	memory.SetCollectorLimit(memory.Bytes(settings.Limits.Memory) * memory.MB)
 	d, closeDaemon, err := daemon.New(settings, logger, time.Now)
 	if err != nil {
 		return err
--- a/internal/oper/conf/options.go
+++ b/internal/oper/conf/options.go
@@ -57,6 +57,7 @@
 	{"limits", "body_time", "30s", false, "timeout for receiving a request body", duration(func(s *Settings) *time.Duration { return &s.Limits.BodyTime }, time.Millisecond, time.Hour)},
 	{"limits", "header", "32768", false, "maximum size of a request header, in bytes", integer(func(s *Settings) *int { return &s.Limits.Header }, 1024, 1<<20)},
 	{"limits", "answer", "8388608", false, "maximum size of a target's buffered response, in bytes", integer(func(s *Settings) *int64 { return &s.Limits.Answer }, 1, 1<<30)},
+	{"limits", "memory", "1024", false, "memory of the box, in megabytes, of which a part is kept for callers", integer(func(s *Settings) *int { return &s.Limits.Memory }, 64, 1<<20)},
 	{"limits", "tries", "3", false, "maximum number of attempts per request", integer(func(s *Settings) *int { return &s.Limits.Tries }, 1, 10)},
 	{"limits", "queue", "2000", false, "maximum number of requests that wait for one shard of a pool", integer(func(s *Settings) *int { return &s.Limits.Queue }, 0, 1_000_000)},
 	{"limits", "queue_per_workspace", "500", false, "maximum number of these requests per workspace", integer(func(s *Settings) *int { return &s.Limits.PerWorkspace }, 0, 1_000_000)},
--- a/internal/oper/conf/settings.go
+++ b/internal/oper/conf/settings.go
@@ -75,10 +75,12 @@
 
 // Limits bound the resources that requests of callers can use.
 type Limits struct {
-	Body         int64
-	BodyTime     time.Duration
-	Header       int
-	Answer       int64
+	Body     int64
+	BodyTime time.Duration
+	Header   int
+	Answer   int64
+	// Memory is the memory of the box in megabytes.
+	Memory       int
 	Tries        int
 	Queue        int
 	PerWorkspace int
--- a/internal/oper/daemon/build.go
+++ b/internal/oper/daemon/build.go
@@ -16,6 +16,7 @@
 	"valescale/internal/plat/boxes"
 	"valescale/internal/plat/engine"
 	"valescale/internal/plat/ident"
+	"valescale/internal/plat/memory"
 	"valescale/internal/plat/object"
 	"valescale/internal/plat/table"
 	"valescale/internal/rule/place"
@@ -30,6 +31,7 @@
 // build creates the components of the router and connects them.
 func (d *Daemon) build() error {
 	s := d.settings
+	d.memory = memory.New(memory.LimitOf(memory.Bytes(s.Limits.Memory)*memory.MB, 0), d.clock)
 	platform := d.platformTransport()
 	d.table = table.New(s.Platform.Table, platform, s.Platform.Timeout, d.logger)
 	list := boxes.New(s.Platform.Boxes, platform, s.Platform.Timeout)
@@ -120,7 +122,7 @@
 	frontLimits.Body, frontLimits.BodyTime, frontLimits.Tries = s.Limits.Body, s.Limits.BodyTime, s.Limits.Tries
 	d.front = front.New(front.Parts{
 		Configs: d, Finder: d.router, Sender: sender, Claims: claims, Guard: d.guard, Directory: d, Observer: d.metrics,
-		Logger: d.logger, Keys: s.ResumeKeys, Zone: s.Router.Zone, Clock: d.clock,
+		Logger: d.logger, Keys: s.ResumeKeys, Zone: s.Router.Zone, Clock: d.clock, Memory: d.memory,
 	}, frontLimits)
 	d.admin = admin.New(admin.Parts{
 		Self: s.Router.ID, Operators: s.Operators, Keeper: d.keeper, Recorder: d.recorder, Follower: d.follower,
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"valescale/internal/plat/engine"
 	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
+	"valescale/internal/plat/memory"
 	"valescale/internal/plat/table"
 	"valescale/internal/rule/policy"
 	"valescale/internal/share/claim"
@@ -43,18 +44,20 @@
 
 // Daemon is one router process.
 type Daemon struct {
-	settings   conf.Settings
-	logger     log.Logger
-	clock      ident.Clock
-	self       peer.Member
-	node       *peer.Node
-	keeper     *config.Keeper
-	recorder   *config.Recorder
-	follower   *config.Follower
-	homes      *home.Homes
-	remote     *home.Remote
-	router     *route.Router
-	front      *front.Front
+	settings conf.Settings
+	logger   log.Logger
+	clock    ident.Clock
+	self     peer.Member
+	node     *peer.Node
+	keeper   *config.Keeper
+	recorder *config.Recorder
+	follower *config.Follower
+	homes    *home.Homes
+	remote   *home.Remote
+	router   *route.Router
+	front    *front.Front
+	// memory is the account of what is kept for callers.
+	memory     *memory.Account
 	guard      *guard.Guard
 	metrics    *telem.Metrics
 	admin      *admin.Service
