Bytes that a caller sends beside its running request stay within 64 KB

Callers would see: a router killed over its box's memory by connections on which much was sent and not read: what waits unread in sockets counts as memory of the box. Found by holding the account against the cases of the kernel's buffers, not reported.

Cause: the kernel lets the receive buffer of a busy connection grow to megabytes. After a body of 1 MB a connection took another 831 kB beside its running request.

Change: callers' connections have a receive buffer of fixed size, which the listener's option gives them.

Tests: platform TestUnreadBytesOfAConnectionAreLimited, which failed before with 831 kB.

--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -4,6 +4,9 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 
 	"valescale/internal/edge/entry"
 	"valescale/internal/edge/guard"
@@ -110,18 +113,32 @@
 // of the links between routers detect dead connections.
 var listenConfig = net.ListenConfig{KeepAlive: -1}
 
+// callerBufferBytes is the size of the kernel's buffer for what a caller has sent and the router has not read. The
+// kernel would let it grow to megabytes on busy connections. A caller a few milliseconds away sends 10 MB in a second
+// through it.
+const callerBufferBytes = 64 << 10
+
+// callerListenConfig is listenConfig for callers, with a fixed receive buffer that accepted connections inherit.
+var callerListenConfig = net.ListenConfig{KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		// A system that does not support the option keeps its own size.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, callerBufferBytes)
+	})
+}}
+
 // listen opens the listeners.
 func (n *Node) listen() error {
 	s := n.settings.Load()
 	for _, at := range []struct {
-		addr string
-		into *net.Listener
+		addr   string
+		config *net.ListenConfig
+		into   *net.Listener
 	}{
-		{s.CallerAddr, &n.listeners.callers},
-		{s.ReadyAddr, &n.listeners.ready},
-		{s.PeerAddr, &n.listeners.peers},
+		{s.CallerAddr, &callerListenConfig, &n.listeners.callers},
+		{s.ReadyAddr, &listenConfig, &n.listeners.ready},
+		{s.PeerAddr, &listenConfig, &n.listeners.peers},
 	} {
-		l, err := listenConfig.Listen(context.Background(), "tcp", at.addr)
+		l, err := at.config.Listen(context.Background(), "tcp", at.addr)
 		if err != nil {
 			return fault.New("node.New", Listen, err)
 		}
