Streams cut by leaving targets are not taken for complete

Cause: at the end of an answer without a marked end the router asks whether the target's process has ended, but not for a target that is leaving or not listed: one that ends as planned accepts no connections any more while it finishes its answers.

Only one that had stopped before the answer ended is trusted with its end; otherwise the end is checked as for all targets.

Tests: TestStreamCutByALeavingTargetIsNotComplete and TestStreamCutByALeavingTargetGoesOn fall with the condition of before; TestStreamFinishedByALeavingTargetIsComplete falls without the checks. Six guards taken out once each: tests fall.

--- a/internal/edge/entry/answer.go
+++ b/internal/edge/entry/answer.go
@@ -40,6 +40,8 @@
 	progress *progress
 	// received is called after each read of some bytes; it may be nil.
 	received func()
+	// accepting follows whether a leaving target accepts connections.
+	accepting *acceptingWatch
 }
 
 // Read implements io.Reader.
@@ -86,9 +88,9 @@
 
 // checkEnd returns an error if an answer that has ended is broken. Without a marked end, the close of the
 // connection may be the end of the answer or that of the target's process. A target that is leaving may end
-// after its last answer.
+// after its last answer, if it has stopped accepting connections before.
 func (h *Handler) checkEnd(ctx context.Context, j *job, answer receivedAnswer) error {
-	if answer.Framing.Marked() || h.Finder.IsLeaving(j.lastPlacement.Target) {
+	if answer.Framing.Marked() || answer.accepting.hasStopped() {
 		return nil
 	}
 	if !h.Sender.HasEnded(ctx, j.lastPlacement.Target.Addr, h.Rules.IdleConns(j.service)) {
--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -77,7 +77,9 @@
 		h.Finder.Report(placement.Hash, false)
 		return result{step: retry.Answering, reason: Failed, status: answer.Status, took: h.Clock().Sub(began), budgetUsed: true}
 	}
-	end := h.forward(ctx, w, j, receivedAnswer{Answer: answer, progress: &j.progress}, idleTimeout)
+	received := receivedAnswer{Answer: answer, progress: &j.progress, accepting: &acceptingWatch{}}
+	h.watchAccepting(ctx, j, received)
+	end := h.forward(ctx, w, j, received, idleTimeout)
 	end.took = h.Clock().Sub(began)
 	if j.progress.ending == "" {
 		j.progress.ending = EndUnread
--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -44,6 +44,7 @@
 			j.eventMissing = false
 			idleTimeout.reset(j.eventTimeout())
 			h.Finder.ReportReceived(j.lastPlacement.Hash)
+			h.watchAccepting(ctx, j, answer)
 			if reason := h.forwardComplete(w, j, answer, pending[:end]); reason != "" {
 				return result{ended: true, reason: reason, status: answer.Status}
 			}
