An overloaded router that is delayed rejects what has arrived

Callers saw: nothing reported.

Cause (from the goroutines of the hung run, and reading): the gate waits a millisecond for a caller's request. If the router itself is delayed between setting that deadline and the read, the read fails at once, although the request has arrived, and the caller is accepted by a router that is overloaded.

Change: after a read without bytes the gate looks whether some have arrived, and reads them.

Tests: TestDelayedGateRejectsWhatHasArrived failed before.

--- a/internal/edge/entry/gate.go
+++ b/internal/edge/entry/gate.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"valescale/internal/edge/relay"
 	"valescale/internal/plat/decay"
 	"valescale/internal/plat/ident"
 	"valescale/internal/rule/quota"
@@ -206,9 +207,13 @@
 	// These calls do not fail on an open connection, and a closed one needs no answer.
 	_ = c.SetReadDeadline(g.clock().Add(unreadReadTimeout))
 	n, _ := c.Read(g.buffer)
+	_ = c.SetReadDeadline(time.Time{})
 	if n == 0 {
-		_ = c.SetReadDeadline(time.Time{})
-		return false
+		if relay.Peek(c) != relay.Readable {
+			return false
+		}
+		// This router was delayed until the deadline had passed; what has arrived can be read without a wait.
+		_, _ = c.Read(g.buffer)
 	}
 	_, _ = c.Write(g.response(g.retryAfter()))
 	_ = c.Close()
--- a/internal/edge/entry/gate_test.go
+++ b/internal/edge/entry/gate_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/google/go-cmp/cmp"
 
+	"valescale/internal/edge/relay"
 	"valescale/internal/plat/memory"
 )
 
@@ -273,3 +274,37 @@
 		})
 	}
 }
+
+// delayedConn is the connection of a router that is delayed between each deadline that it sets and the read.
+type delayedConn struct{ *net.TCPConn }
+
+// SetReadDeadline sets a deadline that has passed.
+func (c delayedConn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() {
+		return c.TCPConn.SetReadDeadline(t)
+	}
+	return c.TCPConn.SetReadDeadline(time.Now().Add(-time.Second))
+}
+
+// A request that has arrived must be rejected by an overloaded router that is delayed, too. It was accepted then, and left
+// TestOverloadedGateRejectsUnread waiting for ever.
+func TestDelayedGateRejectsWhatHasArrived(t *testing.T) {
+	g := newTestGate(t, time.Now)
+	c := dialGate(t, g)
+	if _, err := io.WriteString(c, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := g.Listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for relay.Peek(accepted) != relay.Readable {
+		<-time.After(time.Millisecond)
+	}
+	if !g.reject(delayedConn{accepted.(*net.TCPConn)}, Overloaded) {
+		t.Fatal("the request is not rejected")
+	}
+	if answer, err := io.ReadAll(c); err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 503 ") {
+		t.Errorf("answer %q, error %v", answer, err)
+	}
+}
