What waits in sockets of callers and targets stays within 64 KB each way; headers count

Callers would see: a router killed over its box's memory by callers that read large answers slowly, or by many large headers. Found by holding the account against the cases of answers that are not read, not reported.

Cause: for a caller that stops reading, 4.2 MB of an answer waited beside the router's own buffer of 256 kB, since the kernel lets the buffers of busy connections grow. Headers up to 64 KB were not counted at all.

Change: connections to targets, too, and both directions, have buffers of fixed size. A header counts while its request runs, above the 4 KB that a connection's own charge covers, and is refused without room as a body is.

--- a/internal/edge/entry/body.go
+++ b/internal/edge/entry/body.go
@@ -11,9 +11,17 @@
 	"valescale/internal/plat/memory"
 )
 
+// uncountedHeaderSize is the size of a header that is not charged to the memory of the box, since it fits into what a
+// connection is charged.
+const uncountedHeaderSize = 4 * memory.KB
+
 // readBody reads the request's body, limited by its maximum size, the request deadline and the memory of the box.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, j *job) *problem {
-	j.body = memory.NewBuffer(h.Memory.Open(memory.Bodies, j.owner()))
+	hold := h.Memory.Open(memory.Bodies, j.owner())
+	j.body = memory.NewBuffer(hold)
+	if extra := memory.Bytes(headerBytes(r)) - uncountedHeaderSize; extra > 0 && !hold.Grow(extra) {
+		return h.noRoom(int64(extra))
+	}
 	if r.Body == http.NoBody {
 		return nil
 	}
--- a/internal/edge/entry/memory_test.go
+++ b/internal/edge/entry/memory_test.go
@@ -211,6 +211,34 @@
 	large.Wait()
 }
 
+// Large headers must be counted while their requests run, and refused without room.
+func TestLargeHeadersAreCounted(t *testing.T) {
+	const size = 40_000
+	var during memory.Bytes
+	var s *setup
+	target := newFakeTarget(t, func(w *bufio.Writer, r *http.Request) bool {
+		during = s.memory.Usage().ByUse[memory.Bodies]
+		writeResponse(w, r.Header.Get("Id"), 200, "", "ok")
+		return true
+	})
+	s = newSetup(t, newRoute(nil), target)
+	header := "Content-Length: 0\r\nLarge: " + strings.Repeat("x", size)
+	c, err := s.rawCall(t, header, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if status, _ := readStatus(t, c); status != 200 || during < size-uncountedHeaderSize {
+		t.Errorf("status %d, %d bytes counted for a header of %d", status, during, size)
+	}
+	s.occupy(t, size/2)
+	if c, err = s.rawCall(t, header, ""); err != nil {
+		t.Fatal(err)
+	}
+	if status, retryAfter := readStatus(t, c); status != http.StatusServiceUnavailable || retryAfter == "" || target.count() != 1 {
+		t.Errorf("without room: status %d, Retry-After %q, %d attempts", status, retryAfter, target.count())
+	}
+}
+
 // Connections must be counted until they end, and no more accepted than the box has memory for.
 func TestConnectionsAreLimitedByMemory(t *testing.T) {
 	account := memory.New(80*connSize, time.Now)
--- a/internal/oper/node/memory.go
+++ b/internal/oper/node/memory.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log/level"
+	"golang.org/x/sys/unix"
 
 	"valescale/internal/oper/mesh"
 	"valescale/internal/oper/telem"
@@ -19,6 +21,19 @@
 	memoryInterval = time.Second
 )
 
+// socketBufferBytes is the size of each of the kernel's two buffers of a connection to a caller or a target. The kernel
+// would let those of busy connections grow to megabytes, which wait there while the other end does not read. A
+// connection of a few milliseconds transmits 10 MB in a second through them.
+const socketBufferBytes = 64 << 10
+
+// fixBuffers gives a socket buffers of fixed size. A system that does not support that keeps its own sizes.
+func fixBuffers(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBufferBytes)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBufferBytes)
+	})
+}
+
 // followMemory adapts the limit of the memory kept for others until the context ends, and logs refusals.
 func (n *Node) followMemory(ctx context.Context) {
 	refused := n.memory.Usage().RefusedTotal()
--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -4,9 +4,6 @@
 	"context"
 	"net"
 	"sync/atomic"
-	"syscall"
-
-	"golang.org/x/sys/unix"
 
 	"valescale/internal/edge/entry"
 	"valescale/internal/edge/guard"
@@ -113,18 +110,8 @@
 // of the links between routers detect dead connections.
 var listenConfig = net.ListenConfig{KeepAlive: -1}
 
-// callerBufferBytes is the size of the kernel's buffer for what a caller has sent and the router has not read. The
-// kernel would let it grow to megabytes on busy connections. A caller a few milliseconds away sends 10 MB in a second
-// through it.
-const callerBufferBytes = 64 << 10
-
-// callerListenConfig is listenConfig for callers, with a fixed receive buffer that accepted connections inherit.
-var callerListenConfig = net.ListenConfig{KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
-	return c.Control(func(fd uintptr) {
-		// A system that does not support the option keeps its own size.
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, callerBufferBytes)
-	})
-}}
+// callerListenConfig is listenConfig for callers, with buffers of fixed size that accepted connections inherit.
+var callerListenConfig = net.ListenConfig{KeepAlive: -1, Control: fixBuffers}
 
 // listen opens the listeners.
 func (n *Node) listen() error {
--- a/internal/oper/node/paths.go
+++ b/internal/oper/node/paths.go
@@ -12,7 +12,7 @@
 
 // buildDialer creates the parts that connect to targets, for this router and for its peers.
 func (n *Node) buildDialer() {
-	direct := net.Dialer{KeepAlive: -1}
+	direct := net.Dialer{KeepAlive: -1, Control: fixBuffers}
 	if source := n.settings.Load().SourceIP; source != nil {
 		direct.LocalAddr = &net.TCPAddr{IP: source}
 	}
