Callers refused for want of memory return one after another, also after a quiet time

Callers would see: a burst that is refused returns as a burst. Found by holding the account against the cases of refusals, not reported.

Cause: the Retry-After delays follow the rate at which memory is released, which is unknown after a quiet time; all callers got the same second then.

Change: the rate is at least the one that empties the account in two seconds. The buffer through which a large answer is forwarded is charged, and 16 instead of 32 KB. The size of a header is computed once.

Tests: TestRefusedCallersReturnOneAfterAnother is new; with the unknown rate all delays are one second.

Measured: go test ./internal/edge/entry ./internal/edge/front ./internal/plat/memory passes.

--- a/internal/edge/entry/accept.go
+++ b/internal/edge/entry/accept.go
@@ -24,7 +24,8 @@
 		return j, rejection(NoConfiguration, 0)
 	}
 	j.revision = table.Revision
-	if limit := table.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+	j.headerSize = headerBytes(r)
+	if limit := table.Limits.HeaderBytes; limit > 0 && j.headerSize > limit {
 		return j, &problem{status: http.StatusRequestHeaderFieldsTooLarge, reason: HeaderTooLarge}
 	}
 	if p := h.resolve(table, j); p != nil {
--- a/internal/edge/entry/body.go
+++ b/internal/edge/entry/body.go
@@ -19,7 +19,7 @@
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, j *job) *problem {
 	hold := h.Memory.Open(memory.Bodies, j.owner())
 	j.body = memory.NewBuffer(hold)
-	if extra := memory.Bytes(headerBytes(r)) - uncountedHeaderSize; extra > 0 && !hold.Grow(extra) {
+	if extra := memory.Bytes(j.headerSize) - uncountedHeaderSize; extra > 0 && !hold.Grow(extra) {
 		return h.noRoom(int64(extra))
 	}
 	if r.Body == http.NoBody {
--- a/internal/edge/entry/forward.go
+++ b/internal/edge/entry/forward.go
@@ -74,7 +74,7 @@
 	_, err := io.Copy(caller, firstPart.Reader())
 	firstPart.Close()
 	if err == nil {
-		_, err = io.Copy(caller, answer)
+		err = h.copyAnswer(caller, j, answer)
 	}
 	switch {
 	case caller.failed:
@@ -88,6 +88,18 @@
 	return result{ended: true, reason: Served, status: answer.Status}
 }
 
+// forwardBufferSize is the size of the buffer through which an answer is forwarded.
+const forwardBufferSize = 16 * memory.KB
+
+// copyAnswer copies the rest of an answer to the caller.
+func (h *Handler) copyAnswer(caller io.Writer, j *job, answer receivedAnswer) error {
+	hold := h.Memory.Open(memory.Answers, j.owner())
+	defer hold.Close()
+	hold.Add(forwardBufferSize)
+	_, err := io.CopyBuffer(caller, answer, make([]byte, forwardBufferSize))
+	return err
+}
+
 // callerWriter records write errors, which distinguishes a caller that disconnected from a target
 // that closed the connection.
 type callerWriter struct {
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -26,6 +26,8 @@
 	path   string
 	host   string
 	header http.Header
+	// headerSize is the size of the request line and the header in bytes.
+	headerSize int
 	// body is closed when the request ends.
 	body      *memory.Buffer
 	bodyLimit int64
--- a/internal/edge/entry/memory.go
+++ b/internal/edge/entry/memory.go
@@ -18,7 +18,7 @@
 // noRoom returns the problem for a request of the given size, or -1 if it is unknown, that this box has no memory
 // for. The caller is to return when as much has been released.
 func (h *Handler) noRoom(size int64) *problem {
-	return rejection(NoMemory, h.memoryDelays.Next(h.Clock(), h.Memory.ReleasedPerSecond(), size))
+	return rejection(NoMemory, h.memoryDelays.Next(h.Clock(), h.Memory.TurnoverPerSecond(), size))
 }
 
 // CallerConns charges the connections of callers to the memory of the box.
--- a/internal/edge/entry/memory_test.go
+++ b/internal/edge/entry/memory_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -105,6 +106,26 @@
 	}
 }
 
+// Callers that are refused together must not return together, also after a quiet time, when nothing shows how fast memory
+// becomes free.
+func TestRefusedCallersReturnOneAfterAnother(t *testing.T) {
+	s := newSetup(t, newRoute(nil), newFakeTarget(t, answer(200, "", "body")))
+	s.occupy(t, 100*memory.KB)
+	last := 0.0
+	for range 5 {
+		c, err := s.rawCall(t, "Content-Length: 1000000", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, retryAfter := readStatus(t, c)
+		delay, err := strconv.ParseFloat(retryAfter, 64)
+		if err != nil || delay < last+0.05 {
+			t.Errorf("Retry-After %q after one of %.3f s", retryAfter, last)
+		}
+		last = delay
+	}
+}
+
 // A caller that announces a large body and sends none must take no memory from others.
 func TestAnnouncedBodiesTakeNoMemory(t *testing.T) {
 	s := newSetup(t, newRoute(nil), newFakeTarget(t, answer(200, "", "body")))
--- a/internal/edge/front/input.go
+++ b/internal/edge/front/input.go
@@ -92,7 +92,7 @@
 func (f *Front) noRoom(size int64) *Problem {
 	p := notRun(CodeNoMemory, http.StatusServiceUnavailable, "this router has no memory for the request at present")
 	_ = level.Info(f.Logger).Log("msg", "no memory left for a request", "bytes", size, "limit_bytes", int64(f.Memory.Usage().Limit))
-	p.RetryAfter = f.memoryDelays.Next(f.Clock(), f.Memory.ReleasedPerSecond(), size)
+	p.RetryAfter = f.memoryDelays.Next(f.Clock(), f.Memory.TurnoverPerSecond(), size)
 	return p
 }
 
--- a/internal/plat/memory/account.go
+++ b/internal/plat/memory/account.go
@@ -67,6 +67,9 @@
 	openReserve = 0.125
 	// releaseHalfLife is the half-life of the rate at which memory is released. It covers several requests.
 	releaseHalfLife = time.Second
+	// turnoverTime is longer than most requests keep memory. After a quiet time no rate is known, and callers that are
+	// refused together must not return together.
+	turnoverTime = 2 * time.Second
 )
 
 // Account counts the memory that a box keeps for others, and limits it.
@@ -129,10 +132,16 @@
 	return a.limit / 2
 }
 
-// ReleasedPerSecond returns the rate at which memory is released by what was not refused.
-func (a *Account) ReleasedPerSecond() float64 {
+// TurnoverPerSecond returns the rate at which memory becomes free, in bytes per second: as measured, but at least the one
+// that empties the account within turnoverTime.
+func (a *Account) TurnoverPerSecond() float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return max(a.releasedPerSecond(), float64(a.limit)/turnoverTime.Seconds())
+}
+
+// releasedPerSecond returns the rate at which memory was released by what was not refused. The caller holds the lock.
+func (a *Account) releasedPerSecond() float64 {
 	decayed := a.released * decay.Factor(a.clock().Sub(a.releasedAt), releaseHalfLife)
 	return decayed * math.Ln2 / releaseHalfLife.Seconds()
 }
--- a/internal/plat/memory/account_test.go
+++ b/internal/plat/memory/account_test.go
@@ -161,7 +161,7 @@
 		h.Grow(size - MB)
 		h.Close()
 	}
-	if got := a.ReleasedPerSecond(); got < float64(MB)/2 || got > float64(MB) {
+	if got := a.releasedPerSecond(); got < float64(MB)/2 || got > float64(MB) {
 		t.Errorf("%.0f bytes a second, want those of the first hold only", got)
 	}
 }
