The load bound counts engines that a home has excluded for their failures

Cause: a home computed the limit of its shard from the engines that it had not excluded, as soon as the excluded ones had no work left. Seven of 18 engines then took all requests at 2.6 times the mean of all, and the excluded ones, which run, were not asked.

Change: the limit is computed once for a request, with excluded engines counted. What exceeds it goes to them.

Tests: TestBoundHoldsWhileMostEnginesAreBlocked failed before with 2.5 to 2.6 times the mean.

--- a/internal/rule/place/bound.go
+++ b/internal/rule/place/bound.go
@@ -66,6 +66,15 @@
 	return h.bound.limit((1-pendingReleaseRatio)*float64(h.Work()+req.Work), engines)
 }
 
+// requestLimit returns the limit for a request that is placed beside the given work on the pool's engines.
+func (h *Home) requestLimit(req Request, total ident.Work) float64 {
+	limit := h.limit(total + req.Work)
+	if req.finalShard() {
+		limit = max(limit, h.shardLimit(req))
+	}
+	return limit
+}
+
 // preferredLimit returns the load below which an engine accepts new chats that prefer it.
 func (h *Home) preferredLimit(total ident.Work) float64 {
 	if h.bound.PreferredFactor <= 0 {
--- a/internal/rule/place/choose.go
+++ b/internal/rule/place/choose.go
@@ -103,28 +103,26 @@
 
 // choose selects an engine among those that are not blocked. If none of these is present or all
 // are busy it selects among all engines, because an unhealthy engine is better than waiting. total
-// is the work on the pool's engines without the request.
+// is the work on the pool's engines without the request. Blocked engines count for the limit: they run, and can take what
+// exceeds the limit of the others.
 func (h *Home) choose(now time.Time, req Request, total ident.Work) choice {
 	blockedEngines := h.blockedEngines(now, req.Zone)
+	limit := h.requestLimit(req, total)
 	if len(blockedEngines) == 0 {
-		return h.chooseAmong(now, req, total)
+		return h.chooseAmong(now, req, total, limit)
 	}
 	filtered := req
 	filtered.Avoid = slices.Concat(req.Avoid, blockedEngines)
-	c := h.chooseAmong(now, filtered, total)
+	c := h.chooseAmong(now, filtered, total, limit)
 	if c.result == Empty || c.result == Busy || c.result == Full && req.finalShard() {
-		return h.chooseAmong(now, req, total)
+		return h.chooseAmong(now, req, total, limit)
 	}
 	return c
 }
 
-// chooseAmong selects the chat's last engine if it is below the limit, else an earlier engine of
+// chooseAmong selects, of the engines that the request does not avoid, the chat's last one if it is below the limit, else an earlier engine of
 // the chat, else the least loaded one. If paces are known, it selects by time instead.
-func (h *Home) chooseAmong(now time.Time, req Request, total ident.Work) choice {
-	limit := h.limit(total + req.Work)
-	if req.finalShard() {
-		limit = max(limit, h.shardLimit(req))
-	}
+func (h *Home) chooseAmong(now time.Time, req Request, total ident.Work, limit float64) choice {
 	maxPreferredLoad := h.preferredLimit(total)
 	if h.paced {
 		return h.chooseByTime(now, req, limit, maxPreferredLoad)
--- a/internal/rule/place/health_test.go
+++ b/internal/rule/place/health_test.go
@@ -150,6 +150,34 @@
 	}
 }
 
+// The engines that remain must stay within the bound of the mean of all engines when most are blocked for a part of their
+// requests: the blocked ones have no work then, but can run what exceeds the bound of the others.
+func TestBoundHoldsWhileMostEnginesAreBlocked(t *testing.T) {
+	const engines, failing, rounds = 18, 11, 12
+	home := newPreferredHome(engines)
+	now := time.Unix(1000, 0)
+	for i := range failing {
+		unhealthy := newEngine(i).Hash
+		var blocked []ident.TargetHash
+		for len(blocked) == 0 {
+			blocked = home.RecordFailures(now, "edge-a", zoneA, []ident.TargetHash{unhealthy})
+			blocked = append(blocked, home.RecordFailures(now, "edge-b", zoneA, []ident.TargetHash{unhealthy})...)
+		}
+	}
+	for permit := range uint64(rounds * engines) {
+		d := home.Place(now, place.Request{Edge: "edge-a", Permit: permit + 1, Key: ident.ChatKey(permit + 1), Work: ident.OneRequest, Zone: zoneA, MustPlace: true})
+		if d.Result != place.Placed {
+			t.Fatalf("request %d was not placed", permit)
+		}
+	}
+	limit := preferredBound.Factor*rounds*float64(ident.OneRequest) + float64(preferredBound.Extra)
+	for i := range engines {
+		if load := home.LoadOf(newEngine(i).Hash); float64(load) > limit+float64(ident.OneRequest) {
+			t.Errorf("engine %d has %.1f times the mean load, the bound is %.1f", i, float64(load)/rounds/float64(ident.OneRequest), preferredBound.Factor)
+		}
+	}
+}
+
 // No engine is blocked if all engines fail at the same rate, or if only one edge router reports
 // failures.
 func TestCommonFailuresBlockNoEngine(t *testing.T) {
