--- a/internal/edge/entry/body.go
+++ b/internal/edge/entry/body.go
@@ -17,15 +17,15 @@
 
 // readBody reads the request's body, limited by its maximum size, the request deadline and the memory of the box.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, j *job) *problem {
-	hold := h.Memory.Open(memory.Bodies, j.owner())
-	j.body = memory.NewBuffer(hold)
-	if extra := memory.Bytes(j.headerSize) - uncountedHeaderSize; extra > 0 && !hold.Grow(extra) {
+	reserved := h.Memory.Open(memory.Bodies, j.owner())
+	j.body = memory.NewBuffer(reserved)
+	if extra := memory.Bytes(j.headerSize) - uncountedHeaderSize; extra > 0 && !reserved.Grow(extra) {
 		return h.noRoom(int64(extra))
 	}
 	if r.Body == http.NoBody {
 		return nil
 	}
-	if r.ContentLength > min(j.bodyLimit, int64(h.Memory.MaxHold())) {
+	if r.ContentLength > min(j.bodyLimit, int64(h.Memory.MaxReservation())) {
 		return &problem{status: http.StatusRequestEntityTooLarge, reason: TooLarge}
 	}
 	if !j.body.HasRoom(r.ContentLength) {
--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -29,13 +29,13 @@
 	if j.streamWriter == nil {
 		j.streamWriter = newStreamWriter(w, h.Memory.Open(memory.Streams, j.owner()))
 	}
-	hold := h.Memory.Open(memory.Answers, j.owner())
-	defer hold.Close()
+	reserved := h.Memory.Open(memory.Answers, j.owner())
+	defer reserved.Close()
 	var pending []byte
 	buffer := make([]byte, eventReadSize)
 	for {
 		n, err := answer.Read(buffer)
-		if !hold.GrowTo(memory.Bytes(len(pending)+n) - uncountedEventSize) {
+		if !reserved.GrowTo(memory.Bytes(len(pending)+n) - uncountedEventSize) {
 			return result{step: retry.Answering, reason: NoMemory, status: answer.Status}
 		}
 		pending = append(pending, buffer[:n]...)
--- a/internal/edge/entry/forward.go
+++ b/internal/edge/entry/forward.go
@@ -93,9 +93,9 @@
 
 // copyAnswer copies the rest of an answer to the caller.
 func (h *Handler) copyAnswer(caller io.Writer, j *job, answer receivedAnswer) error {
-	hold := h.Memory.Open(memory.Answers, j.owner())
-	defer hold.Close()
-	hold.Add(forwardBufferSize)
+	reserved := h.Memory.Open(memory.Answers, j.owner())
+	defer reserved.Close()
+	reserved.Add(forwardBufferSize)
 	_, err := io.CopyBuffer(caller, answer, make([]byte, forwardBufferSize))
 	return err
 }
--- a/internal/edge/entry/memory.go
+++ b/internal/edge/entry/memory.go
@@ -22,23 +22,23 @@
 }
 
 // CallerConns charges the connections of callers to the memory of the box.
-type CallerConns struct{ hold *memory.Hold }
+type CallerConns struct{ reserved *memory.Reservation }
 
 // NewCallerConns returns an account of no connections, and the function that closes it.
 func NewCallerConns(account *memory.Account) (*CallerConns, func()) {
-	hold := account.Open(memory.Connections, memory.Owner{})
-	return &CallerConns{hold: hold}, hold.Close
+	reserved := account.Open(memory.Connections, memory.Owner{})
+	return &CallerConns{reserved: reserved}, reserved.Close
 }
 
 // StateChanged records that a connection was accepted or has ended. It is a http.Server.ConnState callback.
 func (c *CallerConns) StateChanged(_ net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		c.hold.Add(connSize)
+		c.reserved.Add(connSize)
 	case http.StateClosed, http.StateHijacked:
-		c.hold.Shrink(connSize)
+		c.reserved.Shrink(connSize)
 	}
 }
 
 // hasRoom reports whether there is room for another connection.
-func (c *CallerConns) hasRoom() bool { return c.hold.CanGrow(connSize) }
+func (c *CallerConns) hasRoom() bool { return c.reserved.CanGrow(connSize) }
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -280,7 +280,7 @@
 	budget   *budget
 	memory   *memory.Account
 	// occupied is the memory that a test takes itself, or nil.
-	occupied *memory.Hold
+	occupied *memory.Reservation
 }
 
 // testMemory is the memory that a handler may keep for its callers.
--- a/internal/edge/entry/stream_writer.go
+++ b/internal/edge/entry/stream_writer.go
@@ -59,8 +59,8 @@
 type streamWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
-	// hold is the memory of the buffered data.
-	hold *memory.Hold
+	// reserved is the memory of the buffered data.
+	reserved *memory.Reservation
 
 	mu      sync.Mutex
 	pending []byte
@@ -72,8 +72,8 @@
 }
 
 // newStreamWriter returns an empty writer. It must be closed before the request ends.
-func newStreamWriter(w http.ResponseWriter, hold *memory.Hold) *streamWriter {
-	s := &streamWriter{w: w, control: http.NewResponseController(w), hold: hold}
+func newStreamWriter(w http.ResponseWriter, reserved *memory.Reservation) *streamWriter {
+	s := &streamWriter{w: w, control: http.NewResponseController(w), reserved: reserved}
 	s.idle = sync.NewCond(&s.mu)
 	return s
 }
@@ -88,7 +88,7 @@
 		return CallerGone
 	case len(s.pending)+len(b) > maxUnreadPerCaller:
 		return Unread
-	case !s.hold.Grow(memory.Bytes(len(b))):
+	case !s.reserved.Grow(memory.Bytes(len(b))):
 		return NoMemory
 	}
 	s.pending = append(s.pending, b...)
@@ -108,7 +108,7 @@
 		s.pending = nil
 		s.mu.Unlock()
 		err := writeWithDeadline(s.control, s.w, next)
-		s.hold.Shrink(memory.Bytes(len(next)))
+		s.reserved.Shrink(memory.Bytes(len(next)))
 		s.mu.Lock()
 		s.failed = s.failed || err != nil
 	}
@@ -140,7 +140,7 @@
 	s.wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hold.Close()
+	s.reserved.Close()
 	s.pending = nil
 	if !s.failed {
 		// Resetting the deadline fails only on a closed connection.
--- a/internal/edge/front/chat.go
+++ b/internal/edge/front/chat.go
@@ -100,17 +100,17 @@
 		f.relayBuffered(w, r, j, s)
 		return
 	}
-	hold := f.Memory.Open(memory.Streams, memory.Owner{Workspace: j.workspace.Name})
-	defer hold.Close()
-	out := newEventWriter(w, hold, f.Keys, j.workspace.Name, f.limits.MaxPartialBytes)
+	reserved := f.Memory.Open(memory.Streams, memory.Owner{Workspace: j.workspace.Name})
+	defer reserved.Close()
+	out := newEventWriter(w, reserved, f.Keys, j.workspace.Name, f.limits.MaxPartialBytes)
 	f.relayStream(r.Context(), j, s, out, 0)
 }
 
 // relayBuffered relays an answer that is not a stream, such as an error response of the target.
 func (f *Front) relayBuffered(w http.ResponseWriter, r *http.Request, j *job, s *response) {
-	hold := f.Memory.Open(memory.Answers, memory.Owner{Workspace: j.workspace.Name})
-	defer hold.Close()
-	body, err := s.reply.Whole(hold)
+	reserved := f.Memory.Open(memory.Answers, memory.Owner{Workspace: j.workspace.Name})
+	defer reserved.Close()
+	body, err := s.reply.Whole(reserved)
 	s.placement.Release()
 	if err != nil {
 		f.reportInterrupted(r.Context(), j, s.placement.Target, s.sentAt, err)
@@ -297,9 +297,9 @@
 	if reply.StreamID == "" {
 		reply.StreamID = token.Stream
 	}
-	hold := f.Memory.Open(memory.Streams, memory.Owner{Workspace: ws.Name})
-	defer hold.Close()
-	f.relayStream(r.Context(), j, s, newEventWriter(w, hold, f.Keys, ws.Name, f.limits.MaxPartialBytes), token.Offset)
+	reserved := f.Memory.Open(memory.Streams, memory.Owner{Workspace: ws.Name})
+	defer reserved.Close()
+	f.relayStream(r.Context(), j, s, newEventWriter(w, reserved, f.Keys, ws.Name, f.limits.MaxPartialBytes), token.Offset)
 }
 
 // deltaText returns the text that an event of a chat completion appends to the answer.
--- a/internal/edge/front/events.go
+++ b/internal/edge/front/events.go
@@ -31,23 +31,23 @@
 	// callerGone is set once a write to the caller has failed.
 	callerGone bool
 	maxBytes   int
-	// hold is the memory of the text and the recording.
-	hold               *memory.Hold
+	// reserved is the memory of the text and the recording.
+	reserved           *memory.Reservation
 	text               strings.Builder
 	textTruncated      bool
 	recording          bytes.Buffer
 	recordingTruncated bool
 }
 
-// newEventWriter returns a writer that charges what it keeps to the hold.
-func newEventWriter(w http.ResponseWriter, hold *memory.Hold, keys relay.Keys, workspace ident.Workspace, maxBytes int) *eventWriter {
-	return &eventWriter{w: w, control: http.NewResponseController(w), hold: hold, keys: keys, workspace: workspace, maxBytes: maxBytes}
+// newEventWriter returns a writer that charges what it keeps to the reservation.
+func newEventWriter(w http.ResponseWriter, reserved *memory.Reservation, keys relay.Keys, workspace ident.Workspace, maxBytes int) *eventWriter {
+	return &eventWriter{w: w, control: http.NewResponseController(w), reserved: reserved, keys: keys, workspace: workspace, maxBytes: maxBytes}
 }
 
 // keep appends a text to what is kept of the stream, and reports whether all of it still is: it does not exceed
 // maxBytes, and there is memory for it.
 func (e *eventWriter) keep(kept interface{ Len() int }, write func(string) (int, error), text string) bool {
-	if kept.Len()+len(text) > e.maxBytes || !e.hold.Grow(memory.Bytes(len(text))) {
+	if kept.Len()+len(text) > e.maxBytes || !e.reserved.Grow(memory.Bytes(len(text))) {
 		return false
 	}
 	// Writes to memory do not fail.
--- a/internal/edge/front/input.go
+++ b/internal/edge/front/input.go
@@ -48,8 +48,8 @@
 // when the request ends.
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request, workspace ident.Workspace) (*memory.Buffer, []byte, *Problem) {
 	buffer := memory.NewBuffer(f.Memory.Open(memory.Bodies, memory.Owner{Workspace: workspace}))
-	if r.ContentLength > min(f.limits.Body, int64(f.Memory.MaxHold())) {
-		return buffer, nil, tooLarge
+	if r.ContentLength > min(f.limits.Body, int64(f.Memory.MaxReservation())) {
+		return buffer, nil, tooLarge()
 	}
 	if !buffer.HasRoom(r.ContentLength) {
 		return buffer, nil, f.noRoom(r.ContentLength)
@@ -67,7 +67,7 @@
 	case err == nil:
 		return buffer, data, nil
 	case errors.As(err, &overLimit), fault.KindOf[memory.Kind](err) == memory.Full && buffer.AtMaximum():
-		return buffer, nil, tooLarge
+		return buffer, nil, tooLarge()
 	case fault.KindOf[memory.Kind](err) == memory.Full:
 		return buffer, nil, f.noRoom(buffer.Len())
 	default:
@@ -85,8 +85,10 @@
 	write()
 }
 
-// tooLarge is the problem of a body that is larger than the settings, or the memory of this box, allow.
-var tooLarge = notRun(CodeTooLarge, http.StatusRequestEntityTooLarge, "the body is larger than allowed")
+// tooLarge returns the problem of a body that is larger than the settings, or the memory of this box, allow.
+func tooLarge() *Problem {
+	return notRun(CodeTooLarge, http.StatusRequestEntityTooLarge, "the body is larger than allowed")
+}
 
 // noRoom returns the problem of a request of the given size, or -1 if it is unknown, that this box has no memory for.
 func (f *Front) noRoom(size int64) *Problem {
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -58,9 +58,9 @@
 			f.fail(w, j, problem)
 			return
 		}
-		hold := f.Memory.Open(memory.Answers, memory.Owner{Workspace: j.workspace.Name})
-		defer hold.Close()
-		body, err := s.reply.Whole(hold)
+		reserved := f.Memory.Open(memory.Answers, memory.Owner{Workspace: j.workspace.Name})
+		defer reserved.Close()
+		body, err := s.reply.Whole(reserved)
 		s.placement.Release()
 		if err != nil {
 			f.reportInterrupted(r.Context(), j, s.placement.Target, s.sentAt, err)
--- a/internal/edge/reach/server.go
+++ b/internal/edge/reach/server.go
@@ -76,9 +76,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	hold := s.Memory.Open(memory.Tunnels, memory.Owner{})
-	defer hold.Close()
-	if !hold.Grow(tunnelSize) {
+	reserved := s.Memory.Open(memory.Tunnels, memory.Owner{})
+	defer reserved.Close()
+	if !reserved.Grow(tunnelSize) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -268,11 +268,11 @@
 	_ = r.body.Close()
 }
 
-// Whole reads the answer to its end. Its memory is charged to the hold.
-func (r *Reply) Whole(hold *memory.Hold) ([]byte, error) {
+// Whole reads the answer to its end. Its memory is charged to the reservation.
+func (r *Reply) Whole(reserved *memory.Reservation) ([]byte, error) {
 	const op = "relay.Whole"
 	defer r.Close()
-	buffer := memory.NewBuffer(hold)
+	buffer := memory.NewBuffer(reserved)
 	var data []byte
 	err := buffer.Read(r.body, r.length, r.limits.Answer+1)
 	if err == nil {
--- a/internal/plat/memory/account.go
+++ b/internal/plat/memory/account.go
@@ -52,10 +52,10 @@
 }
 
 const (
-	// smallHold is the size up to which a hold counts as small: that of usual requests.
-	smallHold = 256 * KB
+	// smallReservation is the size up to which a reservation counts as small: that of usual requests.
+	smallReservation = 256 * KB
 	// smallShare and largeShare are the multiples of the free memory that a workspace may use, with
-	// small and with large holds.
+	// small and with large reservations.
 	smallShare = 16
 	largeShare = 4
 	// lastRank is the least urgent rank, and rankReserve the part of the limit that it leaves to the most
@@ -125,8 +125,8 @@
 	return Usage{Limit: a.limit, Used: a.used, ByUse: a.byUse, Refused: a.refused}
 }
 
-// MaxHold returns the size of the largest hold, which has the account for itself.
-func (a *Account) MaxHold() Bytes {
+// MaxReservation returns the size of the largest reservation, which has the account for itself.
+func (a *Account) MaxReservation() Bytes {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.limit / 2
@@ -146,52 +146,52 @@
 	return decayed * math.Ln2 / releaseHalfLife.Seconds()
 }
 
-// Open returns an empty hold. It must be closed.
-func (a *Account) Open(use Use, owner Owner) *Hold {
-	return &Hold{account: a, use: use, owner: owner}
+// Open returns an empty reservation. It must be closed.
+func (a *Account) Open(use Use, owner Owner) *Reservation {
+	return &Reservation{account: a, use: use, owner: owner}
 }
 
-// add changes the size of a hold. The caller holds the lock.
-func (a *Account) add(h *Hold, n Bytes) {
-	h.size += n
+// add changes the size of a reservation. The caller holds the lock.
+func (a *Account) add(r *Reservation, n Bytes) {
+	r.size += n
 	a.used += n
-	a.byUse[h.use] += n
-	if h.owner.Workspace == "" {
+	a.byUse[r.use] += n
+	if r.owner.Workspace == "" {
 		return
 	}
-	a.byWorkspace[h.owner.Workspace] += n
-	if a.byWorkspace[h.owner.Workspace] == 0 {
-		delete(a.byWorkspace, h.owner.Workspace)
+	a.byWorkspace[r.owner.Workspace] += n
+	if a.byWorkspace[r.owner.Workspace] == 0 {
+		delete(a.byWorkspace, r.owner.Workspace)
 	}
 }
 
-// fits reports whether a hold may grow by n. The caller holds the lock.
-func (a *Account) fits(h *Hold, n Bytes) bool {
+// fits reports whether a reservation may grow by n. The caller holds the lock.
+func (a *Account) fits(r *Reservation, n Bytes) bool {
 	free := a.limit - a.used - n
-	size := h.size + n
-	if free < a.reserve(h) || size > free {
+	size := r.size + n
+	if free < a.reserve(r) || size > free {
 		return false
 	}
-	if h.owner.Workspace == "" {
+	if r.owner.Workspace == "" {
 		return true
 	}
 	share := Bytes(smallShare)
-	if size > smallHold {
+	if size > smallReservation {
 		share = largeShare
 	}
-	return a.byWorkspace[h.owner.Workspace]+n <= share*free
+	return a.byWorkspace[r.owner.Workspace]+n <= share*free
 }
 
-// reserve returns how much of the limit must stay free when a hold grows.
-func (a *Account) reserve(h *Hold) Bytes {
-	if h.use == Connections || h.use == Tunnels {
+// reserve returns how much of the limit must stay free when a reservation grows.
+func (a *Account) reserve(r *Reservation) Bytes {
+	if r.use == Connections || r.use == Tunnels {
 		return Bytes(openReserve * float64(a.limit))
 	}
-	rank := min(max(h.owner.Rank, 0), lastRank)
+	rank := min(max(r.owner.Rank, 0), lastRank)
 	return Bytes(rankReserve * float64(a.limit) * float64(rank) / lastRank)
 }
 
-// recordReleased records that a hold was closed. The caller holds the lock.
+// recordReleased records that a reservation was closed. The caller holds the lock.
 func (a *Account) recordReleased(n Bytes) {
 	now := a.clock()
 	a.released = a.released*decay.Factor(now.Sub(a.releasedAt), releaseHalfLife) + float64(n)
--- a/internal/plat/memory/account_test.go
+++ b/internal/plat/memory/account_test.go
@@ -18,20 +18,20 @@
 // testClock returns a fixed time.
 func testClock() time.Time { return time.Unix(1000, 0) }
 
-// Checks that any series of holds that grow, shrink, are refused and are closed in any order, some twice, stays within
+// Checks that any series of reservations that grow, shrink, are refused and are closed in any order, some twice, stays within
 // the limit and leaves nothing behind: what is not returned would be missing for ever.
 func TestAccountIsEmptyAfterAnySeries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const limit = 1000 * KB
 		a := New(limit, testClock)
-		var holds []*Hold
+		var reservations []*Reservation
 		sizes := rapid.Int64Range(0, int64(400*KB))
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			if len(holds) == 0 || rapid.Bool().Draw(t, "open") {
+			if len(reservations) == 0 || rapid.Bool().Draw(t, "open") {
 				owner := Owner{Workspace: ident.Workspace(rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "workspace")), Rank: rapid.IntRange(-1, 20).Draw(t, "rank")}
-				holds = append(holds, a.Open(rapid.SampledFrom(Uses).Draw(t, "use"), owner))
+				reservations = append(reservations, a.Open(rapid.SampledFrom(Uses).Draw(t, "use"), owner))
 			}
-			h := rapid.SampledFrom(holds).Draw(t, "hold")
+			h := rapid.SampledFrom(reservations).Draw(t, "reserved")
 			n := Bytes(sizes.Draw(t, "size"))
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0, 1:
@@ -47,7 +47,7 @@
 				t.Fatalf("%d bytes used of %d", used, limit)
 			}
 		}
-		for _, h := range holds {
+		for _, h := range reservations {
 			h.Close()
 			h.Close()
 		}
@@ -58,7 +58,7 @@
 	})
 }
 
-// fill grows holds of the given size in turn until one is refused, and returns the memory that they have.
+// fill grows reservations of the given size in turn until one is refused, and returns the memory that they have.
 func fill(a *Account, owner Owner, size Bytes) Bytes {
 	total := Bytes(0)
 	for a.Open(Bodies, owner).Grow(size) {
@@ -162,6 +162,6 @@
 		h.Close()
 	}
 	if got := a.releasedPerSecond(); got < float64(MB)/2 || got > float64(MB) {
-		t.Errorf("%.0f bytes a second, want those of the first hold only", got)
+		t.Errorf("%.0f bytes a second, want those of the first reservation only", got)
 	}
 }
--- a/internal/plat/memory/buffer.go
+++ b/internal/plat/memory/buffer.go
@@ -30,13 +30,13 @@
 // Buffer keeps data in segments that are charged to an account as the data arrives. Unlike one slice it grows
 // without a copy.
 type Buffer struct {
-	hold     *Hold
+	reserved *Reservation
 	segments [][]byte
 	size     int64
 }
 
 // NewBuffer returns an empty buffer. It must be closed, after which the account does not count its data.
-func NewBuffer(hold *Hold) *Buffer { return &Buffer{hold: hold} }
+func NewBuffer(reserved *Reservation) *Buffer { return &Buffer{reserved: reserved} }
 
 // Len returns the size of the data in bytes.
 func (b *Buffer) Len() int64 { return b.size }
@@ -54,12 +54,12 @@
 	case 1:
 		return b.segments[0], nil
 	}
-	if !b.hold.Grow(Bytes(b.size)) {
+	if !b.reserved.Grow(Bytes(b.size)) {
 		return nil, fault.New(op, Full, nil)
 	}
 	joined := slices.Concat(b.segments...)
 	b.segments = [][]byte{joined}
-	b.hold.Shrink(b.hold.size - Bytes(b.size))
+	b.reserved.Shrink(b.reserved.size - Bytes(b.size))
 	return joined, nil
 }
 
@@ -74,15 +74,17 @@
 	if b == nil {
 		return
 	}
-	b.hold.Close()
+	b.reserved.Close()
 	b.segments = nil
 }
 
 // HasRoom reports whether data of the given length, which may be negative if it is unknown, has room at present.
-func (b *Buffer) HasRoom(length int64) bool { return length <= 0 || b.hold.CanGrow(Bytes(length)) }
+func (b *Buffer) HasRoom(length int64) bool { return length <= 0 || b.reserved.CanGrow(Bytes(length)) }
 
 // AtMaximum reports whether the buffer is as large as it can be in an account of this size, even alone.
-func (b *Buffer) AtMaximum() bool { return Bytes(b.size)+segmentSize > b.hold.account.MaxHold() }
+func (b *Buffer) AtMaximum() bool {
+	return Bytes(b.size)+segmentSize > b.reserved.account.MaxReservation()
+}
 
 // Read reads data to its end, or until the buffer has as many bytes as the limit. The length is that of the data, or
 // negative if it is unknown. The error has the kind Full if there is no room for more data.
@@ -123,7 +125,7 @@
 		size = min(Bytes(2*cap(last)), segmentSize)
 	}
 	size = min(max(size, minSegmentSize), Bytes(limit-b.size))
-	if !b.hold.Grow(size) {
+	if !b.reserved.Grow(size) {
 		return nil, fault.New(op, Full, nil)
 	}
 	b.segments = append(b.segments, make([]byte, 0, size))
