--- a/internal/edge/entry/memory_test.go
+++ b/internal/edge/entry/memory_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -260,6 +261,79 @@
 	}
 }
 
+// randomWay returns a request that ends in a random way: its path, by which randomTarget answers, its framing, its body, and
+// whether its caller goes after a moment.
+func randomWay(r *rand.Rand) (path, framing, body string, leaves bool) {
+	paths := []string{"/ok", "/broken", "/rejected", "/failed", "/silent", "/large"}
+	sizes := []int{0, 1, 24_000, 300_000, 900_000, 1_500_000}
+	body = strings.Repeat("x", sizes[r.IntN(len(sizes))])
+	framing = fmt.Sprint("Content-Length: ", len(body))
+	if r.IntN(2) == 0 && len(body) > 0 {
+		framing, body = "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	}
+	if r.IntN(4) == 0 {
+		// The rest of the body never comes.
+		body = body[:len(body)/2]
+	}
+	return paths[r.IntN(len(paths))], framing, body, r.IntN(3) == 0
+}
+
+// randomTarget answers by the path of a request.
+func randomTarget(w *bufio.Writer, r *http.Request) bool {
+	id := r.Header.Get("Id")
+	switch r.URL.Path {
+	case "/broken":
+		return false
+	case "/rejected":
+		writeResponse(w, id, 503, "Not-Run: 1\r\n", "")
+	case "/failed":
+		writeResponse(w, id, 500, "", "failed")
+	case "/silent":
+		<-time.After(400 * time.Millisecond)
+		return false
+	case "/large":
+		writeResponse(w, id, 200, "", strings.Repeat("x", 700_000))
+	default:
+		writeResponse(w, id, 200, "", "ok")
+	}
+	return true
+}
+
+// Memory must be returned exactly once on each way out: served, failed, refused, too large, timed out, with a caller that goes
+// while it sends or before it reads. What is left is checked when the test ends.
+func TestMemoryIsReturnedOnEachWayOut(t *testing.T) {
+	const seeds, callers = 4, 60
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			target := newFakeTarget(t, randomTarget)
+			s := newSetup(t, newRoute(func(r *match.Route) {
+				repeatableRoute(r)
+				r.Timeout = 300 * time.Millisecond
+			}), target, target)
+			s.memory.SetLimit(8 * memory.MB)
+			random := rand.New(rand.NewPCG(seed, 0))
+			var ended sync.WaitGroup
+			for range callers {
+				path, framing, body, leaves := randomWay(random)
+				ended.Go(func() {
+					c, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+					if err != nil {
+						return
+					}
+					defer c.Close()
+					_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nId: caller-1\r\nKey: k\r\n%s\r\n\r\n%s", path, framing, body)
+					if leaves {
+						return
+					}
+					_ = c.SetReadDeadline(time.Now().Add(time.Second))
+					_, _ = io.Copy(io.Discard, c)
+				})
+			}
+			ended.Wait()
+		})
+	}
+}
+
 // Connections must be counted until they end, and no more accepted than the box has memory for.
 func TestConnectionsAreLimitedByMemory(t *testing.T) {
 	account := memory.New(80*connSize, time.Now)
