A paused router checks again whether a target has ended

Callers saw: nothing reported.

Cause (r2's log): its target crashed while r2 was paused for 0.7 s, during the check whether the target's process has ended. The check's time of 0.4 s was over when r2 went on, so it found out nothing, and what cannot be found out counts as whole. The log shows the refusals in the same millisecond.

Change: a check that took longer than its time because the router itself was delayed is made once more.

Tests: relay TestTargetHasEndedWhileTheRouterWasDelayed failed before.

Measured: go test ./internal/edge/relay passes.

--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -247,6 +247,17 @@
 // false if that cannot be found out. The connection is kept for a later request, among at most maxIdleConns
 // idle ones; zero means the limit for all targets.
 func (c *Conns) HasEnded(ctx context.Context, addr string, maxIdleConns int) bool {
+	began := time.Now()
+	ended := c.checkEnded(ctx, addr, maxIdleConns)
+	if !ended && time.Since(began) > endTimeout+LocalDelayThreshold {
+		// This router was delayed itself, so that the check could find out nothing.
+		return c.checkEnded(ctx, addr, maxIdleConns)
+	}
+	return ended
+}
+
+// checkEnded makes one check of HasEnded.
+func (c *Conns) checkEnded(ctx context.Context, addr string, maxIdleConns int) bool {
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
 	cn, err := c.dial(ctx, addr)
--- a/internal/edge/relay/ended_test.go
+++ b/internal/edge/relay/ended_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -38,6 +40,35 @@
 	}
 }
 
+// delayedDialer is the dialer of a router that is delayed in its first attempt to connect. Nothing listens, which shows only
+// before the context ends.
+type delayedDialer struct {
+	directDialer
+	dials *int
+}
+
+// Dial implements Dialer.
+func (d delayedDialer) Dial(context.Context, string) (net.Conn, error) {
+	if *d.dials++; *d.dials == 1 {
+		<-time.After(endTimeout + 2*LocalDelayThreshold)
+	}
+	return nil, syscall.ECONNREFUSED
+}
+
+// Refused implements Dialer.
+func (d delayedDialer) Refused(ctx context.Context, _ string) bool { return ctx.Err() == nil }
+
+// Guards against a broken answer that counts as complete because its router was paused while it checked whether the target
+// has ended.
+func TestTargetHasEndedWhileTheRouterWasDelayed(t *testing.T) {
+	dials := 0
+	conns, closeConns := NewConns(DefaultConnLimits, delayedDialer{dials: &dials})
+	defer closeConns()
+	if !conns.HasEnded(t.Context(), "127.0.0.1:1", 0) || dials != 2 {
+		t.Errorf("the end of the target was not found in %d checks", dials)
+	}
+}
+
 // Guards against a connection that is made for each answer without a marked end and used for nothing else.
 func TestConnectionOfTheCheckIsKept(t *testing.T) {
 	addr := listen.Conns(t, func(c net.Conn) { _, _ = c.Read(make([]byte, 1)); _ = c.Close() })
