Short requests are written from one buffer again; a lost answer returns its memory before the next attempt

Since bodies come in segments, a short request was joined in a new buffer although its head has room for it; and on the product's own interface the memory of an answer that broke off stayed charged until the request ended.

Change: as the title says.

Measured: the tests of relay and front pass.

--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -63,6 +63,7 @@
 		body, err := s.reply.Whole(reserved)
 		s.placement.Release()
 		if err != nil {
+			reserved.Close()
 			f.reportInterrupted(r.Context(), j, s.placement.Target, s.sentAt, err)
 			if problem := f.handleFailure(r.Context(), j, s.placement, relay.StepOf(err), err); problem != nil {
 				f.fail(w, j, problem)
--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -8,7 +8,6 @@
 	"math"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -208,7 +207,7 @@
 	head := encodeHead(e)
 	done := make(chan error, 1)
 	if len(head)+e.bodyLen() <= maxInlineRequestBytes {
-		n, err := c.Conn.Write(slices.Concat(append([][]byte{head}, e.Body...)...))
+		n, err := c.Conn.Write(e.appendBody(head))
 		if err != nil && n == 0 {
 			return nil, writeNotStarted{err}
 		}
@@ -232,6 +231,14 @@
 	return length
 }
 
+// appendBody appends the body to b.
+func (e Exchange) appendBody(b []byte) []byte {
+	for _, segment := range e.Body {
+		b = append(b, segment...)
+	}
+	return b
+}
+
 // headBufferBytes is the usual maximum size of a request line and header.
 const headBufferBytes = 1 << 10
 
