A resumed stream's log line says for how long the router has observed its service

What callers saw: streams joined from two versions after all routers had lost power. Cause: not established yet. Evidence: in the lines kept of the incident all 110 resumed requests have origin=single_version; they do not say what that conclusion rests on, so that a router that has just started cannot be told from one that has observed the service for longer than a stream lasts.

Change: the line "request" of a resumed stream has observed_ms, the time since the router counted the first target of the service. No decision changes.

--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -39,6 +39,8 @@
 	// go on with the answer, empty until its first part is sent.
 	origin  origin.Found
 	version ident.Version
+	// serviceObserved is for how long this router had observed the targets of the service when the origin was sought.
+	serviceObserved time.Duration
 	// versionUnknown is set if the version of the target that sent the first part may be another one than this
 	// router has. No target may go on then.
 	versionUnknown bool
@@ -287,6 +289,7 @@
 	return []any{
 		"last_event", j.call.LastEvent, "resumes", j.call.Resumes, "origin", j.origin.Source, "origin_version", j.origin.Version,
 		"origin_from", j.origin.From, "asked", j.origin.Asked, "answered", j.origin.Answered,
+		"observed_ms", j.serviceObserved.Milliseconds(),
 	}
 }
 
--- a/internal/edge/entry/origin.go
+++ b/internal/edge/entry/origin.go
@@ -59,6 +59,7 @@
 		return nil
 	}
 	j.origin = h.Origins.Find(ctx, j.streamKey(), j.service)
+	j.serviceObserved = h.Origins.Observed(j.service)
 	if !j.origin.Resumable() {
 		return rejection(UnknownOrigin, originRetryAfter)
 	}
--- a/internal/edge/entry/other_service_test.go
+++ b/internal/edge/entry/other_service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -28,6 +29,8 @@
 
 func (oneOrigin) Began(origin.Record) {}
 
+func (oneOrigin) Observed(ident.Service) time.Duration { return 0 }
+
 func (o oneOrigin) Find(context.Context, origin.Key, ident.Service) origin.Found { return o.found }
 
 // Guards against a stream that goes on at another service, whose versions have the same names, because its route
--- a/internal/edge/entry/parts.go
+++ b/internal/edge/entry/parts.go
@@ -104,12 +104,16 @@
 	Began(r origin.Record)
 	// Find returns the origin of a stream of a service.
 	Find(ctx context.Context, key origin.Key, service ident.Service) origin.Found
+	// Observed returns for how long this router has observed the targets of a service.
+	Observed(service ident.Service) time.Duration
 }
 
 // noOrigins is used when targets have no versions. Streams go on at any target.
 type noOrigins struct{}
 
-func (noOrigins) Began(origin.Record) {}
+func (noOrigins) Began(origin.Record)                  {}
+func (noOrigins) Observed(ident.Service) time.Duration { return 0 }
+
 func (noOrigins) Find(_ context.Context, _ origin.Key, service ident.Service) origin.Found {
 	return origin.Found{Origin: origin.Origin{Service: service}, Source: origin.SingleVersion}
 }
--- a/internal/edge/entry/resumed_stream_test.go
+++ b/internal/edge/entry/resumed_stream_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -43,6 +44,8 @@
 	}
 }
 
+func (o *fixedOrigins) Observed(ident.Service) time.Duration { return 0 }
+
 func (o *fixedOrigins) Find(_ context.Context, key origin.Key, service ident.Service) origin.Found {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/share/origin/guards_test.go
+++ b/internal/share/origin/guards_test.go
@@ -296,7 +296,7 @@
 	now := time.Unix(1000, 0)
 	v := newVersions()
 	for _, version := range []ident.Version{"v1", "v2"} {
-		v.add(Origin{Service: "s", Version: version})
+		v.add(now, Origin{Service: "s", Version: version})
 	}
 	v.remove(now, Origin{Service: "s", Version: "v1"})
 	v.remove(now.Add(time.Second), Origin{Service: "s", Version: "v2"})
--- a/internal/share/origin/origins.go
+++ b/internal/share/origin/origins.go
@@ -78,7 +78,7 @@
 func (o *Origins) TargetAdded(of Origin) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.versions.add(of)
+	o.versions.add(o.Clock(), of)
 	if !o.hasSeveral(of.Service) || o.several[of.Service] {
 		return
 	}
@@ -179,6 +179,13 @@
 	return Answer{Origin: known, Known: exists, Several: o.hasSeveral(service)}
 }
 
+// Observed returns for how long this router has observed the targets of a service.
+func (o *Origins) Observed(service ident.Service) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.observed(o.Clock(), service)
+}
+
 // Find returns the origin of a stream of a service. It asks the routers that may keep it.
 func (o *Origins) Find(ctx context.Context, key Key, service ident.Service) Found {
 	own := o.Answer(key, service)
--- a/internal/share/origin/versions.go
+++ b/internal/share/origin/versions.go
@@ -17,18 +17,21 @@
 // versions counts the targets of each version of each service. It is not safe for concurrent use.
 type versions struct {
 	services map[ident.Service]map[ident.Version]presence
+	// since is when the first target of a service was counted.
+	since map[ident.Service]time.Time
 }
 
 func newVersions() *versions {
-	return &versions{services: map[ident.Service]map[ident.Version]presence{}}
+	return &versions{services: map[ident.Service]map[ident.Version]presence{}, since: map[ident.Service]time.Time{}}
 }
 
 // add counts a target.
-func (v *versions) add(o Origin) {
+func (v *versions) add(now time.Time, o Origin) {
 	known := v.services[o.Service]
 	if known == nil {
 		known = map[ident.Version]presence{}
 		v.services[o.Service] = known
+		v.since[o.Service] = now
 	}
 	p := known[o.Version]
 	p.targets++
@@ -59,7 +62,17 @@
 	}
 	if len(known) == 0 {
 		delete(v.services, service)
+		delete(v.since, service)
 	}
 	slices.Sort(out)
 	return out
 }
+
+// observed returns for how long the targets of a service have been counted, zero if there is none.
+func (v *versions) observed(now time.Time, service ident.Service) time.Duration {
+	since, known := v.since[service]
+	if !known {
+		return 0
+	}
+	return now.Sub(since)
+}
