A router that is closed while it runs ends at once, without draining

What callers saw: nothing, no router is closed while it runs. Cause: tests need routers that end as a crashed process does: nothing handed over, all connections broken.

Change: the function that releases a router's resources also ends Run, without a drain. A planned stop is as before.

--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -72,6 +72,8 @@
 	draining atomic.Bool
 
 	listeners listeners
+	// closed is closed when the router's resources are released.
+	closed chan struct{}
 	// cleanups release what New created, in reverse order.
 	cleanups []func()
 }
@@ -87,7 +89,8 @@
 // releases its resources.
 func New(settings Settings, parts Parts) (*Node, func(), error) {
 	n := &Node{Parts: parts, meter: &peer.Meter{}, discovered: make(chan struct{}), aheadPeer: make(chan ident.Router, 1),
-		storeRestored: make(chan struct{}, 1)}
+		storeRestored: make(chan struct{}, 1), closed: make(chan struct{})}
+	n.cleanups = append(n.cleanups, func() { close(n.closed) })
 	n.settings.Store(&settings)
 	if err := n.listen(); err != nil {
 		n.close()
--- a/internal/oper/node/serve.go
+++ b/internal/oper/node/serve.go
@@ -61,7 +61,8 @@
 func (n *Node) RunUntilSignal(s Signals) { n.Run(s.stop, s.reload) }
 
 // Run serves until the context ends and then drains: the router announces that it is leaving,
-// accepts new requests during drainDelay, and waits for those in flight.
+// accepts new requests during drainDelay, and waits for those in flight. If the router is closed meanwhile, Run ends at
+// once and breaks off what is in flight.
 func (n *Node) Run(ctx context.Context, reload <-chan os.Signal) {
 	background, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -75,8 +76,12 @@
 	callersServed := n.serve(&wg, callers, n.gate)
 	n.startBackground(background, &wg)
 	wg.Go(func() { n.watchSettings(background, reload) })
-	<-ctx.Done()
-	n.drain(callersServed)
+	select {
+	case <-ctx.Done():
+		n.drain(callersServed)
+	case <-n.closed:
+		_ = callers.Close()
+	}
 	stop()
 	// The process exits, so a listener that cannot be closed is closed by the kernel.
 	_ = peers.Close()
