A closed router breaks its connections to peers and the tunnels of peers

What callers saw: nothing, only tests close a router that runs. Cause: closing a running router was to break all connections, as a crash does. Two kinds stayed open: those to peers, because only idle ones were closed and those of links just ended were not idle yet, and tunnels of peers, which the server of peers hands over and does not close. Besides, resources were released while Run still used them, and the gate accepted queued callers for up to 0.5 s first (both by reading, not seen in a run).

Change: the function that New returns ends Run first and then releases what Run uses. It closes the listener of callers before their server, and the tunnels. Clients of peers close all of their connections, also those that are opened later. A planned stop is as before up to the end of Run.

--- a/internal/oper/node/node.go
+++ b/internal/oper/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 
 	"valescale/internal/edge/entry"
@@ -72,8 +73,10 @@
 	draining atomic.Bool
 
 	listeners listeners
-	// closed is closed when the router's resources are released.
-	closed chan struct{}
+	// closed is closed when the router's resources are to be released, which waits until Run has ended.
+	// Run holds running.
+	closed  chan struct{}
+	running sync.Mutex
 	// cleanups release what New created, in reverse order.
 	cleanups []func()
 }
@@ -86,11 +89,10 @@
 }
 
 // New returns a router that listens but does not serve until Run is called, and a function that
-// releases its resources.
+// releases its resources. If Run is under way, the function ends it first.
 func New(settings Settings, parts Parts) (*Node, func(), error) {
 	n := &Node{Parts: parts, meter: &peer.Meter{}, discovered: make(chan struct{}), aheadPeer: make(chan ident.Router, 1),
 		storeRestored: make(chan struct{}, 1), closed: make(chan struct{})}
-	n.cleanups = append(n.cleanups, func() { close(n.closed) })
 	n.settings.Store(&settings)
 	if err := n.listen(); err != nil {
 		n.close()
@@ -100,8 +102,14 @@
 	return n, n.close, nil
 }
 
-// close releases what New created.
+// close ends Run and releases what New created, which Run uses until it has ended. Only the first call does so.
 func (n *Node) close() {
+	if n.cleanups == nil {
+		return
+	}
+	close(n.closed)
+	n.running.Lock()
+	defer n.running.Unlock()
 	for i := len(n.cleanups) - 1; i >= 0; i-- {
 		n.cleanups[i]()
 	}
--- a/internal/oper/node/serve.go
+++ b/internal/oper/node/serve.go
@@ -64,6 +64,8 @@
 // accepts new requests during drainDelay, and waits for those in flight. If the router is closed meanwhile, Run ends at
 // once and breaks off what is in flight.
 func (n *Node) Run(ctx context.Context, reload <-chan os.Signal) {
+	n.running.Lock()
+	defer n.running.Unlock()
 	background, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -80,7 +82,7 @@
 	case <-ctx.Done():
 		n.drain(callersServed)
 	case <-n.closed:
-		_ = callers.Close()
+		n.breakOff(callers)
 	}
 	stop()
 	// The process exits, so a listener that cannot be closed is closed by the kernel.
@@ -89,6 +91,17 @@
 	_ = level.Info(n.Logger).Log("msg", "stop")
 }
 
+// breakOff ends what is in flight for callers, and tunnels of peers. The gate of the callers' listener would first accept
+// those that it has queued.
+func (n *Node) breakOff(callers *http.Server) {
+	_ = n.listeners.callers.Close()
+	_ = callers.Close()
+	ended, end := context.WithCancel(context.Background())
+	end()
+	// The error says that tunnels were open.
+	_ = n.tunnels.Shutdown(ended)
+}
+
 // startBackground starts the background work, which runs until the context ends.
 func (n *Node) startBackground(ctx context.Context, wg *sync.WaitGroup) {
 	for _, name := range n.followedTables() {
--- a/internal/share/peer/client.go
+++ b/internal/share/peer/client.go
@@ -33,7 +33,7 @@
 )
 
 // NewClients returns clients that dial with TLS, or without encryption when config is nil, and a
-// function that closes their idle connections.
+// function that closes all of their connections, after which calls fail.
 func NewClients(config *tls.Config, meter *Meter) (*Clients, func()) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	protocols := &http.Protocols{}
@@ -60,7 +60,7 @@
 	}
 	sender := addrClient{&http.Client{Transport: &silentConnCloser{next: transport, open: open}}}
 	calls := peerpb.NewPeerServiceClient(sender, scheme+"://"+placeholderHost, connect.WithInterceptors(trimHeaders{}))
-	return &Clients{calls: calls, open: open}, transport.CloseIdleConnections
+	return &Clients{calls: calls, open: open}, open.closeAll
 }
 
 // At returns the client of the router at an address.
--- a/internal/share/peer/silent.go
+++ b/internal/share/peer/silent.go
@@ -22,6 +22,8 @@
 type openConns struct {
 	mu    sync.Mutex
 	conns map[string]map[*openConn]bool
+	// closed is set once all connections are closed.
+	closed bool
 }
 
 // openConn is a connection that records since when its writes are without a received byte.
@@ -85,9 +87,26 @@
 		o.conns[addr] = map[*openConn]bool{}
 	}
 	o.conns[addr][tracked] = true
+	if o.closed {
+		// Calls on the connection fail.
+		_ = c.Close()
+	}
 	return tracked
 }
 
+// closeAll closes all connections, and those that are opened later.
+func (o *openConns) closeAll() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
+	for _, conns := range o.conns {
+		for c := range conns {
+			// The connection is no longer used. It is tracked until its transport closes it too.
+			_ = c.Conn.Close()
+		}
+	}
+}
+
 // closeSilent closes the silent connections to an address. Later calls open new ones.
 func (o *openConns) closeSilent(addr string) {
 	o.mu.Lock()
