--- a/cmd/measure/origin.go
+++ b/cmd/measure/origin.go
@@ -12,6 +12,7 @@
 
 	"valescale/internal/plat/boxes"
 	"valescale/internal/plat/ident"
+	rows "valescale/internal/plat/table"
 	"valescale/internal/rule/policy"
 	"valescale/internal/share/home"
 	"valescale/internal/share/origin"
@@ -107,7 +108,7 @@
 // measureOrigins measures messages about origins over a real connection.
 func measureOrigins(secure bool) originCosts {
 	meter := &peer.Meter{}
-	keeper := newOrigins(discardedOrigins{}, nil)
+	keeper := newOrigins(discardedOrigins{}, func() []origin.Router { return nil })
 	merged := &mergedOrigins{Origins: keeper, done: make(chan struct{}, 1)}
 	path, handler := peerpb.NewPeerServiceHandler(linkServer{Server: home.NewServer(emptyHomes(), merged, func(context.Context) ident.Router { return "" })})
 	client, stop := serve(meter, path, handler, secure)
@@ -146,6 +147,9 @@
 // PublishOrigins does nothing.
 func (discardedOrigins) PublishOrigins(ident.Router, []origin.Record) {}
 
+// PublishExpected does nothing.
+func (discardedOrigins) PublishExpected(ident.Router, origin.Record) {}
+
 // FindOrigin knows no origin.
 func (discardedOrigins) FindOrigin(context.Context, ident.Router, origin.Key, ident.Service) (origin.Answer, error) {
 	return origin.Answer{}, nil
@@ -169,10 +173,26 @@
 
 func newOrigins(peers origin.Peers, routers func() []origin.Router) *origin.Origins {
 	return origin.New(origin.Parts{
-		Self: "router-000", Region: "region-0", Peers: peers, Routers: routers, RoutersVersion: func() uint64 { return 1 }, RowsCurrent: func() bool { return true }, Logger: log.NewNopLogger(), Clock: func() time.Time { return epoch },
+		Self: "router-000", Region: "region-0", Peers: peers, Routers: routers, RoutersVersion: func() uint64 { return 1 }, RowsCurrent: func() bool { return true },
+		WokeAt: func() time.Time { return time.Time{} }, Store: emptyStore{}, Role: func() origin.Role { return origin.OnlyReads },
+		Logger: log.NewNopLogger(), Clock: func() time.Time { return epoch },
 	})
 }
 
+// emptyStore is a store without rows that keeps nothing.
+type emptyStore struct{}
+
+// All implements origin.Store.
+func (emptyStore) All(context.Context, rows.Name) (rows.Page, error) { return rows.Page{}, nil }
+
+// Range implements origin.Store.
+func (emptyStore) Range(context.Context, rows.Name, rows.Key, rows.Key) (rows.Page, error) {
+	return rows.Page{}, nil
+}
+
+// Commit implements origin.Store.
+func (emptyStore) Commit(context.Context, rows.Txn) error { return nil }
+
 // originRecord returns a record with a name of its own, as records from a message have.
 func originRecord(i int) origin.Record {
 	return origin.Record{
--- a/cmd/measure/origin_test.go
+++ b/cmd/measure/origin_test.go
@@ -47,11 +47,11 @@
 
 // Guards against a memory figure of a table that holds fewer or more origins than a router's.
 func TestMaxOrigins(t *testing.T) {
-	o := newOrigins(discardedOrigins{}, nil)
+	o := newOrigins(discardedOrigins{}, func() []origin.Router { return nil })
 	o.Merge(originRecords(0, 2*maxOrigins))
 	held := 0
 	for i := range 2 * maxOrigins {
-		if o.Answer(originRecord(i).Key, service).Known {
+		if o.Answer(t.Context(), originRecord(i).Key, service).Known {
 			held++
 		}
 	}
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -39,6 +39,10 @@
 	// go on with the answer, empty until its first part is sent.
 	origin  origin.Found
 	version ident.Version
+	// expectedVersion is that of the first target to which a stream was sent. unexpected is set once it was sent to one
+	// of another version.
+	expectedVersion ident.Version
+	unexpected      bool
 	// serviceObserved is for how long this router had observed the targets of the service when the origin was sought.
 	serviceObserved time.Duration
 	// versionUnknown is set if the version of the target that sent the first part may be another one than this
--- a/internal/edge/entry/origin.go
+++ b/internal/edge/entry/origin.go
@@ -45,9 +45,25 @@
 	if j.version != "" && !j.versionConfirmed {
 		return errVersion
 	}
+	h.expectStream(j, target)
 	return nil
 }
 
+// expectStream records at which version a stream will probably begin, so that this is in the store by the time of its
+// first event. A version that is not confirmed is not recorded: the stream could not be resumed there.
+func (h *Handler) expectStream(j *job, target route.Target) {
+	key := j.streamKey()
+	if key == 0 || j.headSent || j.resumes() || !j.route.Resumable || !j.versionConfirmed || target.Version == "" {
+		return
+	}
+	if j.expectedVersion != "" {
+		j.unexpected = j.unexpected || j.expectedVersion != target.Version
+		return
+	}
+	j.expectedVersion = target.Version
+	h.Origins.Expected(origin.Record{Key: key, Origin: origin.Origin{Service: j.service, Version: target.Version}})
+}
+
 // errVersion is the error of a request that no target may go on with, since the version at which the answer began
 // or that of the target that was found may be another one than this router has.
 var errVersion = fault.New("entry.acquire", route.NoTarget, route.RetryAfter{Wait: originRetryAfter})
@@ -61,7 +77,7 @@
 	j.origin = h.Origins.Find(ctx, j.streamKey(), j.service)
 	j.serviceObserved = h.Origins.Observed(j.service)
 	if !j.origin.Resumable() {
-		return rejection(UnknownOrigin, originRetryAfter)
+		return rejection(UnknownOrigin, h.originRetryAfter(j))
 	}
 	if j.origin.Service != j.service && !j.route.SendsTo(j.origin.Service) {
 		return rejection(NoTarget, originRetryAfter)
@@ -71,6 +87,15 @@
 	return nil
 }
 
+// originRetryAfter returns when the caller of a stream whose origin was not found may return. If nobody will find it
+// later, returning within the caller's own deadline is of no use.
+func (h *Handler) originRetryAfter(j *job) time.Duration {
+	if !j.origin.Lost {
+		return originRetryAfter
+	}
+	return max(j.deadline.Sub(h.Clock()), originRetryAfter)
+}
+
 // beginStream binds the rest of a stream to the version of the target that sends its first part, and records
 // its origin. It is called before that part is sent to the caller.
 func (h *Handler) beginStream(j *job) {
@@ -79,7 +104,14 @@
 		return
 	}
 	j.version = j.lastPlacement.Target.Version
-	if key := j.streamKey(); key != 0 && j.version != "" && j.route.Resumable {
-		h.Origins.Began(origin.Record{Key: key, Origin: origin.Origin{Service: j.service, Version: j.version}})
+	key := j.streamKey()
+	if key == 0 || j.version == "" || !j.route.Resumable {
+		return
+	}
+	record := origin.Record{Key: key, Origin: origin.Origin{Service: j.service, Version: j.version}}
+	if j.unexpected {
+		h.Origins.BeganUnexpectedly(record)
+		return
 	}
+	h.Origins.Began(record)
 }
--- a/internal/edge/entry/other_service_test.go
+++ b/internal/edge/entry/other_service_test.go
@@ -27,8 +27,12 @@
 // oneOrigin returns the same origin for each stream.
 type oneOrigin struct{ found origin.Found }
 
+func (oneOrigin) Expected(origin.Record) {}
+
 func (oneOrigin) Began(origin.Record) {}
 
+func (oneOrigin) BeganUnexpectedly(origin.Record) {}
+
 func (oneOrigin) Observed(ident.Service) time.Duration { return 0 }
 
 func (o oneOrigin) Find(context.Context, origin.Key, ident.Service) origin.Found { return o.found }
--- a/internal/edge/entry/parts.go
+++ b/internal/edge/entry/parts.go
@@ -100,8 +100,12 @@
 
 // Origins keeps at which versions streams began.
 type Origins interface {
+	// Expected records at which version a stream is expected to begin, before its request is sent to a target.
+	Expected(r origin.Record)
 	// Began records the origin of a stream before its first event is sent to the caller.
 	Began(r origin.Record)
+	// BeganUnexpectedly does so for a stream of which another version was expected. It may wait for the store.
+	BeganUnexpectedly(r origin.Record)
 	// Find returns the origin of a stream of a service.
 	Find(ctx context.Context, key origin.Key, service ident.Service) origin.Found
 	// Observed returns for how long this router has observed the targets of a service.
@@ -111,7 +115,9 @@
 // noOrigins is used when targets have no versions. Streams go on at any target.
 type noOrigins struct{}
 
+func (noOrigins) Expected(origin.Record)               {}
 func (noOrigins) Began(origin.Record)                  {}
+func (noOrigins) BeganUnexpectedly(origin.Record)      {}
 func (noOrigins) Observed(ident.Service) time.Duration { return 0 }
 
 func (noOrigins) Find(_ context.Context, _ origin.Key, service ident.Service) origin.Found {
--- a/internal/edge/entry/resumed_stream_test.go
+++ b/internal/edge/entry/resumed_stream_test.go
@@ -35,6 +35,10 @@
 	began    []origin.Record
 }
 
+func (o *fixedOrigins) Expected(origin.Record) {}
+
+func (o *fixedOrigins) BeganUnexpectedly(r origin.Record) { o.Began(r) }
+
 func (o *fixedOrigins) Began(r origin.Record) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -68,12 +68,17 @@
 	// version is that of all targets; outdated is set if it is not confirmed.
 	version  ident.Version
 	outdated *atomic.Bool
+	// versionOf, if set, returns the version of each target.
+	versionOf func(ident.Target) ident.Version
 }
 
 func (r rules) Table() *match.Table { return r.table }
 func (r rules) Fresh() bool         { return r.fresh }
 
-func (r rules) ConfirmedVersion(ident.Target) (ident.Version, bool) {
+func (r rules) ConfirmedVersion(target ident.Target) (ident.Version, bool) {
+	if r.versionOf != nil {
+		return r.versionOf(target), true
+	}
 	return r.version, r.outdated == nil || !r.outdated.Load()
 }
 
--- a/internal/oper/node/build.go
+++ b/internal/oper/node/build.go
@@ -50,6 +50,7 @@
 		default:
 			// A rewrite is already requested.
 		}
+		n.origins.StoreRestored()
 	})
 	n.roles = feed.NewRoles()
 	n.roles.SetConsulting(true)
@@ -129,7 +130,7 @@
 	n.router = route.New(route.Self{ID: s.ID, Zone: s.Zone, Region: s.Region, FirstPermit: firstPermit}, remote, n.Clock)
 	n.origins = origin.New(origin.Parts{
 		Self: s.ID, Region: s.Region, Peers: remote, Routers: n.originRouters, RoutersVersion: n.routersVersion, RowsCurrent: n.targetsCurrent,
-		Logger: n.Logger, Clock: n.Clock,
+		WokeAt: n.suspension.wake, Store: n.Store, Role: n.versionRole, Logger: n.Logger, Clock: n.Clock,
 	})
 	n.state.origins = n.origins
 	n.mesh = mesh.New(mesh.Parts{
--- a/internal/oper/node/origins.go
+++ b/internal/oper/node/origins.go
@@ -11,6 +11,17 @@
 	return version
 }
 
+// versionRole returns this router's role for the table of the services' versions.
+func (n *Node) versionRole() origin.Role {
+	switch {
+	case n.isStoreReader():
+		return origin.Writes
+	case n.roles.BackupReader():
+		return origin.WritesLate
+	}
+	return origin.OnlyReads
+}
+
 // originRouters returns the routers that may keep the origins of streams. Dead ones are left out.
 func (n *Node) originRouters() []origin.Router {
 	var out []origin.Router
--- a/internal/oper/node/serve.go
+++ b/internal/oper/node/serve.go
@@ -125,6 +125,8 @@
 	wg.Go(func() { n.peers.Run(ctx) })
 	wg.Go(func() { n.mesh.Run(ctx) })
 	wg.Go(func() { n.origins.Run(ctx) })
+	wg.Go(func() { n.origins.RunRecord(ctx) })
+	wg.Go(func() { n.origins.RunArchive(ctx) })
 	wg.Go(func() { mesh.RunEvery(ctx, runInterval, func(context.Context) { n.suspension.recordRun() }) })
 	wg.Go(func() { n.becomeReady(ctx) })
 	if n.rollouts.enabled() {
@@ -164,6 +166,7 @@
 	if err := n.tunnels.Shutdown(ctx); err != nil {
 		_ = level.Error(n.Logger).Log("msg", "stopped with tunnels of peers open", "err", err)
 	}
+	n.origins.Flush(ctx)
 }
 
 // stopCallers accepts no more callers and waits for those whose requests have arrived. http.Server.Shutdown would
--- a/internal/oper/node/settings.go
+++ b/internal/oper/node/settings.go
@@ -80,6 +80,8 @@
 // Store is the part of the platform's store that a router uses.
 type Store interface {
 	feed.Source
+	// Range reads the rows of a table from a key up to another one, which is excluded.
+	Range(ctx context.Context, name table.Name, from, to table.Key) (table.Page, error)
 	// Commit applies a transaction.
 	Commit(ctx context.Context, txn table.Txn) error
 	// Calls returns the number of calls made so far and how many of them failed.
--- a/internal/oper/node/suspension.go
+++ b/internal/oper/node/suspension.go
@@ -42,6 +42,14 @@
 	s.ranAt = now
 }
 
+// wake returns when the last suspension ended, or zero.
+func (s *suspension) wake() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordRunLocked(s.clock())
+	return s.wokeAt
+}
+
 // coversAge reports whether something that was confirmed the given time ago was confirmed after the last
 // suspension.
 func (s *suspension) coversAge(age time.Duration) bool {
--- a/internal/oper/node/versions_test.go
+++ b/internal/oper/node/versions_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -44,7 +45,7 @@
 	}{
 		{"same version", testService, []feed.Change{{Rows: rowsOf(2, "x", "v1")}}, singleVersion("v1")},
 		{"changed row", testService, []feed.Change{{Rows: rowsOf(2, "x", "v2")}}, singleVersion("v2")},
-		{"other target with another version", testService, []feed.Change{{Rows: rowsOf(2, "y", "v2")}}, origin.Found{Source: origin.Unknown}},
+		{"other target with another version", testService, []feed.Change{{Rows: rowsOf(2, "y", "v2")}}, origin.Found{Source: origin.Unknown, Lost: true}},
 		{"removed row", testService, []feed.Change{{Removed: []table.Key{"x"}}}, origin.Found{Source: origin.Unknown}},
 		{"spoilt row", testService, []feed.Change{{Rows: rowsOf(2, "x", "?")}}, origin.Found{Source: origin.Unknown}},
 		{"removed and added again", testService, []feed.Change{{Removed: []table.Key{"x"}}, {Rows: rowsOf(2, "x", "v1")}}, singleVersion("v1")},
@@ -58,7 +59,8 @@
 			s.serviceName = func(ident.Service, ident.Version) ident.Service { return c.serviceName }
 			s.origins = origin.New(origin.Parts{
 				Self: "self", Routers: func() []origin.Router { return nil }, RoutersVersion: func() uint64 { return 1 },
-				RowsCurrent: func() bool { return true }, Logger: log.NewNopLogger(), Clock: clock,
+				RowsCurrent: func() bool { return true }, WokeAt: func() time.Time { return time.Time{} }, Store: emptyTables{},
+				Logger: log.NewNopLogger(), Clock: clock,
 			})
 			s.updateTargets(feed.Change{Rows: rowsOf(1, "x", "v1")})
 			for _, change := range c.changes {
@@ -73,6 +75,13 @@
 	}
 }
 
+// emptyTables is a store without rows.
+type emptyTables struct{ origin.Store }
+
+func (emptyTables) Range(context.Context, table.Name, table.Key, table.Key) (table.Page, error) {
+	return table.Page{}, nil
+}
+
 // singleVersion is the result of a search at a router that has no origins and knows one version.
 func singleVersion(version ident.Version) origin.Found {
 	return origin.Found{Origin: origin.Origin{Service: testService, Version: version}, Source: origin.SingleVersion}
--- a/internal/share/feed/roles.go
+++ b/internal/share/feed/roles.go
@@ -61,6 +61,13 @@
 // SetBackupReader sets whether this router is a backup reader of its availability zone.
 func (r *Roles) SetBackupReader(backupReader bool) { r.set(&r.backupReader, backupReader) }
 
+// BackupReader returns whether this router is a backup reader of its availability zone.
+func (r *Roles) BackupReader() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.backupReader
+}
+
 // Reader returns whether this router is a reader, and its parent if it is not.
 func (r *Roles) Reader() (reader bool, parent ident.Router) {
 	r.mu.Lock()
--- a/internal/share/home/link.go
+++ b/internal/share/home/link.go
@@ -39,7 +39,9 @@
 	release *peerpb.ReleaseRequest
 	load    *peerpb.ShardLoad
 	origins []*peerpb.Origin
-	cancel  uint64
+	// expected are origins of streams that have not begun yet.
+	expected []*peerpb.Origin
+	cancel   uint64
 }
 
 // addTo adds the item to a message.
@@ -53,6 +55,8 @@
 		message.Loads = append(message.Loads, i.load)
 	case i.origins != nil:
 		message.Origins = append(message.Origins, i.origins...)
+	case i.expected != nil:
+		message.ExpectedOrigins = append(message.ExpectedOrigins, i.expected...)
 	default:
 		message.Cancels = append(message.Cancels, i.cancel)
 	}
--- a/internal/share/home/origins.go
+++ b/internal/share/home/origins.go
@@ -20,6 +20,15 @@
 	l.enqueue(linkItem{origins: encodeOrigins(records)})
 }
 
+// PublishExpected implements origin.Peers.
+func (r *Remote) PublishExpected(to ident.Router, record origin.Record) {
+	l, err := r.links.to(to)
+	if err != nil {
+		return
+	}
+	l.enqueue(linkItem{expected: encodeOrigins([]origin.Record{record})})
+}
+
 // FindOrigin implements origin.Peers.
 func (r *Remote) FindOrigin(ctx context.Context, to ident.Router, key origin.Key, service ident.Service) (answer origin.Answer, err error) {
 	err = r.call(ctx, "home.FindOrigin", to, func(ctx context.Context, client peerpb.PeerServiceClient) error {
@@ -38,11 +47,11 @@
 }
 
 // FindOrigin returns what this router knows about a stream.
-func (s *Server) FindOrigin(_ context.Context, req *connect.Request[peerpb.FindOriginRequest]) (*connect.Response[peerpb.FindOriginReply], error) {
+func (s *Server) FindOrigin(ctx context.Context, req *connect.Request[peerpb.FindOriginRequest]) (*connect.Response[peerpb.FindOriginReply], error) {
 	if s.origins == nil {
 		return nil, connect.NewError(connect.CodeUnimplemented, nil)
 	}
-	answer := s.origins.Answer(origin.Key(req.Msg.GetKey()), ident.Service(req.Msg.GetService()))
+	answer := s.origins.Answer(ctx, origin.Key(req.Msg.GetKey()), ident.Service(req.Msg.GetService()))
 	return connect.NewResponse(encodeAnswer(origin.Key(req.Msg.GetKey()), answer)), nil
 }
 
@@ -67,7 +76,7 @@
 }
 
 func encodeAnswer(key origin.Key, a origin.Answer) *peerpb.FindOriginReply {
-	out := &peerpb.FindOriginReply{Several: a.Several}
+	out := &peerpb.FindOriginReply{Several: a.Several, Complete: a.Complete, Archived: a.Archived}
 	if a.Known {
 		out.Origin = encodeOrigins([]origin.Record{{Key: key, Origin: a.Origin}})[0]
 	}
@@ -75,7 +84,7 @@
 }
 
 func decodeAnswer(in *peerpb.FindOriginReply) origin.Answer {
-	out := origin.Answer{Several: in.GetSeveral()}
+	out := origin.Answer{Several: in.GetSeveral(), Complete: in.GetComplete(), Archived: in.GetArchived()}
 	if in.GetOrigin() != nil {
 		out.Origin, out.Known = decodeOrigin(in.GetOrigin()), true
 	}
--- a/internal/share/home/server.go
+++ b/internal/share/home/server.go
@@ -24,8 +24,10 @@
 type Origins interface {
 	// Merge records origins that another router has published.
 	Merge(records []origin.Record)
-	// Answer returns what this router knows about a stream of a service.
-	Answer(key origin.Key, service ident.Service) origin.Answer
+	// MergeExpected records origins of streams that another router expects to begin.
+	MergeExpected(records []origin.Record)
+	// Answer returns what this router knows about a stream of a service. It may wait for the store.
+	Answer(ctx context.Context, key origin.Key, service ident.Service) origin.Answer
 }
 
 // NewServer returns a Server for the given homes and origins. The origins may be nil.
--- a/internal/share/home/session.go
+++ b/internal/share/home/session.go
@@ -60,6 +60,9 @@
 	if s.server.origins != nil && len(message.GetOrigins()) > 0 {
 		s.server.origins.Merge(decodeOrigins(message.GetOrigins()))
 	}
+	if s.server.origins != nil && len(message.GetExpectedOrigins()) > 0 {
+		s.server.origins.MergeExpected(decodeOrigins(message.GetExpectedOrigins()))
+	}
 	for _, permit := range message.GetCancels() {
 		s.cancel(permit + s.base)
 	}
--- a/internal/share/origin/began_bench_test.go
+++ b/internal/share/origin/began_bench_test.go
@@ -17,6 +17,8 @@
 
 func (discard) PublishOrigins(ident.Router, []Record) {}
 
+func (discard) PublishExpected(ident.Router, Record) {}
+
 func (discard) FindOrigin(context.Context, ident.Router, Key, ident.Service) (Answer, error) {
 	return Answer{}, nil
 }
@@ -28,7 +30,7 @@
 	now := time.Unix(1000, 0)
 	o := New(Parts{
 		Self: all[0].ID, Region: "co", Peers: discard{}, Routers: func() []Router { return slices.Clone(all) }, RoutersVersion: func() uint64 { return 1 }, RowsCurrent: func() bool { return true },
-		Logger: log.NewNopLogger(), Clock: func() time.Time { return now },
+		WokeAt: neverSuspended, Store: newMemoryStore(), Role: writes, Logger: log.NewNopLogger(), Clock: func() time.Time { return now },
 	})
 	for _, version := range versions {
 		o.TargetAdded(Origin{Service: "s", Version: version})
--- a/internal/share/origin/cache.go
+++ b/internal/share/origin/cache.go
@@ -11,6 +11,8 @@
 	// own are those to which this router sends origins, likely those that it asks.
 	own    []ident.Router
 	likely []ident.Router
+	// archiver is the router that writes the origins to the store.
+	archiver ident.Router
 }
 
 // keeperCache holds the keepers of each bucket until the routers change. To determine them, all routers are
--- a/internal/share/origin/guards_test.go
+++ b/internal/share/origin/guards_test.go
@@ -31,6 +31,8 @@
 	p.published = append(p.published, slices.Clone(records))
 }
 
+func (p *peers) PublishExpected(ident.Router, Record) {}
+
 func (p *peers) FindOrigin(_ context.Context, to ident.Router, _ Key, _ ident.Service) (Answer, error) {
 	if answer, known := p.answers[to]; known {
 		return answer, nil
@@ -54,10 +56,14 @@
 // newPeered returns the origins of router-0 of four, with the time of the bubble.
 func newPeered(p Peers) *Origins {
 	routers := newFleetList(4)
-	return New(Parts{
+	o := New(Parts{
 		Self: "router-0", Region: "co", Peers: p, Routers: func() []Router { return routers }, RoutersVersion: func() uint64 { return 1 },
-		RowsCurrent: func() bool { return true }, Logger: log.NewNopLogger(), Clock: time.Now,
+		RowsCurrent: func() bool { return true }, WokeAt: neverSuspended, Store: newMemoryStore(), Role: writes, Logger: log.NewNopLogger(), Clock: time.Now,
 	})
+	if err := o.readRecord(context.Background()); err != nil {
+		panic(err)
+	}
+	return o
 }
 
 // record returns the origin of a stream of service s.
@@ -69,7 +75,7 @@
 // recorded again.
 func TestExpiredOriginsAreEvicted(t *testing.T) {
 	now := time.Unix(1000, 0)
-	kept := newTable()
+	kept := newRecentOrigins()
 	for key := range Key(10) {
 		kept.put(now, record(key+1, "v1"), false)
 	}
@@ -165,7 +171,7 @@
 		if got := len(p.take()); got != 0 {
 			t.Errorf("%d messages after the lifetime, want none", got)
 		}
-		if o.Answer(9, "s").Several {
+		if o.Answer(t.Context(), 9, "s").Several {
 			t.Error("the service has several versions after the lifetime")
 		}
 		o.TargetAdded(Origin{Service: "s", Version: "v3"})
--- a/internal/share/origin/keepers.go
+++ b/internal/share/origin/keepers.go
@@ -72,6 +72,17 @@
 	return inOrder(bucket, candidates, keeperCount)
 }
 
+// archiverOf returns the router that writes to the store the origins of a bucket which begin in a region, or nothing. It
+// is one of the keepers of each other router.
+func archiverOf(bucket uint64, region ident.Region, routers []Router) ident.Router {
+	candidates := slices.DeleteFunc(slices.Clone(routers), func(r Router) bool { return r.Region != region || !r.Accepts })
+	first := inOrder(bucket, candidates, 1)
+	if len(first) == 0 {
+		return ""
+	}
+	return first[0]
+}
+
 // likelyAmong returns the routers that may keep an origin of a bucket if one of the given routers has sent it. That
 // router is none of its own keepers.
 func likelyAmong(bucket uint64, routers []Router) []ident.Router {
--- a/internal/share/origin/origin.go
+++ b/internal/share/origin/origin.go
@@ -44,6 +44,11 @@
 	Known bool
 	// Several is set if the service had several versions within the time that a stream may last.
 	Several bool
+	// Complete is set if the router knows all versions that the service had within that time. One that has just
+	// started does so only once it has read the table of versions.
+	Complete bool
+	// Archived is set if the router has read the origins that are in the store.
+	Archived bool
 }
 
 // Source is how an origin was found.
@@ -73,6 +78,9 @@
 	// Asked is the number of routers that were asked, Answered the number of those that responded.
 	Asked    int
 	Answered int
+	// Lost is set for the source Unknown if all routers have answered and have read the store: nobody will find the
+	// origin later.
+	Lost bool
 }
 
 // Resumable reports whether the stream may go on.
--- a/internal/share/origin/origins.go
+++ b/internal/share/origin/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,8 @@
 type Peers interface {
 	// PublishOrigins sends origins to a router without waiting for it.
 	PublishOrigins(to ident.Router, records []Record)
+	// PublishExpected sends the origin of a stream that has not begun yet to the router that writes it to the store.
+	PublishExpected(to ident.Router, record Record)
 	// FindOrigin returns what a router knows about a stream of a service.
 	FindOrigin(ctx context.Context, to ident.Router, key Key, service ident.Service) (Answer, error)
 }
@@ -31,8 +34,13 @@
 	RoutersVersion func() uint64
 	// RowsCurrent reports whether the store has confirmed the targets a moment ago.
 	RowsCurrent func() bool
-	Logger      log.Logger
-	Clock       ident.Clock
+	// WokeAt returns when this process was last suspended for a while, or zero: it has missed what happened meanwhile.
+	WokeAt func() time.Time
+	Store  Store
+	// Role returns this router's role for the table of versions.
+	Role   func() Role
+	Logger log.Logger
+	Clock  ident.Clock
 }
 
 // Origins keeps origins and finds those that other routers keep.
@@ -47,10 +55,19 @@
 	byBucket keeperCache
 
 	mu       sync.Mutex
-	table    *table
+	recent   *recentOrigins
 	versions *versions
 	// several contains the services that had several versions when last seen.
 	several map[ident.Service]bool
+	// observedSince is when the first target was counted, or zero.
+	observedSince time.Time
+	record        *versionRecord
+	// changesSince is when the table of versions was first seen to lack changes, or zero. Only RunRecord uses it.
+	changesSince time.Time
+	// versionsChanged wakes RunRecord.
+	versionsChanged chan struct{}
+
+	archive *archive
 }
 
 const (
@@ -66,11 +83,12 @@
 	maxPublished = 256
 )
 
-// New returns Origins without any origin. Run must be called for services that get a second version.
+// New returns Origins without any origin. Run, RunRecord and RunArchive must be called.
 func New(parts Parts) *Origins {
 	return &Origins{
 		Parts: parts, searches: make(chan struct{}, maxSearches), newlySeveral: make(chan ident.Service, maxNewlySeveral),
-		table: newTable(), versions: newVersions(), several: map[ident.Service]bool{},
+		recent: newRecentOrigins(), versions: newVersions(), several: map[ident.Service]bool{},
+		record: newVersionRecord(), versionsChanged: make(chan struct{}, 1), archive: newArchive(parts.Self, parts.Clock()),
 	}
 }
 
@@ -78,14 +96,26 @@
 func (o *Origins) TargetAdded(of Origin) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.versions.add(o.Clock(), of)
-	if !o.hasSeveral(of.Service) || o.several[of.Service] {
+	now := o.Clock()
+	if o.observedSince.IsZero() {
+		o.observedSince = now
+	}
+	o.versions.add(now, of)
+	if !slices.Contains(o.record.services[of.Service].versions, of.Version) {
+		o.signalVersions()
+	}
+	o.noteSeveral(of.Service)
+}
+
+// noteSeveral has the origins of a service published if it has newly got several versions. The caller holds the lock.
+func (o *Origins) noteSeveral(service ident.Service) {
+	if !o.hasSeveral(service) || o.several[service] {
 		return
 	}
-	o.several[of.Service] = true
-	_ = level.Info(o.Logger).Log("msg", "service has several versions", "service", of.Service, "added", of.Version)
+	o.several[service] = true
+	_ = level.Info(o.Logger).Log("msg", "service has several versions", "service", service, "versions", fmt.Sprint(o.versions.recent(o.Clock(), service)))
 	select {
-	case o.newlySeveral <- of.Service:
+	case o.newlySeveral <- service:
 	default:
 		// Streams that have begun at this router cannot be resumed elsewhere if this router ends.
 	}
@@ -119,7 +149,7 @@
 			return
 		case service := <-o.newlySeveral:
 			o.mu.Lock()
-			records := o.table.ownRecords(o.Clock(), func(of Origin) bool { return of.Service == service })
+			records := o.recent.ownRecords(o.Clock(), func(of Origin) bool { return of.Service == service })
 			o.mu.Unlock()
 			o.publish(records)
 		}
@@ -129,7 +159,7 @@
 // Began records the origin of a stream, and publishes it if the service has several versions.
 func (o *Origins) Began(r Record) {
 	o.mu.Lock()
-	o.table.put(o.Clock(), r, true)
+	o.recent.put(o.Clock(), r, true)
 	several := o.hasSeveral(r.Service)
 	o.mu.Unlock()
 	if several {
@@ -137,18 +167,62 @@
 	}
 }
 
+// Expected has the version at which a stream will probably begin written to the store, if its service has several.
+func (o *Origins) Expected(r Record) {
+	o.mu.Lock()
+	several := o.hasSeveral(r.Service)
+	o.mu.Unlock()
+	if !several {
+		return
+	}
+	bucket := bucketOf(r.Key)
+	switch archiver := o.keepersOf(bucket).archiver; archiver {
+	case "":
+	case o.Self:
+		o.archive.add(o.Clock(), bucket, archivedRecord{Record: r, expected: true})
+	default:
+		o.Peers.PublishExpected(archiver, r)
+	}
+}
+
+// MergeExpected has the versions at which streams of another router will probably begin written to the store.
+func (o *Origins) MergeExpected(records []Record) {
+	now := o.Clock()
+	for _, r := range records {
+		o.archive.add(now, bucketOf(r.Key), archivedRecord{Record: r, expected: true})
+	}
+}
+
+// BeganUnexpectedly records the origin of a stream of which another version was expected, and waits until it is in the
+// store: nothing else would tell which of the two is right. If the store does not accept it, the stream begins all the
+// same.
+func (o *Origins) BeganUnexpectedly(r Record) {
+	o.Began(r)
+	o.mu.Lock()
+	several := o.hasSeveral(r.Service)
+	o.mu.Unlock()
+	if several {
+		o.archive.add(o.Clock(), bucketOf(r.Key), archivedRecord{Record: r})
+		o.Flush(context.Background())
+	}
+}
+
 // keepersOf returns the keepers of a bucket.
 func (o *Origins) keepersOf(bucket uint64) bucketKeepers {
 	return o.byBucket.get(bucket, o.RoutersVersion(), func() bucketKeepers {
 		routers := o.Routers()
-		return bucketKeepers{own: keepers(bucket, o.Self, o.Region, routers), likely: likelyKeepers(bucket, o.Self, routers)}
+		return bucketKeepers{
+			own: keepers(bucket, o.Self, o.Region, routers), likely: likelyKeepers(bucket, o.Self, routers),
+			archiver: archiverOf(bucket, o.Region, routers),
+		}
 	})
 }
 
-// publish sends origins to their keepers.
+// publish sends origins to their keepers, of which one writes them to the store.
 func (o *Origins) publish(records []Record) {
 	byBucket := map[uint64][]Record{}
 	for _, r := range records {
+		o.archiveIfAssigned(r)
 		bucket := bucketOf(r.Key)
 		byBucket[bucket] = append(byBucket[bucket], r)
 	}
@@ -163,20 +237,40 @@
 
 // Merge records origins that another router has published.
 func (o *Origins) Merge(records []Record) {
+	o.merge(records)
+	for _, r := range records {
+		o.archiveIfAssigned(r)
+	}
+}
+
+func (o *Origins) merge(records []Record) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.Clock()
 	for _, r := range records {
-		o.table.put(now, r, false)
+		o.recent.put(now, r, false)
 	}
 }
 
-// Answer returns what this router knows about a stream of a service.
-func (o *Origins) Answer(key Key, service ident.Service) Answer {
+// Answer returns what this router knows about a stream of a service. If it does not have the origin and the service may
+// have had several versions, it reads the origins that are in the store.
+func (o *Origins) Answer(ctx context.Context, key Key, service ident.Service) Answer {
+	known := o.answer(key, service)
+	if known.Known || known.Complete && !known.Several {
+		return known
+	}
+	archived := o.loadArchive(ctx, bucketOf(key))
+	known = o.answer(key, service)
+	known.Archived = archived
+	return known
+}
+
+// answer returns what this router knows about a stream without the store.
+func (o *Origins) answer(key Key, service ident.Service) Answer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	known, exists := o.table.get(o.Clock(), key)
-	return Answer{Origin: known, Known: exists, Several: o.hasSeveral(service)}
+	known, exists := o.recent.get(o.Clock(), key)
+	return Answer{Origin: known, Known: exists, Several: o.hasSeveral(service), Complete: o.knowsAll()}
 }
 
 // Observed returns for how long this router has observed the targets of a service.
@@ -188,7 +282,7 @@
 
 // Find returns the origin of a stream of a service. It asks the routers that may keep it.
 func (o *Origins) Find(ctx context.Context, key Key, service ident.Service) Found {
-	own := o.Answer(key, service)
+	own := o.answer(key, service)
 	if own.Known {
 		return Found{Origin: own.Origin, Source: Own}
 	}
@@ -198,12 +292,21 @@
 	default:
 		return Found{Source: Overloaded}
 	}
-	found, several := o.ask(ctx, key, service)
+	found, others := o.ask(ctx, key, service)
 	if found.Source == Peer {
 		return found
 	}
-	result := o.withoutOrigin(service, own.Several || several || o.mayBeCutOff(found))
+	if found.Answered == 0 {
+		own = o.Answer(ctx, key, service)
+		if own.Known {
+			return Found{Origin: own.Origin, Source: Own, Asked: found.Asked}
+		}
+		others.Archived = own.Archived
+	}
+	several := own.Several || others.Several || !own.Complete && !others.Complete || o.mayBeCutOff(found)
+	result := o.withoutOrigin(service, several)
 	result.Asked, result.Answered = found.Asked, found.Answered
+	result.Lost = result.Source == Unknown && found.Answered == found.Asked && others.Archived
 	return result
 }
 
@@ -232,9 +335,9 @@
 	err    error
 }
 
-// ask asks the routers that may keep an origin, all at once, and returns as soon as one has it. Several is
-// set if one of them reports that the service had several versions.
-func (o *Origins) ask(ctx context.Context, key Key, service ident.Service) (found Found, several bool) {
+// ask asks the routers that may keep an origin, all at once, and returns as soon as one has it. In the answers together,
+// Several and Complete are set if they are in one of them, and Archived if it is in all of them.
+func (o *Origins) ask(ctx context.Context, key Key, service ident.Service) (found Found, together Answer) {
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
 	asked := o.keepersOf(bucketOf(key)).likely
@@ -246,22 +349,25 @@
 		}()
 	}
 	found.Asked = len(asked)
+	together.Archived = true
 	for range asked {
 		var r reply
 		select {
 		case r = <-replies:
 		case <-ctx.Done():
-			return found, several
+			return found, together
 		}
 		if r.err != nil {
 			continue
 		}
 		found.Answered++
-		several = several || r.answer.Several
+		together.Several = together.Several || r.answer.Several
+		together.Complete = together.Complete || r.answer.Complete
+		together.Archived = together.Archived && r.answer.Archived
 		if r.answer.Known {
 			found.Origin, found.Source, found.From = r.answer.Origin, Peer, r.from
-			return found, several
+			return found, together
 		}
 	}
-	return found, several
+	return found, together
 }
--- a/internal/share/origin/origins_test.go
+++ b/internal/share/origin/origins_test.go
@@ -29,11 +29,12 @@
 	rowsCurrent bool
 	// version counts the changes of routers.
 	version uint64
+	store   *memoryStore
 }
 
 // newFleet returns routers in three availability zones, in turn.
 func newFleet(count int) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), origins: map[ident.Router]*Origins{}, dead: map[ident.Router]bool{}}
+	f := &fleet{store: newMemoryStore(), now: time.Unix(1000, 0), origins: map[ident.Router]*Origins{}, dead: map[ident.Router]bool{}}
 	for i := range count {
 		id := ident.Router(fmt.Sprint("router-", i))
 		f.routers = append(f.routers, Router{ID: id, Zone: ident.Zone(fmt.Sprint("zone-", i%3)), Region: "co", Accepts: true})
@@ -44,9 +45,13 @@
 
 // start starts a router without any origin.
 func (f *fleet) start(id ident.Router) {
-	f.origins[id] = New(Parts{
-		Self: id, Region: "co", Peers: f, Routers: f.live, RoutersVersion: f.routersVersion, RowsCurrent: func() bool { return f.rowsCurrent }, Logger: log.NewNopLogger(), Clock: func() time.Time { return f.now },
+	o := New(Parts{
+		Self: id, Region: "co", Peers: f, Routers: f.live, RoutersVersion: f.routersVersion, RowsCurrent: func() bool { return f.rowsCurrent },
+		WokeAt: neverSuspended, Store: f.store, Role: writes, Logger: log.NewNopLogger(), Clock: func() time.Time { return f.now },
 	})
+	f.origins[id] = o
+	// The store may be away.
+	_ = o.stepRecord(context.Background())
 }
 
 // live returns the routers that are not dead.
@@ -83,7 +88,17 @@
 	}
 }
 
-func (f *fleet) FindOrigin(_ context.Context, to ident.Router, key Key, service ident.Service) (Answer, error) {
+func (f *fleet) PublishExpected(to ident.Router, record Record) {
+	f.mu.Lock()
+	dead := f.dead[to]
+	f.sent++
+	f.mu.Unlock()
+	if !dead {
+		f.origins[to].MergeExpected([]Record{record})
+	}
+}
+
+func (f *fleet) FindOrigin(ctx context.Context, to ident.Router, key Key, service ident.Service) (Answer, error) {
 	f.mu.Lock()
 	dead := f.dead[to]
 	f.asked++
@@ -91,7 +106,7 @@
 	if dead {
 		return Answer{}, errors.New("no answer")
 	}
-	return f.origins[to].Answer(key, service), nil
+	return f.origins[to].Answer(ctx, key, service), nil
 }
 
 // targets adds a target of each version at all routers.
@@ -279,7 +294,7 @@
 // Guards against origins that are kept for ever, or beyond the memory of a box.
 func TestOriginsExpire(t *testing.T) {
 	now := time.Unix(1000, 0)
-	kept := newTable()
+	kept := newRecentOrigins()
 	kept.put(now, Record{Key: 1, Origin: Origin{Version: "v1"}}, true)
 	kept.put(now.Add(Lifetime/2), Record{Key: 1, Origin: Origin{Version: "v1"}}, true)
 	if _, found := kept.get(now.Add(Lifetime), 1); !found {
--- a/internal/share/origin/table.go
+++ b/internal/share/origin/recent.go
@@ -20,16 +20,16 @@
 	at  time.Time
 }
 
-// table holds origins until they expire. It is not safe for concurrent use.
-type table struct {
+// recentOrigins holds origins until they expire. It is not safe for concurrent use.
+type recentOrigins struct {
 	entries map[Key]entry
 	order   []insertion
 }
 
-func newTable() *table { return &table{entries: map[Key]entry{}} }
+func newRecentOrigins() *recentOrigins { return &recentOrigins{entries: map[Key]entry{}} }
 
 // put records an origin and evicts those that have expired.
-func (t *table) put(now time.Time, r Record, own bool) {
+func (t *recentOrigins) put(now time.Time, r Record, own bool) {
 	t.evict(now)
 	known, exists := t.entries[r.Key]
 	t.entries[r.Key] = entry{Origin: r.Origin, at: now, own: own || exists && known.own}
@@ -37,13 +37,13 @@
 }
 
 // get returns an origin that has not expired.
-func (t *table) get(now time.Time, key Key) (Origin, bool) {
+func (t *recentOrigins) get(now time.Time, key Key) (Origin, bool) {
 	e, exists := t.entries[key]
 	return e.Origin, exists && now.Sub(e.at) < Lifetime
 }
 
 // evict removes the origins that have expired, and the oldest ones beyond maxRecords.
-func (t *table) evict(now time.Time) {
+func (t *recentOrigins) evict(now time.Time) {
 	for len(t.order) > 0 && (now.Sub(t.order[0].at) >= Lifetime || len(t.order) >= maxRecords) {
 		oldest := t.order[0]
 		t.order = t.order[1:]
@@ -54,7 +54,7 @@
 }
 
 // ownRecords returns the origins of the streams of a service that began at this router.
-func (t *table) ownRecords(now time.Time, of func(Origin) bool) []Record {
+func (t *recentOrigins) ownRecords(now time.Time, of func(Origin) bool) []Record {
 	var out []Record
 	for key, e := range t.entries {
 		if e.own && of(e.Origin) && now.Sub(e.at) < Lifetime {
--- /dev/null
+++ b/internal/share/origin/record.go
@@ -0,0 +1,337 @@
+package origin
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/plat/fault"
+	"valescale/internal/plat/ident"
+	"valescale/internal/plat/pause"
+	"valescale/internal/plat/table"
+)
+
+// Store contains the table operations that origins require.
+type Store interface {
+	// All reads a full table.
+	All(ctx context.Context, name table.Name) (table.Page, error)
+	// Range reads the rows of a table from a key up to another one, which is excluded.
+	Range(ctx context.Context, name table.Name, from, to table.Key) (table.Page, error)
+	// Commit applies a transaction.
+	Commit(ctx context.Context, txn table.Txn) error
+}
+
+// VersionTable is the name of the table of the versions that each service has had within Lifetime. A router that has
+// just started knows from it what the service had before.
+const VersionTable table.Name = "service_versions"
+
+const (
+	// servicePrefix is the key prefix of the row of a service; the rest of the key is the service's name.
+	servicePrefix = "service/"
+	// eraKey is the key of the row with the era in which the table was last known to be complete.
+	eraKey table.Key = "era"
+)
+
+// serviceRow is the value of a service's row.
+type serviceRow struct {
+	Versions []ident.Version `json:"versions"`
+}
+
+// eraRow is the value of the row with the era.
+type eraRow struct {
+	Era table.Era `json:"era"`
+}
+
+// Role is how a router takes part in keeping the table of versions.
+type Role int
+
+const (
+	// OnlyReads is the role of a router that does not write to the table.
+	OnlyReads Role = iota
+	// WritesLate is the role of a router that writes what those with the role Writes have not written for backupDelay.
+	WritesLate
+	// Writes is the role of a router that writes changes at once.
+	Writes
+)
+
+const (
+	// recordInterval is the interval between two checks whether the table must be read or written.
+	recordInterval = time.Second
+	// recordTimeout limits each read of the table of versions.
+	recordTimeout = time.Second
+	// minRecordBackoff and maxRecordBackoff limit the delay after a failed read.
+	minRecordBackoff = 50 * time.Millisecond
+	maxRecordBackoff = 4 * time.Second
+	// backupDelay is how long the routers with the role Writes may take to write a change.
+	backupDelay = 3 * time.Second
+	// maxServicesPerTxn limits the rows of one transaction, which may contain a hundred checks and writes.
+	maxServicesPerTxn = 40
+)
+
+// versionRecord is the table of versions as last read.
+type versionRecord struct {
+	// readAt is when the table was last read, or zero.
+	readAt time.Time
+	// outdated is set once the store has lost writes, until the table is read again.
+	outdated bool
+	// complete is set once the table was known to contain all versions: it was written in the current era, or nobody
+	// has ever written it.
+	complete bool
+	// era is the era of the latest read, markedEra the one in the row with the key eraKey.
+	era       table.Era
+	markedEra table.Era
+	marker    table.Version
+	services  map[ident.Service]recordedService
+}
+
+// recordedService is the row of one service.
+type recordedService struct {
+	version  table.Version
+	versions []ident.Version
+}
+
+// newVersionRecord returns the table of versions before it was read.
+func newVersionRecord() *versionRecord {
+	return &versionRecord{services: map[ident.Service]recordedService{}}
+}
+
+// decodeRecord decodes the table of versions.
+func decodeRecord(page table.Page, now time.Time) (*versionRecord, error) {
+	const op = "origin.decodeRecord"
+	r := newVersionRecord()
+	r.readAt, r.era = now, page.At.Era
+	for _, row := range page.Rows {
+		if row.Key == eraKey {
+			var marked eraRow
+			if err := json.Unmarshal(row.Value, &marked); err != nil {
+				return nil, fault.New(op, BadRow, err)
+			}
+			r.markedEra, r.marker = marked.Era, row.Version
+		}
+		service, found := strings.CutPrefix(string(row.Key), servicePrefix)
+		if !found {
+			continue
+		}
+		var value serviceRow
+		if err := json.Unmarshal(row.Value, &value); err != nil {
+			return nil, fault.New(op, BadRow, err)
+		}
+		r.services[ident.Service(service)] = recordedService{version: row.Version, versions: value.Versions}
+	}
+	r.complete = r.marker == 0 || r.markedEra >= r.era
+	return r, nil
+}
+
+// knowsAll reports whether this router knows all versions that any service had within Lifetime: the table said so
+// since this process last ran without interruption, or the process has seen all of it itself. The caller holds the lock.
+func (o *Origins) knowsAll() bool {
+	now, wokeAt := o.Clock(), o.WokeAt()
+	if o.record.complete && !o.record.readAt.Before(wokeAt) {
+		return true
+	}
+	since := o.observedSince
+	if wokeAt.After(since) {
+		since = wokeAt
+	}
+	return !since.IsZero() && now.Sub(since) >= Lifetime
+}
+
+// applyRecord merges the table of versions with what this router has observed.
+func (o *Origins) applyRecord(r *versionRecord) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	// What was known to be complete stays so if the store loses it later, since this process saw what followed.
+	r.complete = r.complete || o.record.complete && !o.record.readAt.Before(o.WokeAt())
+	first := o.record.readAt.IsZero()
+	if r.era > o.record.era {
+		o.versions.forgetRecorded()
+	}
+	o.record = r
+	for service, recorded := range r.services {
+		for _, version := range recorded.versions {
+			o.versions.addRecorded(o.Clock(), Origin{Service: service, Version: version})
+		}
+		o.noteSeveral(service)
+	}
+	if first {
+		_ = level.Info(o.Logger).Log("msg", "versions of services read", "services", len(r.services), "era", r.era,
+			"marked_era", r.markedEra, "complete", r.complete)
+	}
+}
+
+// RunRecord reads the table of versions once, and keeps it up to date in the way of this router's role, until the
+// context ends.
+func (o *Origins) RunRecord(ctx context.Context) {
+	timer := time.NewTicker(recordInterval)
+	defer timer.Stop()
+	backoff := minRecordBackoff
+	for ctx.Err() == nil {
+		if err := o.stepRecord(ctx); err != nil {
+			// Routers that start together must not read together.
+			pause.Sleep(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
+			backoff = min(2*backoff, maxRecordBackoff)
+			continue
+		}
+		backoff = minRecordBackoff
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-o.versionsChanged:
+		}
+	}
+}
+
+// StoreRestored has the table of versions written again: the store has lost writes.
+func (o *Origins) StoreRestored() {
+	o.mu.Lock()
+	o.record.outdated = true
+	o.mu.Unlock()
+	o.signalVersions()
+}
+
+// signalVersions wakes RunRecord.
+func (o *Origins) signalVersions() {
+	select {
+	case o.versionsChanged <- struct{}{}:
+	default:
+		// RunRecord is due to run.
+	}
+}
+
+// stepRecord reads the table if necessary, and writes what it lacks if that is this router's role.
+func (o *Origins) stepRecord(ctx context.Context) error {
+	if o.mustRead() {
+		if err := o.readRecord(ctx); err != nil {
+			return err
+		}
+	}
+	role := o.Role()
+	if role == OnlyReads || len(o.recordChanges()) == 0 {
+		o.changesSince = time.Time{}
+		return nil
+	}
+	if role == WritesLate && !o.changesAreLate() {
+		return nil
+	}
+	if role == WritesLate {
+		// Another router may have written them.
+		if err := o.readRecord(ctx); err != nil {
+			return err
+		}
+	}
+	return o.writeRecord(ctx)
+}
+
+// changesAreLate reports whether the table has lacked changes for backupDelay. Only RunRecord calls it.
+func (o *Origins) changesAreLate() bool {
+	if o.changesSince.IsZero() {
+		o.changesSince = o.Clock()
+	}
+	return o.Clock().Sub(o.changesSince) >= backupDelay
+}
+
+// mustRead reports whether the table has to be read: the store has lost writes, this router writes to the table, or
+// does not know all versions yet.
+func (o *Origins) mustRead() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.record.outdated || o.record.readAt.IsZero() && o.Role() != OnlyReads || !o.knowsAll()
+}
+
+// readRecord reads the table of versions.
+func (o *Origins) readRecord(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	startedAt := o.Clock()
+	page, err := o.Store.All(ctx, VersionTable)
+	if err != nil {
+		return err
+	}
+	r, err := decodeRecord(page, startedAt)
+	if err != nil {
+		_ = level.Error(o.Logger).Log("msg", "failed to decode the versions of services", "era", page.At.Era, "version", page.At.Version, "err", err)
+		return err
+	}
+	o.applyRecord(r)
+	return nil
+}
+
+// recordChange is a write to the table of versions with the version of the row that it replaces.
+type recordChange struct {
+	put     table.Put
+	replace table.Version
+}
+
+// recordChanges returns the writes that the table lacks.
+func (o *Origins) recordChanges() []recordChange {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.knowsAll() && o.record.marker != 0 {
+		// Versions that this router does not know may be missing from the rows: only additions are certain.
+		return o.serviceChanges(false)
+	}
+	changes := o.serviceChanges(true)
+	if o.record.marker == 0 || o.record.markedEra != o.record.era {
+		changes = append(changes, recordChange{table.Put{Table: VersionTable, Key: eraKey, Value: encode(eraRow{o.record.era})}, o.record.marker})
+	}
+	return changes
+}
+
+// serviceChanges returns the writes of services' rows that differ from what this router knows. The caller holds the lock.
+func (o *Origins) serviceChanges(remove bool) []recordChange {
+	var changes []recordChange
+	for _, service := range o.recordedOrKnown() {
+		row := o.record.services[service]
+		versions := o.versions.toRecord(o.Clock(), service, row.versions, remove)
+		if slices.Equal(versions, row.versions) {
+			continue
+		}
+		put := table.Put{Table: VersionTable, Key: table.Key(servicePrefix + string(service)), Value: encode(serviceRow{versions})}
+		if len(versions) == 0 {
+			put.Value, put.Delete = nil, true
+		}
+		changes = append(changes, recordChange{put, row.version})
+	}
+	return changes
+}
+
+// recordedOrKnown returns the services that have a row or a version, in order. The caller holds the lock.
+func (o *Origins) recordedOrKnown() []ident.Service {
+	services := slices.AppendSeq(slices.Collect(maps.Keys(o.record.services)), maps.Keys(o.versions.services))
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
+// encode encodes the value of a row.
+func encode(value any) []byte {
+	out, err := json.Marshal(value)
+	if err != nil {
+		// Strings and numbers can always be encoded.
+		panic(err)
+	}
+	return out
+}
+
+// writeRecord writes what the table lacks, and reads it again. If another router was faster, nothing is written.
+func (o *Origins) writeRecord(ctx context.Context) error {
+	for part := range slices.Chunk(o.recordChanges(), maxServicesPerTxn) {
+		var txn table.Txn
+		for _, change := range part {
+			txn.Checks = append(txn.Checks, table.Check{Table: VersionTable, Key: change.put.Key, Version: change.replace})
+			txn.Puts = append(txn.Puts, change.put)
+		}
+		err := o.Store.Commit(ctx, txn)
+		_ = level.Info(o.Logger).Log("msg", "writing versions of services", "rows", len(part), "first", part[0].put.Key,
+			"value", string(part[0].put.Value), "row", part[0].replace, "err", err)
+		if err != nil {
+			break
+		}
+	}
+	return o.readRecord(ctx)
+}
--- a/internal/share/origin/versions.go
+++ b/internal/share/origin/versions.go
@@ -12,6 +12,8 @@
 	targets int
 	// goneAt is when the last target went.
 	goneAt time.Time
+	// recorded is set once the version was seen in the table of versions.
+	recorded bool
 }
 
 // versions counts the targets of each version of each service. It is not safe for concurrent use.
@@ -31,6 +33,8 @@
 	if known == nil {
 		known = map[ident.Version]presence{}
 		v.services[o.Service] = known
+	}
+	if _, counted := v.since[o.Service]; !counted {
 		v.since[o.Service] = now
 	}
 	p := known[o.Version]
@@ -76,3 +80,47 @@
 	}
 	return now.Sub(since)
 }
+
+// addRecorded adds a version that is in the table of versions. Without a target it counts as one that has just gone:
+// nothing tells when that was.
+func (v *versions) addRecorded(now time.Time, o Origin) {
+	known := v.services[o.Service]
+	if known == nil {
+		known = map[ident.Version]presence{}
+		v.services[o.Service] = known
+	}
+	p, exists := known[o.Version]
+	if !exists {
+		p.goneAt = now
+	}
+	p.recorded = true
+	known[o.Version] = p
+}
+
+// forgetRecorded forgets which versions are in the table of versions.
+func (v *versions) forgetRecorded() {
+	for _, known := range v.services {
+		for version, p := range known {
+			p.recorded = false
+			known[version] = p
+		}
+	}
+}
+
+// toRecord returns the versions of a service for the table of versions, which has some already: it adds those that
+// are missing, and if remove is set, removes those that the service has not had within Lifetime. A version without
+// targets that was once in the table is not added again: another router has removed it.
+func (v *versions) toRecord(now time.Time, service ident.Service, row []ident.Version, remove bool) []ident.Version {
+	recent := v.recent(now, service)
+	out := slices.DeleteFunc(slices.Clone(row), func(version ident.Version) bool {
+		return remove && !slices.Contains(recent, version)
+	})
+	for _, version := range recent {
+		p := v.services[service][version]
+		if p.targets > 0 || !p.recorded {
+			out = append(out, version)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
