The soak ends all routers, beside a release, and judges what becomes of streams

Seen: the soak ended single routers only. After an end of all, its callers' three tries to take a stream up were over before a router lived again, so the check of streams of two versions didn't cover take-ups after it.

Cause: no fault of that kind; tries without an answer counted as tries.

Change: once in 6 s of faults, and as often after them with nothing else wrong, all routers are killed at once and start 0.3 to 2 s later, or that twice, or are killed or stopped as planned one after the other, each back before the next. Beside it all versions stay, or all engines get one: the others leave, have just gone, or go while no router lives. Engines have two versions before. The random numbers are a stream of their own, so that the other schedules draw what they drew. Checks: (a) tries without an answer in an outage of all are neither counted as tries nor in the shares, since they say nothing of what routers do; a try with an answer counts as ever. At most two streams of two versions in a run, as before. (b) Of streams of a service of one version (/steady/, at the spare targets) 0.9 go on within four answered tries; at least half of 24 must be judged. (c) Of streams whose version has two targets at the first and the last try, and which began half a second before the first end or earlier, at least half as large a share goes on as of new ones begins. (b) and (c) are judged only in the ends after the last fault: without the store, targets or paths nobody can go on. (d) A rejected take-up has not run, and has a Retry-After. A request is "router killed" also between the order to kill its router and the router's end, since the script took 130 to 420 ms to kill on a busy machine; only kills of this schedule say so. Targets that count for a take-up are those of its service: before, plain targets, which all have v1, let take-ups of streams of v1 count while no engine had it. Logic that stood several times, drawing a router and recording a stream of two versions, stands once.

--- a/cmd/soak/allowance.go
+++ b/cmd/soak/allowance.go
@@ -95,8 +95,15 @@
 
 // serviceOf returns the service of a path in the configuration.
 func serviceOf(path string) string {
-	if path == streamPath || path == resumePath {
+	switch path {
+	case streamPath, resumePath:
 		return engineService
+	case steadyPath:
+		return spareService
+	default:
+		return plainService
 	}
-	return plainService
 }
+
+// isStream reports whether the answers on a path are streams.
+func isStream(path string) bool { return serviceOf(path) != plainService }
--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -49,7 +49,7 @@
 			return
 		default:
 		}
-		r := c.harness.routers[c.rng.IntN(len(c.harness.routers))]
+		r := c.drawRouter()
 		switch path := paths[c.rng.IntN(len(paths))]; path {
 		case streamPath, resumePath:
 			c.requestStream(r, path)
@@ -124,14 +124,14 @@
 	resp, err := c.http.Do(req)
 	if err != nil {
 		c.harness.ledger.recordEnd(a, watch.end(err))
-		return answer{err: err}
+		return answer{err: err, sentAt: a.sentAt, endedAt: time.Now()}
 	}
 	defer resp.Body.Close()
 	got, err := a.readUntilLeft(resp.Body)
 	c.harness.ledger.recordEnd(a, watch.answered(resp, len(got), err))
 	c.checkResponse(a, resp, got, err)
-	out := answer{status: resp.StatusCode, err: err}
-	if resp.StatusCode == http.StatusOK && serviceOf(a.path) == engineService {
+	out := answer{status: resp.StatusCode, err: err, sentAt: a.sentAt, endedAt: time.Now(), retryAfter: retryAfter(resp)}
+	if resp.StatusCode == http.StatusOK && isStream(a.path) {
 		out.writers, _ = parseEvents(a.stream, a.from, got)
 	}
 	return out
@@ -146,7 +146,7 @@
 
 // compare compares the body of an answer with the only correct one.
 func (a attempt) compare(got string) match {
-	if serviceOf(a.path) != engineService {
+	if !isStream(a.path) {
 		want := answerOf(a.path, a.id)
 		return match{whole: got == want, partial: strings.HasPrefix(want, got)}
 	}
@@ -178,6 +178,15 @@
 		if signed {
 			ledger.addViolation("%s on %s: rejection with a target signature", id, path)
 		}
-		ledger.recordRejected(id)
+		if a.resumes != "" && retryAfter(resp) <= 0 {
+			ledger.addViolation("%s on %s: a stream that is taken up is rejected without a time to return", id, path)
+		}
+		ledger.recordRejected(id, a.resumes != "")
 	}
 }
+
+// retryAfter returns the time after which the caller of a rejected request may return.
+func retryAfter(resp *http.Response) time.Duration {
+	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	return time.Duration(seconds * float64(time.Second))
+}
--- a/cmd/soak/ends.go
+++ b/cmd/soak/ends.go
@@ -268,7 +268,7 @@
 		return notConnected, false
 	case so.sentWhole.IsZero() && len(e.arrivals) == 0:
 		return notSentWhole, false
-	case l.orders.had(so.router, so.sentAt.Add(-eventMargin), so.at, "kill"), l.expired(so):
+	case l.orders.had(so.router, so.sentAt.Add(-eventMargin), so.at, "kill"), l.expired(so), l.wasDying(so):
 		return routerKilled, false
 	case errors.Is(so.err, context.DeadlineExceeded):
 		paused := l.orders.wasIn(so.router, so.sentAt, so.at, "pause", "wake", "kill", "start")
@@ -282,6 +282,11 @@
 	}
 }
 
+// wasDying reports whether the router of a request had been ordered to end and had not ended: on a busy machine that takes a while.
+func (l *ledger) wasDying(so end) bool {
+	return l.orders.wasIn(so.router, so.sentAt, so.at, dyingEvent, deadEvent)
+}
+
 // expired reports whether the router of a request was still stopping when its grace period ended, and was killed for
 // that. A process that had stopped in time is not killed, and its connections have ended before.
 func (l *ledger) expired(so end) bool {
--- a/cmd/soak/ends_test.go
+++ b/cmd/soak/ends_test.go
@@ -83,6 +83,10 @@
 			ran(e)
 			l.orders.history[e.end.router] = []event{{at: start, what: "kill"}}
 		},
+		"killed before, dead before": func(l *ledger, e *requestRecord, start time.Time) {
+			ran(e)
+			l.orders.history[e.end.router] = []event{{at: start, what: dyingEvent}, {at: start.Add(testSent - time.Second), what: deadEvent}}
+		},
 		"cut off before, joined again": func(l *ledger, e *requestRecord, start time.Time) {
 			ran(e)
 			l.orders.history[e.end.router] = []event{{at: start, what: cutOffEvent}, {at: start.Add(time.Second), what: joinedEvent}}
@@ -115,6 +119,10 @@
 			ran(e)
 			l.orders.history[e.end.router] = []event{{at: start.Add(testEnd), what: "kill"}}
 		},
+		routerKilled + ", late": func(l *ledger, e *requestRecord, start time.Time) {
+			ran(e)
+			l.orders.history[e.end.router] = []event{{at: start, what: dyingEvent}, {at: start.Add(testEnd), what: deadEvent}}
+		},
 		"router's 502": func(l *ledger, e *requestRecord, start time.Time) {
 			ran(e)
 			e.end.status, e.end.err = http.StatusBadGateway, nil
--- a/cmd/soak/harness.go
+++ b/cmd/soak/harness.go
@@ -48,6 +48,8 @@
 	stops atomic.Int64
 	// changing is the number of callers that the second schedule has started.
 	changing int
+	// losing is the number of callers that ends of all routers have started.
+	losing int
 	// changesRng selects the faults of the second schedule.
 	changesRng *rand.Rand
 
@@ -90,16 +92,18 @@
 const (
 	plainService  = "plain"
 	engineService = "engine"
-	// spareService has targets of its own, and shares a route with plainService.
+	// spareService has targets of its own, all of one version, and shares a route with plainService.
 	spareService = "spare"
 	oncePath     = "/once/"
 	safePath     = "/safe/"
 	streamPath   = "/stream/"
 	resumePath   = "/resume/"
-	extraPath    = "/extra/"
-	splitPath    = "/split/"
-	bigPath      = "/big/"
-	uploadPath   = "/upload/"
+	// steadyPath is the path of resumable streams of spareService.
+	steadyPath = "/steady/"
+	extraPath  = "/extra/"
+	splitPath  = "/split/"
+	bigPath    = "/big/"
+	uploadPath = "/upload/"
 	// fatalPath is the path of requests that crash each target which executes them. Their bodies are
 	// equal, so that all attempts count as the same request.
 	fatalPath = "/safe/fatal"
--- a/cmd/soak/ledger.go
+++ b/cmd/soak/ledger.go
@@ -19,6 +19,8 @@
 	runs int
 	// rejected is set when the caller received a not-run response.
 	rejected bool
+	// takesUp is set if that was a try to take a stream up.
+	takesUp bool
 	// arrivals are all arrivals at targets, also those that a target rejected; end is how the request ended.
 	arrivals []arrival
 	end      end
@@ -52,6 +54,8 @@
 	begins      tally
 	resumptions tally
 	mixed       []string
+	// losses counts the streams after ends of all routers.
+	losses lossTallies
 	// orders contains the events of the routers, targetEvents those of the targets.
 	orders       *orders
 	targetEvents map[string][]event
@@ -126,10 +130,10 @@
 }
 
 // recordRejected records that the caller of a request received a not-run response.
-func (l *ledger) recordRejected(id string) {
+func (l *ledger) recordRejected(id string, takesUp bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sent[id].rejected = true
+	l.sent[id].rejected, l.sent[id].takesUp = true, takesUp
 }
 
 // recordServed records a request that was served.
@@ -156,15 +160,7 @@
 func (l *ledger) finish() (violations []string, sent, served int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, e := range l.sent {
-		repeatable := e.path != oncePath && e.path != streamPath
-		if e.runs > 1 && !repeatable {
-			l.addViolationLocked("%s was executed %d times on %s", id, e.runs, e.path)
-		}
-		if e.rejected && e.runs > 0 && !repeatable {
-			l.addViolationLocked("%s was executed on %s although its caller received a not-run response", id, e.path)
-		}
-	}
+	l.checkRunsLocked()
 	for service, t := range l.traffic {
 		if violation := t.checkAllowance(service); violation != "" {
 			l.addViolationLocked("%s", violation)
@@ -172,6 +168,20 @@
 	}
 	l.checkEndingsLocked()
 	l.checkVersionsLocked()
+	l.checkLossesLocked()
 	l.checkEndsLocked()
 	return l.violations, len(l.sent), l.served
 }
+
+// checkRunsLocked checks that requests ran as often as they may. The caller holds the lock.
+func (l *ledger) checkRunsLocked() {
+	for id, e := range l.sent {
+		repeatable := e.path != oncePath && e.path != streamPath
+		if e.runs > 1 && !repeatable {
+			l.addViolationLocked("%s was executed %d times on %s", id, e.runs, e.path)
+		}
+		if e.rejected && e.runs > 0 && (!repeatable || e.takesUp) {
+			l.addViolationLocked("%s was executed on %s although its caller received a not-run response", id, e.path)
+		}
+	}
+}
--- a/cmd/soak/orders.go
+++ b/cmd/soak/orders.go
@@ -13,6 +13,8 @@
 	mu      sync.Mutex
 	at      map[string]time.Time
 	history map[*router][]event
+	// outages are the times in which all routers were killed.
+	outages []outage
 }
 
 // event is something that happened to a router or a target.
@@ -25,6 +27,9 @@
 const (
 	cutOffEvent = "cut off from targets"
 	joinedEvent = "joined to targets"
+	// dyingEvent and deadEvent limit the time from an order to kill a router until it has ended.
+	dyingEvent = "dying"
+	deadEvent  = "dead"
 	// expireEvent is also the order to end a process whose grace period has ended.
 	expireEvent = "expire"
 )
--- a/cmd/soak/part.go
+++ b/cmd/soak/part.go
@@ -28,7 +28,7 @@
 			return
 		case <-tick.C:
 		}
-		c.sendPrompt(c.harness.routers[c.rng.IntN(len(c.harness.routers))], fake.FatalPrompt)
+		c.sendPrompt(c.drawRouter(), fake.FatalPrompt)
 	}
 }
 
--- a/cmd/soak/pausing.go
+++ b/cmd/soak/pausing.go
@@ -16,6 +16,8 @@
 	// schedule starts.
 	firstPausing  = 200
 	firstChanging = 1000
+	// firstLosing is the number of the first caller that an end of all routers starts.
+	firstLosing = 100_000
 	// pauseSpread is the largest difference between a pause and the short idle time.
 	pauseSpread = 40 * time.Millisecond
 	// requestsPerRouter is the number of requests that such a caller sends to a router before it takes another.
@@ -40,7 +42,7 @@
 		safePath, splitPath, splitPath, splitPath, splitPath, streamPath, streamPath, streamPath, resumePath, bigPath,
 	}
 	for {
-		r := c.harness.routers[c.rng.IntN(len(c.harness.routers))]
+		r := c.drawRouter()
 		for range requestsPerRouter {
 			c.send(r, paths[c.rng.IntN(len(paths))])
 			select {
--- a/cmd/soak/rollback.go
+++ b/cmd/soak/rollback.go
@@ -141,6 +141,7 @@
 		{Prefix: uploadPath, Type: "mutating", Service: plainService, Attempts: 1, Timeout: uploadTimeout},
 		{Prefix: streamPath, Type: "stream", Service: engineService, Attempts: 1},
 		{Prefix: resumePath, Type: "stream", Service: engineService, Attempts: 2, Resumable: true},
+		{Prefix: steadyPath, Type: "stream", Service: spareService, Attempts: 2, Resumable: true},
 		{Prefix: w.extraPrefix(w.extraID), Type: "idempotent", Service: plainService, Attempts: 2},
 	}, v.limits)
 }
--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -42,8 +43,15 @@
 	w.callers.Go(w.newCaller(w.Callers + 2).runFatalPrompts)
 	w.startPausingCallers()
 	waitForChanges := w.startChanges(time.Now().Add(w.For))
+	lossesRng := rand.New(rand.NewPCG(w.Seed, lossesStream))
+	nextLoss := time.Now().Add(between(lossesRng, 0, lossInterval))
 	for end := time.Now().Add(w.For); time.Now().Before(end); {
 		w.injectFault()
+		if begin := time.Now(); begin.After(nextLoss) {
+			w.loseRouters(lossesRng, false)
+			// The other faults have the whole time.
+			end, nextLoss = end.Add(time.Since(begin)), time.Now().Add(lossInterval)
+		}
 		time.Sleep(time.Duration(100+w.rng.IntN(500)) * time.Millisecond)
 	}
 	waitForChanges()
@@ -52,6 +60,9 @@
 	if !w.restartAll(recoveryTimeout) {
 		w.ledger.addViolation("not all routers became ready within %s of the last fault", recoveryTimeout)
 	}
+	for range max(1, w.For/lossInterval) {
+		w.loseRouters(lossesRng, true)
+	}
 	time.Sleep(settleDelay)
 	close(w.stop)
 	w.callers.Wait()
@@ -68,6 +79,7 @@
 	}
 	fmt.Printf("seed %d: %s\n", w.Seed, w.ledger.unmarkedSummary())
 	fmt.Printf("seed %d: %s\n", w.Seed, w.ledger.versionSummary())
+	fmt.Printf("seed %d: after all routers had ended, %s\n", w.Seed, w.ledger.losses)
 	fmt.Printf("seed %d: %d targets crashed under one part, %d requests with it came late\n", w.Seed, w.ledger.parts.Count(), w.ledger.parts.Late())
 	fmt.Printf("seed %d: %s\n", w.Seed, w.ledger.endSummary())
 	fmt.Printf("%d passed, %d failed\n", passed, len(violations))
--- a/cmd/soak/silence.go
+++ b/cmd/soak/silence.go
@@ -233,7 +233,7 @@
 func (c *caller) sendUntil(stop <-chan struct{}) {
 	paths := []string{oncePath, safePath, splitPath, streamPath, resumePath}
 	for {
-		c.send(c.harness.routers[c.rng.IntN(len(c.harness.routers))], paths[c.rng.IntN(len(paths))])
+		c.send(c.drawRouter(), paths[c.rng.IntN(len(paths))])
 		select {
 		case <-stop:
 			return
--- a/cmd/soak/stream.go
+++ b/cmd/soak/stream.go
@@ -107,34 +107,51 @@
 	s := &streamTries{first: a}
 	s.add(a, got)
 	if path == resumePath {
-		c.harness.ledger.recordBegin(len(got.writers) > 0)
-		for try := 0; try < maxResumptions && s.begun() && !got.ended(); try++ {
-			got = c.resume(s)
+		if !c.harness.orders.unanswered(got) {
+			c.harness.ledger.recordBegin(len(got.writers) > 0)
+		}
+		for try := 0; try < maxResumptions && s.begun() && !got.ended(); {
+			if got = c.resume(s); !c.harness.orders.unanswered(got) {
+				try++
+			}
 		}
 	}
+	c.recordMixed(s)
+}
+
+// recordMixed records a stream if two versions wrote its events.
+func (c *caller) recordMixed(s *streamTries) {
 	if s.isMixed() {
 		c.harness.ledger.recordMixed(fmt.Sprintf("%s: %s", s.first.id, strings.Join(s.pieces, ", ")))
 	}
 }
 
-// resume resumes a broken stream at another router than the one before.
+// resume resumes a broken stream, and records whether it goes on.
 func (c *caller) resume(s *streamTries) answer {
+	serving := c.harness.servingCount(engineService, s.writers[0])
+	got := c.takeUp(s)
+	serving = min(serving, c.harness.servingCount(engineService, s.writers[0]))
+	goesOn := len(got.writers) > 0
+	if !c.harness.orders.unanswered(got) {
+		c.harness.ledger.recordResumption(serving, goesOn)
+	}
+	if !goesOn {
+		time.Sleep(refusedDelay)
+	}
+	return got
+}
+
+// takeUp sends a try to resume a stream to another router than the one before.
+func (c *caller) takeUp(s *streamTries) answer {
 	r := s.last.router
 	for r == s.last.router {
-		r = c.harness.routers[c.rng.IntN(len(c.harness.routers))]
+		r = c.drawRouter()
 	}
 	a := c.newAttempt(r, s.first.path)
 	a.body, a.stream = s.first.body, s.first.stream
 	a.from, a.resumes = len(s.writers)+1, s.first.id
-	serving := c.harness.servingCount(s.writers[0])
 	got := c.do(a)
-	serving = min(serving, c.harness.servingCount(s.writers[0]))
 	s.add(a, got)
-	goesOn := len(got.writers) > 0
-	c.harness.ledger.recordResumption(serving, goesOn)
-	if !goesOn {
-		time.Sleep(refusedDelay)
-	}
 	return got
 }
 
@@ -144,6 +161,10 @@
 	// writers are the versions that wrote the events of a stream.
 	writers []version
 	err     error
+	sentAt  time.Time
+	endedAt time.Time
+	// retryAfter is the time after which the caller of a rejected request may return.
+	retryAfter time.Duration
 }
 
 // ended reports whether an answer came with success and ended in order.
--- a/cmd/soak/target.go
+++ b/cmd/soak/target.go
@@ -157,7 +157,7 @@
 	case fault < failPercent+resetPercent+slowPercent:
 		time.Sleep(300 * time.Millisecond)
 	}
-	if k.target.service == engineService {
+	if isStream(r.URL.Path) {
 		k.serveStream(w, r, strings.TrimPrefix(string(body), streamNamePrefix), eventDelay)
 		return
 	}
--- a/cmd/soak/unmarked.go
+++ b/cmd/soak/unmarked.go
@@ -144,11 +144,10 @@
 // router could take it for a whole one.
 func (c *caller) checkUnmarked(a attempt, m match, got string) {
 	ledger := c.harness.ledger
-	isStream := serviceOf(a.path) == engineService
 	switch {
 	case !m.partial:
 		ledger.addViolation("%s on %s: unexpected answer %.200q without a marked end", a.id, a.path, got)
-	case isStream && !m.onlyEvents:
+	case isStream(a.path) && !m.onlyEvents:
 		ledger.addViolation("%s on %s: the answer ended in order inside an event: %.200q", a.id, a.path, got)
 	case got == "":
 		ledger.addViolation("%s on %s: an answer without a marked end ended in order without a body", a.id, a.path)
--- a/cmd/soak/version.go
+++ b/cmd/soak/version.go
@@ -45,6 +45,9 @@
 	}
 }
 
+// join adds another count.
+func (t *tally) join(o tally) { t.tries, t.succeeded = t.tries+o.tries, t.succeeded+o.succeeded }
+
 // share returns the share of tries that succeeded.
 func (t *tally) share() float64 { return float64(t.succeeded) / float64(max(t.tries, 1)) }
 
@@ -94,20 +97,26 @@
 		l.resumptions.succeeded, l.resumptions.tries, len(l.mixed), l.mixed)
 }
 
-// changeVersion ends a target's process and starts another version under the same id.
-func (w *harness) changeVersion(t *target, v version) {
+// changeVersion ends a target's process and starts another version under the same id, unless it has ended already.
+func (w *harness) changeVersion(t *target, v version) (changed bool) {
 	if !w.markDown(t, true) {
-		return
+		return false
 	}
 	w.closeServer(t)
 	// Routers cannot detect that a row has become wrong while the store does not serve its new value.
 	w.storeFaults.Set(fake.Healthy)
 	w.store.Fail(0)
+	w.setVersion(t, v)
+	w.restartAfter(t, versionDelay)
+	return true
+}
+
+// setVersion makes a target that is down start with a version.
+func (w *harness) setVersion(t *target, v version) {
 	t.version = v
 	t.startedMs++
 	t.handler.reset()
 	w.announce(t, "ready")
-	w.restartAfter(t, versionDelay)
 }
 
 // changeOneVersion changes the version of a random target of engineService.
@@ -180,13 +189,13 @@
 	fake.CorruptTarget(w.store, t.id, w.rng.Int())
 }
 
-// servingCount returns the number of targets of a version that serve.
-func (w *harness) servingCount(v version) int {
+// servingCount returns the number of targets of a service and version that serve.
+func (w *harness) servingCount(service string, v version) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	count := 0
 	for _, t := range w.targets {
-		if !t.down && t.faults.Mode() == fake.Healthy && t.handler.serves(v) {
+		if t.service == service && !t.down && t.faults.Mode() == fake.Healthy && t.handler.serves(v) {
 			count++
 		}
 	}
