Callers over TLS are answered across idle times and planned stops of the product's own interface

What callers saw: over TLS, a request that had been read when a planned stop began ended with "unexpected EOF"; callers that were connected and not accepted yet were reset (8 of 8); a request that had arrived when the idle time ended was dropped. On HTTP/2, queued callers were reset as well, and a stop with connections that had no request took its whole time.

Cause: encrypted listeners used http.Server.Shutdown and http.Server.IdleTimeout. Both end a connection by what it was last known to be. entry.CallerConns, which lets only the reading goroutine end a connection, did not follow tls.Conn.

Change: the followed connection lies below TLS. It knows the end of a handshake, and the header that came with that end, by the read deadlines that the HTTP server takes back. In a stop, a handshake under way may go on while its caller sends within a second, and what follows it has a second as a new connection has. HTTP/2 connections are served by an http.Server each (through TLSNextProto), since only Shutdown sends GOAWAY and it does so on all connections of a server. They end by that: at the end of the idle time, at a stop, and in a stop after the first request or a second. Requests in flight end first, and what is not among them is named as not run. The time until a caller speaks HTTP/2 is that of a header.

Why it works: no connection of HTTP/1.1 is closed from outside, and GOAWAY names the last request of HTTP/2 that is run.

Known limits: below TLS the bytes are not known, so anything that follows an answer counts as the begin of a request and has the time of a header, a blank line included; a part of a further request that was read together with the one before is not waited for in a stop. An HTTP/2 connection ends one second after its GOAWAY, as net/http does it, so a stop with one lasts a second at least.

--- a/internal/edge/entry/conns.go
+++ b/internal/edge/entry/conns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"maps"
 	"net"
 	"net/http"
@@ -55,10 +56,17 @@
 	return &followedListener{Listener: l, conns: c}
 }
 
+// TLSListener returns a listener whose connections are followed, for http.Server.ServeTLS.
+func (c *CallerConns) TLSListener(l net.Listener) net.Listener {
+	return &followedListener{Listener: l, conns: c, encrypted: true}
+}
+
 // followedListener is a listener whose connections are followed.
 type followedListener struct {
 	net.Listener
 	conns *CallerConns
+	// encrypted is set if callers begin with a TLS handshake.
+	encrypted bool
 }
 
 // Accept implements net.Listener.
@@ -67,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.conns.accepted(c), nil
+	return l.conns.follow(&waitingConn{Conn: c, encrypted: l.encrypted, handshaking: l.encrypted}), nil
 }
 
 // Close closes the listener once the callers that it has queued are accepted, or after queueTimeout.
@@ -76,17 +84,20 @@
 }
 
 // accepted returns the connection that is to be served for one that was accepted.
-func (c *CallerConns) accepted(conn net.Conn) net.Conn {
-	w := &waitingConn{Conn: conn, conns: c, since: time.Now()}
+func (c *CallerConns) accepted(conn net.Conn) net.Conn { return c.follow(&waitingConn{Conn: conn}) }
+
+// follow follows a connection from its begin, and returns it.
+func (c *CallerConns) follow(w *waitingConn) net.Conn {
+	w.conns, w.since = c, time.Now()
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.open[w] = struct{}{}
-	c.mu.Unlock()
 	return w
 }
 
 // StateChanged records a change of a connection's state. It is a http.Server.ConnState callback.
 func (c *CallerConns) StateChanged(conn net.Conn, state http.ConnState) {
-	w, waits := conn.(*waitingConn)
+	w, waits := followedConn(conn)
 	switch state {
 	case http.StateNew:
 		c.reserved.Add(connSize)
@@ -103,6 +114,15 @@
 	}
 }
 
+// followedConn returns the connection that is followed for one of an HTTP server, and whether there is one.
+func followedConn(conn net.Conn) (*waitingConn, bool) {
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		conn = encrypted.NetConn()
+	}
+	w, ok := conn.(*waitingConn)
+	return w, ok
+}
+
 // forget records the end of a connection.
 func (c *CallerConns) forget(w *waitingConn) {
 	c.mu.Lock()
@@ -118,8 +138,13 @@
 // a header.
 func (c *CallerConns) waitLimit(phase connPhase) (time.Duration, bool) {
 	switch stopping := c.stopping.Load(); {
-	case phase == connNew:
+	case phase == connNew || phase == connHandshake:
 		return stopWait, stopping
+	case phase == connOpened && stopping:
+		return stopWait, true
+	case phase == connRequest:
+		// The requests of an HTTP/2 connection are finished after the caller was told to send no more.
+		return 0, stopping
 	case stopping:
 		return 0, true
 	default:
--- a/internal/edge/entry/waiting.go
+++ b/internal/edge/entry/waiting.go
@@ -16,8 +16,12 @@
 type connPhase int
 
 const (
-	// connNew means that nothing was read since the connection was accepted.
+	// connNew means that nothing was read since the connection was accepted, or since its TLS handshake was done.
 	connNew connPhase = iota
+	// connHandshake means that a part of a TLS handshake was read.
+	connHandshake
+	// connOpened means that an HTTP/2 connection is open and had no request yet.
+	connOpened
 	// connIdle means that nothing but a blank line was read since the last answer.
 	connIdle
 	// connBegun means that the first bytes of a further request were read, too few for the HTTP server to limit
@@ -25,7 +29,8 @@
 	connBegun
 	// connHeader means that a request's header is being read.
 	connHeader
-	// connRequest means that a request's header was read, and the request is not answered yet.
+	// connRequest means that a request's header was read, and the request is not answered yet. On an HTTP/2
+	// connection it means that some request is not answered yet.
 	connRequest
 )
 
@@ -37,10 +42,14 @@
 // has passed. What has arrived in the socket by then is read and answered, also by a router that was delayed.
 //
 // The HTTP server itself sets read deadlines: when a connection becomes idle it takes the last one back, after a few
-// bytes of a request it limits the time of the header, and after the header it takes that back.
+// bytes of a request it limits the time of the header, and after the header it takes that back. It also limits the
+// time of a TLS handshake, and takes that back after it.
 type waitingConn struct {
 	net.Conn
 	conns *CallerConns
+	// encrypted is set if the bytes of this connection are those of TLS. What they mean is not known then: any that
+	// follow an answer count as the begin of a request.
+	encrypted bool
 
 	mu sync.Mutex
 	// phase is what the connection is used for, since when if it waits for a request.
@@ -55,6 +64,12 @@
 	// deadline is the read deadline that applies, and late is set while it was taken back to read what had arrived before it.
 	deadline time.Time
 	late     bool
+	// handshaking is set until the TLS handshake is done.
+	handshaking bool
+	// goAway tells the caller to send no further requests on an HTTP/2 connection, which ends once those in flight
+	// are answered; nil for other connections. hasRequest is set once the connection had a request.
+	goAway     func()
+	hasRequest bool
 }
 
 // Read implements net.Conn.
@@ -75,15 +90,17 @@
 func (c *waitingConn) received(p []byte, n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.goAway != nil {
+		return
+	}
 	// A deadline that was replaced applies again. One that has passed lets the next read look for what has arrived.
 	set := c.late || c.ending
 	blank := isBlank(p[:n])
 	switch {
 	case c.phase == connNew:
-		c.phase = connHeader
-		if set {
-			c.deadline = time.Now().Add(c.conns.times.Header)
-		}
+		c.begin(set)
+	case c.phase == connHandshake:
+		c.since = time.Now()
 	case c.phase == connIdle && !blank:
 		c.phase = connBegun
 		c.deadline = time.Now().Add(c.conns.times.Header)
@@ -99,6 +116,18 @@
 	c.expireLocked()
 }
 
+// begin records the first bytes of a connection, or of what follows its TLS handshake. The time of what they begin is
+// counted from now on if the deadline is to be set.
+func (c *waitingConn) begin(set bool) {
+	c.phase = connHeader
+	if c.handshaking {
+		c.phase, c.since = connHandshake, time.Now()
+	}
+	if set {
+		c.deadline = time.Now().Add(c.conns.times.Header)
+	}
+}
+
 // isBlank reports whether bytes are part of a blank line. Some callers send one after a body, and the HTTP server skips it.
 func isBlank(p []byte) bool { return len(bytes.Trim(p, "\r\n")) == 0 }
 
@@ -134,9 +163,11 @@
 		t = time.Now().Add(c.conns.times.Header)
 	case c.phase == connHeader && t.IsZero():
 		c.phase = connRequest
+	case c.encrypted && t.IsZero():
+		c.decrypted()
 	}
 	c.deadline = t
-	if c.ending {
+	if c.ending && c.goAway == nil {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -171,7 +202,7 @@
 
 // expireLocked is expire for a caller that holds the lock.
 func (c *waitingConn) expireLocked() {
-	if c.ending || c.phase != connNew && c.phase != connIdle {
+	if c.ending || !c.waits() {
 		return
 	}
 	limit, limited := c.conns.waitLimit(c.phase)
@@ -183,9 +214,25 @@
 		return
 	}
 	c.ending = true
+	if c.goAway != nil {
+		c.endHTTP2()
+		return
+	}
 	_ = c.Conn.SetReadDeadline(pastTime)
 }
 
+// waits reports whether the connection is one that may be ended.
+func (c *waitingConn) waits() bool {
+	switch c.phase {
+	case connNew, connIdle, connHandshake, connOpened:
+		return true
+	case connRequest:
+		return c.goAway != nil && c.hasRequest
+	default:
+		return false
+	}
+}
+
 // wakeAfter calls expire after a time.
 func (c *waitingConn) wakeAfter(d time.Duration) {
 	if c.timer == nil {
--- a/internal/oper/daemon/callers.go
+++ b/internal/oper/daemon/callers.go
@@ -16,12 +16,14 @@
 	"valescale/internal/plat/memory"
 )
 
+// http2Protocol is the name of HTTP/2 in TLS handshakes.
+const http2Protocol = "h2"
+
 // callerServer serves callers.
 type callerServer struct {
 	server   *http.Server
 	listener net.Listener
-	// conns follows the connections; nil if they are encrypted, since their state can't be told from the socket.
-	conns *entry.CallerConns
+	conns    *entry.CallerConns
 	// served is closed when the last connection has been accepted.
 	served chan struct{}
 }
@@ -51,14 +53,14 @@
 		Handler: handler, TLSConfig: parts.tls, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: parts.limits.Header,
 		ErrorLog: telem.NewServerLog(parts.logger),
 	}}
-	if parts.tls != nil {
-		s.server.IdleTimeout = idleTimeout
-		return s, func() {}
-	}
 	conns, closeConns := entry.NewCallerConns(parts.memory, entry.ConnTimes{
 		Idle: func() time.Duration { return idleTimeout }, Header: readHeaderTimeout,
 	})
 	s.conns, s.listener, s.server.ConnState = conns, conns.Listener(parts.listener), conns.StateChanged
+	if parts.tls != nil {
+		s.listener = conns.TLSListener(parts.listener)
+		s.server.TLSNextProto = map[string]func(*http.Server, *tls.Conn, http.Handler){http2Protocol: conns.ServeHTTP2}
+	}
 	return s, closeConns
 }
 
@@ -73,9 +75,6 @@
 // stop accepts no more callers and waits for those whose requests have arrived. http.Server.Shutdown would close
 // connections on which a request has arrived and is not read yet, and drop requests that are being read.
 func (s *callerServer) stop(ctx context.Context) error {
-	if s.conns == nil {
-		return s.server.Shutdown(ctx)
-	}
 	// A listener that cannot be closed is closed by the kernel when the process exits.
 	_ = s.listener.Close()
 	select {
