A body that is whole late in a planned stop is refused on the product's own interface

What callers saw: a slow upload that met a planned stop was passed on to a target although the drain time could end before the answer; the process then exits, and the request has run without an answer. An honest refusal was still possible when the body was whole.

Cause: edge/entry asks after the body whether the router may end before the request's deadline; edge/front never asked.

Change: the front asks the followed connections (StopsBefore) once the body is whole, with the request's wait and timeout as the time of its answer, and refuses with 503, not run, code router_stopping.

--- a/internal/edge/entry/body.go
+++ b/internal/edge/entry/body.go
@@ -65,7 +65,7 @@
 // stopProblem returns the problem for a request that is whole only now, while the router stops, and may not be answered
 // before the router ends; nil if there is none. No time of an answer is certain but the request's deadline.
 func (h *Handler) stopProblem(j *job) *problem {
-	if h.Gate == nil || !h.Gate.conns.stopsBefore(j.deadline) {
+	if h.Gate == nil || !h.Gate.conns.StopsBefore(j.deadline) {
 		return nil
 	}
 	return &problem{status: http.StatusServiceUnavailable, reason: Stopping, retryAfter: stopRetryAfter}
--- a/internal/edge/entry/conns.go
+++ b/internal/edge/entry/conns.go
@@ -175,8 +175,8 @@
 	}
 }
 
-// stopsBefore reports whether the router is stopping and may end before a time.
-func (c *CallerConns) stopsBefore(t time.Time) bool {
+// StopsBefore reports whether the router is stopping and may end before a time.
+func (c *CallerConns) StopsBefore(t time.Time) bool {
 	by := c.stopBy.Load()
 	return by != 0 && time.Unix(0, by).Before(t)
 }
--- a/internal/edge/entry/waiting_test.go
+++ b/internal/edge/entry/waiting_test.go
@@ -119,7 +119,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), stop)
 	defer cancel()
 	go func() { _ = g.conns.Stop(ctx) }()
-	for !g.conns.stopsBefore(time.Now().Add(2 * stop)) {
+	for !g.conns.StopsBefore(time.Now().Add(2 * stop)) {
 		<-time.After(time.Millisecond)
 	}
 	if _, err := io.WriteString(c, "def"); err != nil {
--- a/internal/edge/front/chat.go
+++ b/internal/edge/front/chat.go
@@ -53,6 +53,9 @@
 		return nil, chatRequest{}, problem
 	}
 	j, chat, problem := f.parseChatJob(r, from, body)
+	if problem == nil {
+		problem = f.stopProblem(j)
+	}
 	if problem != nil {
 		buffer.Close()
 		return nil, chat, problem
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -130,6 +130,8 @@
 	Clock     ident.Clock
 	// Memory is the account of what is kept for callers.
 	Memory *memory.Account
+	// StopsBefore reports whether the router is stopping and may end before a time.
+	StopsBefore func(time.Time) bool
 }
 
 // Front is the HTTP server for callers.
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -63,6 +63,8 @@
 	released int
 	sent     int
 	acquired int
+	// stops, if set, reports whether the router is stopping and ends before any request does.
+	stops func() bool
 	// memory is the account of the front; one of a megabyte if it is nil.
 	memory *memory.Account
 	// writeTime is the timeout of each write to a caller; the default if it is zero.
@@ -145,6 +147,7 @@
 	return front.New(front.Parts{
 		Configs: p, Finder: p, Sender: p, Claims: p, Guard: fakeGuard{p}, Directory: p, Observer: p, Logger: log.NewNopLogger(),
 		Keys: relay.Keys{make([]byte, 32)}, Clock: time.Now, Memory: p.memory,
+		StopsBefore: func(time.Time) bool { return p.stops != nil && p.stops() },
 	}, limits).Handler()
 }
 
--- a/internal/edge/front/input.go
+++ b/internal/edge/front/input.go
@@ -75,6 +75,20 @@
 	}
 }
 
+// stopProblem returns the problem for a request that is whole only now, while the router stops, and may not be answered
+// before the router ends; nil if there is none. No time of an answer is certain but the limits of the request.
+func (f *Front) stopProblem(j *job) *Problem {
+	if !f.StopsBefore(f.Clock().Add(j.decision.Wait + j.service.Timeout)) {
+		return nil
+	}
+	p := notRun(CodeStopping, http.StatusServiceUnavailable, "this router is stopping")
+	p.RetryAfter = stopRetryAfter
+	return p
+}
+
+// stopRetryAfter is the delay of a caller whose request a stopping router does not take: it meets another one.
+const stopRetryAfter = 5 * time.Millisecond
+
 // refuse calls write, which answers a request with a problem. If the body was left for its size, the rest of it is read
 // so that the answer reaches its caller. Other callers, such as unknown ones, can cause no load by a body.
 func (f *Front) refuse(w http.ResponseWriter, r *http.Request, problem *Problem, write func()) {
--- a/internal/edge/front/plain.go
+++ b/internal/edge/front/plain.go
@@ -30,6 +30,9 @@
 	}
 	buffer, body, problem := f.readBody(w, r, j.workspace.Name)
 	defer buffer.Close()
+	if problem == nil {
+		problem = f.stopProblem(j)
+	}
 	if problem != nil {
 		buffer.Close()
 		f.refuse(w, r, problem, func() { f.fail(w, j, problem) })
--- a/internal/edge/front/problem.go
+++ b/internal/edge/front/problem.go
@@ -41,6 +41,7 @@
 	CodeBadResume     Code = "bad_resume_token"
 	CodeNoMemory      Code = "out_of_memory"
 	CodeCallerGone    Code = "caller_gone"
+	CodeStopping      Code = "router_stopping"
 )
 
 // OutcomeHeader contains the outcome of a request: whether it ran.
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -45,6 +45,8 @@
 	PeerAddr func(ident.Router) (listen, advertise string)
 	// DrainDelay is the time for which a stopping router still accepts new requests.
 	DrainDelay time.Duration
+	// DrainTime is the time for which it waits for requests in flight; zero means the default.
+	DrainTime time.Duration
 	// Fatal is a text that crashes each engine which receives a request that contains it; empty
 	// disables crashes.
 	Fatal string
--- a/internal/fake/fleet/router.go
+++ b/internal/fake/fleet/router.go
@@ -71,6 +71,7 @@
 	base.ResumeKeys = [][]byte{resumeKey()}
 	base.Operators = map[policy.TokenHash]string{policy.HashToken(OperatorToken): "ana"}
 	base.Limits.DrainDelay = f.options.DrainDelay
+	base.Limits.DrainTime = cmp.Or(f.options.DrainTime, base.Limits.DrainTime)
 	for _, r := range f.Routers {
 		base.Router.Seeds = append(base.Router.Seeds, r.PeerAddr())
 	}
--- a/internal/oper/daemon/build.go
+++ b/internal/oper/daemon/build.go
@@ -123,6 +123,7 @@
 	d.front = front.New(front.Parts{
 		Configs: d, Finder: d.router, Sender: sender, Claims: claims, Guard: d.guard, Directory: d, Observer: d.metrics,
 		Logger: d.logger, Keys: s.ResumeKeys, Zone: s.Router.Zone, Clock: d.clock, Memory: d.memory,
+		StopsBefore: func(t time.Time) bool { return d.callers.conns.StopsBefore(t) },
 	}, frontLimits)
 	d.admin = admin.New(admin.Parts{
 		Self: s.Router.ID, Operators: s.Operators, Keeper: d.keeper, Recorder: d.recorder, Follower: d.follower,
--- a/internal/oper/daemon/daemon.go
+++ b/internal/oper/daemon/daemon.go
@@ -77,6 +77,8 @@
 	leaving atomic.Bool
 	killed  atomic.Bool
 	servers []*http.Server
+	// callers serves callers; nil until Run is called.
+	callers *callerServer
 	// stopBackground stops the background tasks that Run started beside the servers.
 	stopBackground context.CancelFunc
 	listeners      listeners
--- a/internal/oper/daemon/servers.go
+++ b/internal/oper/daemon/servers.go
@@ -30,6 +30,7 @@
 		leaving: d.leaving.Load, memory: d.memory, logger: d.logger,
 	})
 	d.cleanups = append(d.cleanups, closeServer)
+	d.callers = s
 	return s, nil
 }
 
