A target's own 5xx is kept until another attempt gets an answer on the platform's interface

What callers saw: a repeatable request whose target answered 5xx got the router's 502 {"error":"no_target","outcome":"unknown"} if no other target was free, or if the next one rejected the request, lost it or accepted no connection. The target's answer was whole and thrown away.

Cause: edge/entry took a retry from the allowance and closed the answer before it was known whether another attempt could be made, let alone be answered.

Evidence: TestFailureIsKeptUntilAnotherTargetAnswers fails without the change in its cases ("no other target", "rejected", "lost", "accepts no connection"): 502 in place of 500 and its body.

Change: the failure is read before the next attempt, in the memory account of answers, and sent if the request would end with an answer of the router itself; a later answer or failure of a target takes its place. When a retry is made, where it goes and how long it waits for a place are as before. Not kept: failures of 256 KB or more, those without a marked end, and bodies that take more than 100 ms (they end the attempt then), so that a body that stalls holds nobody (TestLateFailureDoesNotHoldAnotherAttempt).

--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -76,6 +76,7 @@
 	}
 	j.runs++
 	if h.discardsFailure(j, answer.Status) {
+		h.keepFailure(j, answer, idleTimeout)
 		h.Finder.Report(placement.Hash, false)
 		return result{step: retry.Answering, reason: Failed, status: answer.Status, took: h.Clock().Sub(began), budgetUsed: true}
 	}
--- a/internal/edge/entry/forward.go
+++ b/internal/edge/entry/forward.go
@@ -51,20 +51,7 @@
 	if err := h.checkEnd(ctx, j, answer); err != nil {
 		return result{step: retry.Answering, reason: Lost, status: answer.Status, err: err}
 	}
-	j.first = h.Clock().Sub(j.arrived)
-	header := h.copyHeader(w, answer)
-	switch {
-	case answer.Framing == relay.NoBody && answer.Length >= 0:
-		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
-	case answer.Framing == relay.Length || answer.Framing == relay.Chunks:
-		header.Set("Content-Length", strconv.FormatInt(body.Len(), 10))
-	}
-	j.setFraming(header, answer.Framing)
-	w.WriteHeader(answer.Status)
-	if err := h.newOutput(w, j).writeAll(body.Segments()...); err != nil {
-		return result{ended: true, reason: writeFailure(err), status: answer.Status, err: err}
-	}
-	return result{ended: true, reason: Served, status: answer.Status}
+	return h.forwardBuffered(w, j, answer, body)
 }
 
 // forwardUnbuffered forwards an answer that is too long to be buffered.
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -84,7 +84,10 @@
 
 // serve makes attempts until one succeeds or no further attempt is allowed.
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, j *job) {
-	defer func() { j.next.release() }()
+	defer func() {
+		j.next.release()
+		j.kept.close()
+	}()
 	for {
 		if callerDisconnected(ctx) {
 			h.endCallerGone(j)
@@ -230,8 +233,8 @@
 	h.endWithProblem(w, j, noAnswer(j.outcome, attempt.reason, ctx.Err() != nil))
 }
 
-// endWithProblem sends a final answer of the router itself. If a part of a target's answer has
-// already been sent, only closing the connection can signal the failure to the caller.
+// endWithProblem sends a final answer of the router itself, or in its place a failure of a target that was kept. If a
+// part of a target's answer has already been sent, only closing the connection can signal the failure to the caller.
 func (h *Handler) endWithProblem(w http.ResponseWriter, j *job, p *problem) {
 	if j.headSent {
 		reason := CutOff
@@ -242,6 +245,10 @@
 		abortConnection(j, reason)
 		return
 	}
+	if j.kept != nil {
+		h.sendKept(w, j)
+		return
+	}
 	h.writeProblem(w, j, p)
 }
 
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -92,6 +92,8 @@
 	// that it found.
 	successor *successor
 	next      *certainAttempt
+	// kept is the latest failure of a target that made way for another attempt, or nil.
+	kept *keptFailure
 	// via is the router through which the latest answer came, or empty for a direct connection.
 	via ident.Router
 	// lastEvent is the ID of the last event sent to the caller.
