A decided rollout stays decided when the store comes back from an older copy

What callers saw: after any rollback of the store, also one that loses nothing, a service whose rollout was done was refused as a whole, until an operator removed the order; a version that had been reverted received requests again.

Cause: the number of an order contains the era in which its row was read. Each rollback changes it, the status in the store has the earlier one, and an order without a status counts as undecided. The targets of the version are canaries then, and nothing leads from a service without targets to its canaries.

Evidence: TestDecidedRolloutAfterStoreRollback (platform) on the code before: the status is written as "active" in each of the four cases and stays so for 5 s.

Change: a status belongs to an order by service, version and row, in whatever era it was written, but not if it was last read in an era before the order's: the store, which gives versions out again, may have lost its order. So routers of two releases understand each other: one of the earlier release writes "active" over a decision after a rollback, those of this release stay with the decision and write it again under the number that the others know. Routers keep a decision that the store loses, and write it again unless the store has lost the order too: an order that is written again gets a new trial, even in a row with the same version. A trial that was running keeps its time and evidence. A service without other targets is served by its canaries unless the version is known to be bad.

TestOnlyCanariesServe passes, as do oper/node, edge/entry, rule/canary and platform's tests of rollouts. The tests of oper/node and TestRolloutStatusOfOtherEras use functions that the code before lacks. Two releases at once were not run, only their rows. Left: no router that knows the decision lives and the store has lost it: the trial begins anew.

--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -161,12 +161,13 @@
 	}
 	placementRequest := j.placementRequest(h.Clock(), h.latency.firstByteTime(j.route.Name))
 	placementRequest.Effort = h.meter.Effort(j.service, pace.Kind(j.route.Name), j.size())
-	j.lookupName = j.service
 	switch {
 	case j.version != "":
 		j.lookupName = h.Canaries.NameOf(j.service, j.version)
 	case j.sends+j.unreached == 0:
 		j.lookupName = h.Canaries.Choose(j.service)
+	default:
+		j.lookupName = h.Canaries.Default(j.service)
 	}
 	placementRequest.Service, placementRequest.Version = j.lookupName, j.version
 	j.lastRequest = placementRequest
--- a/internal/edge/entry/parts.go
+++ b/internal/edge/entry/parts.go
@@ -90,6 +90,9 @@
 	// Choose returns the name used to find a target for the next request: that of the service or
 	// that of its canary version.
 	Choose(service ident.Service) (as ident.Service)
+	// Default returns the name used to find a target for a request that is no trial of the canary version: that
+	// of the service, or that of its canary version if the service has no other targets.
+	Default(service ident.Service) (as ident.Service)
 	// RecordSent records that a target was found under a name.
 	RecordSent(service, as ident.Service)
 	// Finished records the result of a request to a target that was found under a name.
@@ -127,7 +130,8 @@
 // noCanaries is used when there are no canary versions.
 type noCanaries struct{}
 
-func (noCanaries) Choose(service ident.Service) ident.Service { return service }
+func (noCanaries) Choose(service ident.Service) ident.Service  { return service }
+func (noCanaries) Default(service ident.Service) ident.Service { return service }
 func (noCanaries) NameOf(service ident.Service, _ ident.Version) ident.Service {
 	return service
 }
--- a/internal/oper/node/build.go
+++ b/internal/oper/node/build.go
@@ -88,6 +88,7 @@
 func (n *Node) buildRollouts(s *Settings) {
 	n.rollouts = newRollouts(s.MaxCanaryRatio, n.self.Seed(), n.Logger, n.Clock)
 	n.state.serviceName, n.state.hasCanary = n.rollouts.serviceName, n.rollouts.hasCanary
+	n.rollouts.hasOnlyCanaries = n.state.hasOnlyCanaries
 	n.peers.SetCanaryReports(n.rollouts)
 }
 
--- a/internal/oper/node/rollouts.go
+++ b/internal/oper/node/rollouts.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"sync"
 	"time"
@@ -37,6 +36,8 @@
 	// before a verdict. It is unknown whether they are sound.
 	superseded map[ident.Service]map[ident.Version]bool
 	baselines  map[match.RouteName]*canary.Baseline
+	// hasOnlyCanaries reports whether all targets of a service are canaries.
+	hasOnlyCanaries func(ident.Service) bool
 	// nextReport is the index of the peer evidence that is reported next.
 	nextReport int
 }
@@ -50,18 +51,16 @@
 	own        canary.Evidence
 	// peerEvidence is the evidence of other routers, by source.
 	peerEvidence map[uint64]canary.Evidence
+	// decided is the final state of the rollout, empty until it is known. The store may lose it.
+	decided canary.State
+	// lost is set once the store, restored from an older snapshot, has lost the order.
+	lost bool
 	// stopped is set, and the fact logged, once the evidence has shown the version to be bad.
 	stopped bool
 	// verdictAt is when this router last returned a verdict to be written.
 	verdictAt time.Time
 }
 
-// statusRow is a status with the version of its row.
-type statusRow struct {
-	canary.Status
-	version table.Version
-}
-
 const (
 	// canaryRatioMargin is the part of the allowed ratio that routers use, since retries reach
 	// targets too.
@@ -73,9 +72,6 @@
 	// maxReportsPerDigest is the maximum number of routers whose evidence is included in one
 	// digest.
 	maxReportsPerDigest = 16
-	// verdictRetryDelay is how long a verdict may take to be written to the store and read back
-	// before it is written again.
-	verdictRetryDelay = time.Second
 	// judgeInterval is the interval at which the evidence is evaluated. It is a small part of the
 	// seconds within which a bad version must be reverted.
 	judgeInterval = 200 * time.Millisecond
@@ -86,15 +82,15 @@
 	return &rollouts{
 		canaryRatio: canaryRatio * canaryRatioMargin, source: source, logger: logger, clock: clock, current: map[ident.Service]*rollout{},
 		statuses: map[ident.Service]statusRow{}, superseded: map[ident.Service]map[ident.Version]bool{},
-		baselines: map[match.RouteName]*canary.Baseline{},
+		baselines: map[match.RouteName]*canary.Baseline{}, hasOnlyCanaries: func(ident.Service) bool { return false },
 	}
 }
 
 // enabled reports whether rollouts are followed at all.
 func (r *rollouts) enabled() bool { return r.canaryRatio > 0 }
 
-// setRollouts sets the current rollouts and reports whether they changed.
-func (r *rollouts) setRollouts(orders []canary.Order) (changed bool) {
+// setRollouts sets the current rollouts, given the latest era of their table, and reports whether they changed.
+func (r *rollouts) setRollouts(orders []canary.Order, era table.Era) (changed bool) {
 	if !r.enabled() {
 		return false
 	}
@@ -108,11 +104,12 @@
 	}
 	for _, o := range orders {
 		known := r.current[o.Service]
-		if known != nil && known.order.Number == o.Number {
+		if known != nil && known.reread(o, era) {
 			continue
 		}
 		r.supersede(known, o)
 		r.current[o.Service] = &rollout{order: o, receivedAt: r.clock(), gate: canary.NewGate(r.canaryRatio), peerEvidence: map[uint64]canary.Evidence{}}
+		r.decide(r.current[o.Service])
 		changed = true
 		_ = level.Info(r.logger).Log("msg", "rollout received", "service", o.Service, "version", o.Version,
 			"over_ms", o.Period.Milliseconds(), "order", o.Number)
@@ -120,6 +117,17 @@
 	return changed
 }
 
+// reread applies an order that was read, given the latest era of its table, and reports whether it is that of the
+// rollout. An order that the store has lost was written again if it is read in a later era.
+func (ro *rollout) reread(o canary.Order, era table.Era) bool {
+	if !o.Rereads(ro.order) || ro.lost && o.Era > ro.order.Era {
+		return false
+	}
+	ro.order = o
+	ro.lost = o.Era < era
+	return true
+}
+
 // supersede records that a rollout replaces one without a verdict. The caller holds the lock.
 func (r *rollouts) supersede(known *rollout, next canary.Order) {
 	versions := r.superseded[next.Service]
@@ -133,29 +141,6 @@
 	delete(versions, next.Version)
 }
 
-// setStatuses applies statuses from the store and reports whether any changed.
-func (r *rollouts) setStatuses(statuses map[ident.Service]statusRow) (changed bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for service, s := range statuses {
-		before := r.statuses[service]
-		r.statuses[service] = s
-		if before.Status != s.Status {
-			changed = true
-			_ = level.Info(r.logger).Log("msg", "rollout status", "service", service, "version", s.Version, "state", s.State, "order", s.Number)
-		}
-	}
-	return changed
-}
-
-// state returns the state of a rollout. The caller holds the lock.
-func (r *rollouts) state(ro *rollout) canary.State {
-	if s := r.statuses[ro.order.Service]; s.Number == ro.order.Number {
-		return s.State
-	}
-	return canary.Active
-}
-
 // serviceName returns the service name under which a target of a version is kept.
 func (r *rollouts) serviceName(service ident.Service, version ident.Version) ident.Service {
 	r.mu.Lock()
@@ -198,19 +183,51 @@
 	if !r.enabled() {
 		return service
 	}
+	if r.choosesCanary(service) {
+		return service + canarySuffix
+	}
+	return r.Default(service)
+}
+
+// choosesCanary reports whether the next request is to be sent to the canary, as a trial or since the version is
+// about to be in service.
+func (r *rollouts) choosesCanary(service ident.Service) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ro := r.current[service]
-	if ro == nil || r.state(ro) != canary.Active || r.isBad(ro) {
-		return service
+	ro := r.trial(service)
+	if ro == nil {
+		return false
 	}
 	promoted := !r.clock().Before(ro.order.PromotedAt(ro.receivedAt)) && ro.totalEvidence().Sound()
-	if promoted || ro.gate.Admits() {
+	return promoted || ro.gate.Admits()
+}
+
+// Default implements entry.Canaries. A service whose state is unknown, since the store has lost it, may have no
+// other targets than those of a version that counts as a canary again. They serve it unless the version is bad.
+func (r *rollouts) Default(service ident.Service) ident.Service {
+	if r.enabled() && r.hasTrial(service) && r.hasOnlyCanaries(service) {
 		return service + canarySuffix
 	}
 	return service
 }
 
+// hasTrial reports whether a service has a canary version that is not known to be bad.
+func (r *rollouts) hasTrial(service ident.Service) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.trial(service) != nil
+}
+
+// trial returns the rollout of a service's canary version, or nil if it has none or a bad one. The caller holds
+// the lock.
+func (r *rollouts) trial(service ident.Service) *rollout {
+	ro := r.current[service]
+	if ro == nil || r.state(ro) != canary.Active || r.isBad(ro) {
+		return nil
+	}
+	return ro
+}
+
 // RecordSent implements entry.Canaries.
 func (r *rollouts) RecordSent(service, as ident.Service) {
 	if !r.enabled() {
@@ -309,53 +326,6 @@
 	}
 }
 
-// verdicts returns the statuses that follow from the evidence and are not in the store, with the
-// versions of their rows.
-func (r *rollouts) verdicts() []statusRow {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []statusRow
-	for service, ro := range r.current {
-		known := r.statuses[service]
-		state := r.state(ro)
-		next := canary.Active
-		switch {
-		case state != canary.Active:
-			continue
-		case r.isBad(ro):
-			next = canary.Reverted
-		case !r.clock().Before(ro.order.DoneAt(ro.receivedAt)) && ro.totalEvidence().Sound():
-			next = canary.Done
-		}
-		now := r.clock()
-		if next == state && known.Number == ro.order.Number || now.Sub(ro.verdictAt) < verdictRetryDelay {
-			continue
-		}
-		ro.verdictAt = now
-		out = append(out, statusRow{
-			Status:  canary.Status{Service: service, Version: ro.order.Version, State: next, Number: ro.order.Number},
-			version: known.version,
-		})
-	}
-	return out
-}
-
-// writeVerdicts writes the verdicts on rollouts to the store. Every reader of the store may do so:
-// the check of the row's version accepts only one of them.
-func (n *Node) writeVerdicts(ctx context.Context) {
-	if _, known := n.replicas.Position(n.Rows.StatusTable()); !known || !n.isStoreReader() {
-		return
-	}
-	for _, v := range n.rollouts.verdicts() {
-		put := n.Rows.PutStatus(v.Status)
-		err := n.Store.Commit(ctx, table.Txn{
-			Checks: []table.Check{{Table: put.Table, Key: put.Key, Version: v.version}}, Puts: []table.Put{put},
-		})
-		_ = level.Info(n.Logger).Log("msg", "writing rollout verdict", "service", v.Service, "version", v.Version, "state", v.State,
-			"order", v.Number, "row", v.version, "err", err)
-	}
-}
-
 // reassign updates the pools after a change of the rollouts or their statuses.
 func (n *Node) reassign() {
 	update := n.state.reassign()
--- a/internal/oper/node/rollouts_test.go
+++ b/internal/oper/node/rollouts_test.go
@@ -39,7 +39,7 @@
 func (f *canaryFleet) router() *rollouts {
 	f.source++
 	r := newRollouts(maxCanaryRatio, uint64(f.source), log.NewNopLogger(), func() time.Time { return f.now })
-	r.setRollouts([]canary.Order{{Service: testService, Version: "v2", Period: 12 * time.Second, Number: 7}})
+	r.setRollouts([]canary.Order{{Service: testService, Version: "v2", Period: 12 * time.Second, Number: 7}}, 0)
 	return r
 }
 
@@ -84,7 +84,7 @@
 func (f *canaryFleet) verdicts(state canary.State) int {
 	n := 0
 	for _, r := range f.rollouts {
-		for _, v := range r.verdicts() {
+		for _, v := range r.verdicts(0) {
 			if v.State == state {
 				n++
 			}
@@ -148,12 +148,12 @@
 		want []ident.Service
 	}{
 		{"no rollout", func() {}, []ident.Service{"s", "s", "s"}},
-		{"canary", func() { r.setRollouts([]canary.Order{order("v2", 1)}) }, []ident.Service{"s", "s+canary", "s"}},
+		{"canary", func() { r.setRollouts([]canary.Order{order("v2", 1)}, 0) }, []ident.Service{"s", "s+canary", "s"}},
 		{"reverted", func() { setStatus("v2", 1, canary.Reverted) }, []ident.Service{"s", "s+retired", "s"}},
-		{"repeated", func() { r.setRollouts([]canary.Order{order("v2", 2)}) }, []ident.Service{"s", "s+canary", "s"}},
-		{"superseded by another", func() { r.setRollouts([]canary.Order{order("v3", 3)}) }, []ident.Service{"s", "s+retired", "s+canary"}},
+		{"repeated", func() { r.setRollouts([]canary.Order{order("v2", 2)}, 0) }, []ident.Service{"s", "s+canary", "s"}},
+		{"superseded by another", func() { r.setRollouts([]canary.Order{order("v3", 3)}, 0) }, []ident.Service{"s", "s+retired", "s+canary"}},
 		{"done", func() { setStatus("v3", 3, canary.Done) }, []ident.Service{"s+retired", "s+retired", "s"}},
-		{"rollout removed", func() { r.setRollouts(nil) }, []ident.Service{"s", "s+retired", "s"}},
+		{"rollout removed", func() { r.setRollouts(nil, 0) }, []ident.Service{"s", "s+retired", "s"}},
 	} {
 		step.do()
 		if diff := cmp.Diff(step.want, names()); diff != "" {
--- a/internal/oper/node/state.go
+++ b/internal/oper/node/state.go
@@ -162,6 +162,13 @@
 	s.generation++
 }
 
+// hasOnlyCanaries reports whether all targets of a service that accept new work are canaries.
+func (s *state) hasOnlyCanaries(service ident.Service) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.liveTargets[service] == 0 && s.liveTargets[service+canarySuffix] > 0
+}
+
 // targetCount returns the number of targets' rows.
 func (s *state) targetCount() int {
 	s.mu.Lock()
--- a/internal/oper/node/tables.go
+++ b/internal/oper/node/tables.go
@@ -22,7 +22,7 @@
 		rows := change.All()
 		n.state.setConfig(rows)
 		n.state.setClosed(rows)
-		if n.rollouts.setRollouts(n.Rows.Rollouts(rows)) {
+		if n.rollouts.setRollouts(n.Rows.Rollouts(rows), change.At.Era) {
 			n.reassign()
 		}
 		n.peers.UpdateView(func(v *peer.View) { v.RaiseHead(n.state.revision()) })
@@ -43,9 +43,9 @@
 
 // followStatuses follows the statuses of rollouts.
 func (n *Node) followStatuses() {
-	n.replicas.AddTable(n.Rows.StatusTable(), feed.Rules{MissingRowTTL: lostConfigTTL}, func(change feed.Change) {
+	n.replicas.AddTable(n.Rows.StatusTable(), feed.Rules{MissingRowTTL: lostConfigTTL, NotifyRewrites: true}, func(change feed.Change) {
 		statuses := map[ident.Service]statusRow{}
-		for _, row := range change.Rows {
+		for _, row := range change.All() {
 			if s, found := n.Rows.Status(row); found {
 				statuses[s.Service] = statusRow{Status: s, version: row.Version}
 			}
--- a/internal/oper/node/versions_test.go
+++ b/internal/oper/node/versions_test.go
@@ -114,7 +114,7 @@
 func TestNamesOfVersions(t *testing.T) {
 	names := func(ratio float64) []ident.Service {
 		r := newRollouts(ratio, 1, log.NewNopLogger(), time.Now)
-		r.setRollouts([]canary.Order{{Service: testService, Version: "v2", Period: time.Minute, Number: 1}})
+		r.setRollouts([]canary.Order{{Service: testService, Version: "v2", Period: time.Minute, Number: 1}}, 0)
 		return []ident.Service{r.NameOf(testService, "v1"), r.NameOf(testService, "v2"), r.NameOf("other", "v2")}
 	}
 	if diff := cmp.Diff([]ident.Service{testService, testService + canarySuffix, "other"}, names(maxCanaryRatio)); diff != "" {
