A router that starts waits for the statuses of rollouts, and tries no version without them

What callers saw: a router that had started while the table of rollouts' statuses could not be read, or in the moment until it was, sent requests to versions that had been reverted.

Cause: a router is ready once it has configuration and targets. An order without a status counts as undecided.

Change: where rollouts are enabled a router is also ready only once that table is loaded, or one second after the others are. Until it is loaded, no version is tried and canaries serve only a service without other targets: to callers a router that serves the version in service is worth more than one that waits.

--- a/internal/oper/node/rollout_status.go
+++ b/internal/oper/node/rollout_status.go
@@ -22,10 +22,18 @@
 // before it is written again.
 const verdictRetryDelay = time.Second
 
+// awaitStatuses makes the trial of each version wait until the statuses are read: it may have been reverted.
+func (r *rollouts) awaitStatuses() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.awaitsStatuses = true
+}
+
 // setStatuses sets all statuses of the store and reports whether any changed.
 func (r *rollouts) setStatuses(statuses map[ident.Service]statusRow) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.awaitsStatuses = false
 	before := r.statuses
 	r.statuses = statuses
 	for service, s := range statuses {
--- a/internal/oper/node/rollouts.go
+++ b/internal/oper/node/rollouts.go
@@ -32,6 +32,8 @@
 	// the store.
 	current  map[ident.Service]*rollout
 	statuses map[ident.Service]statusRow
+	// awaitsStatuses is set until the statuses have been read for the first time.
+	awaitsStatuses bool
 	// superseded contains, by service, the versions whose rollout was replaced by another one
 	// before a verdict. It is unknown whether they are sound.
 	superseded map[ident.Service]map[ident.Version]bool
@@ -195,7 +197,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ro := r.trial(service)
-	if ro == nil {
+	if ro == nil || r.awaitsStatuses {
 		return false
 	}
 	promoted := !r.clock().Before(ro.order.PromotedAt(ro.receivedAt)) && ro.totalEvidence().Sound()
--- a/internal/oper/node/start.go
+++ b/internal/oper/node/start.go
@@ -91,7 +91,13 @@
 // older configuration, and only peers have the current one.
 const peerConfirmTimeout = 300 * time.Millisecond
 
-// becomeReady waits until configuration and targets are loaded. It also reads the store once the
+// statusTimeout is how long a router that has all other tables waits for the statuses of rollouts. Without them it
+// does not know which versions have been reverted or replaced. It covers several attempts to read a small table. A
+// router that serves without them sends requests to a canary only if the service has no other target, which is
+// better for callers than a router that does not serve.
+const statusTimeout = time.Second
+
+// becomeReady waits until all tables are loaded, for the statuses of rollouts at most statusTimeout. It also reads the store once the
 // readers' head start is over, and queries peers once peerFallbackDelay is over.
 func (n *Node) becomeReady(ctx context.Context) {
 	defer n.roles.SetAlsoStore(false)
@@ -104,7 +110,7 @@
 		if tablesLoaded.IsZero() && n.tablesLoaded() {
 			tablesLoaded = n.Clock()
 		}
-		if !tablesLoaded.IsZero() && n.peersConsulted(tablesLoaded) {
+		if !tablesLoaded.IsZero() && n.peersConsulted(tablesLoaded) && n.statusesRead(tablesLoaded) {
 			n.mesh.Update()
 			n.ready.Store(true)
 			_ = level.Info(n.Logger).Log("msg", "ready", "revision", n.Table().Revision)
@@ -126,6 +132,22 @@
 	return n.state.inForce.Load() != nil && targets
 }
 
+// statusesRead reports whether the statuses of rollouts are loaded or not needed, or statusTimeout has passed since
+// the given time.
+func (n *Node) statusesRead(since time.Time) bool {
+	if !n.rollouts.enabled() {
+		return true
+	}
+	if _, read := n.replicas.Position(n.Rows.StatusTable()); read {
+		return true
+	}
+	if n.Clock().Sub(since) <= statusTimeout {
+		return false
+	}
+	_ = level.Warn(n.Logger).Log("msg", "serving without the statuses of rollouts")
+	return true
+}
+
 // peersConsulted reports whether peers have reported the configuration in force, there are no
 // peers, or peerConfirmTimeout has passed since the given time.
 func (n *Node) peersConsulted(since time.Time) bool {
--- a/internal/oper/node/tables.go
+++ b/internal/oper/node/tables.go
@@ -43,6 +43,7 @@
 
 // followStatuses follows the statuses of rollouts.
 func (n *Node) followStatuses() {
+	n.rollouts.awaitStatuses()
 	n.replicas.AddTable(n.Rows.StatusTable(), feed.Rules{MissingRowTTL: lostConfigTTL, NotifyRewrites: true}, func(change feed.Change) {
 		statuses := map[ident.Service]statusRow{}
 		for _, row := range change.All() {
