Full digests contain all leaving targets

What callers saw: a target that had said in an answer that it leaves, while its row could not show it, got new work from a router that started afterwards, until that router's own first answer from it.

Cause: the news that a target leaves is sent in a limited number of digests, and left out after that even of the full ones, which a router requests that was not there.

Evidence: TestLeavingTargetsAtLaterStart on the code before: with 2, 8 and 62 routers the one that starts knows 0 of 20 leaving targets after ten rounds of gossip. TestFullDigestHasAllLeavingTargets: 8 of 300.

Change: a full digest contains all leaving targets.

Measured result: all 20 are known after 8, 3 and 3 rounds, the time until the full list is requested; a round is 0.4 s. A full digest of 986 routers has 41,983 bytes without leaving targets, and 48,583 with 300 (42,159 before, with 8 of them): 22 bytes each. Digests that are not full are as before. internal/share/peer passes. Left: a router that stood still while the news spread and whose list of routers agrees with the others' requests no full digest.

--- a/internal/share/peer/digest.go
+++ b/internal/share/peer/digest.go
@@ -58,7 +58,7 @@
 	}
 	d.Acks = v.outgoingAcks()
 	d.InForce = v.inForce()
-	d.Leaving = v.outgoingLeaving()
+	d.Leaving = v.outgoingLeaving(full)
 	return d
 }
 
@@ -106,18 +106,20 @@
 	return out
 }
 
-func (v *View) outgoingLeaving() []LeavingTarget {
+// outgoingLeaving returns the leaving targets for a digest. A full one contains all of them: it is for a router that
+// was not there when they were spread, and whose targets' rows may not show it.
+func (v *View) outgoingLeaving(full bool) []LeavingTarget {
 	limit := v.sendLimit()
 	var out []LeavingTarget
 	for id, m := range v.leaving {
-		if m.sent < limit {
+		if full || m.sent < limit {
 			out = append(out, LeavingTarget{Target: id, Incarnation: m.incarnation})
 		}
 	}
 	slices.SortFunc(out, func(a, b LeavingTarget) int {
 		return cmp.Or(cmp.Compare(v.leaving[a.Target].sent, v.leaving[b.Target].sent), cmp.Compare(a.Target, b.Target))
 	})
-	if len(out) > v.limits.Leaving {
+	if !full && len(out) > v.limits.Leaving {
 		out = out[:v.limits.Leaving]
 	}
 	for _, m := range out {
