Tests of the table of versions: suspensions, setbacks, versions that come and go

What callers saw: nothing; a review took guards of the mend out one at a time, and no test fell for four of them: a suspension within a router's own minute, one beside a setback of the store, a version that the store loses while it has no targets, one that is gone before it could be written.

Change: a test for each. Measured: each falls when its guard is taken out, and passes with it.

--- a/internal/share/origin/record_test.go
+++ b/internal/share/origin/record_test.go
@@ -163,11 +163,93 @@
 		t.Fatal(err)
 	}
 	record, err := decodeRecord(page(t, f.store, VersionTable), f.now)
+	if err != nil || !record.complete {
+		t.Errorf("written by a router that lived: %+v, error %v, want a complete table", record, err)
+	}
+	if diff := cmp.Diff([]ident.Version{"v1", "v2"}, versionsInStore(t, f)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a router that relies on its own minute of observation although it was suspended within it.
+func TestSuspensionInterruptsOwnObservation(t *testing.T) {
+	f := newFleet(1)
+	f.rowsCurrent = true
+	f.targets("v1")
+	o := f.origins["router-0"]
+	f.now = f.now.Add(2 * Lifetime)
+	f.store.setAway(true)
+	woke := f.now
+	o.WokeAt = func() time.Time { return woke }
+	for _, c := range []struct {
+		after time.Duration
+		want  Source
+	}{{0, Unknown}, {Lifetime - 1, Unknown}, {Lifetime, SingleVersion}} {
+		f.now = woke.Add(c.after)
+		f.record()
+		if got := f.find(0, 7); got.Source != c.want {
+			t.Errorf("%s after the suspension: %+v, want %s", c.after, got, c.want)
+		}
+	}
+}
+
+// Guards against a router that was suspended while the store was set back, and that takes the table there for complete
+// because it knew all versions before.
+func TestSuspensionDuringASetback(t *testing.T) {
+	f := newFleet(1)
+	f.rowsCurrent = true
+	f.targets("v1")
+	f.record()
+	f.store.era++
+	f.now = f.now.Add(time.Second)
+	woke := f.now
+	f.origins["router-0"].WokeAt = func() time.Time { return woke }
+	f.record()
+	if got := f.find(0, 7); got.Source != Unknown {
+		t.Errorf("%+v, want an unknown origin", got)
+	}
+}
+
+// versionsInStore returns the versions of service s in the table of versions.
+func versionsInStore(t *testing.T, f *fleet) []ident.Version {
+	t.Helper()
+	record, err := decodeRecord(page(t, f.store, VersionTable), f.now)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff([]ident.Version{"v1", "v2"}, record.services["s"].versions); diff != "" || !record.complete {
-		t.Errorf("written by a router that lived: complete %t, %s", record.complete, diff)
+	return record.services["s"].versions
+}
+
+// Guards against a version that the store loses, and that nobody writes again because it has no targets any more.
+func TestLostVersionWithoutTargetsIsWrittenAgain(t *testing.T) {
+	f := newFleet(1)
+	f.targets("v1")
+	f.record()
+	older := copyRows(f.store.rows)
+	f.targets("v2")
+	f.record()
+	f.remove("v2")
+	f.store.rows, f.store.era = older, f.store.era+1
+	f.origins["router-0"].StoreRestored()
+	f.record()
+	if diff := cmp.Diff([]ident.Version{"v1", "v2"}, versionsInStore(t, f)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a version that has gone again before the store accepts writes, and that is never written.
+func TestShortLivedVersionIsWritten(t *testing.T) {
+	f := newFleet(1)
+	f.targets("v1")
+	f.record()
+	f.store.setAway(true)
+	f.targets("v2")
+	f.record()
+	f.remove("v2")
+	f.store.setAway(false)
+	f.record()
+	if diff := cmp.Diff([]ident.Version{"v1", "v2"}, versionsInStore(t, f)); diff != "" {
+		t.Error(diff)
 	}
 }
 
