Origins are written to the store up to ten times a second

An idle engine begins 30 to 40 ms after the request is sent, before the version expected is in the store.

Change: a router writes every 100 ms in place of 200, in rows of one second of streams in place of two. Larger fleets share 100 writes a second as before.

Left: a stream that begins within about 100 ms of the end of all routers is rejected.

--- a/internal/share/origin/archive.go
+++ b/internal/share/origin/archive.go
@@ -20,13 +20,13 @@
 
 // OriginTable is the name of the table that contains the origins of streams that began while their service had
 // several versions, so that they outlive all routers. For each bucket one router writes them, the first in the order
-// of its keepers, a few times a second in rows of some seconds of streams.
+// of its keepers, ten times a second at most, in rows of a second of streams.
 const OriginTable table.Name = "stream_origins"
 
 const (
 	// minFlushInterval is the shortest interval between two writes of a router. A stream takes about as long to begin
 	// once its request is sent.
-	minFlushInterval = 200 * time.Millisecond
+	minFlushInterval = 100 * time.Millisecond
 	// maxFlushRate limits the writes of all routers, in writes per second: a part of the 200 that one part of the
 	// store accepts.
 	maxFlushRate = 100
@@ -34,7 +34,7 @@
 	flushTimeout = time.Second
 	// segmentDuration is how long a row is extended before the next one is begun. Longer rows are written again more
 	// often, shorter ones are more to read.
-	segmentDuration = 2 * time.Second
+	segmentDuration = time.Second
 	// maxSegmentRecords limits the origins of a row to 22 kB. Those of a bucket that exceed it while the store
 	// accepts no writes are not archived.
 	maxSegmentRecords = 2048
