Routers that start after a store rollback hold claims back

What callers saw: a request under a key ran twice.

Cause: knowledge from absence. Claims were blocked for RestoreDelay only by processes that had heard of an earlier era; in the first era of a process a missing row counted as "never claimed".

Change: - A process blocks claims (503, not run, Retry-After 3) for RestoreDelay from the first era that it hears, unless that is the original one: a store that was never restored has lost nothing. - Whoever has waited in an era records that in the row claim_era/settled, with its first claim after the wait. A process that starts reads it when a claim comes while it is blocked: if it names the era of the answer, there is no wait. So the start of a whole fleet costs callers 3 s only if nobody has claimed since the last rollback. A restored store shows an earlier era there, or no row. Routers that have seen a rollback keep their own block whatever the row says.

Cost: none in the original era; in later ones a read and at most a write a router and era, and a read for each claim that comes during the block of a start.

Still open, with a failing test: TestHolderPausedAcrossStoreRollback. Its holder does not reach the store for longer than RestoreDelay, and the others do not ask whether its claims are written. Also open, without a test: a rollback while no router lives; a store that counts its eras from zero.

--- a/internal/share/claim/claims.go
+++ b/internal/share/claim/claims.go
@@ -55,6 +55,9 @@
 	// blockedUntil.
 	restoreCount int
 	blockedUntil time.Time
+	// era is the latest era observed, recordedEra the one that this router last recorded as settled.
+	era         table.Era
+	recordedEra table.Era
 }
 
 // New returns Claims and a function that writes the outstanding outcomes and stops it.
@@ -78,10 +81,12 @@
 func (c *Claims) Begin(ctx context.Context, key Key, hash BodyHash) (*Ticket, *Answer, error) {
 	attempt := NewAttempt()
 	var rowVersion table.Version
+	c.endFirstBlock(ctx)
 	restores, _ := c.restores()
 	if err := c.checkNotRestored(restores); err != nil {
 		return nil, nil, err
 	}
+	c.recordSettled()
 	for {
 		version, err := c.write(ctx, key, hash, attempt, rowVersion)
 		if err == nil {
--- a/internal/share/claim/restore.go
+++ b/internal/share/claim/restore.go
@@ -19,15 +19,23 @@
 const RestoreDelay = 3 * time.Second
 
 // onRestore rewrites this router's claims and blocks new ones until other routers have had time to
-// rewrite theirs: a missing claim may be a lost one.
+// rewrite theirs: a missing claim may be a lost one. The first era that a process hears of may have
+// begun just now.
 func (c *Claims) onRestore(era, previous table.Era) {
-	if previous == 0 {
+	if era <= originalEra {
 		return
 	}
 	c.mu.Lock()
-	c.blockedUntil = c.clock().Add(RestoreDelay)
-	c.restoreCount++
+	c.era, c.blockedUntil = era, c.clock().Add(RestoreDelay)
+	if previous != 0 {
+		c.restoreCount++
+	}
 	c.mu.Unlock()
+	if previous == 0 {
+		_ = level.Info(c.logger).Log("msg", "new claims are blocked at first, unless another router has recorded that it waited in this era",
+			"era", era, "for_ms", RestoreDelay.Milliseconds())
+		return
+	}
 	claims := c.recentClaims.attempts()
 	_ = level.Warn(c.logger).Log("msg", "store restored from an older snapshot; new claims are blocked while this router rewrites its recent ones", "era", era,
 		"claims", len(claims), "for_ms", RestoreDelay.Milliseconds())
--- a/internal/share/claim/rollback_test.go
+++ b/internal/share/claim/rollback_test.go
@@ -120,13 +120,25 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newFixture()
 			defer f.close()
-			runWithRollbacks(t, f, rand.New(rand.NewPCG(seed, seed)))
+			runWithRollbacks(t, f, rand.New(rand.NewPCG(seed, seed)), false)
 		})
 	}
 }
 
-// runWithRollbacks runs one random sequence.
-func runWithRollbacks(t *testing.T, f *fixture, rng *rand.Rand) {
+// TestRequestsRunOnceAtRoutersThatStart is the same with further routers that start at random times,
+// some of them in the moment after a rollback, and begin requests at once.
+func TestRequestsRunOnceAtRoutersThatStart(t *testing.T) {
+	for seed := range sched.Seeds(150) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture()
+			defer f.close()
+			runWithRollbacks(t, f, rand.New(rand.NewPCG(seed, seed)), true)
+		})
+	}
+}
+
+// runWithRollbacks runs one random sequence. If starts is set, routers start during it.
+func runWithRollbacks(t *testing.T, f *fixture, rng *rand.Rand, starts bool) {
 	var routers []*claim.Claims
 	var clients []*store.Client
 	for range 3 {
@@ -139,6 +151,10 @@
 	snapshot := f.store.Snapshot()
 	for step := range 60 {
 		i := rng.IntN(len(routers))
+		if starts && rng.IntN(4) == 0 {
+			c, client := f.newRouter()
+			i, routers, clients = len(routers), append(routers, c), append(clients, client)
+		}
 		switch rng.IntN(8) {
 		case 0, 1, 2:
 			again, _, _ := begin(routers[i], 100*time.Millisecond)
