--- a/internal/edge/guard/guard_test.go
+++ b/internal/edge/guard/guard_test.go
@@ -345,3 +345,51 @@
 		t.Error("a request with the other part is admitted")
 	}
 }
+
+// Guards against a request that is refused at a router that starts after a complete response has
+// ended its quarantine, and at the routers that hear of it from there.
+func TestEndedQuarantineStaysEndedAfterRestart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newFakeDeps(true)
+	first := newGuard(t, p, &now)
+	first.interrupt("a", "b", "c")
+	first.writeUnsaved(t.Context())
+	now = now.Add(2 * time.Second)
+	first.Served(request)
+	first.writeUnsaved(t.Context())
+	now = now.Add(5 * time.Second)
+	next, third := newGuard(t, p, &now), newGuard(t, p, &now)
+	next.load(t.Context())
+	third.Incoming(next.Outgoing(8))
+	var none time.Duration
+	got := []time.Duration{first.QuarantineLeft(request), next.QuarantineLeft(request), third.QuarantineLeft(request)}
+	if diff := cmp.Diff([]time.Duration{none, none, none}, got); diff != "" {
+		t.Errorf("quarantine at the router that had the response, one that started later, one that heard of it: %s", diff)
+	}
+}
+
+// Guards against a quarantine that no complete response ends at a router that started after the
+// first one, although other routers remember that one and see further ones.
+func TestCompleteResponsesAreToldToLaterStarts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newFakeDeps(true)
+	first := newGuard(t, p, &now)
+	first.interrupt("a", "b", "c")
+	first.writeUnsaved(t.Context())
+	now = now.Add(2 * time.Second)
+	first.Served(request)
+	for range 50 {
+		first.Outgoing(8)
+	}
+	next := newGuard(t, p, &now)
+	next.load(t.Context())
+	for range 20 {
+		first.Incoming(next.Outgoing(8))
+		now = now.Add(500 * time.Millisecond)
+		first.Served(request)
+		next.Incoming(first.Outgoing(8))
+	}
+	if left := next.QuarantineLeft(request); left != 0 {
+		t.Errorf("quarantined for %v after 20 complete responses at the other router", left)
+	}
+}
