--- a/internal/share/origin/archive.go
+++ b/internal/share/origin/archive.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
@@ -12,7 +10,6 @@
 
 	"github.com/go-kit/log/level"
 
-	"valescale/internal/plat/fault"
 	"valescale/internal/plat/ident"
 	"valescale/internal/plat/pause"
 	"valescale/internal/plat/table"
@@ -40,21 +37,10 @@
 	maxSegmentRecords = 2048
 	// memoryDuration is how long a record is remembered at least: longer than streams take to begin.
 	memoryDuration = 10 * time.Second
-	// loadTimeout limits a read of origins. Callers wait for it only for as long as for other routers.
-	loadTimeout = time.Second
-	// loadInterval is the shortest interval between two reads of the same buckets.
-	loadInterval = time.Second
 	// maxRemovedPerTxn limits the rows that one transaction removes.
 	maxRemovedPerTxn = 100
 )
 
-// archivedRecord is an origin in the archive.
-type archivedRecord struct {
-	Record
-	// expected is set if the stream had not begun when the record was made. Another record of the stream counts more.
-	expected bool
-}
-
 // segment is the part of a bucket's origins that is kept in one row.
 type segment struct {
 	key       table.Key
@@ -64,15 +50,6 @@
 	written int
 }
 
-// load is a read of a group of buckets.
-type load struct {
-	// done is closed once the read has ended.
-	done chan struct{}
-	// next is when the group may be read again.
-	next time.Time
-	ok   bool
-}
-
 // archive writes origins to the store and reads them back.
 type archive struct {
 	// prefix makes the keys of this process different from those of others.
@@ -166,83 +143,6 @@
 	}
 }
 
-// packedOrigin is the origin of several streams.
-type packedOrigin struct {
-	Service ident.Service `json:"service"`
-	Version ident.Version `json:"version"`
-	// Began is set if the streams had begun.
-	Began bool `json:"began,omitempty"`
-	// Keys are the keys of the streams, of keyBytes each.
-	Keys []byte `json:"keys"`
-}
-
-// keyBytes is the size of a key in a row.
-const keyBytes = 8
-
-// packRecords groups records by their origins, in order of their first record.
-func packRecords(records []archivedRecord) []packedOrigin {
-	type group struct {
-		Origin
-		expected bool
-	}
-	var out []packedOrigin
-	index := map[group]int{}
-	for _, r := range records {
-		g := group{r.Origin, r.expected}
-		i, exists := index[g]
-		if !exists {
-			i = len(out)
-			index[g] = i
-			out = append(out, packedOrigin{Service: r.Service, Version: r.Version, Began: !r.expected})
-		}
-		out[i].Keys = binary.BigEndian.AppendUint64(out[i].Keys, uint64(r.Key))
-	}
-	return out
-}
-
-// unpackRecords returns the records in the value of a row.
-func unpackRecords(value []byte) ([]archivedRecord, error) {
-	var packed []packedOrigin
-	if err := json.Unmarshal(value, &packed); err != nil {
-		return nil, fault.New("origin.unpackRecords", BadRow, err)
-	}
-	var out []archivedRecord
-	for _, p := range packed {
-		for key := range slices.Chunk(p.Keys, keyBytes) {
-			if len(key) < keyBytes {
-				return nil, fault.Newf("origin.unpackRecords", BadRow, "%d bytes at the end", len(key))
-			}
-			r := Record{Key: Key(binary.BigEndian.Uint64(key)), Origin: Origin{Service: p.Service, Version: p.Version}}
-			out = append(out, archivedRecord{Record: r, expected: !p.Began})
-		}
-	}
-	return out, nil
-}
-
-// settle returns the origins that follow from all records of some streams. A stream that was expected at two versions
-// and is not known to have begun has none.
-func settle(records []archivedRecord) []Record {
-	settled := map[Key]archivedRecord{}
-	ambiguous := map[Key]bool{}
-	for _, r := range records {
-		before, exists := settled[r.Key]
-		switch {
-		case !exists || before.expected && !r.expected:
-			settled[r.Key] = r
-			delete(ambiguous, r.Key)
-		case before.expected == r.expected && before.Origin != r.Origin:
-			ambiguous[r.Key] = true
-		}
-	}
-	out := make([]Record, 0, len(settled))
-	for key, r := range settled {
-		if !ambiguous[key] {
-			out = append(out, r.Record)
-		}
-	}
-	return out
-}
-
 // archiveIfAssigned adds an origin to the archive if this router writes those of its bucket.
 func (o *Origins) archiveIfAssigned(r Record) {
 	bucket := bucketOf(r.Key)
@@ -331,80 +231,3 @@
 	defer o.mu.Unlock()
 	return len(o.several) > 0
 }
-
-// groupOf returns the first bucket of the group that is read together with a bucket, and the number of its buckets.
-// Few routers read many buckets each, which is few calls; many routers read one bucket each.
-func groupOf(bucket uint64, routers int) (first, size uint64) {
-	size = 1
-	for size < bucketCount && int(size)*routers < bucketCount {
-		size *= 2
-	}
-	return bucket - bucket%size, size
-}
-
-// loadArchive reads the origins of a bucket from the store, unless that was done a moment ago. It waits until the
-// read, which goes on without the caller, has ended, and reports whether the origins have been read.
-func (o *Origins) loadArchive(ctx context.Context, bucket uint64) bool {
-	first, size := groupOf(bucket, len(o.Routers()))
-	l := o.archive.startLoad(o.Clock(), first, func(l *load) { o.runLoad(l, first, size) })
-	select {
-	case <-l.done:
-		return l.ok
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// startLoad returns the latest read of a group, or starts one if it is too long ago.
-func (a *archive) startLoad(now time.Time, group uint64, run func(*load)) *load {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if l := a.loads[group]; l != nil {
-		select {
-		case <-l.done:
-			if now.Before(l.next) {
-				return l
-			}
-		default:
-			return l
-		}
-	}
-	l := &load{done: make(chan struct{})}
-	a.loads[group] = l
-	go run(l)
-	return l
-}
-
-// runLoad reads a group of buckets.
-func (o *Origins) runLoad(l *load, first, size uint64) {
-	defer close(l.done)
-	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
-	defer cancel()
-	page, err := o.Store.Range(ctx, OriginTable, bucketKey(first), bucketKey(first+size))
-	var records []archivedRecord
-	for _, row := range page.Rows {
-		list, rowErr := unpackRecords(row.Value)
-		if rowErr != nil {
-			_ = level.Error(o.Logger).Log("msg", "failed to decode origins of streams", "key", row.Key, "err", rowErr)
-		}
-		records = append(records, list...)
-	}
-	settled := settle(records)
-	o.mergeMissing(settled)
-	_ = level.Info(o.Logger).Log("msg", "origins of streams read", "bucket", first, "buckets", size, "rows", len(page.Rows),
-		"origins", len(settled), "era", page.At.Era, "version", page.At.Version, "err", err)
-	l.ok = err == nil
-	l.next = o.Clock().Add(loadInterval)
-}
-
-// mergeMissing records origins from the archive that this router does not have.
-func (o *Origins) mergeMissing(records []Record) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := o.Clock()
-	for _, r := range records {
-		if _, known := o.recent.get(now, r.Key); !known {
-			o.recent.put(now, r, false)
-		}
-	}
-}
