An expected version is no origin of a stream that may still begin elsewhere

Change: routers keep what was expected apart from what they know. Such a version counts only if all routers asked have answered, none knows where the stream began, and none expects another version. A stream that begins at a target of unknown version withdraws the version expected. With it, from the same review: an empty table of versions is complete only in a store that was never set back; a damaged row is replaced by a router that knows all versions; a setback during a read is not forgotten; a suspended router's word on when a version went does not count; a failed write gets another row; peers answer within half of the search's time although the store is slow; what began after two expected versions is written.

--- a/internal/edge/entry/origin.go
+++ b/internal/edge/entry/origin.go
@@ -87,6 +87,13 @@
 	return nil
 }
 
+// withdrawExpected records that a stream began at an unknown version, if another one was expected.
+func (h *Handler) withdrawExpected(j *job) {
+	if j.expectedVersion != "" {
+		h.Origins.BeganUnexpectedly(origin.Record{Key: j.streamKey(), Origin: origin.Origin{Service: j.service}})
+	}
+}
+
 // originRetryAfter returns when the caller of a stream whose origin was not found may return. If nobody will find it
 // later, returning within the caller's own deadline is of no use.
 func (h *Handler) originRetryAfter(j *job) time.Duration {
@@ -101,10 +108,14 @@
 func (h *Handler) beginStream(j *job) {
 	defer func() { j.successor.bind(j.version, j.versionUnknown) }()
 	if j.versionUnknown = !j.versionConfirmed; j.versionUnknown {
+		h.withdrawExpected(j)
 		return
 	}
 	j.version = j.lastPlacement.Target.Version
 	key := j.streamKey()
+	if j.version == "" {
+		h.withdrawExpected(j)
+	}
 	if key == 0 || j.version == "" || !j.route.Resumable {
 		return
 	}
--- a/internal/share/home/origins.go
+++ b/internal/share/home/origins.go
@@ -76,7 +76,7 @@
 }
 
 func encodeAnswer(key origin.Key, a origin.Answer) *peerpb.FindOriginReply {
-	out := &peerpb.FindOriginReply{Several: a.Several, Complete: a.Complete, Archived: a.Archived}
+	out := &peerpb.FindOriginReply{Several: a.Several, Complete: a.Complete, Archived: a.Archived, Expected: a.Known && a.Expected}
 	if a.Known {
 		out.Origin = encodeOrigins([]origin.Record{{Key: key, Origin: a.Origin}})[0]
 	}
@@ -84,7 +84,7 @@
 }
 
 func decodeAnswer(in *peerpb.FindOriginReply) origin.Answer {
-	out := origin.Answer{Several: in.GetSeveral(), Complete: in.GetComplete(), Archived: in.GetArchived()}
+	out := origin.Answer{Several: in.GetSeveral(), Complete: in.GetComplete(), Archived: in.GetArchived(), Expected: in.GetExpected()}
 	if in.GetOrigin() != nil {
 		out.Origin, out.Known = decodeOrigin(in.GetOrigin()), true
 	}
--- a/internal/share/origin/archive.go
+++ b/internal/share/origin/archive.go
@@ -62,7 +62,7 @@
 	loads map[uint64]*load
 	// added and addedBefore contain the latest record of each stream, of which most are added twice: before they begin
 	// and when they do. addedBefore is evicted after memoryDuration.
-	added, addedBefore map[Key]Origin
+	added, addedBefore map[Key]addedRecord
 	rotatedAt          time.Time
 	// flushing is held during a write, so that a row is not overwritten by an earlier state of it.
 	flushing sync.Mutex
@@ -75,7 +75,7 @@
 func newArchive(self ident.Router, startedAt time.Time) *archive {
 	return &archive{
 		prefix: fmt.Sprintf("%s/%s", self, strconv.FormatInt(startedAt.UnixMilli(), 36)), open: map[uint64]*segment{}, loads: map[uint64]*load{},
-		added: map[Key]Origin{}, rotatedAt: startedAt,
+		added: map[Key]addedRecord{}, rotatedAt: startedAt,
 	}
 }
 
@@ -83,13 +83,12 @@
 func (a *archive) add(now time.Time, bucket uint64, r archivedRecord) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.wasAdded(now, r.Record) {
+	if a.wasAdded(now, r) {
 		return
 	}
 	s := a.open[bucket]
 	if s == nil {
-		a.count++
-		s = &segment{key: table.Key(fmt.Sprintf("%s%s/%d", bucketKey(bucket), a.prefix, a.count)), startedAt: now}
+		s = &segment{key: a.nextKey(bucket), startedAt: now}
 		a.open[bucket] = s
 	}
 	if len(s.records) < maxSegmentRecords {
@@ -97,17 +96,40 @@
 	}
 }
 
+// renameOpen gives the open segments other keys, so that a late write of an earlier state does not replace a later one.
+func (a *archive) renameOpen() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for bucket, s := range a.open {
+		s.key, s.written = a.nextKey(bucket), 0
+	}
+}
+
+// nextKey returns the key of another row of a bucket. The caller holds the lock.
+func (a *archive) nextKey(bucket uint64) table.Key {
+	a.count++
+	return table.Key(fmt.Sprintf("%s%s/%d", bucketKey(bucket), a.prefix, a.count))
+}
+
 // wasAdded reports whether the latest record of a stream is the same, and keeps it. The caller holds the lock.
-func (a *archive) wasAdded(now time.Time, r Record) bool {
+func (a *archive) wasAdded(now time.Time, r archivedRecord) bool {
 	if now.Sub(a.rotatedAt) >= memoryDuration {
-		a.added, a.addedBefore, a.rotatedAt = map[Key]Origin{}, a.added, now
+		a.added, a.addedBefore, a.rotatedAt = map[Key]addedRecord{}, a.added, now
 	}
 	latest, known := a.added[r.Key]
 	if !known {
-		latest = a.addedBefore[r.Key]
+		latest, known = a.addedBefore[r.Key]
 	}
-	a.added[r.Key] = r.Origin
-	return latest == r.Origin
+	same := known && latest.Origin == r.Origin
+	ambiguous := known && (latest.ambiguous || !same)
+	a.added[r.Key] = addedRecord{r.Origin, ambiguous}
+	return same && (r.expected || !ambiguous)
+}
+
+// addedRecord is the latest record of a stream. It is ambiguous if there was one of another version.
+type addedRecord struct {
+	Origin
+	ambiguous bool
 }
 
 // bucketKey returns the smallest key of the rows of a bucket.
@@ -180,6 +202,8 @@
 		err := o.Store.Commit(ctx, table.Txn{Puts: puts})
 		o.logFlush(len(puts), err)
 		if err != nil {
+			// The write may still take effect, after a later one.
+			o.archive.renameOpen()
 			records = nil
 		}
 	}
--- a/internal/share/origin/archive_load.go
+++ b/internal/share/origin/archive_load.go
@@ -88,14 +88,18 @@
 	l.next = o.Clock().Add(loadInterval)
 }
 
-// mergeMissing records origins from the archive that this router does not have.
-func (o *Origins) mergeMissing(records []Record) {
+// mergeMissing records origins from the archive of which this router does not know more.
+func (o *Origins) mergeMissing(records []archivedRecord) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.Clock()
 	for _, r := range records {
-		if _, known := o.recent.get(now, r.Key); !known {
-			o.recent.put(now, r, false)
+		_, known := o.recent.get(now, r.Key)
+		switch {
+		case r.expected:
+			o.recent.putExpected(now, r.Record)
+		case !known || o.recent.onlyExpected(r.Key):
+			o.recent.put(now, r.Record, false)
 		}
 	}
 }
--- a/internal/share/origin/origin.go
+++ b/internal/share/origin/origin.go
@@ -42,6 +42,9 @@
 	Origin Origin
 	// Known is set if the router has the origin.
 	Known bool
+	// Expected is set if it only knows at which version the stream was expected to begin. Any router that knows more
+	// is right.
+	Expected bool
 	// Several is set if the service had several versions within the time that a stream may last.
 	Several bool
 	// Complete is set if the router knows all versions that the service had within that time. One that has just
--- a/internal/share/origin/origins.go
+++ b/internal/share/origin/origins.go
@@ -256,9 +256,12 @@
 // have had several versions, it reads the origins that are in the store.
 func (o *Origins) Answer(ctx context.Context, key Key, service ident.Service) Answer {
 	known := o.answer(key, service)
-	if known.Known || known.Complete && !known.Several {
+	if known.Known && !known.Expected || known.Complete && !known.Several {
 		return known
 	}
+	// The router that asks has to have the answer in time, even if the store does not respond.
+	ctx, cancel := context.WithTimeout(ctx, searchTimeout/2)
+	defer cancel()
 	archived := o.loadArchive(ctx, bucketOf(key))
 	known = o.answer(key, service)
 	known.Archived = archived
@@ -270,7 +273,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	known, exists := o.recent.get(o.Clock(), key)
-	return Answer{Origin: known, Known: exists, Several: o.hasSeveral(service), Complete: o.knowsAll()}
+	return Answer{Origin: known, Known: exists, Expected: exists && o.recent.onlyExpected(key), Several: o.hasSeveral(service), Complete: o.knowsAll()}
 }
 
 // Observed returns for how long this router has observed the targets of a service.
@@ -283,8 +286,8 @@
 // Find returns the origin of a stream of a service. It asks the routers that may keep it.
 func (o *Origins) Find(ctx context.Context, key Key, service ident.Service) Found {
 	own := o.answer(key, service)
-	if own.Known {
-		return Found{Origin: own.Origin, Source: Own}
+	if own.Known && !own.Expected {
+		return own.found(Own)
 	}
 	select {
 	case o.searches <- struct{}{}:
@@ -293,13 +296,15 @@
 		return Found{Source: Overloaded}
 	}
 	found, others := o.ask(ctx, key, service)
-	if found.Source == Peer {
+	if found.Source != "" {
 		return found
 	}
 	if found.Answered == 0 {
 		own = o.Answer(ctx, key, service)
-		if own.Known {
-			return Found{Origin: own.Origin, Source: Own, Asked: found.Asked}
+		if own.Known && (!own.Expected || found.Asked == 0) {
+			own := own.found(Own)
+			own.Asked = found.Asked
+			return own
 		}
 		others.Archived = own.Archived
 	}
@@ -310,6 +315,14 @@
 	return result
 }
 
+// found returns the result of a search that ends with the answer. A stream that began at an unknown version has no origin.
+func (a Answer) found(source Source) Found {
+	if a.Origin.Version == "" {
+		return Found{Source: Unknown}
+	}
+	return Found{Origin: a.Origin, Source: source}
+}
+
 // mayBeCutOff reports whether this router may have missed that a service got another version: no other router
 // has answered, and, if it knows none, the store has not confirmed the targets.
 func (o *Origins) mayBeCutOff(found Found) bool {
@@ -335,7 +348,8 @@
 	err    error
 }
 
-// ask asks the routers that may keep an origin, all at once, and returns as soon as one has it. In the answers together,
+// ask asks the routers that may keep an origin, all at once, and returns as soon as one has it. A version that was only
+// expected counts if all have answered, none has more and none expects another one. In the answers together,
 // Several and Complete are set if they are in one of them, and Archived if it is in all of them.
 func (o *Origins) ask(ctx context.Context, key Key, service ident.Service) (found Found, together Answer) {
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
@@ -350,6 +364,7 @@
 	}
 	found.Asked = len(asked)
 	together.Archived = true
+	var expected []reply
 	for range asked {
 		var r reply
 		select {
@@ -364,10 +379,27 @@
 		together.Several = together.Several || r.answer.Several
 		together.Complete = together.Complete || r.answer.Complete
 		together.Archived = together.Archived && r.answer.Archived
-		if r.answer.Known {
-			found.Origin, found.Source, found.From = r.answer.Origin, Peer, r.from
-			return found, together
+		switch {
+		case r.answer.Known && r.answer.Expected:
+			expected = append(expected, r)
+		case r.answer.Known:
+			return r.found(found), together
 		}
 	}
+	if found.Answered == found.Asked && agree(expected) {
+		return expected[0].found(found), together
+	}
 	return found, together
 }
+
+// found adds the origin in a reply to the counts of a search.
+func (r reply) found(counts Found) Found {
+	out := r.answer.found(Peer)
+	out.From, out.Asked, out.Answered = r.from, counts.Asked, counts.Answered
+	return out
+}
+
+// agree reports whether there are replies, all with the same origin.
+func agree(replies []reply) bool {
+	return len(replies) > 0 && !slices.ContainsFunc(replies, func(r reply) bool { return r.answer.Origin != replies[0].answer.Origin })
+}
--- a/internal/share/origin/packed.go
+++ b/internal/share/origin/packed.go
@@ -71,7 +71,7 @@
 
 // settle returns the origins that follow from all records of some streams. A stream that was expected at two versions
 // and is not known to have begun has none.
-func settle(records []archivedRecord) []Record {
+func settle(records []archivedRecord) []archivedRecord {
 	settled := map[Key]archivedRecord{}
 	ambiguous := map[Key]bool{}
 	for _, r := range records {
@@ -84,10 +84,10 @@
 			ambiguous[r.Key] = true
 		}
 	}
-	out := make([]Record, 0, len(settled))
+	out := make([]archivedRecord, 0, len(settled))
 	for key, r := range settled {
 		if !ambiguous[key] {
-			out = append(out, r.Record)
+			out = append(out, r)
 		}
 	}
 	return out
--- a/internal/share/origin/recent.go
+++ b/internal/share/origin/recent.go
@@ -12,6 +12,8 @@
 	at time.Time
 	// own is set if the stream began at this router.
 	own bool
+	// expected is set if it is only known at which version the stream was expected to begin.
+	expected bool
 }
 
 // insertion is one recording of an origin, in order of time.
@@ -36,6 +38,20 @@
 	t.order = append(t.order, insertion{key: r.Key, at: now})
 }
 
+// putExpected records at which version a stream was expected to begin, unless more is known.
+func (t *recentOrigins) putExpected(now time.Time, r Record) {
+	if _, known := t.get(now, r.Key); known {
+		return
+	}
+	t.put(now, r, false)
+	e := t.entries[r.Key]
+	e.expected = true
+	t.entries[r.Key] = e
+}
+
+// onlyExpected reports whether a stream is only expected.
+func (t *recentOrigins) onlyExpected(key Key) bool { return t.entries[key].expected }
+
 // get returns an origin that has not expired.
 func (t *recentOrigins) get(now time.Time, key Key) (Origin, bool) {
 	e, exists := t.entries[key]
--- a/internal/share/origin/record.go
+++ b/internal/share/origin/record.go
@@ -36,6 +36,10 @@
 	eraKey table.Key = "era"
 )
 
+// firstEra is the highest era of a store that was never restored. Only there nobody can have written to a table that is
+// empty.
+const firstEra table.Era = 1
+
 // serviceRow is the value of a service's row.
 type serviceRow struct {
 	Versions []ident.Version `json:"versions"`
@@ -92,6 +96,8 @@
 type recordedService struct {
 	version  table.Version
 	versions []ident.Version
+	// damaged is set if the row cannot be decoded.
+	damaged bool
 }
 
 // newVersionRecord returns the table of versions before it was read.
@@ -104,6 +110,7 @@
 	const op = "origin.decodeRecord"
 	r := newVersionRecord()
 	r.readAt, r.era = now, page.At.Era
+	r.complete = true
 	for _, row := range page.Rows {
 		if row.Key == eraKey {
 			var marked eraRow
@@ -117,12 +124,16 @@
 			continue
 		}
 		var value serviceRow
-		if err := json.Unmarshal(row.Value, &value); err != nil {
-			return nil, fault.New(op, BadRow, err)
+		damaged := false
+		if json.Unmarshal(row.Value, &value) != nil {
+			// A router that knows all versions writes the row again.
+			damaged = true
+			value.Versions = nil
 		}
-		r.services[ident.Service(service)] = recordedService{version: row.Version, versions: value.Versions}
+		r.services[ident.Service(service)] = recordedService{version: row.Version, versions: value.Versions, damaged: damaged}
+		r.complete = r.complete && !damaged
 	}
-	r.complete = r.marker == 0 || r.markedEra >= r.era
+	r.complete = r.complete && (r.marker == 0 && r.era <= firstEra || r.marker != 0 && r.markedEra >= r.era)
 	return r, nil
 }
 
@@ -150,10 +161,12 @@
 	if r.era > o.record.era {
 		o.versions.forgetRecorded()
 	}
+	// The store may have lost further writes during the read.
+	r.outdated = o.record.outdated
 	o.record = r
 	for service, recorded := range r.services {
 		for _, version := range recorded.versions {
-			o.versions.addRecorded(o.Clock(), Origin{Service: service, Version: version})
+			o.versions.addRecorded(o.Clock(), o.WokeAt(), Origin{Service: service, Version: version})
 		}
 		o.noteSeveral(service)
 	}
@@ -247,6 +260,9 @@
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	startedAt := o.Clock()
+	o.mu.Lock()
+	o.record.outdated = false
+	o.mu.Unlock()
 	page, err := o.Store.All(ctx, VersionTable)
 	if err != nil {
 		return err
--- a/internal/share/origin/record_write.go
+++ b/internal/share/origin/record_write.go
@@ -22,7 +22,7 @@
 func (o *Origins) recordChanges() []recordChange {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.knowsAll() && o.record.marker != 0 {
+	if !o.knowsAll() {
 		// Versions that this router does not know may be missing from the rows: only additions are certain.
 		return o.serviceChanges(false)
 	}
@@ -39,7 +39,7 @@
 	for _, service := range o.recordedOrKnown() {
 		row := o.record.services[service]
 		versions := o.versions.toRecord(o.Clock(), service, row.versions, remove)
-		if slices.Equal(versions, row.versions) {
+		if slices.Equal(versions, row.versions) && !row.damaged {
 			continue
 		}
 		put := table.Put{Table: VersionTable, Key: table.Key(servicePrefix + string(service)), Value: encode(serviceRow{versions})}
--- a/internal/share/origin/versions.go
+++ b/internal/share/origin/versions.go
@@ -81,16 +81,16 @@
 	return now.Sub(since)
 }
 
-// addRecorded adds a version that is in the table of versions. Without a target it counts as one that has just gone:
-// nothing tells when that was.
-func (v *versions) addRecorded(now time.Time, o Origin) {
+// addRecorded adds a version that is in the table of versions. Without a target it counts as one that has just gone, also
+// if this process saw it go before it was suspended: nothing tells whether it was there again since.
+func (v *versions) addRecorded(now, wokeAt time.Time, o Origin) {
 	known := v.services[o.Service]
 	if known == nil {
 		known = map[ident.Version]presence{}
 		v.services[o.Service] = known
 	}
 	p, exists := known[o.Version]
-	if !exists {
+	if !exists || p.targets <= 0 && p.goneAt.Before(wokeAt) {
 		p.goneAt = now
 	}
 	p.recorded = true
