Earlier releases do not take an expected version for an origin

What callers saw: nothing, found by reading the diff. Cause: answers between routers had the expected version in the field of the origin, with a flag that a router of the release before does not know; it would send a stream there. Change: a field of its own. Measured: TestExpectedOriginIsNoneToEarlierReleases, share/home and the tests of restarted routers pass. Two releases together were not run.

--- a/internal/share/home/origins.go
+++ b/internal/share/home/origins.go
@@ -76,15 +76,24 @@
 }
 
 func encodeAnswer(key origin.Key, a origin.Answer) *peerpb.FindOriginReply {
-	out := &peerpb.FindOriginReply{Several: a.Several, Complete: a.Complete, Archived: a.Archived, Expected: a.Known && a.Expected}
-	if a.Known {
-		out.Origin = encodeOrigins([]origin.Record{{Key: key, Origin: a.Origin}})[0]
+	out := &peerpb.FindOriginReply{Several: a.Several, Complete: a.Complete, Archived: a.Archived}
+	if !a.Known {
+		return out
+	}
+	encoded := encodeOrigins([]origin.Record{{Key: key, Origin: a.Origin}})[0]
+	if a.Expected {
+		out.ExpectedOrigin = encoded
+	} else {
+		out.Origin = encoded
 	}
 	return out
 }
 
 func decodeAnswer(in *peerpb.FindOriginReply) origin.Answer {
-	out := origin.Answer{Several: in.GetSeveral(), Complete: in.GetComplete(), Archived: in.GetArchived(), Expected: in.GetExpected()}
+	out := origin.Answer{Several: in.GetSeveral(), Complete: in.GetComplete(), Archived: in.GetArchived()}
+	if in.GetExpectedOrigin() != nil {
+		out.Origin, out.Known, out.Expected = decodeOrigin(in.GetExpectedOrigin()), true, true
+	}
 	if in.GetOrigin() != nil {
 		out.Origin, out.Known = decodeOrigin(in.GetOrigin()), true
 	}
--- a/internal/share/home/resumed_guards_test.go
+++ b/internal/share/home/resumed_guards_test.go
@@ -174,6 +174,7 @@
 	}
 	for _, answer := range []origin.Answer{
 		{}, {Several: true}, {Origin: records[0].Origin, Known: true}, {Origin: records[0].Origin, Known: true, Several: true},
+		{Complete: true}, {Archived: true}, {Origin: records[0].Origin, Known: true, Expected: true},
 	} {
 		if diff := cmp.Diff(answer, decodeAnswer(encodeAnswer(7, answer))); diff != "" {
 			t.Error(diff)
@@ -181,6 +182,15 @@
 	}
 }
 
+// Guards against a router of an earlier release that takes the version at which a stream was only expected to begin for its
+// origin.
+func TestExpectedOriginIsNoneToEarlierReleases(t *testing.T) {
+	reply := encodeAnswer(7, origin.Answer{Origin: origin.Origin{Service: "s", Version: "v1"}, Known: true, Expected: true})
+	if reply.GetOrigin() != nil {
+		t.Errorf("origin %v, want none", reply.GetOrigin())
+	}
+}
+
 // Guards against a router without origins that fails when a peer sends it some or asks for one.
 func TestServerWithoutOrigins(t *testing.T) {
 	server := NewServer(newResumedHomes("v1"), nil, nil)
