Review: streams cut by a replica taken away look complete

Cause: a check whether a leaving replica accepts connections that is under way when the replica is killed counts as a planned end.

--- a/review/stage/main.go
+++ b/review/stage/platform/main.go
@@ -19,13 +19,20 @@
 
 // cases are the scripts by their names.
 var cases = map[string]func(rec *record, trouble bool) error{
-	"hup-at-start": hupAtStart,
+	"spot":        spot,
+	"slow-reader": slowReader,
+	"left":        left,
+	"drained":     drained,
 }
 
 func main() {
 	name := flag.String("case", "", "name of the case")
 	dir := flag.String("dir", ".", "folder of the case, for record.txt")
+	replicaID := flag.String("replica", "", "serve as the replica with this id")
 	flag.Parse()
+	if *replicaID != "" {
+		os.Exit(serveReplica(*replicaID))
+	}
 	os.Exit(run(*name, *dir))
 }
 
