--- a/review/stage/platform/drained.go
+++ b/review/stage/platform/drained.go
@@ -49,7 +49,11 @@
 	}
 	lost := 0
 	for round := range drainedRounds {
-		lost += drainedRound(rec, f, replicas[round], replicas[spotReplicas+round], trouble)
+		inRound, err := drainedRound(rec, f, replicas[round], replicas[spotReplicas+round], trouble)
+		if err != nil {
+			return err
+		}
+		lost += inRound
 	}
 	rec.say("%d kept connections were reset although the replica had ended the stream whole and in order", lost)
 	if lost > lostLimit {
@@ -59,8 +63,8 @@
 }
 
 // drainedRound starts the streams of a round and has a replica leave meanwhile. It returns how many whole streams were
-// not ended in order.
-func drainedRound(rec *record, f *fleet, leaving, next *replicaProcess, trouble bool) int {
+// not ended in order, or an error if the round showed nothing.
+func drainedRound(rec *record, f *fleet, leaving, next *replicaProcess, trouble bool) (int, error) {
 	var streams sync.WaitGroup
 	ends := make([]streamEnd, spotStreams)
 	for i := range spotStreams {
@@ -93,11 +97,16 @@
 			other++
 		case e.orderly && e.pieces == spotPieces:
 			whole++
-		default:
+		case e.pieces == spotPieces:
 			lost++
-			rec.add("LOST: stream %s of %s", e.id, e.replica)
+			rec.add("LOST: stream %s of %s was reset after its last piece", e.id, e.replica)
+		default:
+			other++
 		}
 	}
-	rec.say("%d streams whole, %d not ended in order, %d without a stream", whole, lost, other)
-	return lost
+	rec.say("%d streams whole, %d reset after their last piece, %d other ends", whole, lost, other)
+	if other > maxWithoutStream {
+		return 0, errNothingShown
+	}
+	return lost, nil
 }
--- a/review/stage/platform/left.go
+++ b/review/stage/platform/left.go
@@ -151,6 +151,9 @@
 	}
 	requesters.Wait()
 	rec.say("%d streams whole, %d cut on kept connections after a sound replica was left, other ends %v", whole, lost, other)
+	if whole == 0 {
+		return errNothingShown
+	}
 	if lost > lostLimit {
 		return errBroken
 	}
--- a/review/stage/platform/slow_reader.go
+++ b/review/stage/platform/slow_reader.go
@@ -95,21 +95,22 @@
 		time.Sleep(hupLead)
 		close(reloaded)
 	}()
-	lost := 0
+	lost, ran := 0, 0
 	for i := range steadyReaders {
 		readers.Go(func() {
 			r := &requester{front: f.routers[0].front}
 			first := r.send(call{id: newID(), method: http.MethodPost, path: "/lohu930/2f", body: "short", deadline: steadyDeadline})
 			rec.add("requester %d: first answer %d, error %v", i, first.status, first.err)
+			warm.Done()
 			if r.conn == nil {
 				return
 			}
-			warm.Done()
 			<-reloaded
 			id := newID()
 			got, took, err := r.readSteadily(id, trouble)
 			mu.Lock()
 			defer mu.Unlock()
+			ran++
 			rec.say("requester %d: stream %s: %d of %d pieces after %v, error %v; the replica had made %d", i, id, got, steadyPieces, took.Round(10*time.Millisecond), err, made[id])
 			if got < steadyPieces && took < steadyDeadline {
 				lost++
@@ -118,6 +119,9 @@
 	}
 	readers.Wait()
 	rec.say("%d kept connections were closed without a whole answer before the deadline", lost)
+	if ran < steadyReaders {
+		return errNothingShown
+	}
 	if lost > lostLimit {
 		return errBroken
 	}
--- a/review/stage/platform/spot.go
+++ b/review/stage/platform/spot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -23,6 +24,12 @@
 	spotNotice = 2 * time.Second
 )
 
+// maxWithoutStream is the number of requests of a round that may get no stream.
+const maxWithoutStream = spotStreams / 10
+
+// errNothingShown is returned by a case in which too few streams ran, or none was disturbed.
+var errNothingShown = errors.New("too few streams ran or were disturbed")
+
 // spot plays replicas that are taken away after their notice, while they send streams without a length.
 func spot(rec *record, trouble bool) error {
 	f, end, err := newFleet(2, true)
@@ -58,7 +65,11 @@
 	}
 	broken := 0
 	for round := range spotRounds {
-		broken += spotRound(rec, f, replicas[round], trouble)
+		inRound, err := spotRound(rec, f, replicas[round], trouble)
+		if err != nil {
+			return err
+		}
+		broken += inRound
 		if err := add(); err != nil {
 			return err
 		}
@@ -72,8 +83,8 @@
 }
 
 // spotRound starts the streams of a round and takes a replica away meanwhile. It returns how many streams ended as
-// complete before their last piece.
-func spotRound(rec *record, f *fleet, leaving *replicaProcess, trouble bool) int {
+// complete before their last piece, or an error if the round showed nothing.
+func spotRound(rec *record, f *fleet, leaving *replicaProcess, trouble bool) (int, error) {
 	var streams sync.WaitGroup
 	ends := make([]streamEnd, spotStreams)
 	for i := range spotStreams {
@@ -113,5 +124,8 @@
 		}
 	}
 	rec.say("%d streams whole, %d cut visibly, %d cut and ended as complete, %d without a stream", whole, cut, broken, other)
-	return broken
+	if other > maxWithoutStream || trouble && cut+broken == 0 {
+		return 0, errNothingShown
+	}
+	return broken, nil
 }
