--- a/review/stage/platform/store.go
+++ b/review/stage/platform/store.go
@@ -154,6 +154,19 @@
 	return nil, true
 }
 
+// refuse answers that a condition doesn't hold, with the rows of all conditions as they are. The caller holds the lock.
+func (s *store) refuse(w http.ResponseWriter, t transaction) {
+	rows := []row{}
+	for _, c := range t.ExpectRev {
+		if r, known := s.rows[c.rowKey]; known && !r.Tombstone {
+			rows = append(rows, r)
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusPreconditionFailed)
+	s.answer(w, rows, false)
+}
+
 func (s *store) commit(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(r.Body)
 	var t transaction
@@ -169,8 +182,7 @@
 			have.Ver = 0
 		}
 		if have.Ver != c.Ver {
-			w.WriteHeader(http.StatusPreconditionFailed)
-			s.answer(w, []row{}, false)
+			s.refuse(w, t)
 			return
 		}
 	}
