Whole streams of targets that leave in order are not reset

Cause: the end of such an answer counted as planned only if a check, one each 300 ms for each answer, had found before that nothing listens. A listener that was closed since the last check made a whole answer broken.

Change: one watch for each leaving target holds a connection without a request, which the kernel closes with the process. An end is planned if the answer's own connection was open 250 ms after the listener was known to be closed, or if the process is known to live 250 ms after the end.

--- a/internal/edge/entry/answer.go
+++ b/internal/edge/entry/answer.go
@@ -38,8 +38,8 @@
 	progress *progress
 	// received is called after each read of some bytes; it may be nil.
 	received func()
-	// accepting follows whether a leaving target accepts connections.
-	accepting *acceptingWatch
+	// watched is the answer's part in the watch of its target's process.
+	watched *watchedAnswer
 }
 
 // Read implements io.Reader.
@@ -85,13 +85,13 @@
 }
 
 // checkEnd returns an error if an answer that has ended is broken. Without a marked end, the close of the
-// connection may be the end of the answer or that of the target's process. A target that is leaving may end
-// after its last answer, if it has stopped accepting connections before.
+// connection may be the end of the answer or that of the target's process. A target that accepts no connections may be a
+// leaving one whose process lives until its last answer has ended.
 func (h *Handler) checkEnd(ctx context.Context, j *job, answer receivedAnswer) error {
-	if answer.Framing.Marked() || answer.accepting.hasStopped() {
+	if answer.Framing.Marked() || answer.watched.endsAsPlanned() {
 		return nil
 	}
-	if !h.Sender.HasEnded(ctx, j.lastPlacement.Target.Addr, h.Rules.IdleConns(j.service)) {
+	if !h.Sender.HasEnded(ctx, j.lastPlacement.Target.Addr, h.Rules.IdleConns(j.service)) || answer.watched.targetLivesOn(ctx) {
 		return nil
 	}
 	j.progress.ending = EndTargetGone
--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -80,8 +80,9 @@
 		h.Finder.Report(placement.Hash, false)
 		return result{step: retry.Answering, reason: Failed, status: answer.Status, took: h.Clock().Sub(began), budgetUsed: true}
 	}
-	received := receivedAnswer{Answer: answer, progress: &j.progress, accepting: &acceptingWatch{}}
-	h.watchAccepting(ctx, j, received)
+	received := receivedAnswer{Answer: answer, progress: &j.progress, watched: &watchedAnswer{open: answer.Open}}
+	defer received.watched.leave()
+	h.watchProcess(j, received)
 	end := h.forward(ctx, w, j, received, idleTimeout)
 	end.took = h.Clock().Sub(began)
 	if j.progress.ending == "" {
--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -47,10 +47,11 @@
 				sinceEvent = len(received.rest())
 				j.progress.add(h.Clock(), events)
 				j.eventMissing = false
+				answer.watched.events.Add(1)
 				idleTimeout.reset(j.eventTimeout())
 				h.Finder.ReportReceived(j.lastPlacement.Hash)
 			}
-			h.watchAccepting(ctx, j, answer)
+			h.watchProcess(j, answer)
 			if reason := h.forwardComplete(w, j, answer, events); reason != "" {
 				return result{ended: true, reason: reason, status: answer.Status}
 			}
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -27,6 +27,8 @@
 	invalidPaces logged
 	// invalidBrittles limits those about targets that report an invalid limit of rejections.
 	invalidBrittles logged
+	// processes follows the processes of leaving targets.
+	processes *processWatches
 	// memoryDelays are the delays of requests that were refused for want of memory.
 	memoryDelays quota.SizeDelays
 }
@@ -39,7 +41,10 @@
 	if parts.Origins == nil {
 		parts.Origins = noOrigins{}
 	}
-	return &Handler{Parts: parts, startedAt: parts.Clock(), writeTimeout: callerWriteTimeout, latency: newLatencyEstimates(), meter: pace.NewMeter(parts.Clock)}
+	return &Handler{
+		Parts: parts, startedAt: parts.Clock(), writeTimeout: callerWriteTimeout, latency: newLatencyEstimates(), meter: pace.NewMeter(parts.Clock),
+		processes: newProcessWatches(parts.Sender, parts.Clock, parts.Logger),
+	}
 }
 
 // ServeHTTP serves one request.
--- a/internal/edge/entry/parts.go
+++ b/internal/edge/entry/parts.go
@@ -57,6 +57,7 @@
 	// HasEnded reports whether the process of the target at an address is known to have ended. The
 	// connection made to find out stays idle, among at most maxIdleConns.
 	HasEnded(ctx context.Context, addr string, maxIdleConns int) bool
+	targetProber
 }
 
 // Guard quarantines requests under which targets crash.
--- /dev/null
+++ b/internal/edge/entry/process_watch.go
@@ -0,0 +1,253 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"valescale/internal/edge/relay"
+	"valescale/internal/plat/ident"
+	"valescale/internal/plat/pause"
+)
+
+// An answer without a marked end ends with its connection, which its target closes in order or the kernel closes for a
+// process that was taken away. A process that is taken away loses its listener and all connections at the same
+// moment. One that ends as planned closes its listener first, finishes its answers one by one, and ends last.
+
+const (
+	// acceptingInterval is the interval at which it is checked whether a leaving target still accepts connections.
+	acceptingInterval = 300 * time.Millisecond
+	// minAcceptingInterval is that for a target that closes each connection.
+	minAcceptingInterval = 50 * time.Millisecond
+	// closeMargin is the time within which all connections of a process that was taken away are known to be closed: more
+	// than the time after which the kernel repeats a lost packet.
+	closeMargin = 250 * time.Millisecond
+)
+
+// targetProber makes connections that carry no request.
+type targetProber interface {
+	// Probe returns a connection to a target, or nil, and whether nothing listens at its address any more.
+	Probe(ctx context.Context, addr string) (probe *relay.Probe, refused bool)
+}
+
+// processWatches contains the watch of each leaving target that sends answers without a marked end.
+type processWatches struct {
+	prober targetProber
+	clock  ident.Clock
+	logger log.Logger
+
+	mu     sync.Mutex
+	byAddr map[string]*processWatch
+}
+
+// newProcessWatches returns an empty set of watches.
+func newProcessWatches(prober targetProber, clock ident.Clock, logger log.Logger) *processWatches {
+	return &processWatches{prober: prober, clock: clock, logger: logger, byAddr: map[string]*processWatch{}}
+}
+
+// processWatch follows the process of a leaving target.
+type processWatch struct {
+	*processWatches
+	addr string
+	// joinedAt is when the first answer was added. cancel ends the watch with the last one.
+	joinedAt time.Time
+	cancel   context.CancelFunc
+	// checked is closed after the first check.
+	checked chan struct{}
+
+	mu      sync.Mutex
+	answers map[*watchedAnswer]bool
+	// probe is the latest connection that the target accepted, or nil.
+	probe *relay.Probe
+	// outlived is set once the process is known to have lived on after its target had stopped accepting connections.
+	outlived bool
+}
+
+// watchedAnswer is an answer without a marked end, which may become part of the watch of its target's process.
+type watchedAnswer struct {
+	// open reports whether the target has not closed the answer's connection.
+	open func() bool
+	// events counts the reads of the answer that brought an event.
+	events atomic.Int64
+	// watch is set by the goroutine that reads the answer.
+	watch *processWatch
+	// outlivesListener is set once the answer's connection is known to be open after the target had stopped accepting
+	// others. The lock of the watch guards it.
+	outlivesListener bool
+}
+
+// join adds an answer to the watch of its target, which begins with the first one.
+func (s *processWatches) join(addr string, answer *watchedAnswer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	watch, ok := s.byAddr[addr]
+	if !ok {
+		ctx, cancel := context.WithCancel(context.Background())
+		watch = &processWatch{
+			processWatches: s, addr: addr, joinedAt: s.clock(), cancel: cancel, checked: make(chan struct{}), answers: map[*watchedAnswer]bool{},
+		}
+		s.byAddr[addr] = watch
+		go watch.run(ctx)
+	}
+	answer.watch = watch
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	watch.answers[answer] = true
+	answer.outlivesListener = watch.outlived
+}
+
+// leave removes an answer from the watch of its target. It must be called before the answer is closed.
+func (a *watchedAnswer) leave() {
+	w := a.watch
+	if w == nil {
+		return
+	}
+	w.processWatches.mu.Lock()
+	defer w.processWatches.mu.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.answers, a)
+	if len(w.answers) == 0 {
+		delete(w.byAddr, w.addr)
+		w.cancel()
+	}
+}
+
+// run checks whether the target accepts connections until it does not, or until the watch ends.
+func (w *processWatch) run(ctx context.Context) {
+	defer w.end()
+	accepts := w.check(ctx)
+	if !accepts && w.clock().Sub(w.joinedAt) <= relay.LocalDelayThreshold {
+		// The target had stopped before it sent the head of the first answer.
+		w.setOutlived(func(*watchedAnswer) bool { return true })
+	}
+	close(w.checked)
+	for accepts {
+		w.waitForCheck(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		accepts = w.check(ctx)
+	}
+	pause.Sleep(ctx, closeMargin)
+	w.setOutlived(func(a *watchedAnswer) bool { return a.open() })
+	<-ctx.Done()
+}
+
+// end closes the probe.
+func (w *processWatch) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.probe.Close()
+}
+
+// check makes a connection to the target and reports whether it may still accept others.
+func (w *processWatch) check(ctx context.Context) bool {
+	probe, refused := w.prober.Probe(ctx, w.addr)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if probe != nil {
+		w.probe.Close()
+		w.probe = probe
+	}
+	if !refused || ctx.Err() != nil {
+		return true
+	}
+	_ = level.Info(w.logger).Log("msg", "leaving target has stopped accepting connections", "addr", w.addr, "answers", len(w.answers),
+		"probe_open", w.probe != nil && w.probe.Open())
+	return false
+}
+
+// waitForCheck waits until the next check is due: after the interval, or once the target has closed the probe.
+func (w *processWatch) waitForCheck(ctx context.Context) {
+	var closed <-chan struct{}
+	w.mu.Lock()
+	if w.probe != nil {
+		closed = w.probe.Closed()
+	}
+	w.mu.Unlock()
+	pause.Sleep(ctx, minAcceptingInterval)
+	timer := time.NewTimer(acceptingInterval - minAcceptingInterval)
+	defer timer.Stop()
+	select {
+	case <-closed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// setOutlived records which answers have outlived the listener. Those that begin later show by themselves that the process
+// lives.
+func (w *processWatch) setOutlived(outlives func(*watchedAnswer) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for answer := range w.answers {
+		answer.outlivesListener = answer.outlivesListener || outlives(answer)
+	}
+	w.outlived = true
+}
+
+// endsAsPlanned reports whether the answer ended after its target had stopped accepting connections, so that the target
+// has finished it.
+func (a *watchedAnswer) endsAsPlanned() bool {
+	w := a.watch
+	if w == nil {
+		return false
+	}
+	<-w.checked
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return a.outlivesListener
+}
+
+// targetLivesOn reports whether the process of an answer's target is known to live after it has closed the answer's
+// connection, although it accepts no others. It waits for closeMargin.
+func (a *watchedAnswer) targetLivesOn(ctx context.Context) bool {
+	w := a.watch
+	if w == nil {
+		return false
+	}
+	events := w.eventsOfOthers(a)
+	pause.Sleep(ctx, closeMargin)
+	return w.showsLife(events)
+}
+
+// eventsOfOthers returns the number of events of each other answer of the target.
+func (w *processWatch) eventsOfOthers(a *watchedAnswer) map[*watchedAnswer]int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	events := map[*watchedAnswer]int64{}
+	for other := range w.answers {
+		if other != a {
+			events[other] = other.events.Load()
+		}
+	}
+	return events
+}
+
+// showsLife reports whether the probe is open, or an answer that has brought events beyond those counted before.
+func (w *processWatch) showsLife(before map[*watchedAnswer]int64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.probe != nil && w.probe.Open() {
+		return true
+	}
+	for answer, events := range before {
+		if w.answers[answer] && answer.events.Load() > events && answer.open() {
+			return true
+		}
+	}
+	return false
+}
+
+// watchProcess adds an answer without a marked end to the watch of its target's process if the target is leaving.
+func (h *Handler) watchProcess(j *job, answer receivedAnswer) {
+	if answer.Framing.Marked() || answer.watched.watch != nil || !h.Finder.IsLeaving(j.lastPlacement.Target) {
+		return
+	}
+	h.processes.join(j.lastPlacement.Target.Addr, answer.watched)
+}
--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,6 +55,8 @@
 	written <-chan error
 	// complete is set once the body has been read to its end.
 	complete bool
+	// ended is set once the body was read to its end or could not be read.
+	ended atomic.Bool
 	// closesConn means that the target closes the connection after this answer.
 	closesConn bool
 }
@@ -332,6 +335,9 @@
 	if err == io.EOF {
 		a.complete = true
 	}
+	if err != nil {
+		a.ended.Store(true)
+	}
 	return n, err
 }
 
