A silent target is kept until the next one has answered

Cause: the attempt at the silent target was given up once another one had a place, a connection and a retry. What that one would answer was not known.

Change: the goroutine that serves a request waits for its target and lets the next attempt begin meanwhile. The silent one is given up once the next target has sent a head that can take its place, or after 350 ms, since two targets may work on a request for 400 ms at most. Otherwise it goes on. A next attempt counts as any other in retries, attempts, reports and crashes. Two tests of the timer waited for the end of the context; they now wait for the call that gives the attempt up, and check the same with its error and the count of attempts.

--- a/internal/edge/entry/answer.go
+++ b/internal/edge/entry/answer.go
@@ -40,11 +40,13 @@
 	received func()
 	// watched is the answer's part in the watch of its target's process.
 	watched *watchedAnswer
+	// idleTimeout lets another attempt begin while the target is silent; nil if none may.
+	idleTimeout *idleTimeout
 }
 
 // Read implements io.Reader.
 func (a receivedAnswer) Read(p []byte) (int, error) {
-	n, err := a.Answer.Read(p)
+	n, err := a.read(p)
 	a.progress.bytes += int64(n)
 	if n > 0 && a.received != nil {
 		a.received()
@@ -60,6 +62,17 @@
 	return n, err
 }
 
+// read reads from the answer, or fails once the attempt is given up.
+func (a receivedAnswer) read(p []byte) (n int, err error) {
+	if a.idleTimeout == nil {
+		return a.Answer.Read(p)
+	}
+	if gaveUp := a.idleTimeout.run(func() { n, err = a.Answer.Read(p) }); gaveUp != nil {
+		return 0, gaveUp
+	}
+	return n, err
+}
+
 // Reasons for which an answer that ended without an error of its connection is not complete.
 var (
 	errInsideEvent  = errors.New("stream ended inside an event")
--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -47,40 +47,29 @@
 	targetDeadlineMargin = 20 * time.Millisecond
 )
 
-// attempt sends the request to one target and forwards the answer.
+// attempt sends the request to one target and forwards the answer. A request may have been sent there before.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, j *job, placement *route.Placement) result {
-	began := h.Clock()
+	sent := j.takeSent()
+	defer sent.close()
+	began := sent.beganAt(h.Clock())
 	j.progress = progress{}
 	ctx, idleTimeout := h.watchSilence(ctx, j, placement)
-	defer func() { j.next = idleTimeout.stop() }()
-	answer, err := h.Sender.Send(ctx, h.newExchange(j, placement))
+	defer idleTimeout.stop()
+	answer, err := h.receiveHead(ctx, j, placement, sent, idleTimeout)
 	if err != nil {
 		return h.sendFailed(ctx, j, placement, began, err)
 	}
 	defer answer.Close()
-	idleTimeout.reset(j.idleTimeout())
-	j.via = answer.Via()
-	j.sends++
-	reply := h.Dialect.Reply(answer.Status, answer.Header)
-	if !reply.AddressReassigned {
-		h.Finder.ReportReceived(placement.Hash)
-	}
-	h.reportNotice(j, placement, answer, reply)
-	j.progress.framing = answer.Framing
-	h.reportPace(j, placement, reply)
+	reply := h.recordHead(j, placement, answer)
 	if reply.NotRun {
-		if reply.AddressReassigned {
-			h.Finder.ReportUnreachable(placement.Hash)
-		}
-		return result{step: retry.Refused, reason: Refused, status: answer.Status, took: h.Clock().Sub(began)}
+		return h.newRefused(answer, began)
 	}
-	j.runs++
 	if h.discardsFailure(j, answer.Status) {
 		h.keepFailure(j, answer, idleTimeout)
-		h.Finder.Report(placement.Hash, false)
-		return result{step: retry.Answering, reason: Failed, status: answer.Status, took: h.Clock().Sub(began), budgetUsed: true}
+		return h.newFailed(placement, answer, began)
 	}
-	received := receivedAnswer{Answer: answer, progress: &j.progress, watched: &watchedAnswer{open: answer.Open}}
+	idleTimeout.reset(j.idleTimeoutAfter(j.runs))
+	received := receivedAnswer{Answer: answer, progress: &j.progress, watched: &watchedAnswer{open: answer.Open}, idleTimeout: idleTimeout}
 	defer received.watched.leave()
 	h.watchProcess(j, received)
 	end := h.forward(ctx, w, j, received, idleTimeout)
@@ -99,8 +88,61 @@
 	return end
 }
 
-// watchSilence returns a context for an attempt that is cancelled if its target is silent and another attempt can begin.
+// receiveHead sends the request, unless it was sent before, and returns once the answer's head is received.
+func (h *Handler) receiveHead(ctx context.Context, j *job, placement *route.Placement, sent *sentRequest, idleTimeout *idleTimeout) (*relay.Answer, error) {
+	if sent != nil {
+		// The request ends with the attempt.
+		context.AfterFunc(ctx, sent.cancel)
+		if err := idleTimeout.run(func() { <-sent.done }); err != nil {
+			return nil, err
+		}
+		return sent.take()
+	}
+	var answer *relay.Answer
+	var err error
+	exchange := h.newExchange(j, placement)
+	gaveUp := idleTimeout.run(func() { answer, err = h.Sender.Send(ctx, exchange) })
+	if gaveUp != nil && answer != nil {
+		answer.Close()
+		return nil, gaveUp
+	}
+	return answer, err
+}
+
+// recordHead records what the head of an answer says about its target, and whether the request may have run there.
+func (h *Handler) recordHead(j *job, placement *route.Placement, answer *relay.Answer) Reply {
+	j.via = answer.Via()
+	j.sends++
+	reply := h.Dialect.Reply(answer.Status, answer.Header)
+	if !reply.AddressReassigned {
+		h.Finder.ReportReceived(placement.Hash)
+	}
+	h.reportNotice(j, placement, answer, reply)
+	j.progress.framing = answer.Framing
+	h.reportPace(j, placement, reply)
+	switch {
+	case !reply.NotRun:
+		j.runs++
+	case reply.AddressReassigned:
+		h.Finder.ReportUnreachable(placement.Hash)
+	}
+	return reply
+}
+
+// newRefused returns the result of an attempt that its target rejected.
+func (h *Handler) newRefused(answer *relay.Answer, began time.Time) result {
+	return result{step: retry.Refused, reason: Refused, status: answer.Status, took: h.Clock().Sub(began)}
+}
+
+// newFailed reports a target that answered with a 5xx, and returns the result of the attempt. A retry was taken for it.
+func (h *Handler) newFailed(placement *route.Placement, answer *relay.Answer, began time.Time) result {
+	h.Finder.Report(placement.Hash, false)
+	return result{step: retry.Answering, reason: Failed, status: answer.Status, took: h.Clock().Sub(began), budgetUsed: true}
+}
+
+// watchSilence returns a context for an attempt that is cancelled if its target is silent and another attempt takes its place.
 func (h *Handler) watchSilence(ctx context.Context, j *job, placement *route.Placement) (context.Context, *idleTimeout) {
+	base := ctx
 	parts := idleParts{
 		clock: h.Clock, limit: j.idleTimeout(), suspectAfter: j.suspectAfter(),
 		report: func(since time.Time) { h.reportSilence(j, placement, since) },
@@ -109,6 +151,7 @@
 	if parts.limit > 0 {
 		j.successor = h.newSuccessor(j, placement)
 		parts.successor = j.successor
+		parts.begin = func(next *certainAttempt, spoke <-chan struct{}) bool { return h.beginNext(base, j, next, spoke) }
 	}
 	return newIdleTimeout(ctx, parts)
 }
--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -91,6 +91,7 @@
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, j *job) {
 	defer func() {
 		j.next.release()
+		j.sent.close()
 		j.kept.close()
 	}()
 	for {
@@ -107,7 +108,7 @@
 			j.found = h.Clock().Sub(j.arrived)
 		}
 		j.lastPlacement = placement
-		if h.endBeforeSending(ctx, w, j, placement) {
+		if j.sent == nil && h.endBeforeSending(ctx, w, j, placement) {
 			return
 		}
 		result := h.send(ctx, w, j, placement)
@@ -201,10 +202,10 @@
 		return nil
 	}
 	if h.checkVersion(j, next.placement.Target) != nil {
-		next.release()
+		h.endNext(j, next)
 		return nil
 	}
-	j.lookupName = next.lookupName
+	j.lookupName, j.sent = next.lookupName, next.request
 	h.Canaries.RecordSent(j.service, j.lookupName)
 	return next.placement
 }
--- a/internal/edge/entry/idle_timeout.go
+++ b/internal/edge/entry/idle_timeout.go
@@ -15,9 +15,9 @@
 // errTargetSilent ends an attempt whose target has sent nothing for too long.
 var errTargetSilent = errors.New("target sent no data within the idle timeout")
 
-// idleTimeout gives up an attempt whose target sends nothing for too long, once the next attempt is certain: until
-// then, the silent target is the best that the request has. It also reports a silent target, even if no other attempt
-// may follow.
+// idleTimeout gives up an attempt whose target sends nothing for too long, once the next attempt has an answer or has
+// waited for one as long as both may run: until then, the silent target is the best that the request has. It also reports a
+// silent target, even if no other attempt may follow.
 type idleTimeout struct {
 	idleParts
 	ctx    context.Context
@@ -36,8 +36,14 @@
 	seeking bool
 	// stopped is set when neither limit applies any more.
 	stopped bool
-	// next is the next attempt, once this one is given up for it.
-	next *certainAttempt
+	// found delivers the next attempt to the goroutine that serves the request.
+	found chan foundAttempt
+}
+
+// foundAttempt is the next attempt that was found in an idle period.
+type foundAttempt struct {
+	*certainAttempt
+	period idlePeriod
 }
 
 // idleParts contains the parameters of an idleTimeout.
@@ -45,8 +51,10 @@
 	clock ident.Clock
 	// limit is the first limit; zero means none for the whole attempt.
 	limit time.Duration
-	// successor seeks the next attempt. It is not used without a limit.
+	// successor seeks the next attempt, and begin begins it. It reports whether the current one is to be given up for it,
+	// and returns early if spoke is closed, since the silent target has sent something. Both are not used without a limit.
 	successor attemptSeeker
+	begin     func(next *certainAttempt, spoke <-chan struct{}) bool
 	// report is called with the start of the period after suspectAfter without a byte; zero means never.
 	suspectAfter time.Duration
 	report       func(since time.Time)
@@ -74,10 +82,10 @@
 // newIdleTimeout returns a context that is cancelled when the attempt is given up.
 func newIdleTimeout(ctx context.Context, parts idleParts) (context.Context, *idleTimeout) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	t := &idleTimeout{idleParts: parts, ctx: ctx, cancel: cancel}
+	t := &idleTimeout{idleParts: parts, ctx: ctx, cancel: cancel, found: make(chan foundAttempt, 1)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.begin(parts.limit)
+	t.beginPeriod(parts.limit)
 	if parts.limit > 0 {
 		t.seekTimer = time.AfterFunc(parts.limit, t.expire)
 	}
@@ -87,8 +95,8 @@
 	return ctx, t
 }
 
-// begin starts a new idle period. The caller holds the lock.
-func (t *idleTimeout) begin(limit time.Duration) {
+// beginPeriod starts a new idle period. The caller holds the lock.
+func (t *idleTimeout) beginPeriod(limit time.Duration) {
 	t.period = idlePeriod{number: t.period.number + 1, since: t.clock(), limit: limit}
 	t.seekAt = t.period.since.Add(limit)
 }
@@ -106,7 +114,7 @@
 // expire seeks the next attempt at the end of an idle period.
 func (t *idleTimeout) expire() {
 	if period, silence := t.beginSearch(); silence > 0 {
-		t.follow(period, t.successor.seek(t.ctx, silence))
+		t.offer(period, t.successor.seek(t.ctx, silence))
 	}
 }
 
@@ -123,7 +131,7 @@
 		return t.period, 0
 	case now.Sub(t.seekAt) > relay.LocalDelayThreshold:
 		// A router short of CPU time that runs the timer late may have the answer in its receive buffer.
-		t.begin(t.period.limit)
+		t.beginPeriod(t.period.limit)
 		t.seekTimer.Reset(t.period.limit)
 		return t.period, 0
 	}
@@ -142,28 +150,86 @@
 	return !t.stopped && t.period.number == period.number
 }
 
-// follow gives the attempt up for the next one, unless a byte has arrived meanwhile. Without a next attempt, it is
-// sought again later.
-func (t *idleTimeout) follow(period idlePeriod, next *certainAttempt) {
+// offer delivers the next attempt, unless a byte has arrived meanwhile. Without a next attempt, it is sought again later.
+func (t *idleTimeout) offer(period idlePeriod, next *certainAttempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.seeking = false
-	if next != nil && t.goesOn(period) && t.successor.commit() {
-		t.next, t.stopped = next, true
-		t.cancel(errTargetSilent)
-		return
+	switch {
+	case !t.goesOn(period):
+		next.release()
+	case next == nil:
+		t.seekAgain()
+	default:
+		t.found <- foundAttempt{next, period}
+	}
+}
+
+// dropFound releases a next attempt that was not begun. The caller holds the lock.
+func (t *idleTimeout) dropFound() {
+	select {
+	case next := <-t.found:
+		next.release()
+	default:
 	}
-	next.release()
-	if t.goesOn(period) {
+}
+
+// mayFollow reports whether another attempt may begin while the current one waits for its target.
+func (t *idleTimeout) mayFollow() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.seekTimer != nil && !t.stopped && t.period.limit > 0
+}
+
+// run runs an operation that waits for the target. If the target is silent for too long meanwhile, the next attempt is
+// begun. Once the current one is to be given up for that, its context is cancelled and an error returned.
+func (t *idleTimeout) run(operation func()) error {
+	if !t.mayFollow() {
+		operation()
+		return nil
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		operation()
+	}()
+	for {
+		select {
+		case <-done:
+			return nil
+		case next := <-t.found:
+			if t.follow(next, done) {
+				t.cancel(errTargetSilent)
+				<-done
+				return errTargetSilent
+			}
+		}
+	}
+}
+
+// follow begins the next attempt and reports whether the current one is to be given up for it. Otherwise, another one is
+// sought later.
+func (t *idleTimeout) follow(next foundAttempt, done <-chan struct{}) bool {
+	if isDone(done) || !t.successor.commit() {
+		next.release()
+	} else if t.begin(next.certainAttempt, done) {
+		t.disarm()
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.goesOn(next.period) {
 		t.seekAgain()
 	}
+	return false
 }
 
 // reset starts a new idle period. A limit replaces an existing limit; zero removes it.
 func (t *idleTimeout) reset(limit time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.begin(limit)
+	t.beginPeriod(limit)
+	t.dropFound()
 	switch {
 	case t.seekTimer == nil || t.stopped:
 	case limit > 0:
@@ -189,6 +255,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stopped = true
+	t.dropFound()
 	if t.seekTimer != nil {
 		t.seekTimer.Stop()
 	}
@@ -197,13 +264,20 @@
 	}
 }
 
-// stop releases the timers and the context. It returns the next attempt if this one was given up for it.
-func (t *idleTimeout) stop() *certainAttempt {
+// isDone reports whether an operation has closed its channel.
+func isDone(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
+// stop releases the timers, the context, and a next attempt that was not begun.
+func (t *idleTimeout) stop() {
 	t.disarm()
 	t.cancel(nil)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.next
 }
 
 const (
@@ -222,7 +296,12 @@
 // idleTimeout returns the time without a byte after which another attempt is sought in place of the
 // current one; zero means no limit.
 func (j *job) idleTimeout() time.Duration {
-	if j.route.Repeat != retry.Safe || j.runs+1 >= j.route.Attempts {
+	return j.idleTimeoutAfter(j.runs + 1)
+}
+
+// idleTimeoutAfter returns the idle timeout of an attempt by the number of runs of the request, itself included.
+func (j *job) idleTimeoutAfter(runs int) time.Duration {
+	if j.route.Repeat != retry.Safe || runs >= j.route.Attempts {
 		return 0
 	}
 	return time.Duration(idleTimeoutRatio * float64(j.route.Objective))
--- a/internal/edge/entry/idle_timeout_test.go
+++ b/internal/edge/entry/idle_timeout_test.go
@@ -31,6 +31,14 @@
 
 func (s *certainSeeker) commit() bool { return true }
 
+// beginAlways returns a function that counts the attempts that begin in place of a silent one.
+func beginAlways(count *int) func(*certainAttempt, <-chan struct{}) bool {
+	return func(*certainAttempt, <-chan struct{}) bool {
+		*count++
+		return true
+	}
+}
+
 // A router whose idle timer runs late was itself delayed and must not take the target for silent: the answer may have
 // arrived meanwhile, so that a new period begins.
 func TestSilenceTimerOnDelayedRouter(t *testing.T) {
@@ -52,10 +60,12 @@
 				return start.Add(test.times[min(read, len(test.times))-1])
 			}
 			seeker := &certainSeeker{}
-			ctx, timer := newIdleTimeout(t.Context(), idleParts{clock: clock, limit: limit, successor: seeker})
-			<-ctx.Done()
-			if got := context.Cause(ctx); !errors.Is(got, errTargetSilent) || timer.stop() == nil {
-				t.Errorf("given up for %v, want %v", got, errTargetSilent)
+			begun := 0
+			ctx, timer := newIdleTimeout(t.Context(), idleParts{clock: clock, limit: limit, successor: seeker, begin: beginAlways(&begun)})
+			defer timer.stop()
+			err := timer.run(func() { <-ctx.Done() })
+			if got := context.Cause(ctx); !errors.Is(got, errTargetSilent) || !errors.Is(err, errTargetSilent) || begun != 1 {
+				t.Errorf("given up for %v, error %v, want %v; %d attempts begun, want 1", got, err, errTargetSilent, begun)
 			}
 			if seeker.sought.Load() != 1 || read != test.want {
 				t.Errorf("sought %d times, want once; clock read %d times, want %d", seeker.sought.Load(), read, test.want)
@@ -185,8 +195,11 @@
 func TestAttemptIsGivenUpOnce(t *testing.T) {
 	const limit = 10 * time.Millisecond
 	seeker := &certainSeeker{}
-	ctx, timer := newIdleTimeout(t.Context(), idleParts{clock: time.Now, limit: limit, successor: seeker})
-	<-ctx.Done()
+	begun := 0
+	ctx, timer := newIdleTimeout(t.Context(), idleParts{clock: time.Now, limit: limit, successor: seeker, begin: beginAlways(&begun)})
+	if err := timer.run(func() { <-ctx.Done() }); !errors.Is(err, errTargetSilent) || begun != 1 {
+		t.Errorf("error %v, %d attempts begun", err, begun)
+	}
 	timer.restart()
 	<-time.After(5 * limit)
 	timer.stop()
--- a/internal/edge/entry/job.go
+++ b/internal/edge/entry/job.go
@@ -89,9 +89,10 @@
 	lastRequest   route.TargetRequest
 	lastPlacement *route.Placement
 	// successor seeks the next attempt while the current one is silent; nil if none may follow. next is the attempt
-	// that it found.
+	// that has begun in its place, and sent its request once it is the current one.
 	successor *successor
 	next      *certainAttempt
+	sent      *sentRequest
 	// kept is the latest failure of a target that made way for another attempt, or nil.
 	kept *keptFailure
 	// via is the router through which the latest answer came, or empty for a direct connection.
--- a/internal/edge/entry/retry.go
+++ b/internal/edge/entry/retry.go
@@ -22,6 +22,8 @@
 const (
 	// retryAllowed means that another attempt follows.
 	retryAllowed retryDecision = "again"
+	// retryGoesOn means that the silent attempt before this one goes on.
+	retryGoesOn retryDecision = "goes_on"
 	// retryNoTime means that the request's deadline has expired or its caller has disconnected.
 	retryNoTime retryDecision = "no_time"
 	// retryMayHaveRun means that the request may have run and must not run twice.
--- a/internal/edge/entry/silence_test.go
+++ b/internal/edge/entry/silence_test.go
@@ -141,6 +141,42 @@
 	}
 }
 
+// failingTargets are responders of targets that accept a request and bring no answer to it.
+var failingTargets = map[string]responder{
+	"fails": answer(500, "", "error"),
+	"rejects": func(w *bufio.Writer, r *http.Request) bool {
+		writeResponse(w, r.Header.Get("Id"), 503, "Not-Run: 1\r\n", "")
+		return true
+	},
+	"closes": closeUnanswered,
+}
+
+// A request that is sent to another target because its own one is silent must get the answer of the silent one if that goes on
+// and the other one fails: with no attempt left, it would be cut off or end with a failure.
+func TestSilentTargetIsKeptUntilTheNextOneAnswers(t *testing.T) {
+	for failure, fail := range failingTargets {
+		for name, a := range silentAnswers() {
+			if a.silentBefore > silentPieces && a.framing != "chunks" {
+				// Nothing of the answer is missing.
+				continue
+			}
+			t.Run(failure+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				target := newFakeTarget(t, a.serve)
+				other := newFakeTarget(t, fail)
+				s := newSetup(t, newRoute(a.resumableRoute), target, other)
+				got, _ := s.call(t, "GET", "/x", "")
+				if diff := cmp.Diff(response{Status: http.StatusOK, Body: a.body()}, got); diff != "" {
+					t.Error(diff)
+				}
+				if target.count() != 1 || other.count() != 1 {
+					t.Errorf("%d attempts at the silent target, %d at the other one, want one each", target.count(), other.count())
+				}
+			})
+		}
+	}
+}
+
 // A request whose target is silent must still be sent to another one that is certain, in the time of before.
 func TestSilentTargetIsLeftForAnotherThatIsCertain(t *testing.T) {
 	for name, a := range silentAnswers() {
@@ -244,3 +280,57 @@
 		})
 	}
 }
+
+// holdRequest returns a responder that reports when it received a request, and when the connection ended if it answers
+// nothing for the given time.
+func holdRequest(arrived chan<- time.Time, serve responder, d time.Duration) responder {
+	return func(w *bufio.Writer, r *http.Request) bool {
+		arrived <- time.Now()
+		<-time.After(d)
+		return serve(w, r)
+	}
+}
+
+// Two targets must not work on a request for longer than 400 ms: a silent one is left for the next one that is silent as
+// well, even if that has no answer yet.
+func TestTwoSilentTargetsShareARequestForAShortTimeOnly(t *testing.T) {
+	left, arrived := make(chan time.Time, 1), make(chan time.Time, 1)
+	silent := newTargetProcess(t, func(target *fakeTarget, _ net.Listener, c net.Conn) {
+		_, _ = io.Copy(io.Discard, c)
+		left <- time.Now()
+		_ = c.Close()
+	})
+	other := newFakeTarget(t, holdRequest(arrived, answer(200, "", "body"), 2*maxOverlap))
+	s := newSetup(t, newRoute(repeatableRoute), silent, other)
+	got, _ := s.call(t, "GET", "/x", "")
+	if diff := cmp.Diff(response{Status: http.StatusOK, Body: "body"}, got); diff != "" {
+		t.Error(diff)
+	}
+	if shared := (<-left).Sub(<-arrived); shared < 0 || shared > 400*time.Millisecond {
+		t.Errorf("both targets worked on the request for %v", shared)
+	}
+}
+
+// A target that goes on while the next one has no answer yet must bring the answer, and the next one must be told.
+func TestSilentTargetThatGoesOnIsKept(t *testing.T) {
+	const silence = 250 * time.Millisecond
+	arrived := make(chan time.Time, 1)
+	target := newFakeTarget(t, func(w *bufio.Writer, r *http.Request) bool {
+		<-time.After(silence)
+		return answer(200, "", "first")(w, r)
+	})
+	other := newTargetProcess(t, func(_ *fakeTarget, _ net.Listener, c net.Conn) {
+		_, _ = io.Copy(io.Discard, c)
+		arrived <- time.Now()
+		_ = c.Close()
+	})
+	s := newSetup(t, newRoute(repeatableRoute), target, other)
+	began := time.Now()
+	got, _ := s.call(t, "GET", "/x", "")
+	if diff := cmp.Diff(response{Status: http.StatusOK, Body: "first"}, got); diff != "" {
+		t.Error(diff)
+	}
+	if ended := (<-arrived).Sub(began); ended > silence+maxOverlap {
+		t.Errorf("the next target was told after %v", ended)
+	}
+}
--- a/internal/edge/entry/successor.go
+++ b/internal/edge/entry/successor.go
@@ -18,11 +18,14 @@
 	placement *route.Placement
 	// lookupName is the name under which the target was found.
 	lookupName ident.Service
+	// request is the request that was sent to the target, or nil before it is.
+	request *sentRequest
 }
 
-// release returns the target. It may be called without an attempt.
+// release ends the attempt and returns the target. It may be called without an attempt.
 func (a *certainAttempt) release() {
 	if a != nil {
+		a.request.close()
 		a.placement.Release()
 	}
 }
@@ -41,6 +44,8 @@
 
 	mu      sync.Mutex
 	request route.TargetRequest
+	// attemptsLeft is the number of attempts that may follow the current one.
+	attemptsLeft int
 	// versionUnknown is set if no target may go on with the answer.
 	versionUnknown bool
 }
@@ -49,7 +54,10 @@
 func (h *Handler) newSuccessor(j *job, placement *route.Placement) *successor {
 	request := j.lastRequest
 	request.Avoid = append(append([]ident.TargetHash{}, j.avoid...), placement.Hash)
-	s := &successor{handler: h, call: j.call.ID, service: j.service, silent: placement, traits: j.traits(), request: request}
+	s := &successor{
+		handler: h, call: j.call.ID, service: j.service, silent: placement, traits: j.traits(), request: request,
+		attemptsLeft: j.route.Attempts - j.runs - 1,
+	}
 	s.bind(j.version, j.versionUnknown)
 	return s
 }
@@ -68,6 +76,16 @@
 	}
 }
 
+// failed records the failure of a next attempt: its target is avoided from now on.
+func (s *successor) failed(target ident.TargetHash, mayHaveRun bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.request.Avoid = append(s.request.Avoid, target)
+	if mayHaveRun {
+		s.attemptsLeft--
+	}
+}
+
 // seek implements attemptSeeker.
 func (s *successor) seek(ctx context.Context, silence time.Duration) *certainAttempt {
 	next, decision := s.find(ctx, s.handler.Clock().Add(-silence))
@@ -83,10 +101,12 @@
 func (s *successor) find(ctx context.Context, since time.Time) (*certainAttempt, retryDecision) {
 	h := s.handler
 	s.mu.Lock()
-	request, versionUnknown := s.request, s.versionUnknown
+	request, versionUnknown, attemptsLeft := s.request, s.versionUnknown, s.attemptsLeft
 	s.mu.Unlock()
 	request.SilentSince = since
 	switch {
+	case attemptsLeft <= 0:
+		return nil, retryNoAttempts
 	case versionUnknown:
 		return nil, retryNoTarget
 	case h.Guard.Quarantine(s.traits).Left > 0:
