A connection made while a process is torn down shows nothing

Cause: the check of a target's process, or the probe, was made in the instant in which the process was taken away. The kernel closes connections and listener one after the other, and may drop a connection that it accepts meanwhile without a reset: it seems open for good.

TestTargetHasEndedWhileItsListenerIsClosed fails without the wait.

Change: a check waits 10 ms after the end of an answer. The oldest probe is kept, and counts only if it was made 50 ms before the end.

--- a/internal/edge/entry/answer.go
+++ b/internal/edge/entry/answer.go
@@ -104,7 +104,8 @@
 	if answer.Framing.Marked() || answer.watched.endsAsPlanned() {
 		return nil
 	}
-	if !h.Sender.HasEnded(ctx, j.lastPlacement.Target.Addr, h.Rules.IdleConns(j.service)) || answer.watched.targetLivesOn(ctx) {
+	endedAt := h.Clock()
+	if !h.Sender.HasEnded(ctx, j.lastPlacement.Target.Addr, h.Rules.IdleConns(j.service)) || answer.watched.targetLivesOn(ctx, endedAt) {
 		return nil
 	}
 	j.progress.ending = EndTargetGone
--- a/internal/edge/entry/process_watch.go
+++ b/internal/edge/entry/process_watch.go
@@ -21,8 +21,9 @@
 const (
 	// acceptingInterval is the interval at which it is checked whether a leaving target still accepts connections.
 	acceptingInterval = 300 * time.Millisecond
-	// minAcceptingInterval is that for a target that closes each connection.
-	minAcceptingInterval = 50 * time.Millisecond
+	// teardownTime is the time after the end of a connection in which the kernel may still be closing the listener of a
+	// process that was taken away. A connection that is made meanwhile may seem open for good.
+	teardownTime = 50 * time.Millisecond
 	// closeMargin is the time within which all connections of a process that was taken away are known to be closed: more
 	// than the time after which the kernel repeats a lost packet.
 	closeMargin = 250 * time.Millisecond
@@ -61,8 +62,9 @@
 
 	mu      sync.Mutex
 	answers map[*watchedAnswer]bool
-	// probe is the latest connection that the target accepted, or nil.
-	probe *relay.Probe
+	// probe is a connection that the target accepted, or nil, and probedAt when it was made.
+	probe    *relay.Probe
+	probedAt time.Time
 	// outlived is set once the process is known to have lived on after its target had stopped accepting connections.
 	outlived bool
 }
@@ -150,18 +152,25 @@
 	probe, refused := w.prober.Probe(ctx, w.addr)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if probe != nil {
-		w.probe.Close()
-		w.probe = probe
-	}
+	w.keep(probe)
 	if !refused || ctx.Err() != nil {
 		return true
 	}
 	_ = level.Info(w.logger).Log("msg", "leaving target has stopped accepting connections", "addr", w.addr, "answers", len(w.answers),
-		"probe_open", w.probe != nil && w.probe.Open())
+		"probe_open", w.probe.Open())
 	return false
 }
 
+// keep makes a connection the probe if the earlier one is closed. The caller holds the lock.
+func (w *processWatch) keep(probe *relay.Probe) {
+	if probe == nil || w.probe.Open() {
+		probe.Close()
+		return
+	}
+	w.probe.Close()
+	w.probe, w.probedAt = probe, w.clock()
+}
+
 // waitForCheck waits until the next check is due: after the interval, or once the target has closed the probe.
 func (w *processWatch) waitForCheck(ctx context.Context) {
 	var closed <-chan struct{}
@@ -170,11 +179,11 @@
 		closed = w.probe.Closed()
 	}
 	w.mu.Unlock()
-	pause.Sleep(ctx, minAcceptingInterval)
-	timer := time.NewTimer(acceptingInterval - minAcceptingInterval)
+	timer := time.NewTimer(acceptingInterval)
 	defer timer.Stop()
 	select {
 	case <-closed:
+		pause.Sleep(ctx, teardownTime)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -206,14 +215,14 @@
 
 // targetLivesOn reports whether the process of an answer's target is known to live after it has closed the answer's
 // connection, although it accepts no others. It waits for closeMargin.
-func (a *watchedAnswer) targetLivesOn(ctx context.Context) bool {
+func (a *watchedAnswer) targetLivesOn(ctx context.Context, endedAt time.Time) bool {
 	w := a.watch
 	if w == nil {
 		return false
 	}
 	events := w.eventsOfOthers(a)
 	pause.Sleep(ctx, closeMargin)
-	return w.showsLife(events)
+	return w.showsLife(endedAt, events)
 }
 
 // eventsOfOthers returns the number of events of each other answer of the target.
@@ -229,11 +238,12 @@
 	return events
 }
 
-// showsLife reports whether the probe is open, or an answer that has brought events beyond those counted before.
-func (w *processWatch) showsLife(before map[*watchedAnswer]int64) bool {
+// showsLife reports whether the probe is open that was made before an answer ended, or another answer that has brought events
+// beyond those counted before.
+func (w *processWatch) showsLife(endedAt time.Time, before map[*watchedAnswer]int64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.probe != nil && w.probe.Open() {
+	if w.probe.Open() && endedAt.Sub(w.probedAt) > teardownTime {
 		return true
 	}
 	for answer, events := range before {
--- a/internal/edge/relay/conns.go
+++ b/internal/edge/relay/conns.go
@@ -270,6 +270,10 @@
 // accept a connection for a process that is ending, and reset it as soon as the process has ended.
 const acceptedDelay = 20 * time.Millisecond
 
+// teardownDelay is how long the check of an ended connection waits for the kernel to close the listener of a process that
+// has ended. A connection that is made meanwhile may be dropped at its other end without a reset, and seem open for good.
+const teardownDelay = 10 * time.Millisecond
+
 // endTimeout limits the search for the end of a target's process: an attempt to connect on each path. An
 // answer that may be whole waits for it.
 const endTimeout = 400 * time.Millisecond
@@ -291,6 +295,7 @@
 func (c *Conns) checkEnded(ctx context.Context, addr string, maxIdleConns int) bool {
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
+	pause.Sleep(ctx, teardownDelay)
 	cn, err := c.dial(ctx, addr)
 	if err != nil {
 		return c.dialer.Refused(ctx, addr)
--- a/internal/edge/relay/ended_test.go
+++ b/internal/edge/relay/ended_test.go
@@ -83,3 +83,33 @@
 		t.Errorf("%d idle connections, want 1: as many as the target may have", got)
 	}
 }
+
+// closingDialer is the dialer to a target whose process has ended and whose listener the kernel closes a moment later. A
+// connection that is made before seems open for good.
+type closingDialer struct {
+	directDialer
+	closedAt time.Time
+	open     string
+}
+
+// Dial implements Dialer.
+func (d closingDialer) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	if time.Now().Before(d.closedAt) {
+		return d.directDialer.Dial(ctx, d.open)
+	}
+	return nil, syscall.ECONNREFUSED
+}
+
+// Refused implements Dialer.
+func (d closingDialer) Refused(context.Context, string) bool { return !time.Now().Before(d.closedAt) }
+
+// Guards against a broken answer that counts as complete because the check of its target's process was made while the kernel
+// closed the listener: the connection was dropped at its other end without a reset.
+func TestTargetHasEndedWhileItsListenerIsClosed(t *testing.T) {
+	open := listen.Conns(t, func(c net.Conn) { _, _ = c.Read(make([]byte, 1)); _ = c.Close() })
+	conns, closeConns := NewConns(DefaultConnLimits, closingDialer{closedAt: time.Now().Add(teardownDelay / 2), open: open})
+	defer closeConns()
+	if !conns.HasEnded(t.Context(), "127.0.0.1:1", 0) {
+		t.Error("the end of the target was not found")
+	}
+}
