A head that is none in the protocol is no answer

What callers saw (reports of other systems): an answer whose status was 000, or with a blank or control byte in the name of a field, passed as an answer, with the line passed on or with a body that was not the target's.

Cause: the reader of net/http takes names with a blank, under which nobody finds a length or chunks, and a status below 100. Nothing checked what it took.

On the own interface status 000 passed too; the store's clients took names with a blank.

Change: package head checks status and names, called wherever heads are read: targets, tunnels, and as a transport in all clients. A bad head counts as a broken connection.

--- a/internal/edge/reach/tunnel.go
+++ b/internal/edge/reach/tunnel.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"valescale/internal/plat/fault"
+	"valescale/internal/plat/head"
 	"valescale/internal/plat/ident"
 )
 
@@ -119,6 +120,9 @@
 	limited := &io.LimitedReader{R: c, N: maxHandshakeBytes}
 	buffer := bufio.NewReaderSize(limited, copyBufferBytes)
 	resp, err := http.ReadResponse(buffer, req)
+	if err == nil {
+		err = head.Check(resp)
+	}
 	if err != nil {
 		return nil, fault.New(op, NoPeer, err)
 	}
--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"valescale/internal/plat/head"
 	"valescale/internal/plat/ident"
 	"valescale/internal/plat/sock"
 	"valescale/internal/rule/retry"
@@ -308,9 +309,8 @@
 var errNotHTTP1 = errors.New("answer in a protocol that was not asked for")
 
 // isHTTP1 reports whether a head is one of HTTP/1, and what follows it as well: no request asks for another protocol.
-// There is no status below the informational ones.
 func isHTTP1(resp *http.Response) bool {
-	return resp.ProtoMajor == 1 && resp.StatusCode >= http.StatusContinue && resp.StatusCode != http.StatusSwitchingProtocols
+	return resp.ProtoMajor == 1 && resp.StatusCode != http.StatusSwitchingProtocols
 }
 
 // readHead reads one head and skips informational (1xx) ones, which count together with it as one header.
@@ -318,6 +318,9 @@
 	c.limited.remaining = c.maxHeader
 	for {
 		resp, err := http.ReadResponse(c.reader, request)
+		if err == nil {
+			err = head.Check(resp)
+		}
 		switch {
 		case err != nil:
 			return nil, err
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -17,6 +17,7 @@
 
 	"valescale/internal/plat/engine"
 	"valescale/internal/plat/fault"
+	"valescale/internal/plat/head"
 	"valescale/internal/plat/ident"
 	"valescale/internal/plat/memory"
 	"valescale/internal/rule/retry"
@@ -98,7 +99,7 @@
 	// and may treat surplus bytes from a target as the answer to the next request. A new connection
 	// for each attempt prevents both.
 	singleUse.DisableKeepAlives = true
-	r := &Relay{limits: limits, pooled: pooled, singleUse: singleUse, http2: http2}
+	r := &Relay{limits: limits, pooled: head.Transport(pooled), singleUse: head.Transport(singleUse), http2: head.Transport(http2)}
 	return r, func() {
 		http2.CloseIdleConnections()
 		pooled.CloseIdleConnections()
--- a/internal/oper/cmds/client.go
+++ b/internal/oper/cmds/client.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 
 	"valescale/internal/plat/fault"
+	"valescale/internal/plat/head"
 	"valescale/internal/rule/policy"
 	"valescale/internal/share/peerpb"
 )
@@ -49,7 +50,7 @@
 		}
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout)
-	c := peerpb.NewAdminServiceClient(&http.Client{Transport: transport}, scheme+"://"+r.Router, connect.WithInterceptors(auth))
+	c := peerpb.NewAdminServiceClient(&http.Client{Transport: head.Transport(transport)}, scheme+"://"+r.Router, connect.WithInterceptors(auth))
 	return c, ctx, cancel, nil
 }
 
--- a/internal/plat/boxes/boxes.go
+++ b/internal/plat/boxes/boxes.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"valescale/internal/plat/fault"
+	"valescale/internal/plat/head"
 	"valescale/internal/plat/ident"
 )
 
@@ -72,7 +73,7 @@
 
 // New returns a client of the list at a base URL; timeout limits each call.
 func New(base string, transport http.RoundTripper, timeout time.Duration) *Client {
-	return &Client{base: base, http: &http.Client{Transport: transport}, timeout: timeout}
+	return &Client{base: base, http: &http.Client{Transport: head.Transport(transport)}, timeout: timeout}
 }
 
 // List returns the whole list; the caller must not modify it.
--- a/internal/plat/engine/engine.go
+++ b/internal/plat/engine/engine.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"valescale/internal/plat/fault"
+	"valescale/internal/plat/head"
 	"valescale/internal/plat/ident"
 )
 
@@ -87,7 +88,7 @@
 
 // New returns a client; timeout limits each call.
 func New(transport http.RoundTripper, timeout time.Duration) *Client {
-	return &Client{http: &http.Client{Transport: transport}, timeout: timeout}
+	return &Client{http: &http.Client{Transport: head.Transport(transport)}, timeout: timeout}
 }
 
 // Report returns an engine's report with the cache events after the given sequence number.
--- a/internal/plat/object/broken_test.go
+++ b/internal/plat/object/broken_test.go
@@ -56,3 +56,13 @@
 		}
 	}
 }
+
+// Guards against an object with bytes that are none of its own: the name of the field that frames it holds a blank, so that
+// nobody finds it.
+func TestObjectWithABlankInAFieldNameIsAnError(t *testing.T) {
+	for _, framing := range []string{"Content-Length : 2\r\nContent-Length: 24\r\n\r\n" + content, "X Y: 1\r\nContent-Length: 24\r\n\r\n" + content} {
+		if got, err := getFrom(t, framing); err == nil {
+			t.Errorf("%q: Get returned %q", framing, got)
+		}
+	}
+}
--- a/internal/plat/object/client.go
+++ b/internal/plat/object/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"valescale/internal/plat/fault"
+	"valescale/internal/plat/head"
 )
 
 // Kind classifies errors of the object store.
@@ -35,7 +36,7 @@
 
 // New returns a client that reads objects of at most maxBytes bytes; timeout limits each call.
 func New(base string, transport http.RoundTripper, timeout time.Duration, maxBytes int64) *Client {
-	return &Client{base: base, http: &http.Client{Transport: transport}, timeout: timeout, maxBytes: maxBytes}
+	return &Client{base: base, http: &http.Client{Transport: head.Transport(transport)}, timeout: timeout, maxBytes: maxBytes}
 }
 
 // Put stores an object. It is idempotent.
--- a/internal/plat/table/client.go
+++ b/internal/plat/table/client.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 
 	"valescale/internal/plat/fault"
+	"valescale/internal/plat/head"
 )
 
 // maxResponseBytes limits the size of a response that is read.
@@ -44,7 +45,7 @@
 
 // New returns a client of the service at a base URL; timeout limits each call.
 func New(base string, transport http.RoundTripper, timeout time.Duration, logger log.Logger) *Client {
-	c := &Client{Eras: NewEras(logger), base: base, http: &http.Client{Transport: transport}, timeout: timeout}
+	c := &Client{Eras: NewEras(logger), base: base, http: &http.Client{Transport: head.Transport(transport)}, timeout: timeout}
 	c.up.Store(true)
 	return c
 }
--- a/internal/share/peer/client.go
+++ b/internal/share/peer/client.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"valescale/internal/plat/head"
 	"valescale/internal/share/peerpb"
 )
 
@@ -58,7 +59,7 @@
 		},
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}
-	sender := addrClient{&http.Client{Transport: &silentConnCloser{next: transport, open: open}}}
+	sender := addrClient{&http.Client{Transport: head.Transport(&silentConnCloser{next: transport, open: open})}}
 	calls := peerpb.NewPeerServiceClient(sender, scheme+"://"+placeholderHost, connect.WithInterceptors(trimHeaders{}))
 	return &Clients{calls: calls, open: open}, open.closeAll
 }
