A stop refuses what it may cut, also before another attempt

What callers saw (a report of other operators): requests that came late in the grace of a planned stop were taken, passed on, and cut with no answer.

Cause: on the own interface a request was accepted if one wait and one attempt fitted into the grace, and then sent again with all the time of an attempt. On the platform's interface the end was known only after the steps that may wait for the store and for peers; that one was found by reading, not reproduced.

Change: a further attempt that may end after the router is not made. The times of a stop are announced as it begins, on both interfaces.

--- a/internal/edge/entry/conns.go
+++ b/internal/edge/entry/conns.go
@@ -35,8 +35,8 @@
 	idleCloses atomic.Int64
 	// stopping is set once connections that wait for a request are to end.
 	stopping atomic.Bool
-	// stopBy is the time by which the stop ends, in nanoseconds of Unix time; zero if it is not known.
-	stopBy atomic.Int64
+	// stop is the stop that was announced, or nil.
+	stop atomic.Pointer[announcedStop]
 
 	mu sync.Mutex
 	// open contains the connections that were accepted and have not ended.
@@ -156,7 +156,7 @@
 // have arrived are answered. It returns the context's error if that ends first.
 func (c *CallerConns) Stop(ctx context.Context) error {
 	if by, limited := ctx.Deadline(); limited {
-		c.stopBy.Store(by.UnixNano())
+		c.AnnounceStop(time.Now(), by)
 	}
 	c.stopping.Store(true)
 	for _, w := range c.list() {
@@ -175,10 +175,24 @@
 	}
 }
 
+// announcedStop is a stop whose times are known.
+type announcedStop struct {
+	// refusesFrom is when the router begins to refuse requests that may not be answered before it ends.
+	refusesFrom time.Time
+	// by is the time by which it ends.
+	by time.Time
+}
+
+// AnnounceStop announces the times of a stop, so that what is done before the connections end, and may take long, leaves no time
+// in which requests are accepted that the end would cut off.
+func (c *CallerConns) AnnounceStop(refusesFrom, by time.Time) {
+	c.stop.Store(&announcedStop{refusesFrom: refusesFrom, by: by})
+}
+
 // StopsBefore reports whether the router is stopping and may end before a time.
 func (c *CallerConns) StopsBefore(t time.Time) bool {
-	by := c.stopBy.Load()
-	return by != 0 && time.Unix(0, by).Before(t)
+	stop := c.stop.Load()
+	return stop != nil && !time.Now().Before(stop.refusesFrom) && stop.by.Before(t)
 }
 
 // list returns the open connections.
--- a/internal/edge/entry/waiting_test.go
+++ b/internal/edge/entry/waiting_test.go
@@ -192,3 +192,17 @@
 		t.Error(err)
 	}
 }
+
+// A stop must refuse late requests from the time that was announced, even if the steps before the connections end take longer:
+// the store, or peers, may not respond meanwhile.
+func TestAnnouncedStopRefusesInTime(t *testing.T) {
+	const delay = 50 * time.Millisecond
+	conns := testConns()
+	conns.AnnounceStop(time.Now().Add(delay), time.Now().Add(2*delay))
+	got := []bool{conns.StopsBefore(time.Now().Add(time.Second))}
+	<-time.After(delay)
+	got = append(got, conns.StopsBefore(time.Now()), conns.StopsBefore(time.Now().Add(time.Second)))
+	if diff := cmp.Diff([]bool{false, false, true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/edge/front/input.go
+++ b/internal/edge/front/input.go
@@ -81,6 +81,20 @@
 	if !f.StopsBefore(f.Clock().Add(j.decision.Wait + j.service.Timeout)) {
 		return nil
 	}
+	return stopping()
+}
+
+// repeatStopProblem returns the problem for a request whose next attempt may not be answered before the router ends, or nil. The
+// attempts before it have used up some of the time that the request was accepted with.
+func (f *Front) repeatStopProblem(j *job) *Problem {
+	if j.attempts == 0 || !f.StopsBefore(f.Clock().Add(j.service.Timeout)) {
+		return nil
+	}
+	return f.mergeOutcome(j, stopping())
+}
+
+// stopping returns the problem of a request that another router is to take.
+func stopping() *Problem {
 	p := notRun(CodeStopping, http.StatusServiceUnavailable, "this router is stopping")
 	p.RetryAfter = stopRetryAfter
 	return p
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -216,6 +216,9 @@
 // sendToOne sends the request until a target responds or no other attempt may follow.
 func (f *Front) sendToOne(ctx context.Context, j *job) (*response, *Problem) {
 	for {
+		if problem := f.repeatStopProblem(j); problem != nil {
+			return nil, problem
+		}
 		placement, err := f.Finder.Acquire(ctx, j.placementRequest())
 		if err != nil {
 			return nil, f.mergeOutcome(j, routeProblem(err))
--- a/internal/oper/daemon/serve.go
+++ b/internal/oper/daemon/serve.go
@@ -130,8 +130,11 @@
 	d.leaving.Store(true)
 	d.ready.Store(false)
 	_ = level.Info(d.logger).Log("msg", "draining")
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.DrainDelay+d.settings.Limits.DrainTime)
+	refusesFrom := time.Now().Add(d.settings.Limits.DrainDelay)
+	by := refusesFrom.Add(d.settings.Limits.DrainTime)
+	ctx, cancel := context.WithDeadline(context.Background(), by)
 	defer cancel()
+	callers.conns.AnnounceStop(refusesFrom, by)
 	d.node.UpdateView(func(v *peer.View) { v.Leave(d.clock()) })
 	for range leaveGossipRounds {
 		d.node.GossipNow(ctx)
--- a/internal/oper/node/serve.go
+++ b/internal/oper/node/serve.go
@@ -151,8 +151,11 @@
 	start := n.Clock()
 	n.draining.Store(true)
 	_ = level.Info(n.Logger).Log("msg", "draining")
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Load().GracePeriod-graceMargin)
+	grace := n.settings.Load().GracePeriod - graceMargin
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
+	now := time.Now()
+	n.callerConns.AnnounceStop(now.Add(drainDelay), now.Add(grace))
 	n.peers.UpdateView(func(v *peer.View) { v.Leave(n.Clock()) })
 	for range leaveGossipRounds {
 		n.peers.GossipNow(ctx)
