A router cut off from all others confirms versions before it guesses

What callers saw (a report of other operators): streams of a new version were taken up at a router that had been out of step while the version joined, and went on at another version.

Change: such a router reads the table of versions first, once for all searches at the time, and refuses the stream if the store does not answer. A failed read of the table keeps the note that the store was set back.

--- a/cmd/measure/origin.go
+++ b/cmd/measure/origin.go
@@ -173,7 +173,7 @@
 
 func newOrigins(peers origin.Peers, routers func() []origin.Router) *origin.Origins {
 	return origin.New(origin.Parts{
-		Self: "router-000", Region: "region-0", Peers: peers, Routers: routers, RoutersVersion: func() uint64 { return 1 }, RowsCurrent: func() bool { return true },
+		Self: "router-000", Region: "region-0", Peers: peers, Routers: routers, RoutersVersion: func() uint64 { return 1 }, AnyDead: func() bool { return false }, RowsCurrent: func() bool { return true },
 		WokeAt: func() time.Time { return time.Time{} }, Store: emptyStore{}, Role: func() origin.Role { return origin.OnlyReads },
 		Logger: log.NewNopLogger(), Clock: func() time.Time { return epoch },
 	})
--- a/internal/oper/node/build.go
+++ b/internal/oper/node/build.go
@@ -130,7 +130,7 @@
 	n.cleanups = append(n.cleanups, closeLinks)
 	n.router = route.New(route.Self{ID: s.ID, Zone: s.Zone, Region: s.Region, FirstPermit: firstPermit}, remote, n.Clock)
 	n.origins = origin.New(origin.Parts{
-		Self: s.ID, Region: s.Region, Peers: remote, Routers: n.originRouters, RoutersVersion: n.routersVersion, RowsCurrent: n.targetsCurrent,
+		Self: s.ID, Region: s.Region, Peers: remote, Routers: n.originRouters, RoutersVersion: n.routersVersion, AnyDead: n.takesRoutersForDead, RowsCurrent: n.targetsCurrent,
 		WokeAt: n.suspension.wake, Store: n.Store, Role: n.versionRole, Logger: n.Logger, Clock: n.Clock,
 	})
 	n.state.origins = n.origins
--- a/internal/oper/node/origins.go
+++ b/internal/oper/node/origins.go
@@ -34,3 +34,13 @@
 	})
 	return out
 }
+
+// takesRoutersForDead reports whether this router takes any other one for dead.
+func (n *Node) takesRoutersForDead() (dead bool) {
+	n.peers.Read(func(v *peer.View) {
+		for m := range v.All() {
+			dead = dead || m.State == peer.Dead
+		}
+	})
+	return dead
+}
--- a/internal/oper/node/versions_test.go
+++ b/internal/oper/node/versions_test.go
@@ -59,7 +59,7 @@
 			s.serviceName = func(ident.Service, ident.Version) ident.Service { return c.serviceName }
 			s.origins = origin.New(origin.Parts{
 				Self: "self", Routers: func() []origin.Router { return nil }, RoutersVersion: func() uint64 { return 1 },
-				RowsCurrent: func() bool { return true }, WokeAt: func() time.Time { return time.Time{} }, Store: emptyTables{},
+				AnyDead: func() bool { return false }, RowsCurrent: func() bool { return true }, WokeAt: func() time.Time { return time.Time{} }, Store: emptyTables{},
 				Logger: log.NewNopLogger(), Clock: clock,
 			})
 			s.updateTargets(feed.Change{Rows: rowsOf(1, "x", "v1")})
--- a/internal/share/origin/began_bench_test.go
+++ b/internal/share/origin/began_bench_test.go
@@ -29,7 +29,7 @@
 	all := newFleetList(routers)
 	now := time.Unix(1000, 0)
 	o := New(Parts{
-		Self: all[0].ID, Region: "co", Peers: discard{}, Routers: func() []Router { return slices.Clone(all) }, RoutersVersion: func() uint64 { return 1 }, RowsCurrent: func() bool { return true },
+		Self: all[0].ID, Region: "co", Peers: discard{}, Routers: func() []Router { return slices.Clone(all) }, RoutersVersion: func() uint64 { return 1 }, AnyDead: func() bool { return false }, RowsCurrent: func() bool { return true },
 		WokeAt: neverSuspended, Store: newMemoryStore(), Role: writes, Logger: log.NewNopLogger(), Clock: func() time.Time { return now },
 	})
 	for _, version := range versions {
--- a/internal/share/origin/guards_test.go
+++ b/internal/share/origin/guards_test.go
@@ -58,7 +58,7 @@
 	routers := newFleetList(4)
 	o := New(Parts{
 		Self: "router-0", Region: "co", Peers: p, Routers: func() []Router { return routers }, RoutersVersion: func() uint64 { return 1 },
-		RowsCurrent: func() bool { return true }, WokeAt: neverSuspended, Store: newMemoryStore(), Role: writes, Logger: log.NewNopLogger(), Clock: time.Now,
+		AnyDead: func() bool { return false }, RowsCurrent: func() bool { return true }, WokeAt: neverSuspended, Store: newMemoryStore(), Role: writes, Logger: log.NewNopLogger(), Clock: time.Now,
 	})
 	if err := o.readRecord(context.Background()); err != nil {
 		panic(err)
--- a/internal/share/origin/origins.go
+++ b/internal/share/origin/origins.go
@@ -32,6 +32,8 @@
 	// with each change of them.
 	Routers        func() []Router
 	RoutersVersion func() uint64
+	// AnyDead reports whether this router takes others for dead, which may only be out of its reach.
+	AnyDead func() bool
 	// RowsCurrent reports whether the store has confirmed the targets a moment ago.
 	RowsCurrent func() bool
 	// WokeAt returns when this process was last suspended for a while, or zero: it has missed what happened meanwhile.
@@ -48,6 +50,8 @@
 	Parts
 	// searches limits the number of concurrent searches.
 	searches chan struct{}
+	// confirming lets one search at a time read the table of versions.
+	confirming chan struct{}
 	// newlySeveral receives the services that got a second version.
 	newlySeveral chan ident.Service
 
@@ -86,7 +90,7 @@
 // New returns Origins without any origin. Run, RunRecord and RunArchive must be called.
 func New(parts Parts) *Origins {
 	return &Origins{
-		Parts: parts, searches: make(chan struct{}, maxSearches), newlySeveral: make(chan ident.Service, maxNewlySeveral),
+		Parts: parts, searches: make(chan struct{}, maxSearches), confirming: make(chan struct{}, 1), newlySeveral: make(chan ident.Service, maxNewlySeveral),
 		recent: newRecentOrigins(), versions: newVersions(), several: map[ident.Service]bool{},
 		record: newVersionRecord(), versionsChanged: make(chan struct{}, 1), archive: newArchive(parts.Self, parts.Clock()),
 	}
@@ -295,6 +299,7 @@
 	default:
 		return Found{Source: Overloaded}
 	}
+	began := o.Clock()
 	found, others := o.ask(ctx, key, service)
 	if found.Source != "" {
 		return found
@@ -308,7 +313,7 @@
 		}
 		others.Archived = own.Archived
 	}
-	several := own.Several || others.Several || !own.Complete && !others.Complete || o.mayBeCutOff(found)
+	several := own.Several || others.Several || !own.Complete && !others.Complete || o.mayBeCutOff(ctx, found, began)
 	result := o.withoutOrigin(service, several)
 	result.Asked, result.Answered = found.Asked, found.Answered
 	result.Lost = result.Source == Unknown && found.Answered == found.Asked && others.Archived
@@ -324,9 +329,34 @@
 }
 
 // mayBeCutOff reports whether this router may have missed that a service got another version: no other router
-// has answered, and, if it knows none, the store has not confirmed the targets.
-func (o *Origins) mayBeCutOff(found Found) bool {
-	return found.Answered == 0 && (found.Asked > 0 || !o.RowsCurrent())
+// has answered, and, if it knows none that lives, the store has not confirmed the targets, or, if others may be out of reach, the
+// versions since the search began.
+func (o *Origins) mayBeCutOff(ctx context.Context, found Found, began time.Time) bool {
+	switch {
+	case found.Answered > 0:
+		return false
+	case found.Asked > 0 || !o.RowsCurrent():
+		return true
+	default:
+		return o.AnyDead() && !o.confirmVersions(ctx, began)
+	}
+}
+
+// confirmVersions reports whether the table of versions was read since a time, and reads it if not. The targets were
+// confirmed some time before that: a stream may have begun meanwhile at a version that has joined since.
+func (o *Origins) confirmVersions(ctx context.Context, since time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
+	defer cancel()
+	select {
+	case o.confirming <- struct{}{}:
+		defer func() { <-o.confirming }()
+	case <-ctx.Done():
+		return false
+	}
+	o.mu.Lock()
+	readAt := o.record.readAt
+	o.mu.Unlock()
+	return !readAt.Before(since) || o.readRecord(ctx) == nil
 }
 
 // withoutOrigin returns the result if no router has the origin: the only version that the service had
--- a/internal/share/origin/origins_test.go
+++ b/internal/share/origin/origins_test.go
@@ -46,7 +46,7 @@
 // start starts a router without any origin.
 func (f *fleet) start(id ident.Router) {
 	o := New(Parts{
-		Self: id, Region: "co", Peers: f, Routers: f.live, RoutersVersion: f.routersVersion, RowsCurrent: func() bool { return f.rowsCurrent },
+		Self: id, Region: "co", Peers: f, Routers: f.live, RoutersVersion: f.routersVersion, AnyDead: f.anyDead, RowsCurrent: func() bool { return f.rowsCurrent },
 		WokeAt: neverSuspended, Store: f.store, Role: writes, Logger: log.NewNopLogger(), Clock: func() time.Time { return f.now },
 	})
 	f.origins[id] = o
@@ -61,6 +61,13 @@
 	return slices.DeleteFunc(slices.Clone(f.routers), func(r Router) bool { return f.dead[r.ID] })
 }
 
+// anyDead reports whether routers are dead.
+func (f *fleet) anyDead() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.dead) > 0
+}
+
 // kill ends routers and lets all others know. Others that had ended run again, with what they kept.
 func (f *fleet) kill(ids ...ident.Router) {
 	f.mu.Lock()
--- a/internal/share/origin/record.go
+++ b/internal/share/origin/record.go
@@ -261,10 +261,14 @@
 	defer cancel()
 	startedAt := o.Clock()
 	o.mu.Lock()
+	outdated := o.record.outdated
 	o.record.outdated = false
 	o.mu.Unlock()
 	page, err := o.Store.All(ctx, VersionTable)
 	if err != nil {
+		o.mu.Lock()
+		o.record.outdated = o.record.outdated || outdated
+		o.mu.Unlock()
 		return err
 	}
 	r, err := decodeRecord(page, startedAt)
