A message of another router has a limit

What callers saw (a report of other operators): something sent bytes without end; the machine that had called it kept them all and ran out of memory.

Cause: calls to other routers, and the platform's server of them, had no limit of a message. What listens at a router's address may be something else.

Answers of targets were not reproduced: TestEndlessBytesAreNoAnswer and its kin have limits already.

Change: 16 MB on both sides, on both interfaces, from one constant.

--- a/internal/oper/daemon/servers.go
+++ b/internal/oper/daemon/servers.go
@@ -9,6 +9,7 @@
 
 	"valescale/internal/oper/telem"
 	"valescale/internal/share/home"
+	"valescale/internal/share/peer"
 	"valescale/internal/share/peerpb"
 )
 
@@ -42,7 +43,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peerpb.NewPeerServiceHandler(&peerService{Server: home.NewServer(d.homes, nil, authenticatedPeer), daemon: d},
-		connect.WithReadMaxBytes(maxPeerMessageBytes)))
+		connect.WithReadMaxBytes(peer.MaxMessageBytes)))
 	protocols := &http.Protocols{}
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -52,9 +53,6 @@
 	}, nil
 }
 
-// maxPeerMessageBytes limits the size of a message from another router.
-const maxPeerMessageBytes = 16 << 20
-
 // omitDateHeader suppresses the Date header, which routers do not use, in responses to peers.
 func omitDateHeader(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/oper/node/servers.go
+++ b/internal/oper/node/servers.go
@@ -12,6 +12,7 @@
 	"valescale/internal/oper/telem"
 	"valescale/internal/plat/ident"
 	"valescale/internal/share/home"
+	"valescale/internal/share/peer"
 	"valescale/internal/share/peerpb"
 )
 
@@ -60,7 +61,8 @@
 	mux := http.NewServeMux()
 	anyRouter := func(context.Context) ident.Router { return "" }
 	service := &peerService{Server: home.NewServer(n.homes, n.origins, anyRouter), peers: n.peers, replicas: n.replicas, packCache: newPackCache()}
-	mux.Handle(peerpb.NewPeerServiceHandler(service, connect.WithCompressMinBytes(minCompressBytes)))
+	mux.Handle(peerpb.NewPeerServiceHandler(service, connect.WithCompressMinBytes(minCompressBytes),
+		connect.WithReadMaxBytes(peer.MaxMessageBytes)))
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.Handle("GET "+reach.TunnelPath, n.tunnels)
 	protocols := &http.Protocols{}
--- a/internal/share/peer/client.go
+++ b/internal/share/peer/client.go
@@ -33,6 +33,10 @@
 	pingTimeout  = 2 * time.Second
 )
 
+// MaxMessageBytes limits the size of a message from another router, or from what has taken the address of one that has
+// ended: several times the pages of the largest fleet.
+const MaxMessageBytes = 16 << 20
+
 // NewClients returns clients that dial with TLS, or without encryption when config is nil, and a
 // function that closes all of their connections, after which calls fail.
 func NewClients(config *tls.Config, meter *Meter) (*Clients, func()) {
@@ -60,7 +64,8 @@
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}
 	sender := addrClient{&http.Client{Transport: head.Transport(&silentConnCloser{next: transport, open: open})}}
-	calls := peerpb.NewPeerServiceClient(sender, scheme+"://"+placeholderHost, connect.WithInterceptors(trimHeaders{}))
+	calls := peerpb.NewPeerServiceClient(sender, scheme+"://"+placeholderHost, connect.WithInterceptors(trimHeaders{}),
+		connect.WithReadMaxBytes(MaxMessageBytes))
 	return &Clients{calls: calls, open: open}, open.closeAll
 }
 
