Plain answers follow their target to their end

What callers saw: a whole plain answer without a length ended with 502, or was reset if it was long, if its target was told to leave during the answer and had closed its listener before the end.

Cause: whether the target of a plain answer is leaving was asked when its head arrived, and not again.

Evidence: TestPlainAnswerOfATargetThatBeginsToLeaveIsComplete, a short and a long answer, fails without the change.

Change: it is asked with each part that arrives, as for streams. The fake budget of the package's tests has a lock, and one test waits for the report that it reads: both were races of the tests under -race.

--- a/internal/edge/entry/forward.go
+++ b/internal/edge/entry/forward.go
@@ -31,6 +31,7 @@
 	answer.received = func() {
 		idleTimeout.restart()
 		h.Finder.ReportReceived(j.lastPlacement.Hash)
+		h.watchProcess(j, answer)
 	}
 	body := memory.NewBuffer(h.Memory.Open(memory.Answers, j.owner()))
 	defer body.Close()
@@ -42,7 +43,7 @@
 	case full || body.Len() == maxBufferedAnswer:
 		// The request can't be sent again from here on, and a caller that reads slowly must not count as silence of
 		// the target.
-		answer.received = nil
+		answer.received = func() { h.watchProcess(j, answer) }
 		idleTimeout.disarm()
 		return h.forwardUnbuffered(ctx, w, j, answer, body)
 	}
--- a/internal/edge/entry/idle_timeout_test.go
+++ b/internal/edge/entry/idle_timeout_test.go
@@ -156,7 +156,9 @@
 	if received != size || err != io.EOF {
 		t.Errorf("%d of %d bytes, %v", received, size, err)
 	}
-	if diff := cmp.Diff([]string{"ok true"}, s.finder.reports); diff != "" {
+	// The report follows the end of the answer.
+	s.server.Close()
+	if diff := cmp.Diff([]string{"ok true"}, s.finder.reported()); diff != "" {
 		t.Error(diff)
 	}
 	if s.finder.silentReports() != 0 {
--- a/internal/edge/entry/process_watch_test.go
+++ b/internal/edge/entry/process_watch_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +17,8 @@
 // targetProcess is a leaving target with the connections of a process. It sends streams without a marked end.
 type targetProcess struct {
 	listener net.Listener
+	// quiet is set if its answers do not say that it is leaving.
+	quiet bool
 	// stream writes the events of an answer.
 	stream func(p *targetProcess, w io.Writer)
 	// accepted is called with the number of connections so far; it may be nil.
@@ -68,7 +71,11 @@
 		return
 	}
 	p.set(c, true)
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nLeaving: 1\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("Id"))
+	leaving := "Leaving: 1\r\n"
+	if p.quiet {
+		leaving = ""
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Type: text/event-stream\r\n\r\n", r.Header.Get("Id"), leaving)
 	p.stream(p, c)
 	_ = c.Close()
 }
@@ -155,3 +162,30 @@
 		})
 	}
 }
+
+// A whole plain answer without a marked end must not be reset because its target, which was told to leave during the answer, has
+// closed its listener before the end.
+func TestPlainAnswerOfATargetThatBeginsToLeaveIsComplete(t *testing.T) {
+	for name, size := range map[string]int{"short": 1 << 10, "long": maxBufferedAnswer} {
+		t.Run(name, func(t *testing.T) {
+			var s *setup
+			part := strings.Repeat("x", size)
+			p := &targetProcess{quiet: true, stream: func(p *targetProcess, w io.Writer) {
+				_, _ = io.WriteString(w, part)
+				<-time.After(leavingPause)
+				s.finder.record("leaving t0")
+				_, _ = io.WriteString(w, part)
+				// The router makes its probe meanwhile.
+				<-time.After(2 * teardownTime)
+				_ = p.listener.Close()
+				_, _ = io.WriteString(w, part)
+			}}
+			s = newSetup(t, newRoute(nil), p.start(t))
+			got := s.callRaw(t, "POST", "HTTP/1.1")
+			want := rawResponse{Status: 200, Body: part + part + part}
+			if got.Body != want.Body || got.Status != want.Status || got.Broken {
+				t.Errorf("status %d, %d of %d bytes, broken %t", got.Status, len(got.Body), len(want.Body), got.Broken)
+			}
+		})
+	}
+}
--- a/internal/edge/entry/setup_test.go
+++ b/internal/edge/entry/setup_test.go
@@ -166,14 +166,23 @@
 }
 
 // budget allows a fixed number of retries.
-type budget struct{ left int }
+type budget struct {
+	mu   sync.Mutex
+	left int
+}
 
 func (b *budget) Request(ident.Service, time.Time)           {}
 func (b *budget) Usage(ident.Service, time.Time) retry.Usage { return retry.Usage{} }
 
-func (b *budget) HasRetry(ident.Service, time.Time) bool { return b.left > 0 }
+func (b *budget) HasRetry(ident.Service, time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left > 0
+}
 
 func (b *budget) Retry(ident.Service, time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.left--
 	return b.left >= 0
 }
