A stream is not cut while its caller reads it

Cause: a stream ended as unread once 256 KB waited for its caller, whether the caller read or not.

Change: while a caller's buffer is full its target waits, as long as the caller receives something within each second. The target's limits of silence rest meanwhile. One event may be larger than the buffer.

--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -111,6 +111,11 @@
 			j.lastEvent = id
 		}
 	}
+	if !j.streamWriter.hasRoom(len(events)) {
+		// A target that waits for the caller is not silent.
+		answer.idleTimeout.pause()
+		defer answer.idleTimeout.restart()
+	}
 	reason := j.streamWriter.enqueue(events)
 	if reason == Unread || reason == NoMemory {
 		j.streamWriter.abort()
--- a/internal/edge/entry/idle_timeout.go
+++ b/internal/edge/entry/idle_timeout.go
@@ -242,6 +242,20 @@
 	}
 }
 
+// pause stops both limits until the next period begins.
+func (t *idleTimeout) pause() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.beginPeriod(t.period.limit)
+	t.dropFound()
+	if t.seekTimer != nil {
+		t.seekTimer.Stop()
+	}
+	if t.suspectTimer != nil {
+		t.suspectTimer.Stop()
+	}
+}
+
 // restart starts a new idle period with the same limit.
 func (t *idleTimeout) restart() {
 	t.mu.Lock()
--- a/internal/edge/entry/slow_reader_test.go
+++ b/internal/edge/entry/slow_reader_test.go
@@ -33,6 +33,12 @@
 	target := newFakeTarget(t, answer(200, "Content-Type: text/event-stream\r\n", strings.Repeat(event, answerSize/len(event))))
 	s := newSetup(t, newRoute(func(r *match.Route) { r.Stream, r.Timeout = stream, time.Minute }), target)
 	s.handler.writeTimeout = testWriteTimeout
+	return s, s.sendWithSmallBuffers(t)
+}
+
+// sendWithSmallBuffers sends a request over a connection with small buffers, and returns that.
+func (s *setup) sendWithSmallBuffers(t *testing.T) net.Conn {
+	t.Helper()
 	server := httptest.NewUnstartedServer(s.handler)
 	server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		_ = c.(*net.TCPConn).SetWriteBuffer(smallBuffer)
@@ -47,7 +53,7 @@
 	t.Cleanup(func() { _ = c.Close() })
 	_ = c.(*net.TCPConn).SetReadBuffer(smallBuffer)
 	_, _ = fmt.Fprint(c, "GET /x HTTP/1.1\r\nHost: h\r\nId: caller-1\r\nKey: k\r\nConnection: close\r\n\r\n")
-	return s, c
+	return c
 }
 
 // pacedReader reads at a limited rate.
@@ -152,3 +158,27 @@
 		t.Errorf("the write ended after %v, want %v", took, testWriteTimeout)
 	}
 }
+
+// A stream whose caller reads it steadily, more slowly than its target makes it, must not be cut, however much is left: the target
+// waits. Nor must one whose single event is larger than the buffer of a caller.
+func TestSteadyReaderOfALongStreamGetsAllOfIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		count, size int
+		pause       time.Duration
+	}{"many events": {1500, 1000, 5 * time.Millisecond}, "a large event": {2, maxUnreadPerCaller + 1, 0}} {
+		t.Run(name, func(t *testing.T) {
+			target, _ := newStreamingTarget(t, c.count, c.size)
+			s := newSetup(t, newRoute(func(r *match.Route) {
+				resumableRoute(r)
+				r.Timeout = time.Minute
+			}), target, newFakeTarget(t, closeUnanswered))
+			got, err := readAnswer(pacedReader{src: s.sendWithSmallBuffers(t), pause: c.pause})
+			if least := c.count * c.size; got < least || err != nil || target.count() != 1 {
+				t.Errorf("%d of more than %d bytes, %v, %d attempts", got, least, err, target.count())
+			}
+			if reports := s.finder.silentReports(); reports != 0 {
+				t.Errorf("the target was reported as silent %d times", reports)
+			}
+		})
+	}
+}
--- a/internal/edge/entry/stream_writer.go
+++ b/internal/edge/entry/stream_writer.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"valescale/internal/plat/memory"
 )
@@ -11,6 +12,10 @@
 // size of a chat stream.
 const maxUnreadPerCaller = 256 << 10
 
+// maxStallTime is how long a caller whose buffer is full may receive nothing. The target waits meanwhile, and cuts off answers
+// that stay unread for some seconds.
+const maxStallTime = time.Second
+
 // streamWriter writes a stream asynchronously to a caller that may read slowly or not at all. Data
 // is buffered here instead of at the target: a target cuts off answers that stay unread, and
 // crashes when it holds too many. The buffered size is limited for each caller and for all callers
@@ -24,9 +29,9 @@
 	// pending is what is to be written, in parts of at most maxWriteSize, of size bytes together.
 	pending [][]byte
 	size    int
-	// writing is set while a goroutine writes. It signals idle when it has written everything.
-	writing bool
-	idle    *sync.Cond
+	// writing is set while a goroutine writes. It signals progress when it has written a part.
+	writing  bool
+	progress *sync.Cond
 	// failed is set once the caller accepts no more data.
 	failed bool
 }
@@ -34,20 +39,33 @@
 // newStreamWriter returns an empty writer. It must be closed before the request ends.
 func newStreamWriter(output *output, reserved *memory.Reservation) *streamWriter {
 	s := &streamWriter{output: output, reserved: reserved}
-	s.idle = sync.NewCond(&s.mu)
+	s.progress = sync.NewCond(&s.mu)
 	return s
 }
 
-// enqueue appends bytes to the pending data without blocking. It returns the reason for which the stream ends if
-// the caller has disconnected or does not read, or if the box has no memory, and an empty reason otherwise.
+// hasRoom reports whether a number of bytes can be appended without waiting for the caller.
+func (s *streamWriter) hasRoom(n int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fits(n)
+}
+
+// fits reports whether there is room for a number of bytes. One event may be larger than the limit. The caller holds the lock.
+func (s *streamWriter) fits(n int) bool { return s.size == 0 || s.size+n <= maxUnreadPerCaller }
+
+// enqueue appends bytes to the pending data, and waits for room while the caller makes progress. It returns the reason for
+// which the stream ends if the caller has disconnected or does not read, or if the box has no memory, and an empty reason otherwise.
 func (s *streamWriter) enqueue(b []byte) Reason {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for !s.fits(len(b)) && !s.failed {
+		if !s.waitForProgress() {
+			return Unread
+		}
+	}
 	switch {
 	case s.failed:
 		return CallerGone
-	case s.size+len(b) > maxUnreadPerCaller:
-		return Unread
 	case !s.reserved.Grow(memory.Bytes(len(b))):
 		return NoMemory
 	}
@@ -59,6 +77,28 @@
 	return ""
 }
 
+// waitForProgress waits until a part is written, and reports whether the caller has received anything within maxStallTime. The
+// caller of this method holds the lock.
+func (s *streamWriter) waitForProgress() bool {
+	received, known := s.output.caller.received()
+	size, stalled := s.size, false
+	timer := time.AfterFunc(maxStallTime, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		stalled = true
+		s.progress.Broadcast()
+	})
+	defer timer.Stop()
+	for s.size == size && !s.failed && !stalled {
+		s.progress.Wait()
+	}
+	if s.size != size || s.failed {
+		return true
+	}
+	now, _ := s.output.caller.received()
+	return known && now != received
+}
+
 // push appends bytes to the pending parts. The caller holds the lock.
 func (s *streamWriter) push(b []byte) {
 	s.size += len(b)
@@ -86,9 +126,10 @@
 		s.reserved.Shrink(memory.Bytes(len(next)))
 		s.mu.Lock()
 		s.failed = s.failed || err != nil
+		s.progress.Broadcast()
 	}
 	s.writing = false
-	s.idle.Broadcast()
+	s.progress.Broadcast()
 }
 
 // wait waits until all data is written, and reports whether all writes succeeded.
@@ -96,7 +137,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.writing {
-		s.idle.Wait()
+		s.progress.Wait()
 	}
 	return !s.failed
 }
@@ -106,6 +147,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failed = true
+	s.progress.Broadcast()
 	s.output.interrupt()
 }
 
