A target's end is not planned because its row has gone

What callers could see: a stream without a marked end whose target ends without notice, and is not listed any more by the time at which its last events are read, ended as complete.

Cause: a target that is found to accept no connections by the first check was taken for one that had stopped before the answer began. That holds for an answer at its head, and not for one that had begun before.

--- a/internal/edge/entry/process_watch.go
+++ b/internal/edge/entry/process_watch.go
@@ -54,8 +54,10 @@
 type processWatch struct {
 	*processWatches
 	addr string
-	// joinedAt is when the first answer was added. cancel ends the watch with the last one.
+	// joinedAt is when the first answer was added, and atHead is set if nothing of its body had been read. cancel ends the
+	// watch with the last answer.
 	joinedAt time.Time
+	atHead   bool
 	cancel   context.CancelFunc
 	// checked is closed after the first check.
 	checked chan struct{}
@@ -65,8 +67,8 @@
 	// probe is a connection that the target accepted, or nil, and probedAt when it was made.
 	probe    *relay.Probe
 	probedAt time.Time
-	// outlived is set once the process is known to have lived on after its target had stopped accepting connections.
-	outlived bool
+	// settled is set once it is known which answers have outlived the listener.
+	settled bool
 }
 
 // watchedAnswer is an answer without a marked end, which may become part of the watch of its target's process.
@@ -82,15 +84,17 @@
 	outlivesListener bool
 }
 
-// join adds an answer to the watch of its target, which begins with the first one.
-func (s *processWatches) join(addr string, answer *watchedAnswer) {
+// join adds an answer to the watch of its target, which begins with the first one. Of an answer at its head, nothing of the body
+// has been read.
+func (s *processWatches) join(addr string, answer *watchedAnswer, atHead bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	watch, ok := s.byAddr[addr]
 	if !ok {
 		ctx, cancel := context.WithCancel(context.Background())
 		watch = &processWatch{
-			processWatches: s, addr: addr, joinedAt: s.clock(), cancel: cancel, checked: make(chan struct{}), answers: map[*watchedAnswer]bool{},
+			processWatches: s, addr: addr, joinedAt: s.clock(), atHead: atHead, cancel: cancel, checked: make(chan struct{}),
+			answers: map[*watchedAnswer]bool{},
 		}
 		s.byAddr[addr] = watch
 		go watch.run(ctx)
@@ -99,7 +103,8 @@
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
 	watch.answers[answer] = true
-	answer.outlivesListener = watch.outlived
+	// A process that sends a head lives. Other answers may be what is left of one that does not.
+	answer.outlivesListener = watch.settled && (atHead || answer.open())
 }
 
 // leave removes an answer from the watch of its target. It must be called before the answer is closed.
@@ -123,9 +128,9 @@
 func (w *processWatch) run(ctx context.Context) {
 	defer w.end()
 	accepts := w.check(ctx)
-	if !accepts && w.clock().Sub(w.joinedAt) <= relay.LocalDelayThreshold {
+	if !accepts && w.atHead && w.clock().Sub(w.joinedAt) <= relay.LocalDelayThreshold {
 		// The target had stopped before it sent the head of the first answer.
-		w.setOutlived(func(*watchedAnswer) bool { return true })
+		w.settle(func(*watchedAnswer) bool { return true })
 	}
 	close(w.checked)
 	for accepts {
@@ -136,7 +141,7 @@
 		accepts = w.check(ctx)
 	}
 	pause.Sleep(ctx, closeMargin)
-	w.setOutlived(func(a *watchedAnswer) bool { return a.open() })
+	w.settle(func(a *watchedAnswer) bool { return a.open() })
 	<-ctx.Done()
 }
 
@@ -189,15 +194,14 @@
 	}
 }
 
-// setOutlived records which answers have outlived the listener. Those that begin later show by themselves that the process
-// lives.
-func (w *processWatch) setOutlived(outlives func(*watchedAnswer) bool) {
+// settle records which answers have outlived the listener.
+func (w *processWatch) settle(outlives func(*watchedAnswer) bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for answer := range w.answers {
 		answer.outlivesListener = answer.outlivesListener || outlives(answer)
 	}
-	w.outlived = true
+	w.settled = true
 }
 
 // endsAsPlanned reports whether the answer ended after its target had stopped accepting connections, so that the target
@@ -259,5 +263,5 @@
 	if answer.Framing.Marked() || answer.watched.watch != nil || !h.Finder.IsLeaving(j.lastPlacement.Target) {
 		return
 	}
-	h.processes.join(j.lastPlacement.Target.Addr, answer.watched)
+	h.processes.join(j.lastPlacement.Target.Addr, answer.watched, answer.progress.bytes == 0)
 }
--- a/internal/edge/entry/process_watch_test.go
+++ b/internal/edge/entry/process_watch_test.go
@@ -189,3 +189,21 @@
 		})
 	}
 }
+
+// A stream without a marked end must not look complete if its target ends without notice and is not listed any more by the time at
+// which its last events are read: that nothing listens then shows no planned end.
+func TestStreamOfATargetThatEndsAsItsRowGoesIsNotComplete(t *testing.T) {
+	var s *setup
+	p := &targetProcess{quiet: true, stream: func(p *targetProcess, w io.Writer) {
+		sendSlowly(w, 1, leavingEvents/2, leavingPause)
+		s.finder.record("leaving t0")
+		_ = p.listener.Close()
+		_, _ = io.WriteString(w, eventText(leavingEvents/2+1, leavingEvents/2+1))
+		<-time.After(leavingPause)
+		p.stop(true)
+	}}
+	s = newSetup(t, newRoute(plainStream), p.start(t))
+	if got := s.callRaw(t, "POST", "HTTP/1.1"); !got.Broken {
+		t.Errorf("the stream ended in order after %d bytes", len(got.Body))
+	}
+}
