An attempt that is left is reported as its own

Cause: the state of the attempt beside the current one stayed in the job when it took over, and the current one was reported after that.

Evidence: TestAttemptThatIsLeftIsReportedAsItsOwn fails without the change.

Change: the state of the current attempt is put back in each case; whether the next one is a trial goes with it.

--- a/internal/edge/entry/handler.go
+++ b/internal/edge/entry/handler.go
@@ -205,7 +205,7 @@
 		h.endNext(j, next)
 		return nil
 	}
-	j.lookupName, j.sent = next.lookupName, next.request
+	j.lookupName, j.sent, j.trial = next.lookupName, next.request, next.trial
 	h.Canaries.RecordSent(j.service, j.lookupName)
 	return next.placement
 }
--- a/internal/edge/entry/next_attempt.go
+++ b/internal/edge/entry/next_attempt.go
@@ -106,21 +106,24 @@
 	next.request = h.sendBeside(ctx, j, next.placement)
 	overlap := time.NewTimer(maxOverlap)
 	defer overlap.Stop()
+	takesOver := false
 	select {
 	case <-next.request.done:
-		if h.canContinue(j, next.request) {
-			j.next = next
-			return true
-		}
+		takesOver = h.canContinue(j, next.request)
 	case <-spoke:
 	case <-ctx.Done():
 	case <-overlap.C:
+		takesOver = true
+	}
+	if takesOver {
+		next.trial = j.trial
 		j.next = next
-		return true
+	} else {
+		h.endNext(j, next)
 	}
-	h.endNext(j, next)
+	// What is reported from here on is the current attempt's, also if it is given up.
 	j.setAttemptState(current)
-	return false
+	return takesOver
 }
 
 // admitNext reports whether the request may be sent to the next target, and makes its attempt the current one.
--- a/internal/edge/entry/silence_test.go
+++ b/internal/edge/entry/silence_test.go
@@ -12,8 +12,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/google/go-cmp/cmp"
 
+	"valescale/internal/edge/relay"
 	"valescale/internal/edge/route"
 	"valescale/internal/rule/match"
 )
@@ -334,3 +336,21 @@
 		t.Errorf("the next target was told after %v", ended)
 	}
 }
+
+// The attempt that is given up must be reported with its own progress, and not with that of the one which takes its place.
+func TestAttemptThatIsLeftIsReportedAsItsOwn(t *testing.T) {
+	a := silentAnswer{stream: true, framing: "chunks", silentBefore: 3}
+	first := newFakeTarget(t, a.serve)
+	a.silentBefore = -1
+	s := newSetup(t, newRoute(a.resumableRoute), first, newFakeTarget(t, a.serve))
+	lines := &answerLog{ended: make(chan struct{}, 1)}
+	s.handler.Logger = log.NewJSONLogger(lines)
+	if got, _ := s.call(t, "GET", "/x", ""); got.Body != a.body() {
+		t.Fatalf("%+v", got)
+	}
+	<-lines.ended
+	left := lines.lines[0]
+	if left.Msg != "attempt failed" || left.Framing != string(relay.Chunks) || left.Events != 2 {
+		t.Errorf("%+v, want a failed attempt in chunks with two events", left)
+	}
+}
--- a/internal/edge/entry/successor.go
+++ b/internal/edge/entry/successor.go
@@ -18,8 +18,10 @@
 	placement *route.Placement
 	// lookupName is the name under which the target was found.
 	lookupName ident.Service
-	// request is the request that was sent to the target, or nil before it is.
+	// request is the request that was sent to the target, or nil before it is, and trial is set if it is a trial after a
+	// quarantine.
 	request *sentRequest
+	trial   bool
 }
 
 // release ends the attempt and returns the target. It may be called without an attempt.
