A silent stream is not kept for its comments

What callers could see: a stream whose target sent comments and no events, or broke off while the next one had not answered yet, stayed there, or was cut: the attempt beside it was ended by any byte of the silent target, or by its end.

Cause: a read that had ended counted as progress. Bytes of a stream may be comments, and a read may end with an error.

Change: what ends the next attempt is a head that can be that of the answer, bytes of a plain answer, or the marked end of a stream.

--- a/internal/edge/entry/answer.go
+++ b/internal/edge/entry/answer.go
@@ -40,6 +40,8 @@
 	received func()
 	// watched is the answer's part in the watch of its target's process.
 	watched *watchedAnswer
+	// hasEvents is set if the answer is forwarded by events.
+	hasEvents bool
 	// idleTimeout lets another attempt begin while the target is silent; nil if none may.
 	idleTimeout *idleTimeout
 }
@@ -67,12 +69,25 @@
 	if a.idleTimeout == nil {
 		return a.Answer.Read(p)
 	}
-	if gaveUp := a.idleTimeout.run(func() { n, err = a.Answer.Read(p) }); gaveUp != nil {
+	gaveUp := a.idleTimeout.run(func() bool {
+		n, err = a.Answer.Read(p)
+		return a.progresses(err)
+	})
+	if gaveUp != nil {
 		return 0, gaveUp
 	}
 	return n, err
 }
 
+// progresses reports whether a read that has ended shows that the target goes on. The bytes of a stream may be comments, and an end
+// that is not marked may be that of a broken answer.
+func (a receivedAnswer) progresses(err error) bool {
+	if err == io.EOF {
+		return a.Framing.Marked()
+	}
+	return err == nil && !a.hasEvents
+}
+
 // Reasons for which an answer that ended without an error of its connection is not complete.
 var (
 	errInsideEvent  = errors.New("stream ended inside an event")
--- a/internal/edge/entry/attempt.go
+++ b/internal/edge/entry/attempt.go
@@ -90,18 +90,26 @@
 
 // receiveHead sends the request, unless it was sent before, and returns once the answer's head is received.
 func (h *Handler) receiveHead(ctx context.Context, j *job, placement *route.Placement, sent *sentRequest, idleTimeout *idleTimeout) (*relay.Answer, error) {
+	headSent := j.headSent
 	if sent != nil {
 		// The request ends with the attempt.
 		context.AfterFunc(ctx, sent.cancel)
-		if err := idleTimeout.run(func() { <-sent.done }); err != nil {
-			return nil, err
+		gaveUp := idleTimeout.run(func() bool {
+			<-sent.done
+			return h.canContinue(headSent, sent.answer, sent.err)
+		})
+		if gaveUp != nil {
+			return nil, gaveUp
 		}
 		return sent.take()
 	}
 	var answer *relay.Answer
 	var err error
 	exchange := h.newExchange(j, placement)
-	gaveUp := idleTimeout.run(func() { answer, err = h.Sender.Send(ctx, exchange) })
+	gaveUp := idleTimeout.run(func() bool {
+		answer, err = h.Sender.Send(ctx, exchange)
+		return h.canContinue(headSent, answer, err)
+	})
 	if gaveUp != nil && answer != nil {
 		answer.Close()
 		return nil, gaveUp
--- a/internal/edge/entry/events.go
+++ b/internal/edge/entry/events.go
@@ -32,6 +32,7 @@
 	}
 	reserved := h.Memory.Open(memory.Answers, j.owner())
 	defer reserved.Close()
+	answer.hasEvents = true
 	var received eventBuffer
 	buffer := make([]byte, eventReadSize)
 	// sinceEvent is the number of bytes received since the last event.
--- a/internal/edge/entry/idle_timeout.go
+++ b/internal/edge/entry/idle_timeout.go
@@ -52,7 +52,8 @@
 	// limit is the first limit; zero means none for the whole attempt.
 	limit time.Duration
 	// successor seeks the next attempt, and begin begins it. It reports whether the current one is to be given up for it,
-	// and returns early if spoke is closed, since the silent target has sent something. Both are not used without a limit.
+	// and returns early if spoke is closed, since the silent target has brought its answer further. Both are not used without
+	// a limit.
 	successor attemptSeeker
 	begin     func(next *certainAttempt, spoke <-chan struct{}) bool
 	// report is called with the start of the period after suspectAfter without a byte; zero means never.
@@ -181,24 +182,27 @@
 	return t.seekTimer != nil && !t.stopped && t.period.limit > 0
 }
 
-// run runs an operation that waits for the target. If the target is silent for too long meanwhile, the next attempt is
-// begun. Once the current one is to be given up for that, its context is cancelled and an error returned.
-func (t *idleTimeout) run(operation func()) error {
+// run runs an operation that waits for the target, and returns whether the target has brought the answer further. If the target
+// is silent for too long meanwhile, the next attempt is begun. Once the current one is to be given up for that, its context is
+// cancelled and an error returned.
+func (t *idleTimeout) run(operation func() (progressed bool)) error {
 	if !t.mayFollow() {
 		operation()
 		return nil
 	}
-	done := make(chan struct{})
+	done, spoke := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(done)
-		operation()
+		if operation() {
+			close(spoke)
+		}
 	}()
 	for {
 		select {
 		case <-done:
 			return nil
 		case next := <-t.found:
-			if t.follow(next, done) {
+			if t.follow(next, done, spoke) {
 				t.cancel(errTargetSilent)
 				<-done
 				return errTargetSilent
@@ -209,10 +213,10 @@
 
 // follow begins the next attempt and reports whether the current one is to be given up for it. Otherwise, another one is
 // sought later.
-func (t *idleTimeout) follow(next foundAttempt, done <-chan struct{}) bool {
+func (t *idleTimeout) follow(next foundAttempt, done, spoke <-chan struct{}) bool {
 	if isDone(done) || !t.successor.commit() {
 		next.release()
-	} else if t.begin(next.certainAttempt, done) {
+	} else if t.begin(next.certainAttempt, spoke) {
 		t.disarm()
 		return true
 	}
--- a/internal/edge/entry/idle_timeout_test.go
+++ b/internal/edge/entry/idle_timeout_test.go
@@ -63,7 +63,10 @@
 			begun := 0
 			ctx, timer := newIdleTimeout(t.Context(), idleParts{clock: clock, limit: limit, successor: seeker, begin: beginAlways(&begun)})
 			defer timer.stop()
-			err := timer.run(func() { <-ctx.Done() })
+			err := timer.run(func() bool {
+				<-ctx.Done()
+				return false
+			})
 			if got := context.Cause(ctx); !errors.Is(got, errTargetSilent) || !errors.Is(err, errTargetSilent) || begun != 1 {
 				t.Errorf("given up for %v, error %v, want %v; %d attempts begun, want 1", got, err, errTargetSilent, begun)
 			}
@@ -199,7 +202,10 @@
 	seeker := &certainSeeker{}
 	begun := 0
 	ctx, timer := newIdleTimeout(t.Context(), idleParts{clock: time.Now, limit: limit, successor: seeker, begin: beginAlways(&begun)})
-	if err := timer.run(func() { <-ctx.Done() }); !errors.Is(err, errTargetSilent) || begun != 1 {
+	if err := timer.run(func() bool {
+		<-ctx.Done()
+		return false
+	}); !errors.Is(err, errTargetSilent) || begun != 1 {
 		t.Errorf("error %v, %d attempts begun", err, begun)
 	}
 	timer.restart()
--- a/internal/edge/entry/next_attempt.go
+++ b/internal/edge/entry/next_attempt.go
@@ -95,7 +95,7 @@
 
 // beginNext sends the request to the next target while the current one is silent, and reports whether the current attempt
 // is to be given up for it: the next target has answered, or has worked on the request for as long as both may. If it
-// fails, or if the silent target sends something first, the current attempt goes on.
+// fails, or if the silent target brings its answer further first, the current attempt goes on.
 func (h *Handler) beginNext(ctx context.Context, j *job, next *certainAttempt, spoke <-chan struct{}) bool {
 	current := j.attemptState()
 	if !h.admitNext(j, next) {
@@ -109,7 +109,7 @@
 	takesOver := false
 	select {
 	case <-next.request.done:
-		takesOver = h.canContinue(j, next.request)
+		takesOver = h.canContinue(j.headSent, next.request.answer, next.request.err)
 	case <-spoke:
 	case <-ctx.Done():
 	case <-overlap.C:
@@ -136,15 +136,16 @@
 	return admission.Left == 0
 }
 
-// canContinue reports whether the answer to a request that was sent can take the place of a silent one.
-func (h *Handler) canContinue(j *job, sent *sentRequest) bool {
+// canContinue reports whether the answer to a request, or the error, can be that of the whole request. If a head was sent to the
+// caller, only a success can.
+func (h *Handler) canContinue(headSent bool, answer *relay.Answer, err error) bool {
 	switch {
-	case sent.err != nil:
+	case err != nil:
 		return false
-	case j.headSent && sent.answer.Status >= http.StatusMultipleChoices:
+	case headSent && answer.Status >= http.StatusMultipleChoices:
 		return false
 	default:
-		return sent.answer.Status < http.StatusInternalServerError && !h.Dialect.Reply(sent.answer.Status, sent.answer.Header).NotRun
+		return answer.Status < http.StatusInternalServerError && !h.Dialect.Reply(answer.Status, answer.Header).NotRun
 	}
 }
 
@@ -174,7 +175,7 @@
 	switch {
 	case sent.err != nil:
 		return h.sendFailed(sent.ctx, j, next.placement, sent.began, sent.err)
-	case h.canContinue(j, sent):
+	case h.canContinue(j.headSent, sent.answer, sent.err):
 		sent.close()
 		return h.sendFailed(sent.ctx, j, next.placement, sent.began, errPreviousGoesOn)
 	case h.recordHead(j, next.placement, sent.answer).NotRun:
--- a/internal/edge/entry/silence_test.go
+++ b/internal/edge/entry/silence_test.go
@@ -354,3 +354,44 @@
 		t.Errorf("%+v, want a failed attempt in chunks with two events", left)
 	}
 }
+
+// slowTarget returns a responder that answers after a pause.
+func slowTarget(serve responder, pause time.Duration) responder {
+	return func(w *bufio.Writer, r *http.Request) bool {
+		<-time.After(pause)
+		return serve(w, r)
+	}
+}
+
+// A stream must be left for another target whose answer takes a while, although its own one sends comments and no events meanwhile,
+// or breaks off: the attempt beside it must not be ended for that.
+func TestTargetThatBringsNoEventsIsLeftForASlowOne(t *testing.T) {
+	whole := streamEvents(3, 5, 5)
+	for name, after := range map[string]func(w *bufio.Writer){
+		"comments": func(w *bufio.Writer) {
+			for range 40 {
+				<-time.After(20 * time.Millisecond)
+				_, _ = w.WriteString("4\r\n: x\n\r\n")
+				_ = w.Flush()
+			}
+		},
+		"breaks off": func(*bufio.Writer) { <-time.After(200 * time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			first := newFakeTarget(t, func(w *bufio.Writer, r *http.Request) bool {
+				_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+				event := eventText(1, 2)
+				_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
+				_ = w.Flush()
+				after(w)
+				return false
+			})
+			s := newSetup(t, newRoute(resumableRoute), first, newFakeTarget(t, slowTarget(whole, 150*time.Millisecond)))
+			got, _ := s.call(t, "GET", "/x", "")
+			got.Body = withoutComments(got.Body)
+			if diff := cmp.Diff(response{Status: http.StatusOK, Body: eventText(1, 5)}, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
