A caller that reads may pause for two seconds

Cause: a stream whose buffer is full was given up after a second without progress. On a machine that stands still for that long, no caller has stopped.

Callers give a stream up themselves after a pause of two seconds.

Change: two seconds.

--- a/internal/edge/entry/stream_writer.go
+++ b/internal/edge/entry/stream_writer.go
@@ -12,9 +12,9 @@
 // size of a chat stream.
 const maxUnreadPerCaller = 256 << 10
 
-// maxStallTime is how long a caller whose buffer is full may receive nothing. The target waits meanwhile, and cuts off answers
-// that stay unread for some seconds.
-const maxStallTime = time.Second
+// maxStallTime is how long a caller whose buffer is full may receive nothing. Callers themselves give a stream up after a pause of
+// two seconds. The target waits meanwhile, and cuts off answers that stay unread for some seconds.
+const maxStallTime = 2 * time.Second
 
 // streamWriter writes a stream asynchronously to a caller that may read slowly or not at all. Data
 // is buffered here instead of at the target: a target cuts off answers that stay unread, and
