Trailers that are none in the protocol end no answer

What callers saw: an answer whose trailers held a blank in a name counted as whole, as heads did before.

Cause: names were checked in heads only. The library reads trailers as freely.

Change: a body in chunks fails at its end if a name in its trailers is no token, on both interfaces and in all clients. Proper trailers still pass.

--- a/internal/edge/entry/heads_test.go
+++ b/internal/edge/entry/heads_test.go
@@ -41,11 +41,15 @@
 	"lengths that disagree":            "HTTP/1.1 200 X\r\nId: %s\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
 	"length with a sign":               "HTTP/1.1 200 X\r\nId: %s\r\nContent-Length: +2\r\n\r\nok",
 	"blank in an informational head":   "HTTP/1.1 103 X\r\nX Y: 1\r\n\r\nHTTP/1.1 200 X\r\nId: %s\r\nContent-Length: 2\r\n\r\nok",
+	"blank in a trailer":               "HTTP/1.1 200 X\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Y: 1\r\n\r\n",
+	"blank before a trailer's colon":   "HTTP/1.1 200 X\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX : 1\r\n\r\n",
+	"control byte in a trailer":        "HTTP/1.1 200 X\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX\x01: 1\r\n\r\n",
 	"blank in the head of another":     "HTTP/1.1 200 X\r\nId: other\r\nContent-Length : 2\r\n\r\nokHTTP/1.1 200 X\r\nId: %s\r\nContent-Length: 2\r\n\r\nok",
 }
 
 // goodHeads are heads of answers that are unusual and allowed.
 var goodHeads = map[string]string{
+	"trailers":              "HTTP/1.1 200 X\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: 1\r\n\r\n",
 	"no reason":             "HTTP/1.1 200\r\nId: %s\r\nContent-Length: 2\r\n\r\nok",
 	"all separators":        "HTTP/1.1 200 X\r\nId: %s\r\n!#$%%&'*+-.^_`|~09az: 1\r\nContent-Length: 2\r\n\r\nok",
 	"empty value":           "HTTP/1.1 200 X\r\nId: %s\r\nX:\r\nContent-Length: 2\r\n\r\nok",
--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -320,6 +320,7 @@
 		resp, err := http.ReadResponse(c.reader, request)
 		if err == nil {
 			err = head.Check(resp)
+			resp.Body = head.Body(resp)
 		}
 		switch {
 		case err != nil:
--- a/internal/plat/head/head.go
+++ b/internal/plat/head/head.go
@@ -1,6 +1,7 @@
 package head
 
 import (
+	"io"
 	"net/http"
 	"strings"
 
@@ -26,7 +27,12 @@
 	if resp.StatusCode < http.StatusContinue {
 		return fault.Newf(op, Status, "%d", resp.StatusCode)
 	}
-	for name := range resp.Header {
+	return checkNames(op, resp.Header)
+}
+
+// checkNames returns an error if the name of a field is no token.
+func checkNames(op string, fields http.Header) error {
+	for name := range fields {
 		if !isToken(name) {
 			return fault.Newf(op, Name, "%q", name)
 		}
@@ -34,6 +40,32 @@
 	return nil
 }
 
+// Body returns the body of an answer, which fails at its end if the trailers are none in the protocol.
+func Body(resp *http.Response) io.ReadCloser {
+	if len(resp.TransferEncoding) == 0 {
+		return resp.Body
+	}
+	return trailedBody{resp.Body, resp}
+}
+
+// trailedBody is a body that trailers may follow.
+type trailedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if bad := checkNames("head.Body", b.resp.Trailer); bad != nil {
+		return n, bad
+	}
+	return n, io.EOF
+}
+
 // separators are the characters besides letters and digits that a token may have.
 const separators = "!#$%&'*+-.^_`|~"
 
@@ -49,7 +81,7 @@
 	return name != ""
 }
 
-// Transport returns a transport that fails requests whose answer has no valid head.
+// Transport returns a transport that fails requests whose answer has no valid head, and bodies that no valid trailers follow.
 func Transport(next http.RoundTripper) http.RoundTripper { return checked{next} }
 
 // checked is a transport that checks heads.
@@ -65,5 +97,6 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
+	resp.Body = Body(resp)
 	return resp, nil
 }
