--- a/internal/edge/entry/early_answer_test.go
+++ b/internal/edge/entry/early_answer_test.go
@@ -26,6 +26,8 @@
 	head string
 	// pause is the time between its body and the end of the connection.
 	pause time.Duration
+	// upload is the size of the request's body in bytes.
+	upload int
 	// whole is set if the target reads the upload and ends the connection in order. Otherwise it resets the connection while
 	// the upload is being written.
 	whole bool
@@ -53,8 +55,12 @@
 // targetSocketBytes is the size of the buffers of connections to targets, as on small boxes.
 const targetSocketBytes = 32 << 10
 
-// callWithUpload sends a request with a body that the buffers of the connection to the target cannot hold.
-func (s *setup) callWithUpload(t *testing.T) response {
+// uploadSizes are the sizes of the requests' bodies in bytes: just above what is written before the answer is read, some times the
+// buffers of the connection to the target, and the limit of a body.
+var uploadSizes = []int{9 << 10, 100 << 10, 1 << 20}
+
+// callWithUpload sends a request with a body of some bytes.
+func (s *setup) callWithUpload(t *testing.T, size int) response {
 	t.Helper()
 	dialer, closeDialer := reach.New(reach.Parts{
 		Timeout: relay.DefaultConnLimits.Dial, Logger: log.NewNopLogger(), Clock: time.Now,
@@ -70,7 +76,7 @@
 	conns, closeConns := relay.NewConns(relay.DefaultConnLimits, dialer)
 	t.Cleanup(closeConns)
 	s.handler.Sender = conns
-	got, _ := s.call(t, "POST", "/", strings.Repeat("x", 1<<20))
+	got, _ := s.call(t, "POST", "/", strings.Repeat("x", size))
 	return got
 }
 
@@ -83,14 +89,16 @@
 	for name, route := range routes {
 		for _, head := range []string{"", "Connection: close\r\n"} {
 			for _, pause := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond, 200 * time.Millisecond} {
-				t.Run(fmt.Sprint(name, "/", strings.TrimSpace(head), "/", pause), func(t *testing.T) {
-					t.Parallel()
-					body := "part of the answer"
-					if strings.HasPrefix(name, "stream") {
-						body = eventText(1, 3)
-					}
-					test(t, earlyAnswer{head: head, pause: pause, whole: whole}, route, body)
-				})
+				for _, size := range uploadSizes {
+					t.Run(fmt.Sprint(name, "/", strings.TrimSpace(head), "/", pause, "/", size), func(t *testing.T) {
+						t.Parallel()
+						body := "part of the answer"
+						if strings.HasPrefix(name, "stream") {
+							body = eventText(1, 3)
+						}
+						test(t, earlyAnswer{head: head, pause: pause, upload: size, whole: whole}, route, body)
+					})
+				}
 			}
 		}
 	}
@@ -101,7 +109,7 @@
 func TestEarlyAnswerThatIsResetIsNotComplete(t *testing.T) {
 	earlyAnswers(t, false, func(t *testing.T, a earlyAnswer, route func(*match.Route), body string) {
 		s := newSetup(t, newRoute(route), a.start(t, body))
-		if got := s.callWithUpload(t); got.Status == http.StatusOK && !got.Truncated {
+		if got := s.callWithUpload(t, a.upload); got.Status == http.StatusOK && !got.Truncated {
 			t.Errorf("%d bytes ended as a complete answer", len(got.Body))
 		}
 	})
@@ -116,7 +124,7 @@
 			}
 			r.Objective, r.GapObjective = time.Second, time.Second
 		}), a.start(t, body))
-		got := s.callWithUpload(t)
+		got := s.callWithUpload(t, a.upload)
 		if diff := cmp.Diff(response{Status: http.StatusOK, Body: body}, got); diff != "" {
 			t.Error(diff)
 		}
