The soak judges targets in the order in which they receive a request

Cause: a silent target recorded the arrival of a request when it read it, after its silence, and one that crashed in its silence never did. So a sound target that had been left or had refused was the last one on record, and blamed for what a crash had done.

Change: an arrival counts from when the target's connection receives the head of the request. What counts towards the allowance of repeats is as before. No end is judged by another rule; the check sees the facts in their order.

--- a/cmd/soak/allowance.go
+++ b/cmd/soak/allowance.go
@@ -49,7 +49,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e, ok := l.sent[id]; ok {
-		e.arrivals = append(e.arrivals, arrival{target: at.id, at: time.Now()})
+		e.read(at.id)
 	}
 	t := l.of(at.service)
 	t.arrivals++
--- a/cmd/soak/ends.go
+++ b/cmd/soak/ends.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -19,7 +20,9 @@
 // arrival is the arrival of a request at a target.
 type arrival struct {
 	target string
+	// at is when the target received the request, unread is set until it has read it.
 	at     time.Time
+	unread bool
 	// broken is set if the target broke its answer off, failed if it answered with a failure or a rejection, and unmarked
 	// if it ended a whole answer without a mark.
 	broken, failed, unmarked bool
@@ -86,6 +89,35 @@
 	return out
 }
 
+// requestHead is what precedes the ID in the head of a request.
+var requestHead = []byte("\r\n" + http.CanonicalHeaderKey(fake.HeaderID) + ": ")
+
+// recordReceived records the request whose head is in a block of bytes that a target has received, if there is one. A silent target
+// reads it only when it goes on, and never if it crashes before.
+func (l *ledger) recordReceived(t *target, block []byte) {
+	_, rest, found := bytes.Cut(block, requestHead)
+	id, _, whole := bytes.Cut(rest, []byte("\r\n"))
+	if !found || !whole {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e, ok := l.sent[string(id)]; ok {
+		e.arrivals = append(e.arrivals, arrival{target: t.id, at: time.Now(), unread: true})
+	}
+}
+
+// read records that a target has read a request, which it may have received some time before.
+func (e *requestRecord) read(target string) {
+	for i := range e.arrivals {
+		if a := &e.arrivals[i]; a.target == target && a.unread {
+			a.unread = false
+			return
+		}
+	}
+	e.arrivals = append(e.arrivals, arrival{target: target, at: time.Now()})
+}
+
 // recordEnd records how a request ended.
 func (l *ledger) recordEnd(a attempt, so end) {
 	so.router, so.sentAt, so.timeout = a.router, a.sentAt, a.shortestTimeout()
@@ -324,7 +356,7 @@
 }
 
 // endedWith reports whether a request ended with the answer of a target that ended in some way: a router that waits for
-// another target ends it much later. A silent target may record the arrival of an earlier attempt only after the end.
+// another target ends it much later.
 func (e *requestRecord) endedWith(way func(arrival) bool) bool {
 	return slices.ContainsFunc(e.arrivals, func(a arrival) bool {
 		return way(a) && e.end.at.Sub(a.endedAt).Abs() < eventMargin
--- a/cmd/soak/ends_test.go
+++ b/cmd/soak/ends_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"valescale/platform/fake"
 )
 
 // Times of the judged request of a test, from the start of its schedule.
@@ -165,3 +170,29 @@
 		t.Errorf("target silent for 11 s: judged %q, violation %t; want %q and none", kind, broken, targetBroke)
 	}
 }
+
+// It guards against a soak that blames a sound, silent target for what another one did, since the silent one reads the request later
+// and the other one, which crashes, never does.
+func TestTargetsAreJudgedInTheOrderInWhichTheyReceiveARequest(t *testing.T) {
+	const id = "1-2-3"
+	l := newLedger(1)
+	e := &requestRecord{}
+	l.sent[id] = e
+	block := []byte("POST /safe/ HTTP/1.1\r\nHost: h\r\n" + http.CanonicalHeaderKey(fake.HeaderID) + ": " + id + "\r\n\r\n")
+	silent, crashing := &target{id: "i-0", service: plainService}, &target{id: "i-1", service: plainService}
+	l.recordReceived(silent, block)
+	l.recordReceived(crashing, block)
+	l.recordReceived(crashing, []byte("no head"))
+	l.recordReceived(crashing, block[:len(block)-5])
+	l.recordArrival(silent, id)
+	var got []string
+	for _, a := range e.arrivals {
+		got = append(got, fmt.Sprint(a.target, " unread ", a.unread))
+	}
+	if diff := cmp.Diff([]string{"i-0 unread false", "i-1 unread true"}, got); diff != "" {
+		t.Error(diff)
+	}
+	if read := l.of(plainService).arrivals; read != 1 {
+		t.Errorf("%d arrivals count as repeats or requests, want the one that was read", read)
+	}
+}
--- a/cmd/soak/harness.go
+++ b/cmd/soak/harness.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return nil, nil, errors.WithStack(err)
 	}
-	w.storeFaults, _ = w.serve(storeListener, w.store)
+	w.storeFaults, _ = w.serve(fake.NewFaults(storeListener), w.store)
 	for i := range 2*o.Targets + spareTargets {
 		if err := w.addTarget(i); err != nil {
 			return nil, nil, err
@@ -141,9 +141,8 @@
 	}
 }
 
-// serve serves on a listener, behind connections with fault injection.
-func (w *harness) serve(l net.Listener, h http.Handler) (*fake.Faults, *http.Server) {
-	faults := fake.NewFaults(l)
+// serve serves on a listener with fault injection.
+func (w *harness) serve(faults *fake.Faults, h http.Handler) (*fake.Faults, *http.Server) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	w.servers = append(w.servers, server)
 	go func() { _ = server.Serve(faults) }()
@@ -170,7 +169,8 @@
 		return errors.WithStack(err)
 	}
 	t.listener = listener
-	faults, server := w.serve(listener, w.ledger.countArrivals(t, &fake.Target{ID: t.id, Work: handler.serve}))
+	observed := fake.NewObservedFaults(listener, func(p []byte) { w.ledger.recordReceived(t, p) })
+	faults, server := w.serve(observed, w.ledger.countArrivals(t, &fake.Target{ID: t.id, Work: handler.serve}))
 	handler.crash = func() { w.crash(t) }
 	handler.fallSilent = func() { w.fallSilent(t, w.silenceTime(handler.draw)) }
 	t.handler = handler
