A failed attempt beside a silent one counts as sent

What operators could see: a canary received a few requests more than its share, one for each that was sent to it beside a silent target and failed.

Cause: only an attempt that took the place of the silent one was counted.

Evidence: TestFailedAttemptBesideASilentOneCountsAsSent counts 1 of 2 without the change.

Change: it is counted as it ends.

Result: 2 of 2.

--- a/internal/edge/entry/next_attempt.go
+++ b/internal/edge/entry/next_attempt.go
@@ -155,6 +155,7 @@
 // endNext ends a next attempt that has failed, or that is not needed any more, and reports its result.
 func (h *Handler) endNext(j *job, next *certainAttempt) {
 	runs := j.runs
+	h.Canaries.RecordSent(j.service, next.lookupName)
 	result := h.resultOfNext(j, next)
 	next.release()
 	h.reportToGuard(j, next.placement, result)
--- a/internal/edge/entry/silence_test.go
+++ b/internal/edge/entry/silence_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"valescale/internal/edge/relay"
 	"valescale/internal/edge/route"
+	"valescale/internal/plat/ident"
 	"valescale/internal/rule/match"
 )
 
@@ -395,3 +397,26 @@
 		})
 	}
 }
+
+// countedCanaries are canaries that count the requests that were sent.
+type countedCanaries struct {
+	noCanaries
+	sent *atomic.Int32
+}
+
+func (c countedCanaries) RecordSent(_, _ ident.Service) { c.sent.Add(1) }
+
+// A request that is sent to another target while its own one is silent must count as sent there, also if that one fails: the share
+// of a canary is kept by the requests that are sent to it.
+func TestFailedAttemptBesideASilentOneCountsAsSent(t *testing.T) {
+	a := silentAnswer{framing: "length", silentBefore: 1}
+	s := newSetup(t, newRoute(a.resumableRoute), newFakeTarget(t, a.serve), newFakeTarget(t, answer(500, "", "error")))
+	counted := countedCanaries{sent: &atomic.Int32{}}
+	s.handler.Canaries = counted
+	if got, _ := s.call(t, "GET", "/x", ""); got.Body != a.body() {
+		t.Fatalf("%+v", got)
+	}
+	if sent := counted.sent.Load(); sent != 2 {
+		t.Errorf("%d requests count as sent, want 2", sent)
+	}
+}
