--- a/internal/edge/entry/idle_timeout.go
+++ b/internal/edge/entry/idle_timeout.go
@@ -24,7 +24,7 @@
 	cancel context.CancelCauseFunc
 
 	mu sync.Mutex
-	// period is the current period without a byte.
+	// period is the current idle period.
 	period idlePeriod
 	// seekAt is when the next attempt is to be sought.
 	seekAt time.Time
@@ -182,9 +182,9 @@
 	return t.seekTimer != nil && !t.stopped && t.period.limit > 0
 }
 
-// run runs an operation that waits for the target, and returns whether the target has brought the answer further. If the target
-// is silent for too long meanwhile, the next attempt is begun. Once the current one is to be given up for that, its context is
-// cancelled and an error returned.
+// run runs an operation that waits for the target. If the target is silent for too long meanwhile, the next attempt is begun.
+// Once the current one is to be given up for that, its context is cancelled and an error returned. The operation returns whether
+// the target has brought its answer further, which ends the next attempt.
 func (t *idleTimeout) run(operation func() (progressed bool)) error {
 	if !t.mayFollow() {
 		operation()
--- a/internal/edge/entry/process_watch.go
+++ b/internal/edge/entry/process_watch.go
@@ -52,7 +52,7 @@
 
 // processWatch follows the process of a leaving target.
 type processWatch struct {
-	*processWatches
+	all  *processWatches
 	addr string
 	// joinedAt is when the first answer was added, and atHead is set if nothing of its body had been read. cancel ends the
 	// watch with the last answer.
@@ -93,7 +93,7 @@
 	if !ok {
 		ctx, cancel := context.WithCancel(context.Background())
 		watch = &processWatch{
-			processWatches: s, addr: addr, joinedAt: s.clock(), atHead: atHead, cancel: cancel, checked: make(chan struct{}),
+			all: s, addr: addr, joinedAt: s.clock(), atHead: atHead, cancel: cancel, checked: make(chan struct{}),
 			answers: map[*watchedAnswer]bool{},
 		}
 		s.byAddr[addr] = watch
@@ -113,13 +113,13 @@
 	if w == nil {
 		return
 	}
-	w.processWatches.mu.Lock()
-	defer w.processWatches.mu.Unlock()
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.answers, a)
 	if len(w.answers) == 0 {
-		delete(w.byAddr, w.addr)
+		delete(w.all.byAddr, w.addr)
 		w.cancel()
 	}
 }
@@ -128,7 +128,7 @@
 func (w *processWatch) run(ctx context.Context) {
 	defer w.end()
 	accepts := w.check(ctx)
-	if !accepts && w.atHead && w.clock().Sub(w.joinedAt) <= relay.LocalDelayThreshold {
+	if !accepts && w.atHead && w.all.clock().Sub(w.joinedAt) <= relay.LocalDelayThreshold {
 		// The target had stopped before it sent the head of the first answer.
 		w.settle(func(*watchedAnswer) bool { return true })
 	}
@@ -154,14 +154,14 @@
 
 // check makes a connection to the target and reports whether it may still accept others.
 func (w *processWatch) check(ctx context.Context) bool {
-	probe, refused := w.prober.Probe(ctx, w.addr)
+	probe, refused := w.all.prober.Probe(ctx, w.addr)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.keep(probe)
 	if !refused || ctx.Err() != nil {
 		return true
 	}
-	_ = level.Info(w.logger).Log("msg", "leaving target has stopped accepting connections", "addr", w.addr, "answers", len(w.answers),
+	_ = level.Info(w.all.logger).Log("msg", "leaving target has stopped accepting connections", "addr", w.addr, "answers", len(w.answers),
 		"probe_open", w.probe.Open())
 	return false
 }
@@ -173,7 +173,7 @@
 		return
 	}
 	w.probe.Close()
-	w.probe, w.probedAt = probe, w.clock()
+	w.probe, w.probedAt = probe, w.all.clock()
 }
 
 // waitForCheck waits until the next check is due: after the interval, or once the target has closed the probe.
