A test waits for the reports that it reads

Cause: TestTargetOfAnUnmarkedRestIsNotReportedAsFailing read the fake finder's reports beside the handler that adds to them, as -race showed on too.

Change: it ends the server first and reads under the lock; the comparison is the same.

--- a/internal/edge/entry/ending_test.go
+++ b/internal/edge/entry/ending_test.go
@@ -141,7 +141,9 @@
 func TestTargetOfAnUnmarkedRestIsNotReportedAsFailing(t *testing.T) {
 	s := newSetup(t, newRoute(resumableRoute), newFakeTarget(t, streamEvents(1, 3, 5)), newFakeTarget(t, unmarked(eventText(4, 5))))
 	_ = s.callRaw(t, "POST", "HTTP/1.1")
-	if diff := cmp.Diff([]string{"ok false", "ok true"}, s.finder.reports); diff != "" {
+	// The last report follows the end of the answer.
+	s.server.Close()
+	if diff := cmp.Diff([]string{"ok false", "ok true"}, s.finder.reported()); diff != "" {
 		t.Error(diff)
 	}
 }
